--- /dev/null
+++ b/src/_lib/tokens/index.ts
@@ -0,0 +1,20 @@
+/** Names under which the daemon's parts are registered with the injection container. */
+export const TOKENS = {
+  clock: Symbol("clock"),
+  random: Symbol("random"),
+  logger: Symbol("logger"),
+  metrics: Symbol("metrics"),
+  tracer: Symbol("tracer"),
+  settings: Symbol("settings"),
+  logService: Symbol("log-service"),
+  vmList: Symbol("vm-list"),
+  weightStore: Symbol("weight-store"),
+  engineClients: Symbol("engine-clients"),
+  serviceClients: Symbol("service-clients"),
+  peerNetwork: Symbol("peer-network"),
+  fleetView: Symbol("fleet-view"),
+  catalogueView: Symbol("catalogue-view"),
+  accountLimiter: Symbol("account-limiter"),
+  generationService: Symbol("generation-service"),
+  callService: Symbol("call-service"),
+} as const;
--- /dev/null
+++ b/standins/engine/model/index.ts
@@ -0,0 +1,297 @@
+import * as neverthrow from "neverthrow";
+
+import type * as backends from "../../../src/backends/types.js";
+import * as backendTypes from "../../../src/backends/types.js";
+import type * as clocks from "../../../src/_lib/clock/index.js";
+import type * as randoms from "../../../src/_lib/random/index.js";
+import * as stepError from "../../../src/_lib/stepError/index.js";
+import * as batches from "../batch/index.js";
+import * as orderDesks from "../orderDesk/index.js";
+import * as prefixCaches from "../prefixCache/index.js";
+import * as reportLogs from "../reportLog/index.js";
+import * as stepDurations from "../stepDuration/index.js";
+import * as tokenTexts from "../tokenText/index.js";
+import * as types from "../types.js";
+
+/** How long a finished stream can still be resumed. */
+const KEEP_FINISHED_MS = 60_000;
+
+type MutableCounters = { -readonly [K in keyof types.EngineCounters]: types.EngineCounters[K] };
+
+/** A model engine's behaviour on an injected clock, without any wire format. */
+export class EngineModel {
+  readonly counters: MutableCounters = {
+    preemptionsCount: 0,
+    tokensProducedCount: 0,
+    tokensRecomputedCount: 0,
+    startedCount: 0,
+    finishedCount: 0,
+    cancelledCount: 0,
+  };
+  readonly cache: prefixCaches.PrefixCache;
+  readonly orders: orderDesks.OrderDesk;
+  private readonly batch: batches.Batch;
+  private readonly streams = new Map<string, batches.EngineStream>();
+  private readonly faults = new Set<types.EngineFault>();
+  private readonly reports: reportLogs.ReportLog;
+  private streamOrder = 0;
+  private isStepping = false;
+  private leavingAtMs: number | null = null;
+  private lastStepMs = 0;
+
+  constructor(
+    private readonly options: types.EngineModelOptions,
+    private readonly clock: clocks.Clock,
+    random: randoms.RandomSource,
+  ) {
+    this.batch = new batches.Batch(options.capacityTokens, options.maxRunningCount);
+    this.cache = new prefixCaches.PrefixCache(options, clock, random);
+    this.orders = new orderDesks.OrderDesk(options, clock);
+    this.reports = new reportLogs.ReportLog(options.loadReportLagMs, clock);
+    this.lastStepMs = options.stepBaseMs;
+  }
+
+  /** Starts a generation, after the prefix it was given. */
+  start(
+    request: backends.EngineRequest,
+    sink: types.StreamSink,
+  ): neverthrow.Result<void, stepError.StepError> {
+    if (this.isDead()) return neverthrow.err(this.error("engine.start", "connection refused"));
+    if (!this.orders.hasModel(request.model, request.version, request.adapter)) {
+      const message = `model ${request.model} ${request.version} is not loaded`;
+      return neverthrow.err(this.error("engine.start", message));
+    }
+    const stream = this.createStream(request, sink);
+    this.streams.set(stream.key, stream);
+    this.batch.waiting.add(stream);
+    this.counters.startedCount += 1;
+    this.wake();
+    return neverthrow.ok();
+  }
+
+  /** Takes up a stream on a new connection; an older connection of the stream gets nothing more. */
+  resume(
+    requestId: string,
+    attempt: number,
+    fromOffset: number,
+    sink: types.StreamSink,
+  ): neverthrow.Result<void, stepError.StepError> {
+    if (this.isDead()) return neverthrow.err(this.error("engine.resume", "connection refused"));
+    const stream = this.streams.get(streamKey(requestId, attempt));
+    if (stream === undefined) {
+      return neverthrow.err(this.error("engine.resume", `no stream for request ${requestId}`));
+    }
+    stream.sink = sink;
+    stream.isMuted = false;
+    if (fromOffset < stream.producedTokens || stream.finishReason !== null) {
+      this.emit(stream, fromOffset);
+    }
+    return neverthrow.ok();
+  }
+
+  cancel(requestId: string, attempt: number): void {
+    const stream = this.streams.get(streamKey(requestId, attempt));
+    if (stream?.finishReason !== null) return;
+    this.storePrefixOf(stream);
+    this.finish(stream, backendTypes.FinishReason.Cancelled, stream.producedTokens);
+    this.counters.cancelledCount += 1;
+  }
+
+  /** The newest report that is at least as old as the lag. */
+  loadReport(): backends.EngineLoadReport {
+    this.reports.offer(() => this.takeReport());
+    const newest = this.reports.visible();
+    if (newest === undefined) throw new Error("no load report was taken");
+    return { ...newest, leavingInMs: this.leavingInMs() };
+  }
+
+  inject(fault: types.EngineFault): void {
+    this.faults.add(fault);
+    if (fault === types.EngineFault.Dead) this.die("engine died");
+    if (fault !== types.EngineFault.Silent) return;
+    for (const stream of this.streams.values()) stream.isMuted = true;
+  }
+
+  heal(fault: types.EngineFault): void {
+    this.faults.delete(fault);
+    this.wake();
+  }
+
+  /** Gives notice that the engine is taken away after the time. */
+  reclaim(noticeMs: number): void {
+    this.leavingAtMs = this.clock.nowMs() + noticeMs;
+    this.clock.schedule(noticeMs, () => this.inject(types.EngineFault.Dead));
+  }
+
+  isDead(): boolean {
+    return this.faults.has(types.EngineFault.Dead);
+  }
+
+  private createStream(
+    request: backends.EngineRequest,
+    sink: types.StreamSink,
+  ): batches.EngineStream {
+    const promptTokens = this.options.promptTokensOf(request);
+    const prefixLength = request.prefixTokens.length;
+    const contextTokens = promptTokens + prefixLength;
+    const hitTokens = this.cache.lookup(this.hashesOf(request, prefixLength));
+    return {
+      key: streamKey(request.requestId, request.attempt),
+      request,
+      mark: tokenTexts.samplingMark(request),
+      order: this.streamOrder++,
+      promptTokens,
+      totalTokens: Math.min(request.maxTokens, this.options.lengthOf(request)),
+      producedTokens: prefixLength,
+      prefillTokensLeft: Math.max(1, contextTokens - hitTokens),
+      isPreempted: false,
+      finishReason: null,
+      sink,
+      isMuted: false,
+    };
+  }
+
+  /** Schedules the next step, unless one is under way or there is nothing to do. */
+  private wake(): void {
+    if (this.isStepping || this.isHalted()) return;
+    this.batch.admitWaiting();
+    if (this.batch.running.size === 0) return;
+    this.isStepping = true;
+    const prefilled = this.prefill();
+    const decoding = [...this.batch.running].filter(
+      (stream) => stream.prefillTokensLeft === 0 && !prefilled.streams.has(stream),
+    );
+    const durationMs = stepDurations.stepDurationMs(this.options, {
+      decodingCount: decoding.length,
+      contextTokens: this.batch.usedTokens,
+      prefillTokens: prefilled.tokens,
+    });
+    this.lastStepMs = durationMs;
+    this.clock.schedule(durationMs, () => {
+      this.isStepping = false;
+      this.completeStep(decoding);
+      this.wake();
+    });
+  }
+
+  private prefill(): { tokens: number; streams: ReadonlySet<batches.EngineStream> } {
+    const streams = new Set<batches.EngineStream>();
+    let tokens = 0;
+    for (const stream of this.batch.running) {
+      const budgetTokens = this.options.maxPrefillTokensPerStep - tokens;
+      if (budgetTokens <= 0) break;
+      if (stream.prefillTokensLeft === 0) continue;
+      const chunkTokens = Math.min(budgetTokens, stream.prefillTokensLeft);
+      stream.prefillTokensLeft -= chunkTokens;
+      tokens += chunkTokens;
+      streams.add(stream);
+    }
+    return { tokens, streams };
+  }
+
+  private completeStep(decoding: readonly batches.EngineStream[]): void {
+    if (this.isHalted()) return;
+    for (const stream of decoding) this.decode(stream);
+    for (const victim of this.batch.preemptUntilFits()) {
+      this.counters.preemptionsCount += 1;
+      this.counters.tokensRecomputedCount += victim.prefillTokensLeft;
+    }
+    this.cache.shrinkTo(Math.max(0, this.options.capacityTokens - this.batch.usedTokens));
+    this.reports.offer(() => this.takeReport());
+  }
+
+  private decode(stream: batches.EngineStream): void {
+    if (!this.batch.running.has(stream)) return;
+    const fromOffset = stream.producedTokens;
+    if (fromOffset < stream.totalTokens) {
+      this.batch.grow(stream);
+      this.counters.tokensProducedCount += 1;
+    }
+    if (stream.producedTokens < stream.totalTokens) {
+      this.emit(stream, fromOffset);
+      return;
+    }
+    this.cache.store(this.hashesOf(stream.request, 0));
+    const isCutShort = stream.totalTokens === stream.request.maxTokens;
+    const reason = isCutShort ? backendTypes.FinishReason.Length : backendTypes.FinishReason.Stop;
+    this.finish(stream, reason, fromOffset);
+    this.counters.finishedCount += 1;
+  }
+
+  private finish(
+    stream: batches.EngineStream,
+    reason: backends.FinishReason,
+    fromOffset: number,
+  ): void {
+    this.batch.remove(stream);
+    stream.finishReason = reason;
+    this.emit(stream, fromOffset);
+    this.clock.schedule(KEEP_FINISHED_MS, () => this.streams.delete(stream.key));
+  }
+
+  private emit(stream: batches.EngineStream, fromOffset: number): void {
+    if (stream.sink === null || stream.isMuted) return;
+    const tokens: string[] = [];
+    for (let offset = fromOffset; offset < stream.producedTokens; offset += 1) {
+      tokens.push(tokenTexts.tokenText(stream.mark, offset));
+    }
+    stream.sink.onFrame({ offset: fromOffset, tokens, finishReason: stream.finishReason });
+  }
+
+  private storePrefixOf(stream: batches.EngineStream): void {
+    this.cache.store(this.hashesOf(stream.request, stream.producedTokens));
+  }
+
+  private hashesOf(request: backends.EngineRequest, producedTokens: number): readonly string[] {
+    const mark = tokenTexts.samplingMark(request);
+    const words = request.prompt.split(" ");
+    for (let offset = 0; offset < producedTokens; offset += 1) {
+      words.push(tokenTexts.tokenText(mark, offset));
+    }
+    return prefixCaches.prefixHashes(words, this.options.cacheBlockTokens);
+  }
+
+  private takeReport(): backends.EngineLoadReport {
+    return {
+      takenAtMs: this.clock.nowMs(),
+      runningCount: this.batch.running.size,
+      waitingCount: this.batch.waiting.size,
+      usedTokens: this.batch.usedTokens,
+      capacityTokens: this.options.capacityTokens,
+      stepTimeMs: this.lastStepMs,
+      preemptionsCount: this.counters.preemptionsCount,
+      loadedModels: this.orders.loadedModels,
+      running: this.batch.reportedRuns(),
+      leavingInMs: null,
+    };
+  }
+
+  private die(reason: string): void {
+    const broken = [...this.streams.values()];
+    this.streams.clear();
+    this.batch.clear();
+    this.cache.clear();
+    for (const stream of broken) stream.sink?.onBroken(reason);
+  }
+
+  private leavingInMs(): number | null {
+    return this.leavingAtMs === null ? null : Math.max(0, this.leavingAtMs - this.clock.nowMs());
+  }
+
+  private isHalted(): boolean {
+    return this.isDead() || this.faults.has(types.EngineFault.Stalled);
+  }
+
+  private error(step: string, message: string): stepError.StepError {
+    return new stepError.StepError(message, {
+      code: stepError.ErrorCode.NoBackend,
+      step,
+      peer: this.options.name,
+      execution: stepError.ExecutionState.NotRun,
+    });
+  }
+}
+
+function streamKey(requestId: string, attempt: number): string {
+  return `${requestId}/${attempt}`;
+}
--- /dev/null
+++ b/standins/engine/model/test.ts
@@ -0,0 +1,139 @@
+import tap from "tap";
+
+import type * as backends from "../../../src/backends/types.js";
+import * as randoms from "../../../src/_lib/random/index.js";
+import * as virtualClocks from "../../../src/_lib/virtualClock/index.js";
+import * as types from "../types.js";
+import * as models from "./index.js";
+
+const OPTIONS: types.EngineModelOptions = {
+  name: "engine-1",
+  capacityTokens: 1_000,
+  maxRunningCount: 8,
+  stepBaseMs: 10,
+  stepPerSequenceMs: 1,
+  stepPerContextTokenMs: 0,
+  stepPerPrefillTokenMs: 0.1,
+  maxPrefillTokensPerStep: 512,
+  cacheBlockTokens: 16,
+  loadReportLagMs: 100,
+  cacheEventLagMs: 0,
+  cacheEventLossRatio: 0,
+  checksFencing: true,
+  modelLoadMs: 100,
+  loadedModels: [{ model: "m", version: "1", adapters: [] }],
+  lengthOf: () => 400,
+  promptTokensOf: () => 100,
+};
+
+const REQUEST: backends.EngineRequest = {
+  requestId: "r1",
+  attempt: 1,
+  model: "m",
+  version: "1",
+  adapter: null,
+  prompt: "a b c",
+  prefixTokens: [],
+  maxTokens: 1_000,
+  priority: 0,
+  seed: 1,
+};
+
+class Collector implements types.StreamSink {
+  readonly tokens: string[] = [];
+  finishReason: string | null = null;
+  brokenReason: string | null = null;
+
+  onFrame(frame: backends.EngineFrame): void {
+    frame.tokens.forEach((token, index) => (this.tokens[frame.offset + index] = token));
+    this.finishReason = frame.finishReason;
+  }
+
+  onBroken(reason: string): void {
+    this.brokenReason = reason;
+  }
+}
+
+function createEngine(overrides: Partial<types.EngineModelOptions> = {}): {
+  engine: models.EngineModel;
+  clock: virtualClocks.VirtualClock;
+} {
+  const clock = new virtualClocks.VirtualClock();
+  const engine = new models.EngineModel(
+    { ...OPTIONS, ...overrides },
+    clock,
+    randoms.createRandom(1),
+  );
+  return { engine, clock };
+}
+
+tap.test("a generation delivers its whole length", (t) => {
+  const { engine, clock } = createEngine();
+  const sink = new Collector();
+  engine.start(REQUEST, sink);
+  clock.advanceToMs(10_000);
+  t.equal(sink.tokens.length, 400);
+  t.equal(sink.finishReason, "stop");
+  t.end();
+});
+
+tap.test("memory that fills in the middle of decoding preempts the latest generation", (t) => {
+  const { engine, clock } = createEngine();
+  const sinks = [new Collector(), new Collector(), new Collector()];
+  sinks.forEach((sink, index) => engine.start({ ...REQUEST, requestId: `r${index}` }, sink));
+  clock.advanceToMs(30_000);
+  t.ok(engine.counters.preemptionsCount > 0);
+  t.same(
+    sinks.map((sink) => sink.tokens.length),
+    [400, 400, 400],
+    "preempted generations finish whole all the same",
+  );
+  t.end();
+});
+
+tap.test("a continuation from a prefix gives the same text", (t) => {
+  const { engine, clock } = createEngine();
+  const whole = new Collector();
+  engine.start(REQUEST, whole);
+  clock.advanceToMs(10_000);
+  const rest = new Collector();
+  const prefixTokens = whole.tokens.slice(0, 150);
+  engine.start({ ...REQUEST, attempt: 2, prefixTokens }, rest);
+  clock.advanceToMs(20_000);
+  t.same(rest.tokens.filter(Boolean), whole.tokens.slice(150));
+  t.end();
+});
+
+tap.test("a resumed stream goes on from its offset and the old connection gets no more", (t) => {
+  const { engine, clock } = createEngine();
+  const first = new Collector();
+  engine.start(REQUEST, first);
+  clock.advanceToMs(1_000);
+  const seenCount = first.tokens.length;
+  const second = new Collector();
+  engine.resume("r1", 1, seenCount - 5, second);
+  clock.advanceToMs(10_000);
+  t.equal(first.tokens.length, seenCount);
+  t.equal(second.tokens.length, 400);
+  t.end();
+});
+
+tap.test("an old fencing number is refused", (t) => {
+  const { engine } = createEngine();
+  t.ok(engine.orders.take({ kind: "set-role", role: "a", fencingNumber: 5 } as never).isOk());
+  const stale = engine.orders.take({ kind: "set-role", role: "b", fencingNumber: 4 } as never);
+  t.ok(stale.isErr());
+  t.equal(engine.orders.role, "a");
+  t.end();
+});
+
+tap.test("death breaks every stream", (t) => {
+  const { engine, clock } = createEngine();
+  const sink = new Collector();
+  engine.start(REQUEST, sink);
+  clock.advanceToMs(500);
+  engine.inject(types.EngineFault.Dead);
+  t.equal(sink.brokenReason, "engine died");
+  t.ok(engine.start(REQUEST, sink).isErr());
+  t.end();
+});
--- /dev/null
+++ b/standins/engine/orderDesk/index.ts
@@ -0,0 +1,93 @@
+import * as neverthrow from "neverthrow";
+
+import type * as backends from "../../../src/backends/types.js";
+import * as backendTypes from "../../../src/backends/types.js";
+import type * as clocks from "../../../src/_lib/clock/index.js";
+import * as stepError from "../../../src/_lib/stepError/index.js";
+
+/** Settings of an order desk. */
+export interface OrderDeskOptions {
+  readonly name: string;
+  readonly checksFencing: boolean;
+  readonly modelLoadMs: number;
+  readonly loadedModels: readonly backends.LoadedModel[];
+}
+
+type OrderHandler = (order: backends.EngineOrder) => void;
+
+/** Carries out orders to load and unload models; refuses old fencing numbers where the engine checks them. */
+export class OrderDesk {
+  private loaded: readonly backends.LoadedModel[];
+  private highestFencingNumber = -1;
+  private currentRole = "mixed";
+  private readonly handlers: Readonly<Record<backends.OrderKind, OrderHandler>> = {
+    [backendTypes.OrderKind.LoadModel]: (order) => this.load(order),
+    [backendTypes.OrderKind.UnloadModel]: (order) => this.unload(order),
+    [backendTypes.OrderKind.SetRole]: (order) => {
+      this.currentRole = order.role ?? this.currentRole;
+    },
+  };
+
+  constructor(
+    private readonly options: OrderDeskOptions,
+    private readonly clock: clocks.Clock,
+  ) {
+    this.loaded = options.loadedModels;
+  }
+
+  get loadedModels(): readonly backends.LoadedModel[] {
+    return this.loaded;
+  }
+
+  get role(): string {
+    return this.currentRole;
+  }
+
+  hasModel(model: string, version: string, adapter: string | null): boolean {
+    return this.loaded.some(
+      (item) =>
+        item.model === model &&
+        item.version === version &&
+        (adapter === null || item.adapters.includes(adapter)),
+    );
+  }
+
+  take(order: backends.EngineOrder): neverthrow.Result<void, stepError.StepError> {
+    if (this.options.checksFencing && order.fencingNumber < this.highestFencingNumber) {
+      return neverthrow.err(this.staleOrderError(order));
+    }
+    this.highestFencingNumber = Math.max(this.highestFencingNumber, order.fencingNumber);
+    this.handlers[order.kind](order);
+    return neverthrow.ok();
+  }
+
+  private load(order: backends.EngineOrder): void {
+    const { model, version, adapter } = order;
+    if (model === undefined || version === undefined) return;
+    this.clock.schedule(this.options.modelLoadMs, () => {
+      if (this.hasModel(model, version, adapter ?? null)) return;
+      const existing = this.loaded.find((item) => item.model === model && item.version === version);
+      const adapters = [...(existing?.adapters ?? []), ...(adapter === undefined ? [] : [adapter])];
+      this.loaded = [
+        ...this.loaded.filter((item) => item !== existing),
+        { model, version, adapters },
+      ];
+    });
+  }
+
+  private unload(order: backends.EngineOrder): void {
+    this.loaded = this.loaded.filter(
+      (item) => item.model !== order.model || item.version !== order.version,
+    );
+  }
+
+  private staleOrderError(order: backends.EngineOrder): stepError.StepError {
+    const message = `fencing number ${order.fencingNumber} is older than ${this.highestFencingNumber}`;
+    return new stepError.StepError(message, {
+      code: stepError.ErrorCode.Conflict,
+      step: "engine.order",
+      peer: this.options.name,
+      execution: stepError.ExecutionState.NotRun,
+    });
+  }
+}
--- /dev/null
+++ b/standins/engine/prefixCache/index.ts
@@ -0,0 +1,116 @@
+import * as crypto from "node:crypto";
+
+import type * as backends from "../../../src/backends/types.js";
+import type * as clocks from "../../../src/_lib/clock/index.js";
+import type * as randoms from "../../../src/_lib/random/index.js";
+
+/** Length of a prefix hash in hexadecimal digits. */
+const HASH_DIGITS = 16;
+
+/** Most events kept for readers that come late. */
+const MAX_EVENTS = 4_096;
+
+/** Settings of a prefix cache. */
+export interface PrefixCacheOptions {
+  readonly cacheBlockTokens: number;
+  readonly cacheEventLagMs: number;
+  readonly cacheEventLossRatio: number;
+}
+
+interface PublishedEvent {
+  readonly event: backends.CacheEvent;
+  readonly visibleAtMs: number;
+}
+
+/**
+ * Hashes of a text's prefixes, one per whole block, shortest first.
+ *
+ * @param words - the tokens of the text
+ * @param blockTokens - tokens per block
+ */
+export function prefixHashes(words: readonly string[], blockTokens: number): readonly string[] {
+  const hashes: string[] = [];
+  let previous = "";
+  for (let end = blockTokens; end <= words.length; end += blockTokens) {
+    const block = words.slice(end - blockTokens, end).join(" ");
+    previous = crypto
+      .createHash("sha1")
+      .update(`${previous}|${block}`)
+      .digest("hex")
+      .slice(0, HASH_DIGITS);
+    hashes.push(previous);
+  }
+  return hashes;
+}
+
+/** Prompt prefixes kept in spare memory, least recently used evicted first; events are late and gapped. */
+export class PrefixCache {
+  private readonly blocks = new Set<string>();
+  private readonly events: PublishedEvent[] = [];
+  private sequence = 0;
+
+  constructor(
+    private readonly options: PrefixCacheOptions,
+    private readonly clock: clocks.Clock,
+    private readonly random: randoms.RandomSource,
+  ) {}
+
+  /** Tokens of memory that cached blocks take. */
+  get usedTokens(): number {
+    return this.blocks.size * this.options.cacheBlockTokens;
+  }
+
+  /** Tokens of the longest cached prefix; marks it as recently used. */
+  lookup(hashes: readonly string[]): number {
+    let hitCount = 0;
+    for (const hash of hashes) {
+      if (!this.blocks.delete(hash)) break;
+      this.blocks.add(hash);
+      hitCount += 1;
+    }
+    return hitCount * this.options.cacheBlockTokens;
+  }
+
+  store(hashes: readonly string[]): void {
+    for (const hash of hashes) {
+      if (this.blocks.has(hash)) continue;
+      this.blocks.add(hash);
+      this.publish("stored", hash);
+    }
+  }
+
+  /** Evicts until at most this many tokens are used. */
+  shrinkTo(maxTokens: number): void {
+    for (const hash of this.blocks) {
+      if (this.usedTokens <= maxTokens) break;
+      this.blocks.delete(hash);
+      this.publish("evicted", hash);
+    }
+  }
+
+  clear(): void {
+    this.blocks.clear();
+    this.publish("cleared", "");
+  }
+
+  /** Events after a sequence number that have become visible. */
+  eventsAfter(sequence: number): readonly backends.CacheEvent[] {
+    const nowMs = this.clock.nowMs();
+    return this.events
+      .filter((item) => item.event.sequence > sequence && item.visibleAtMs <= nowMs)
+      .map((item) => item.event);
+  }
+
+  private publish(kind: backends.CacheEvent["kind"], prefixHash: string): void {
+    this.sequence += 1;
+    if (this.random.next() < this.options.cacheEventLossRatio) return;
+    const event = {
+      sequence: this.sequence,
+      kind,
+      prefixHash,
+      tokens: this.options.cacheBlockTokens,
+    };
+    this.events.push({ event, visibleAtMs: this.clock.nowMs() + this.options.cacheEventLagMs });
+    if (this.events.length > MAX_EVENTS) this.events.shift();
+  }
+}
