Check settings files against a schema

Cause: a daemon has to know its addresses, peers and platform services, and an operator has to learn of all mistakes in a file at once.

--- /dev/null
+++ b/src/_lib/yamlFile/index.ts
@@ -0,0 +1,114 @@
+import * as neverthrow from "neverthrow";
+import * as yaml from "yaml";
+import type * as zod from "zod";
+
+import * as describeIssues from "./describeIssues.js";
+import * as locateNodes from "./locateNodes.js";
+
+/** One mistake in a YAML file, with where it stands. */
+export interface YamlProblem {
+  readonly fileName: string;
+  /** Line in the file, counted from 1. */
+  readonly line: number;
+  /** Path of the field, e.g. `vm.peerPort`; empty for the whole document. */
+  readonly path: string;
+  readonly expected: string;
+  readonly found: string;
+}
+
+/** A checked document with the line on which it starts. */
+export interface YamlItem<T> {
+  readonly value: T;
+  readonly line: number;
+}
+
+/**
+ * Parses a YAML text of one document and checks it against a schema.
+ *
+ * @returns the checked value, or every mistake at once in the order of the file
+ */
+export function parseYaml<T>(
+  text: string,
+  fileName: string,
+  schema: zod.ZodType<T>,
+): neverthrow.Result<T, readonly YamlProblem[]> {
+  const lines = new yaml.LineCounter();
+  const document = yaml.parseDocument(text, { lineCounter: lines });
+  return checkDocument(document, lines, fileName, schema).map((item) => item.value);
+}
+
+/**
+ * Parses a YAML text of several documents, each checked against the same schema; empty ones are
+ * left out.
+ *
+ * @returns the checked values with their lines, or every mistake of all documents at once
+ */
+export function parseYamlDocuments<T>(
+  text: string,
+  fileName: string,
+  schema: zod.ZodType<T>,
+): neverthrow.Result<readonly YamlItem<T>[], readonly YamlProblem[]> {
+  const lines = new yaml.LineCounter();
+  const parsed = yaml.parseAllDocuments(text, { lineCounter: lines });
+  const documents = Array.isArray(parsed) ? parsed : [];
+  const results = documents
+    .filter((document) => document.contents !== null || document.errors.length > 0)
+    .map((document) => checkDocument(document, lines, fileName, schema));
+  const problems = results.flatMap((result) => (result.isErr() ? result.error : []));
+  if (problems.length > 0) return neverthrow.err(problems);
+  return neverthrow.ok(results.flatMap((result) => (result.isOk() ? [result.value] : [])));
+}
+
+/** Text of one problem, e.g. `vm.yaml:3: vm.peerPort: expected number, found "x"`. */
+export function formatYamlProblem(problem: YamlProblem): string {
+  const path = problem.path === "" ? "" : ` ${problem.path}:`;
+  return `${problem.fileName}:${problem.line}:${path} expected ${problem.expected}, found ${problem.found}`;
+}
+
+function checkDocument<T>(
+  document: yaml.Document.Parsed,
+  lines: yaml.LineCounter,
+  fileName: string,
+  schema: zod.ZodType<T>,
+): neverthrow.Result<YamlItem<T>, readonly YamlProblem[]> {
+  if (document.errors.length > 0) {
+    return neverthrow.err(document.errors.map((error) => syntaxProblem(error, lines, fileName)));
+  }
+  const value: unknown = document.toJS();
+  const result = schema.safeParse(value);
+  if (result.success) {
+    return neverthrow.ok({ value: result.data, line: locateNodes.lineOf(document, lines, []) });
+  }
+  const problems = result.error.issues
+    .flatMap((issue) => describeIssues.describeIssue(issue, value))
+    .map((mistake) => ({
+      fileName,
+      line: locateNodes.lineOf(document, lines, mistake.path),
+      path: formatPath(mistake.path),
+      expected: mistake.expected,
+      found: mistake.found,
+    }));
+  return neverthrow.err(problems.sort((left, right) => left.line - right.line));
+}
+
+function syntaxProblem(
+  error: yaml.YAMLError,
+  lines: yaml.LineCounter,
+  fileName: string,
+): YamlProblem {
+  const [summary] = error.message.split(/ at line |\n/);
+  return {
+    fileName,
+    line: lines.linePos(error.pos[0]).line,
+    path: "",
+    expected: "valid YAML",
+    found: summary ?? error.code,
+  };
+}
+
+function formatPath(path: readonly PropertyKey[]): string {
+  return path
+    .map((key) => (typeof key === "number" ? `[${key}]` : `.${String(key)}`))
+    .join("")
+    .replace(/^\./, "");
+}
--- /dev/null
+++ b/src/settings/parseSettings/test.ts
@@ -0,0 +1,79 @@
+import tap from "tap";
+
+import * as formatSettingsErrors from "../formatSettingsErrors/index.js";
+import * as parseSettings from "./index.js";
+
+const VALID = `
+vm: { name: a-1, region: north, dataCentre: a, peerAddress: 127.0.0.1 }
+admin:
+  operatorKeys: [{ operator: ann, keyHash: ${"a".repeat(64)} }]
+fleet:
+  key: ${"k".repeat(32)}
+  regions: [{ name: north, dataCentres: [a, b] }]
+platform:
+  logUrls: [http://127.0.0.1:9000]
+`;
+
+function problemsOf(text: string): string {
+  const result = parseSettings.parseSettings(text, "vm.yaml");
+  return result.isErr() ? formatSettingsErrors.formatSettingsErrors(result.error) : "no problems";
+}
+
+tap.test("settings with only the required fields get their defaults", (t) => {
+  const settings = parseSettings.parseSettings(VALID, "vm.yaml")._unsafeUnwrap();
+  t.equal(settings.callers.port, 8_080);
+  t.equal(settings.vm.heartbeatPort, 7_101);
+  t.equal(settings.shutdown.graceMs, 600_000);
+  t.equal(settings.metrics, undefined);
+  t.end();
+});
+
+tap.test("an unknown field is named with its line", (t) => {
+  t.equal(
+    problemsOf(`${VALID}  retries: 3\n`),
+    'vm.yaml:10: platform.retries: expected a known field, found unknown field "retries"',
+  );
+  t.end();
+});
+
+tap.test("all mistakes of all sections are reported at once, in the order of the file", (t) => {
+  const text = VALID.replace("peerAddress: 127.0.0.1", "peerAddress: host-1, peerPort: '71'")
+    .replace("key: ", "secret: ")
+    .replace("dataCentre: a", "dataCentre: z")
+    .replace("keyHash: a", "keyHash: X")
+    .replace("http://", "ftp://");
+  t.same(problemsOf(text).split("\n"), [
+    'vm.yaml:2: vm.peerAddress: expected an IP address, found "host-1"',
+    'vm.yaml:2: vm.peerPort: expected a number, found "71"',
+    `vm.yaml:2: vm.dataCentre: expected a data centre of the VM's region in fleet.regions, found "z"`,
+    `vm.yaml:4: admin.operatorKeys[0].keyHash: expected a SHA-256 hash of 64 lower-case hexadecimal digits, found "X${"a".repeat(58)}...`,
+    "vm.yaml:5: fleet.key: expected a text, in quotes where it looks like a number, found nothing",
+    'vm.yaml:6: fleet.secret: expected a known field, found unknown field "secret"',
+    'vm.yaml:9: platform.logUrls[0]: expected an http or https URL, found "ftp://127.0.0.1:9000"',
+  ]);
+  t.end();
+});
+
+tap.test("broken YAML is reported with its line", (t) => {
+  t.match(problemsOf("vm: {\n  name: x\n"), /^vm\.yaml:\d+: expected valid YAML, found /);
+  t.match(problemsOf("vm: 1\nvm: 2\n"), /^vm\.yaml:2: expected valid YAML, found Map keys/);
+  t.end();
+});
+
+tap.test("an empty file is reported as one mistake", (t) => {
+  t.equal(problemsOf(""), "vm.yaml:1: expected a mapping, found null");
+  t.end();
+});
+
+tap.test("listeners that share a port are refused", (t) => {
+  const text = `${VALID}callers: { port: 8090 }\n`;
+  t.match(problemsOf(text), /admin\.port: expected a port that no other listener uses/);
+  t.end();
+});
+
+tap.test("seed peers with the same name are refused", (t) => {
+  const seed = "{ name: b-1, region: north, dataCentre: b, peerAddress: 127.0.0.1 }";
+  const text = VALID.replace("fleet:\n", `fleet:\n  seedPeers: [${seed}, ${seed}]\n`);
+  t.match(problemsOf(text), /vm\.yaml:6: fleet\.seedPeers: expected seed peers with distinct/);
+  t.end();
+});
