Talk to the platform, engines and plain services over HTTP

Cause: the aggregates know the outside parties by interfaces only, and the daemon needs something behind them. Change: adapters for log, list of VMs, weight store, engines and plain services on one connector that tells a request no connection carried (not-run) from one that may have arrived (unknown). An engine's events are decoded one read at a time, and resuming or calling once avoids pooled connections. Conclusion: a lost answer is unknown, a refused connection is not-run.

--- /dev/null
+++ b/src/_lib/httpConnector/answerError.ts
@@ -0,0 +1,53 @@
+import * as zod from "zod";
+
+import * as stepError from "../stepError/index.js";
+import type * as httpConnector from "./index.js";
+
+const MS_PER_SECOND = 1_000;
+const FIRST_SERVER_ERROR_STATUS = 500;
+
+const errorBody = zod.object({
+  error: zod.string().optional(),
+  execution: zod.enum(stepError.ExecutionState).optional(),
+});
+
+type ErrorBody = zod.infer<typeof errorBody>;
+
+/** Where an error answer came from, and what code it stands for. */
+export interface AnswerErrorOrigin {
+  readonly step: string;
+  readonly peer: string;
+  readonly code: stepError.ErrorCode;
+}
+
+/**
+ * Turns an answer with an error status into a StepError. Unless the answer says whether the work
+ * was run, a refusal (4xx) says `not-run` and a failure (5xx) says `unknown`.
+ */
+export function answerError(
+  answer: httpConnector.HttpAnswer,
+  origin: AnswerErrorOrigin,
+): stepError.StepError {
+  const body = parseBody(answer.body);
+  const retryAfterS = Number(answer.headers["retry-after"] ?? Number.NaN);
+  return new stepError.StepError(body.error ?? `answered with status ${answer.statusCode}`, {
+    ...origin,
+    execution: body.execution ?? executionOf(answer.statusCode),
+    ...(Number.isFinite(retryAfterS) ? { retryAfterMs: retryAfterS * MS_PER_SECOND } : {}),
+  });
+}
+
+function executionOf(statusCode: number): stepError.ExecutionState {
+  return statusCode < FIRST_SERVER_ERROR_STATUS
+    ? stepError.ExecutionState.NotRun
+    : stepError.ExecutionState.Unknown;
+}
+
+function parseBody(body: Buffer): ErrorBody {
+  try {
+    const result = errorBody.safeParse(JSON.parse(body.toString("utf8")));
+    return result.success ? result.data : {};
+  } catch {
+    return {};
+  }
+}
--- /dev/null
+++ b/src/backends/httpServiceClients/index.ts
@@ -0,0 +1,24 @@
+import "reflect-metadata";
+
+import * as tsyringe from "tsyringe";
+
+import type * as catalogue from "../../catalogue/types.js";
+import * as clientCaches from "../_lib/clientCache.js";
+import * as httpServiceClient from "../httpServiceClient/index.js";
+import type * as types from "../types.js";
+
+/** Plain services' clients over HTTP, one per server. */
+@tsyringe.injectable()
+export class HttpServiceClients implements types.ServiceClients, Disposable {
+  private readonly cache = new clientCaches.ClientCache(
+    (name, url) => new httpServiceClient.HttpServiceClient(name, url),
+  );
+
+  clientFor(backend: catalogue.ServiceBackend): types.ServiceClient {
+    return this.cache.clientFor(backend);
+  }
+
+  [Symbol.dispose](): void {
+    this.cache[Symbol.dispose]();
+  }
+}
--- a/src/backends/types.ts
+++ b/src/backends/types.ts
@@ -117,6 +117,11 @@
   readonly headers: Readonly<Record<string, string>>;
   readonly body: Uint8Array;
   readonly timeoutMs: number;
+  /**
+   * Lets the call use a pooled connection. Without it a new one is opened, so that a pooled one
+   * that broke unnoticed cannot leave it unknown whether the call was run.
+   */
+  readonly isIdempotent?: boolean;
 }
 
 /** A plain service's answer. */
