Add HTTP stand-ins with one fault interface

Cause: tests, scenarios and the local start need outside parties that can fail. Change: servers on loopback for log, list of VMs, weight store, engine and plain service, each over its model; faults by lookup table; orders take permits of the weight store.

--- /dev/null
+++ b/standins/engine/eventStream/test.ts
@@ -0,0 +1,53 @@
+import * as stream from "node:stream";
+import type * as http from "node:http";
+
+import tap from "tap";
+
+import * as eventStreams from "./index.js";
+
+/** A response whose reader takes nothing until told to. */
+class HeldResponse extends stream.Writable {
+  text = "";
+  private takeHeld: (() => void) | null = null;
+  private isHeld = true;
+
+  constructor() {
+    super({ highWaterMark: 64 });
+  }
+
+  override _write(chunk: Buffer, _encoding: BufferEncoding, callback: () => void): void {
+    this.text += chunk.toString();
+    if (this.isHeld) this.takeHeld = callback;
+    else callback();
+  }
+
+  release(): void {
+    this.isHeld = false;
+    this.takeHeld?.();
+  }
+
+  writeHead(): this {
+    return this;
+  }
+
+  flushHeaders(): void {
+    // Nothing is buffered here.
+  }
+}
+
+tap.test("a reader that falls behind resumes where its connection stopped", async (t) => {
+  const response = new HeldResponse();
+  const resumedFrom: number[] = [];
+  const target = response as unknown as http.ServerResponse;
+  const events = new eventStreams.EventStream(target, "r", 0, (offset) => resumedFrom.push(offset));
+  events.begin();
+  events.onFrame({ offset: 0, tokens: ["a"], finishReason: null });
+  events.onFrame({ offset: 1, tokens: ["b"], finishReason: null });
+  const drained = new Promise((resolve) => response.once("drain", resolve));
+  response.release();
+  await drained;
+  t.same(resumedFrom, [1]);
+  events.onFrame({ offset: 0, tokens: ["a", "b"], finishReason: null });
+  t.match(response.text, /id: r:0\n.*"text":"a".*\n\nid: r:1\n.*"text":"b"/);
+  t.equal(response.text.match(/"text":"a"/g)?.length, 1);
+});
--- a/standins/engine/orderDesk/index.ts
+++ b/standins/engine/orderDesk/index.ts
@@ -11,6 +11,8 @@
   readonly checksFencing: boolean;
   readonly modelLoadMs: number;
   readonly loadedModels: readonly backends.LoadedModel[];
+  /** Takes a permit of the weight store; milliseconds until the load may begin. */
+  readonly reserveLoad?: () => number;
 }
 
 type OrderHandler = (order: backends.EngineOrder) => void;
@@ -64,7 +66,9 @@
   private load(order: backends.EngineOrder): void {
     const { model, version, adapter } = order;
     if (model === undefined || version === undefined) return;
-    this.clock.schedule(this.options.modelLoadMs, () => {
+    if (this.hasModel(model, version, adapter ?? null)) return;
+    const waitMs = this.options.reserveLoad?.() ?? 0;
+    this.clock.schedule(waitMs + this.options.modelLoadMs, () => {
       if (this.hasModel(model, version, adapter ?? null)) return;
       const existing = this.loaded.find((item) => item.model === model && item.version === version);
       const adapters = [...(existing?.adapters ?? []), ...(adapter === undefined ? [] : [adapter])];
--- a/standins/engine/types.ts
+++ b/standins/engine/types.ts
@@ -19,6 +19,8 @@
   readonly checksFencing: boolean;
   readonly modelLoadMs: number;
   readonly loadedModels: readonly backends.LoadedModel[];
+  /** Takes a permit of the weight store; milliseconds until a load may begin. */
+  readonly reserveLoad?: () => number;
   /** True output length of a request; the system under test cannot see it. */
   readonly lengthOf: (request: backends.EngineRequest) => number;
   /** Tokens of a prompt. */
--- /dev/null
+++ b/standins/weights/model/index.ts
@@ -0,0 +1,42 @@
+import type * as clocks from "../../../src/_lib/clock/index.js";
+import type * as platform from "../../../src/platform/types.js";
+
+const MS_PER_MINUTE = 60_000;
+
+/** A store of model weights that serves a limited number of loads a minute. */
+export class WeightStoreModel {
+  /** Loads that were let through at once or later. */
+  loadsCount = 0;
+  private startedAtMs: number[] = [];
+
+  constructor(
+    private readonly clock: clocks.Clock,
+    readonly loadsPerMinuteLimit: number,
+  ) {}
+
+  /**
+   * Takes a permit for one load.
+   *
+   * @returns milliseconds until the load may begin
+   */
+  reserveLoad(): number {
+    const nowMs = this.clock.nowMs();
+    this.dropOld(nowMs);
+    const earlier = this.startedAtMs.at(-this.loadsPerMinuteLimit);
+    const beginMs = earlier === undefined ? nowMs : Math.max(nowMs, earlier + MS_PER_MINUTE);
+    this.startedAtMs.push(beginMs);
+    this.loadsCount += 1;
+    return beginMs - nowMs;
+  }
+
+  status(): platform.WeightStoreStatus {
+    this.dropOld(this.clock.nowMs());
+    const { loadsPerMinuteLimit } = this;
+    const loadsAvailableCount = Math.max(0, loadsPerMinuteLimit - this.startedAtMs.length);
+    return { loadsPerMinuteLimit, loadsAvailableCount };
+  }
+
+  private dropOld(nowMs: number): void {
+    this.startedAtMs = this.startedAtMs.filter((atMs) => atMs > nowMs - MS_PER_MINUTE);
+  }
+}
--- /dev/null
+++ b/standins/world/index.ts
@@ -0,0 +1,108 @@
+import type * as clocks from "../../src/_lib/clock/index.js";
+import * as disposableStore from "../../src/_lib/disposableStore/index.js";
+import type * as randoms from "../../src/_lib/random/index.js";
+import type * as engineTypes from "../engine/types.js";
+import * as engineServers from "../engine/server/index.js";
+import type * as faults from "../faults/index.js";
+import * as logModels from "../log/model/index.js";
+import * as logServers from "../log/server/index.js";
+import * as serviceModels from "../service/model/index.js";
+import * as serviceServers from "../service/server/index.js";
+import * as vmListServers from "../vms/server/index.js";
+import * as weightServers from "../weights/server/index.js";
+
+/** Names under which the platform's own stand-ins are found. */
+export enum PlatformPart {
+  Log = "log",
+  VmList = "vm-list",
+  WeightStore = "weight-store",
+}
+
+/** Settings of a world of stand-ins. */
+export interface WorldOptions {
+  readonly log?: logModels.LogModelOptions;
+  readonly loadsPerMinuteLimit?: number;
+}
+
+const DEFAULT_LOADS_PER_MINUTE = 60;
+
+/** All stand-ins of one run, on loopback in this process; found by name to make them fail. */
+export class StandInWorld implements AsyncDisposable {
+  readonly log: logServers.LogServer;
+  readonly vmList: vmListServers.VmListServer;
+  readonly weightStore: weightServers.WeightStoreServer;
+  readonly engines = new Map<string, engineServers.EngineServer>();
+  readonly services = new Map<string, serviceServers.ServiceServer>();
+  private readonly serviceModels = new Map<string, serviceModels.ServiceModel>();
+  private readonly store = new disposableStore.DisposableStore();
+
+  constructor(
+    private readonly clock: clocks.Clock,
+    private readonly random: randoms.RandomSource,
+    options: WorldOptions = {},
+  ) {
+    const { log = logModels.DEFAULT_LOG_OPTIONS, loadsPerMinuteLimit = DEFAULT_LOADS_PER_MINUTE } =
+      options;
+    this.log = new logServers.LogServer({ name: PlatformPart.Log }, clock, log);
+    this.vmList = new vmListServers.VmListServer({ name: PlatformPart.VmList }, clock);
+    this.weightStore = new weightServers.WeightStoreServer(
+      { name: PlatformPart.WeightStore },
+      clock,
+      loadsPerMinuteLimit,
+    );
+  }
+
+  /** Starts the platform's own parts. */
+  async start(): Promise<void> {
+    for (const server of [this.log, this.vmList, this.weightStore]) {
+      await this.store.add(server).start();
+    }
+  }
+
+  async addEngine(options: engineTypes.EngineModelOptions): Promise<engineServers.EngineServer> {
+    const reserveLoad = (): number => this.weightStore.model.reserveLoad();
+    const { name } = options;
+    const modelOptions = { reserveLoad, ...options };
+    const server = new engineServers.EngineServer(
+      { name },
+      this.clock,
+      this.random.fork(),
+      modelOptions,
+    );
+    await this.store.add(server).start();
+    this.engines.set(name, server);
+    return server;
+  }
+
+  /** Adds a server of a plain service; the servers of one service share what they ran. */
+  async addService(service: string, name: string): Promise<serviceServers.ServiceServer> {
+    const server = new serviceServers.ServiceServer(
+      { name },
+      this.clock,
+      this.serviceModel(service),
+    );
+    await this.store.add(server).start();
+    this.services.set(name, server);
+    return server;
+  }
+
+  /** What the servers of a service ran together. */
+  serviceModel(service: string): serviceModels.ServiceModel {
+    const known = this.serviceModels.get(service);
+    if (known !== undefined) return known;
+    const created = new serviceModels.ServiceModel();
+    this.serviceModels.set(service, created);
+    return created;
+  }
+
+  /** The stand-in with a name, or undefined. */
+  find(name: string): faults.Faultable | undefined {
+    const parts: readonly faults.Faultable[] = [this.log, this.vmList, this.weightStore];
+    const part = parts.find((item) => item.name === name);
+    return part ?? this.engines.get(name) ?? this.services.get(name);
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await this.store[Symbol.asyncDispose]();
+  }
+}
