Record decisions, counters and service-level burn

Cause: nothing told what a VM had decided, nor how far entries kept their objectives. Ruled out: burn from histograms alone, since a bound between two buckets would be counted wrongly; good and bad events are counted against the bound when they happen.

--- a/src/telemetry/types.ts
+++ b/src/telemetry/types.ts
@@ -15,7 +15,7 @@
 /** Records decisions per request in a bounded ring. */
 export interface Tracer {
   record(requestId: string, event: Omit<TraceEvent, "atWallMs" | "vm">): void;
-  /** Also records under a backend server's name, for `chiveferry explain engine`. */
+  /** Decisions of one request, oldest first; empty where the request is not known. */
   trace(requestId: string): readonly TraceEvent[];
 }
 
@@ -36,3 +36,40 @@
   /** Records whether a request of the entry finished whole. */
   completed(entryName: string, isWhole: boolean): void;
 }
+
+/** What the burn report counts: the measures, and whether requests finished whole. */
+export enum BurnSubject {
+  Stall = "stall",
+  InterToken = "inter-token",
+  FirstToken = "first-token",
+  Completion = "completion",
+}
+
+/** Good and bad events of one entry and subject in one window. */
+export interface BurnCounts {
+  readonly windowMs: number;
+  readonly goodCount: number;
+  readonly badCount: number;
+}
+
+/** One entry's burn on one VM; several of them merge by adding. */
+export interface BurnSeries {
+  readonly entryName: string;
+  readonly owner: string;
+  readonly subject: BurnSubject;
+  /** Bound that an event must keep to be good, in milliseconds; null for completion. */
+  readonly objectiveMs: number | null;
+  readonly targetRatio: number;
+  readonly windows: readonly BurnCounts[];
+  /** Bad and total events per slot, newest last, for the plot. */
+  readonly slots: readonly BurnSlot[];
+  /** Compressed HDR histogram of the last hour; null where there are no values. */
+  readonly histogram: string | null;
+}
+
+/** Events of one slot of the plot. */
+export interface BurnSlot {
+  readonly startWallMs: number;
+  readonly goodCount: number;
+  readonly badCount: number;
+}
