Serve callers over HTTP

Cause: nothing accepted requests. Change: the callers' port on hapi: completions streamed and whole, re-attachment by request id and Last-Event-ID, calls, health and readiness; every error is a problem document that states whether the work was run.

--- a/src/generations/types.ts
+++ b/src/generations/types.ts
@@ -30,9 +30,10 @@
   readonly requestId: string;
   /**
    * Tokens from an offset on, each once and in order; throws a StepError where the generation
-   * was interrupted for good. Ending the iteration early detaches the caller.
+   * was interrupted for good. Ending the iteration early detaches the caller, and so does the
+   * signal, at once and also while no token comes.
    */
-  frames(fromOffset: number): AsyncIterable<TokenFrame>;
+  frames(fromOffset: number, signal?: AbortSignal): AsyncIterable<TokenFrame>;
 }
 
 /** Generations as the HTTP port uses them. */
--- /dev/null
+++ b/src/http/_lib/admitCaller.ts
@@ -0,0 +1,61 @@
+import type * as hapi from "@hapi/hapi";
+import * as neverthrow from "neverthrow";
+
+import * as stepError from "../../_lib/stepError/index.js";
+import type * as accounts from "../../accounts/types.js";
+import type * as catalogue from "../../catalogue/index.js";
+import type * as types from "../types.js";
+import * as authentication from "./authenticateAccount.js";
+import * as errors from "./errors.js";
+
+/** An entry that a caller may use, and its place among the account's requests. */
+export interface AdmittedCaller<Entry> {
+  readonly account: catalogue.ClientAccount;
+  readonly entry: Entry;
+  readonly permit: accounts.AccountPermit;
+}
+
+/** Finds an entry by its name. */
+export type FindEntry<Entry> = (state: catalogue.CatalogueState, name: string) => Entry | undefined;
+
+/** Authenticates a caller, finds the entry it names, and takes a place within the account's limits. */
+export function admitCaller<Entry extends { readonly owner: string }>(
+  parts: types.CallerServerParts,
+  request: hapi.Request,
+  entryName: string,
+  findEntry: FindEntry<Entry>,
+): neverthrow.Result<AdmittedCaller<Entry>, stepError.StepError> {
+  const { isReady, reason } = parts.readiness();
+  if (!isReady) return neverthrow.err(notReady(reason));
+  const state = parts.catalogue.current();
+  return authentication
+    .authenticateAccount(request, state)
+    .andThen((account) =>
+      findUsableEntry(state, account, entryName, findEntry).map((entry) => ({ account, entry })),
+    )
+    .andThen(({ account, entry }) =>
+      parts.limiter.admit(account).map((permit) => ({ account, entry, permit })),
+    );
+}
+
+function findUsableEntry<Entry extends { readonly owner: string }>(
+  state: catalogue.CatalogueState,
+  account: catalogue.ClientAccount,
+  entryName: string,
+  findEntry: FindEntry<Entry>,
+): neverthrow.Result<Entry, stepError.StepError> {
+  const entry = findEntry(state, entryName);
+  if (entry === undefined) {
+    const message = `the catalogue has no entry "${entryName}" of this kind`;
+    return neverthrow.err(errors.refuse(stepError.ErrorCode.NotFound, "http.route", message));
+  }
+  if (entry.owner !== account.owner) {
+    const message = `entry "${entryName}" belongs to another owner than the account`;
+    return neverthrow.err(errors.refuse(stepError.ErrorCode.Forbidden, "http.route", message));
+  }
+  return neverthrow.ok(entry);
+}
+
+function notReady(reason: string): stepError.StepError {
+  return errors.refuse(stepError.ErrorCode.ShuttingDown, "http.admit", reason);
+}
--- /dev/null
+++ b/src/http/_lib/authenticateAccount.ts
@@ -0,0 +1,36 @@
+import type * as hapi from "@hapi/hapi";
+import * as neverthrow from "neverthrow";
+
+import * as stepError from "../../_lib/stepError/index.js";
+import * as catalogue from "../../catalogue/index.js";
+import * as keys from "../hashKey/index.js";
+import * as errors from "./errors.js";
+
+const BEARER = "bearer ";
+
+/** The key of an `Authorization: Bearer` header; null where there is none. */
+export function readBearerKey(request: hapi.Request): string | null {
+  const header = request.raw.req.headers.authorization ?? "";
+  const isBearer = header.slice(0, BEARER.length).toLowerCase() === BEARER;
+  return isBearer ? header.slice(BEARER.length).trim() : null;
+}
+
+/** The client account whose key the request carries. */
+export function authenticateAccount(
+  request: hapi.Request,
+  state: catalogue.CatalogueState,
+): neverthrow.Result<catalogue.ClientAccount, stepError.StepError> {
+  const key = readBearerKey(request);
+  if (key === null || key === "") {
+    return neverthrow.err(unauthenticated("expected an Authorization header with a Bearer key"));
+  }
+  const account = catalogue.findAccountByKeyHash(state, keys.hashKey(key));
+  if (account === undefined || !keys.isKeyAmong(key, account.keyHashes)) {
+    return neverthrow.err(unauthenticated("the key belongs to no client account"));
+  }
+  return neverthrow.ok(account);
+}
+
+function unauthenticated(message: string): stepError.StepError {
+  return errors.refuse(stepError.ErrorCode.Unauthenticated, "http.authenticate", message);
+}
--- /dev/null
+++ b/src/http/_lib/completionRoute.ts
@@ -0,0 +1,204 @@
+import * as stream from "node:stream";
+
+import type * as hapi from "@hapi/hapi";
+import * as neverthrow from "neverthrow";
+
+import * as stepError from "../../_lib/stepError/index.js";
+import * as catalogue from "../../catalogue/index.js";
+import type * as generations from "../../generations/types.js";
+import * as completionEvents from "../completionEvents/index.js";
+import * as constants from "../constants.js";
+import * as problems from "../problemOf/index.js";
+import * as schemas from "../requestSchema/index.js";
+import type * as types from "../types.js";
+import * as admission from "./admitCaller.js";
+import * as authentication from "./authenticateAccount.js";
+import * as errors from "./errors.js";
+import * as hapiServers from "./hapiServer.js";
+
+/** How one answer is sent to its caller. */
+interface AnswerTarget {
+  readonly head: completionEvents.EventHead;
+  readonly handle: generations.GenerationHandle;
+  readonly fromOffset: number;
+  readonly promptTokens: number;
+  /** Called with the tokens of each frame before it is sent. */
+  readonly onTokens: (count: number) => void;
+  /** Aborted when the caller has gone. */
+  readonly signal: AbortSignal;
+  /** Called once, however the answer ends. */
+  readonly onEnd: () => void;
+}
+
+/** Handles `POST /v1/completions`. */
+export function create(parts: types.CallerServerParts): hapi.Lifecycle.Method {
+  return async (request, h) => {
+    const requestId = parts.createRequestId();
+    const body = schemas.parseCompletionBody(request.payload as Buffer);
+    if (body.isErr()) return hapiServers.sendProblem(h, body.error, requestId);
+    const admitted = admission.admitCaller(
+      parts,
+      request,
+      body.value.model,
+      catalogue.findGenerationEntry,
+    );
+    if (admitted.isErr()) return hapiServers.sendProblem(h, admitted.error, requestId);
+    const { permit } = admitted.value;
+    const submitted = await submit(parts, requestId, body.value, admitted.value);
+    if (submitted.isErr()) {
+      permit[Symbol.dispose]();
+      return hapiServers.sendProblem(h, submitted.error, requestId);
+    }
+    const target: AnswerTarget = {
+      head: { requestId, entryName: body.value.model },
+      handle: submitted.value,
+      fromOffset: 0,
+      promptTokens: estimatePromptTokens(body.value.prompt),
+      onTokens: (count) => permit.spendTokens(count),
+      signal: callerSignal(request),
+      onEnd: () => permit[Symbol.dispose](),
+    };
+    return body.value.stream === true ? sendStream(h, target) : sendWhole(h, target);
+  };
+}
+
+/** Handles `GET /v1/requests/{id}`: takes up an answer where the caller left off. */
+export function attach(parts: types.CallerServerParts): hapi.Lifecycle.Method {
+  return async (request, h) => {
+    const requestId = String(request.params.id);
+    const { headers } = request.raw.req;
+    const account = authentication.authenticateAccount(request, parts.catalogue.current());
+    if (account.isErr()) return hapiServers.sendProblem(h, account.error, requestId);
+    const offset = schemas.parseLastEventId(
+      headers["last-event-id"] as string | undefined,
+      requestId,
+    );
+    if (offset.isErr()) return hapiServers.sendProblem(h, offset.error, requestId);
+    const attached = await parts.generations.attach(requestId, account.value.name);
+    if (attached.isErr()) return hapiServers.sendProblem(h, attached.error, requestId);
+    const target: AnswerTarget = {
+      head: { requestId, entryName: "" },
+      handle: attached.value,
+      fromOffset: offset.value,
+      promptTokens: 0,
+      onTokens: () => undefined,
+      signal: callerSignal(request),
+      onEnd: () => undefined,
+    };
+    const wantsWhole = headers.accept === "application/json";
+    return wantsWhole ? sendWhole(h, target) : sendStream(h, target);
+  };
+}
+
+async function submit(
+  parts: types.CallerServerParts,
+  requestId: string,
+  body: schemas.CompletionBody,
+  { account, entry }: admission.AdmittedCaller<catalogue.GenerationEntry>,
+): Promise<neverthrow.Result<generations.GenerationHandle, stepError.StepError>> {
+  const maxTokens = body.max_tokens ?? entry.maxTokens;
+  if (maxTokens > entry.maxTokens) {
+    const message = `max_tokens: entry "${entry.name}" allows at most ${entry.maxTokens}`;
+    return neverthrow.err(
+      errors.refuse(stepError.ErrorCode.InvalidRequest, "request.parse", message),
+    );
+  }
+  const deadlineMs = Math.min(body.deadline_ms ?? entry.deadlineMs, entry.deadlineMs);
+  try {
+    return await parts.generations.submit({
+      requestId,
+      entry,
+      accountName: account.name,
+      prompt: body.prompt,
+      promptTokens: estimatePromptTokens(body.prompt),
+      maxTokens,
+      isStreamed: body.stream === true,
+      deadlineAtWallMs: parts.clock.wallTimeMs() + deadlineMs,
+    });
+  } catch (error) {
+    return neverthrow.err(errors.toStepError(error, "generations.submit"));
+  }
+}
+
+/** A signal that is aborted when the caller's connection closes before its answer is sent. */
+function callerSignal(request: hapi.Request): AbortSignal {
+  const gone = new AbortController();
+  const { res } = request.raw;
+  res.once("close", () => {
+    if (!res.writableFinished) gone.abort(callerGone());
+  });
+  return gone.signal;
+}
+
+function callerGone(): stepError.StepError {
+  return new stepError.StepError("the caller closed its connection", {
+    code: stepError.ErrorCode.Interrupted,
+    step: "http.send",
+    peer: "caller",
+    execution: stepError.ExecutionState.Unknown,
+  });
+}
+
+function sendStream(h: hapi.ResponseToolkit, target: AnswerTarget): hapi.ResponseObject {
+  const body = stream.Readable.from(streamEvents(target), { objectMode: false });
+  body.once("close", target.onEnd);
+  return h
+    .response(body)
+    .type(constants.EVENT_STREAM_MEDIA_TYPE)
+    .header("cache-control", "no-store")
+    .header("x-request-id", target.head.requestId);
+}
+
+async function* streamEvents(target: AnswerTarget): AsyncGenerator<string> {
+  const { requestId } = target.head;
+  try {
+    for await (const frame of target.handle.frames(target.fromOffset, target.signal)) {
+      target.onTokens(frame.tokens.length);
+      yield completionEvents.formatFrame(target.head, frame);
+    }
+  } catch (error) {
+    const failure = errors.toStepError(error, "generations.frames");
+    yield completionEvents.formatProblem(problems.problemOf(failure, requestId));
+  }
+}
+
+async function sendWhole(
+  h: hapi.ResponseToolkit,
+  target: AnswerTarget,
+): Promise<hapi.ResponseObject> {
+  const { requestId } = target.head;
+  const tokens: string[] = [];
+  try {
+    for await (const frame of target.handle.frames(target.fromOffset, target.signal)) {
+      target.onTokens(frame.tokens.length);
+      tokens.push(...frame.tokens);
+      if (frame.finishReason === null) continue;
+      const whole = completionEvents.formatWhole(
+        target.head,
+        target.promptTokens,
+        tokens,
+        frame.finishReason,
+      );
+      return h.response(whole).header("x-request-id", requestId);
+    }
+    throw cutShort(tokens.length);
+  } catch (error) {
+    const failure = errors.toStepError(error, "generations.frames");
+    return hapiServers.sendProblem(h, failure, requestId);
+  } finally {
+    target.onEnd();
+  }
+}
+
+function cutShort(tokensCount: number): stepError.StepError {
+  return new stepError.StepError("the answer ended without a finish reason", {
+    code: stepError.ErrorCode.Interrupted,
+    step: "generations.frames",
+    execution: stepError.ExecutionState.Ran,
+    deliveredTokens: tokensCount,
+  });
+}
+
+function estimatePromptTokens(prompt: string): number {
+  return Math.ceil(Buffer.byteLength(prompt) / constants.BYTES_PER_TOKEN);
+}
--- /dev/null
+++ b/src/http/callerServer/index.ts
@@ -0,0 +1,62 @@
+import * as nodeTls from "node:tls";
+
+import type * as hapi from "@hapi/hapi";
+
+import * as stepError from "../../_lib/stepError/index.js";
+import * as callRoute from "../_lib/callRoute.js";
+import * as completionRoute from "../_lib/completionRoute.js";
+import * as hapiServers from "../_lib/hapiServer.js";
+import type * as types from "../types.js";
+
+/** The port that callers use. */
+export class CallerServer implements AsyncDisposable {
+  private constructor(private readonly server: hapi.Server) {}
+
+  /** Starts to listen. */
+  static async start(
+    parts: types.CallerServerParts,
+    listen: types.ListenOptions,
+    limits: types.ServerLimits,
+  ): Promise<CallerServer> {
+    const server = hapiServers.createHapiServer(listen, limits);
+    server.route([
+      { method: "POST", path: "/v1/completions", handler: completionRoute.create(parts) },
+      { method: "GET", path: "/v1/requests/{id}", handler: completionRoute.attach(parts) },
+      { method: "POST", path: "/v1/calls/{entry}", handler: callRoute.create(parts) },
+      { method: "GET", path: "/healthz", handler: (_request, h) => h.response("live\n") },
+      { method: "GET", path: "/readyz", handler: (_request, h) => sendReadiness(parts, h) },
+    ]);
+    await server.start();
+    return new CallerServer(server);
+  }
+
+  /** Address with the port in use. */
+  get url(): string {
+    const { protocol, address, port } = this.server.info;
+    return `${protocol}://${address}:${port}`;
+  }
+
+  /** Replaces the certificates of a TLS listener; running connections keep theirs. */
+  renewTls(tls: NonNullable<types.ListenOptions["tls"]>): void {
+    const { listener } = this.server;
+    if (listener instanceof nodeTls.Server) listener.setSecureContext(tls);
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await this.server.stop({ timeout: 0 });
+  }
+}
+
+function sendReadiness(
+  parts: types.CallerServerParts,
+  h: hapi.ResponseToolkit,
+): hapi.ResponseObject {
+  const { isReady, reason } = parts.readiness();
+  if (isReady) return h.response(`${reason}\n`);
+  const error = new stepError.StepError(reason, {
+    code: stepError.ErrorCode.ShuttingDown,
+    step: "http.ready",
+    execution: stepError.ExecutionState.NotRun,
+  });
+  return hapiServers.sendProblem(h, error);
+}
--- /dev/null
+++ b/src/http/completionEvents/index.ts
@@ -0,0 +1,56 @@
+import type * as backends from "../../backends/types.js";
+import type * as generations from "../../generations/types.js";
+import type * as problems from "../problemOf/index.js";
+
+/** What every event of one answer repeats. */
+export interface EventHead {
+  readonly requestId: string;
+  readonly entryName: string;
+}
+
+/** Last line of a finished stream. */
+export const DONE_EVENT = "data: [DONE]\n\n";
+
+/**
+ * Server-sent events of one frame, one event per token; its id is the request id and the token's offset.
+ *
+ * @returns text in the event stream format
+ */
+export function formatFrame(head: EventHead, frame: generations.TokenFrame): string {
+  const start = `data: {"id":${JSON.stringify(head.requestId)},"object":"text_completion","model":${JSON.stringify(head.entryName)},"choices":[{"index":0,"text":`;
+  const lastIndex = frame.tokens.length - 1;
+  let text = "";
+  frame.tokens.forEach((token, index) => {
+    const finishReason = index === lastIndex ? frame.finishReason : null;
+    const end = `,"finish_reason":${JSON.stringify(finishReason)}}]}\n\n`;
+    text += `id: ${head.requestId}:${frame.offset + index}\n${start}${JSON.stringify(token)}${end}`;
+  });
+  const hasFinishedEmpty = lastIndex < 0 && frame.finishReason !== null;
+  if (hasFinishedEmpty) text = `${start}"","finish_reason":"${frame.finishReason}"}]}\n\n`;
+  return frame.finishReason === null ? text : text + DONE_EVENT;
+}
+
+/** Event that ends a stream which could not be finished. */
+export function formatProblem(problem: problems.Problem): string {
+  return `event: error\ndata: ${JSON.stringify(problem)}\n\n`;
+}
+
+/** The whole answer in one body. */
+export function formatWhole(
+  head: EventHead,
+  promptTokens: number,
+  tokens: readonly string[],
+  finishReason: backends.FinishReason | null,
+): object {
+  return {
+    id: head.requestId,
+    object: "text_completion",
+    model: head.entryName,
+    choices: [{ index: 0, text: tokens.join(""), finish_reason: finishReason }],
+    usage: {
+      prompt_tokens: promptTokens,
+      completion_tokens: tokens.length,
+      total_tokens: promptTokens + tokens.length,
+    },
+  };
+}
--- /dev/null
+++ b/src/http/hashKey/test.ts
@@ -0,0 +1,16 @@
+import tap from "tap";
+
+import * as keys from "./index.js";
+
+tap.test("a key matches its own hash and no other", (t) => {
+  const hashes = [keys.hashKey("first"), keys.hashKey("second")];
+  t.ok(keys.isKeyAmong("second", hashes));
+  t.notOk(keys.isKeyAmong("third", hashes));
+  t.notOk(keys.isKeyAmong("", []));
+  t.end();
+});
+
+tap.test("a malformed hash matches nothing", (t) => {
+  t.notOk(keys.isKeyAmong("first", ["", "zz", keys.hashKey("first").slice(2)]));
+  t.end();
+});
--- /dev/null
+++ b/src/http/index.ts
@@ -0,0 +1,6 @@
+export * from "./callerServer/index.js";
+export * from "./completionEvents/index.js";
+export * from "./hashKey/index.js";
+export * from "./problemOf/index.js";
+export * from "./requestSchema/index.js";
+export type * from "./types.js";
