--- /dev/null
+++ b/src/engines/_lib/memoryForecast/index.ts
@@ -0,0 +1,115 @@
+import * as constants from "../../constants.js";
+import type * as types from "../../types.js";
+
+const HORIZONS = constants.FORECAST_HORIZONS_STEPS;
+
+/** Memory that one generation is expected to take at each horizon. */
+export interface MemoryShare {
+  readonly meansTokens: Float64Array;
+  readonly variances: Float64Array;
+}
+
+/** A share that is still empty. */
+export function createMemoryShare(): MemoryShare {
+  return {
+    meansTokens: new Float64Array(HORIZONS.length),
+    variances: new Float64Array(HORIZONS.length),
+  };
+}
+
+/** What a share is computed from. */
+export interface ShareInput {
+  readonly lengths: types.LengthDistribution;
+  readonly contextTokens: number;
+  readonly producedTokens: number;
+  readonly maxTokens: number;
+}
+
+/**
+ * Fills a share: at each horizon the generation has either ended, or grown by a token per step.
+ *
+ * @param share - overwritten
+ */
+export function fillMemoryShare(share: MemoryShare, input: ShareInput): void {
+  const { lengths, producedTokens, maxTokens, contextTokens } = input;
+  const aliveNow = lengths.survival(producedTokens);
+  for (let index = 0; index < HORIZONS.length; index += 1) {
+    const steps = HORIZONS[index] ?? 0;
+    const reached = producedTokens + steps;
+    const alive = aliveAt(lengths, reached, maxTokens, aliveNow);
+    const tokens = contextTokens + steps;
+    share.meansTokens[index] = alive * tokens;
+    share.variances[index] = alive * (1 - alive) * tokens * tokens;
+  }
+}
+
+function aliveAt(
+  lengths: types.LengthDistribution,
+  reached: number,
+  maxTokens: number,
+  aliveNow: number,
+): number {
+  if (reached >= maxTokens) return 0;
+  if (aliveNow <= 0) return 1;
+  return Math.min(1, lengths.survival(reached) / aliveNow);
+}
+
+/** Memory that all generations of an engine together are expected to take at each horizon. */
+export class MemoryForecast {
+  private readonly meansTokens = new Float64Array(HORIZONS.length);
+  private readonly variances = new Float64Array(HORIZONS.length);
+
+  add(share: MemoryShare): void {
+    for (let index = 0; index < HORIZONS.length; index += 1) {
+      this.meansTokens[index] = (this.meansTokens[index] ?? 0) + (share.meansTokens[index] ?? 0);
+      this.variances[index] = (this.variances[index] ?? 0) + (share.variances[index] ?? 0);
+    }
+  }
+
+  remove(share: MemoryShare): void {
+    for (let index = 0; index < HORIZONS.length; index += 1) {
+      this.meansTokens[index] = (this.meansTokens[index] ?? 0) - (share.meansTokens[index] ?? 0);
+      this.variances[index] = (this.variances[index] ?? 0) - (share.variances[index] ?? 0);
+    }
+  }
+
+  /** The largest need at any horizon: mean plus so many deviations. */
+  peakTokens(marginDeviations: number): number {
+    let peak = 0;
+    for (let index = 0; index < HORIZONS.length; index += 1) {
+      peak = Math.max(peak, this.needTokens(index, marginDeviations, 0, 0));
+    }
+    return peak;
+  }
+
+  /** Whether one more share fits under the limit at every horizon. */
+  hasRoomFor(share: MemoryShare, marginDeviations: number, limitTokens: number): boolean {
+    for (let index = 0; index < HORIZONS.length; index += 1) {
+      const mean = share.meansTokens[index] ?? 0;
+      const variance = share.variances[index] ?? 0;
+      if (this.needTokens(index, marginDeviations, mean, variance) > limitTokens) return false;
+    }
+    return true;
+  }
+
+  /**
+   * Steps until a share that starts later fits for good.
+   *
+   * @returns a horizon in steps, or null when none is far enough
+   */
+  stepsUntilRoomFor(share: MemoryShare, deviations: number, limitTokens: number): number | null {
+    let peakMean = 0;
+    for (const mean of share.meansTokens) peakMean = Math.max(peakMean, mean);
+    let found: number | null = null;
+    for (let index = HORIZONS.length - 1; index >= 0; index -= 1) {
+      if (this.needTokens(index, deviations, peakMean, 0) > limitTokens) return found;
+      found = HORIZONS[index] ?? 0;
+    }
+    return found;
+  }
+
+  private needTokens(index: number, deviations: number, mean: number, variance: number): number {
+    const sumVariance = Math.max(0, (this.variances[index] ?? 0) + variance);
+    return (this.meansTokens[index] ?? 0) + mean + deviations * Math.sqrt(sumVariance);
+  }
+}
--- /dev/null
+++ b/src/engines/_lib/runningTable/index.ts
@@ -0,0 +1,106 @@
+import * as catalogue from "../../../catalogue/types.js";
+import * as constants from "../../constants.js";
+import * as forecasts from "../memoryForecast/index.js";
+import type * as types from "../../types.js";
+
+/** A running generation with its part of the forecast. */
+export interface RunningRecord extends types.RunningGeneration {
+  contextTokens: number;
+  producedTokens: number;
+  lastTokenAtMs: number;
+  /** Tokens produced when the share was last computed. */
+  forecastAtTokens: number;
+  readonly share: forecasts.MemoryShare;
+  /** Prompt tokens that the engine still has to prefill before the first token. */
+  pendingPrefillTokens: number;
+}
+
+/** The generations that one engine runs, with sums that admission needs kept up to date. */
+export class RunningTable {
+  readonly forecast = new forecasts.MemoryForecast();
+  contextTokens = 0;
+  watchedCount = 0;
+  pendingPrefillTokens = 0;
+  private readonly records = new Map<string, RunningRecord>();
+
+  constructor(private readonly lengths: types.LengthEstimator) {}
+
+  get count(): number {
+    return this.records.size;
+  }
+
+  get(requestId: string): RunningRecord | undefined {
+    return this.records.get(requestId);
+  }
+
+  list(): readonly RunningRecord[] {
+    return [...this.records.values()];
+  }
+
+  add(need: types.GenerationNeed, nowMs: number, suspensionsCount: number): void {
+    this.remove(need.requestId);
+    const record: RunningRecord = {
+      need,
+      startedAtMs: nowMs,
+      contextTokens: need.promptTokens + need.producedTokens,
+      producedTokens: need.producedTokens,
+      lastTokenAtMs: nowMs,
+      suspensionsCount,
+      forecastAtTokens: need.producedTokens,
+      share: forecasts.createMemoryShare(),
+      pendingPrefillTokens: need.promptTokens,
+    };
+    this.records.set(need.requestId, record);
+    this.contextTokens += record.contextTokens;
+    this.pendingPrefillTokens += record.pendingPrefillTokens;
+    if (isWatched(need)) this.watchedCount += 1;
+    this.fill(record);
+    this.forecast.add(record.share);
+  }
+
+  progress(requestId: string, producedTokens: number, nowMs: number): void {
+    const record = this.records.get(requestId);
+    if (record === undefined || producedTokens <= record.producedTokens) return;
+    const addedTokens = producedTokens - record.producedTokens;
+    record.producedTokens = producedTokens;
+    record.contextTokens += addedTokens;
+    record.lastTokenAtMs = nowMs;
+    this.contextTokens += addedTokens;
+    this.pendingPrefillTokens -= record.pendingPrefillTokens;
+    record.pendingPrefillTokens = 0;
+    if (producedTokens - record.forecastAtTokens >= constants.REFORECAST_TOKENS) {
+      this.renew(record);
+    }
+  }
+
+  remove(requestId: string): RunningRecord | undefined {
+    const record = this.records.get(requestId);
+    if (record === undefined) return undefined;
+    this.records.delete(requestId);
+    this.contextTokens -= record.contextTokens;
+    this.pendingPrefillTokens -= record.pendingPrefillTokens;
+    if (isWatched(record.need)) this.watchedCount -= 1;
+    this.forecast.remove(record.share);
+    return record;
+  }
+
+  private renew(record: RunningRecord): void {
+    this.forecast.remove(record.share);
+    this.fill(record);
+    this.forecast.add(record.share);
+  }
+
+  private fill(record: RunningRecord): void {
+    record.forecastAtTokens = record.producedTokens;
+    forecasts.fillMemoryShare(record.share, {
+      lengths: this.lengths.distributionFor(record.need),
+      contextTokens: record.contextTokens,
+      producedTokens: record.producedTokens,
+      maxTokens: record.need.maxTokens,
+    });
+  }
+}
+
+function isWatched(need: types.GenerationNeed): boolean {
+  return need.class !== catalogue.RequestClass.Batch;
+}
--- /dev/null
+++ b/src/engines/_lib/stepTimes/index.ts
@@ -0,0 +1,34 @@
+import * as constants from "../../constants.js";
+
+/** Fewest generations running when a step time tells what one more costs. */
+const MIN_RUNNING_COUNT = 1;
+
+/** Learned time of one decoding step, and how it grows with the batch. */
+export class StepTimes {
+  private averageMs = constants.INITIAL_STEP_TIME_MS;
+  private averageCount = 0;
+  private covariance = 0;
+  private countVariance = 0;
+
+  get stepTimeMs(): number {
+    return this.averageMs;
+  }
+
+  /** Learns from a step time that an engine reported together with its batch. */
+  observe(stepTimeMs: number, runningCount: number): void {
+    if (!(stepTimeMs > 0) || runningCount < MIN_RUNNING_COUNT) return;
+    const weight = constants.STEP_TIME_WEIGHT;
+    const timeOffset = stepTimeMs - this.averageMs;
+    const countOffset = runningCount - this.averageCount;
+    this.averageMs += weight * timeOffset;
+    this.averageCount += weight * countOffset;
+    this.covariance += weight * (timeOffset * countOffset - this.covariance);
+    this.countVariance += weight * (countOffset * countOffset - this.countVariance);
+  }
+
+  /** Step time expected with this many generations. */
+  stepTimeWithMs(runningCount: number): number {
+    const slopeMs = this.countVariance > 0 ? Math.max(0, this.covariance / this.countVariance) : 0;
+    return Math.max(0, this.averageMs + slopeMs * (runningCount - this.averageCount));
+  }
+}
--- /dev/null
+++ b/src/engines/constants.ts
@@ -0,0 +1,77 @@
+/** Buckets of output length per doubling. */
+export const BUCKETS_PER_OCTAVE = 4;
+
+/** Longest output that the buckets tell apart. */
+export const MAX_LENGTH_TOKENS = 131_072;
+
+/** Observations after which a histogram has forgotten half of what it held. */
+export const LENGTH_HALF_LIFE_COUNT = 600;
+
+/** Weight, in observations, that the wider histogram has against an entry's or account's own. */
+export const PRIOR_WEIGHT_COUNT = 12;
+
+/** Weight, in observations, of the assumption that every order of magnitude is as likely. */
+export const IGNORANCE_WEIGHT_COUNT = 2;
+
+/** Accounts per learner whose own lengths are kept. */
+export const MAX_ACCOUNT_HISTOGRAMS = 4_096;
+
+/** Times ahead, in decoding steps, at which memory is forecast. */
+export const FORECAST_HORIZONS_STEPS: readonly number[] = [
+  0, 16, 32, 64, 96, 128, 192, 256, 384, 512, 768, 1_024, 1_536, 2_048, 3_072, 4_096, 6_144, 8_192,
+  12_288, 16_384,
+];
+
+/** A running generation's forecast is renewed after this many tokens. */
+export const REFORECAST_TOKENS = 16;
+
+/** Bounds and steps of the safety margin, in standard deviations. */
+export const MIN_MARGIN_DEVIATIONS = 0.5;
+export const MAX_MARGIN_DEVIATIONS = 4;
+export const INITIAL_MARGIN_DEVIATIONS = 2;
+/** Added for every generation that lost its place. */
+export const MARGIN_RAISE_DEVIATIONS = 0.25;
+/** Taken off for every generation that ended whole while work waited. */
+export const MARGIN_RELAX_DEVIATIONS = 0.0005;
+
+/** Share of memory that only interactive work may fill. */
+export const INTERACTIVE_HEADROOM_RATIO = 0.03;
+
+/** Share of memory at which the home suspends work itself. */
+export const SUSPEND_AT_RATIO = 0.985;
+
+/** Steps ahead that suspension looks, to act before the engine does. */
+export const SUSPEND_LOOKAHEAD_STEPS = 4;
+
+/** Weight of the newest value in moving averages of the step time. */
+export const STEP_TIME_WEIGHT = 0.1;
+
+/** Step time assumed before any was learned. */
+export const INITIAL_STEP_TIME_MS = 30;
+
+/** Prompt tokens that may wait for prefill on an engine with watched generations. */
+export const MAX_PENDING_PREFILL_TOKENS = 1_024;
+
+/** Longest wait that an estimate states. */
+export const MAX_ESTIMATED_WAIT_MS = 600_000;
+
+/** Waiting time after which work counts as one class more urgent. */
+export const AGEING_MS = 60_000;
+
+/** Requests of one account and class that are looked at for one offer of room. */
+export const MAX_OFFER_SCAN_COUNT = 8;
+
+/** Scores of engines that differ by less are near-equal; one of them is drawn at random. */
+export const NEAR_EQUAL_SCORE = 0.05;
+
+/** Scores of engine choice: what each circumstance costs, in shares of a whole engine. */
+export const OTHER_DATA_CENTRE_SCORE = 0.08;
+export const SUSPECT_SCORE = 1;
+export const PREFIX_HIT_SCORE = 0.25;
+export const SLOW_STEP_SCORE = 0.1;
+
+/** Work counts as waiting for an engine for this time after it was last turned away. */
+export const WAITING_MEMORY_MS = 1_000;
+
+/** Accounts without waiting work whose past service a lane still remembers. */
+export const MAX_REMEMBERED_ACCOUNTS = 1_024;
--- /dev/null
+++ b/src/engines/engineScheduler/index.ts
@@ -0,0 +1,224 @@
+import type * as backends from "../../backends/types.js";
+import * as catalogue from "../../catalogue/types.js";
+import * as forecasts from "../_lib/memoryForecast/index.js";
+import * as runningTables from "../_lib/runningTable/index.js";
+import * as safetyMargins from "../_lib/safetyMargin/index.js";
+import * as stepTimes from "../_lib/stepTimes/index.js";
+import * as constants from "../constants.js";
+import * as types from "../types.js";
+import * as victims from "../selectVictims/index.js";
+
+/** What a scheduler needs to know about its engine and its surroundings. */
+export interface EngineSchedulerOptions {
+  readonly engineName: string;
+  readonly dataCentre: string;
+  readonly capacityTokens: number;
+  readonly maxRunningCount: number;
+  readonly lengths: types.LengthEstimator;
+  /** Bound between tokens of a watched entry in milliseconds; null where it states none. */
+  readonly interTokenBoundMsOf: (entryName: string) => number | null;
+}
+
+const ADMITTED: types.AdmissionDecision = {
+  verdict: types.AdmissionVerdict.Admit,
+  reason: "memory suffices for the expected growth",
+  estimatedWaitMs: 0,
+};
+
+/** What a home knows about one engine, and its decisions about admission and suspension. */
+export class EngineScheduler implements types.EngineScheduler {
+  private readonly table: runningTables.RunningTable;
+  private readonly margin = new safetyMargins.SafetyMargin();
+  private readonly steps = new stepTimes.StepTimes();
+  private readonly candidate = forecasts.createMemoryShare();
+  private readonly suspensionCounts = new Map<string, number>();
+  private report: backends.EngineLoadReport | null = null;
+  private foreignTokens = 0;
+  private reportedAtMs = 0;
+  private waitedAtMs = -Infinity;
+
+  constructor(private readonly options: EngineSchedulerOptions) {
+    this.table = new runningTables.RunningTable(options.lengths);
+  }
+
+  /** The safety margin in use, in standard deviations. */
+  get marginDeviations(): number {
+    return this.margin.deviations;
+  }
+
+  admit(need: types.GenerationNeed, nowMs: number): types.AdmissionDecision {
+    const blocked = this.blockedReason(need);
+    if (blocked === null) return ADMITTED;
+    this.waitedAtMs = nowMs;
+    return this.waitOrRefuse(need, nowMs, blocked);
+  }
+
+  onStarted(need: types.GenerationNeed, nowMs: number): void {
+    this.table.add(need, nowMs, this.suspensionCounts.get(need.requestId) ?? 0);
+  }
+
+  onProgress(requestId: string, producedTokens: number, nowMs: number): void {
+    this.table.progress(requestId, producedTokens, nowMs);
+  }
+
+  onEnded(requestId: string, nowMs: number, isWhole: boolean): void {
+    const record = this.table.remove(requestId);
+    if (record === undefined || !isWhole) return;
+    this.suspensionCounts.delete(requestId);
+    this.options.lengths.observe(record.need, record.producedTokens);
+    const hasWorkWaited = nowMs - this.waitedAtMs < constants.WAITING_MEMORY_MS;
+    if (hasWorkWaited) this.margin.onEndedWhileWorkWaited();
+  }
+
+  onLoadReport(report: backends.EngineLoadReport, nowMs: number): void {
+    if (this.report !== null && report.takenAtMs <= this.report.takenAtMs) return;
+    const preemptedCount = report.preemptionsCount - (this.report?.preemptionsCount ?? 0);
+    if (this.report !== null && preemptedCount > 0) this.margin.onInterruptions(preemptedCount);
+    this.report = report;
+    this.reportedAtMs = nowMs;
+    this.steps.observe(report.stepTimeMs, report.runningCount);
+    this.foreignTokens = this.foreignTokensIn(report);
+  }
+
+  selectSuspensions(nowMs: number): readonly string[] {
+    const growthTokens = this.table.count * constants.SUSPEND_LOOKAHEAD_STEPS;
+    const limitTokens = this.options.capacityTokens * constants.SUSPEND_AT_RATIO;
+    const excessTokens = this.usedTokens() + growthTokens - limitTokens;
+    if (excessTokens <= 0) return [];
+    const chosen = victims.selectVictims(this.table.list(), excessTokens);
+    for (const requestId of chosen) this.countSuspension(requestId);
+    this.margin.onInterruptions(chosen.length);
+    this.waitedAtMs = nowMs;
+    return chosen;
+  }
+
+  running(): readonly types.RunningGeneration[] {
+    return this.table.list();
+  }
+
+  view(nowMs: number): types.EngineView {
+    return {
+      name: this.options.engineName,
+      dataCentre: this.options.dataCentre,
+      health: this.health(),
+      capacityTokens: this.options.capacityTokens,
+      reservedTokens: this.foreignTokens + this.table.forecast.peakTokens(this.margin.deviations),
+      runningCount: this.table.count,
+      waitingCount: 0,
+      stepTimeMs: this.steps.stepTimeMs,
+      loadedModels: this.report?.loadedModels ?? [],
+      ageMs: Math.max(0, nowMs - this.reportedAtMs),
+      sentSinceTokens: 0,
+      sentSinceCount: 0,
+    };
+  }
+
+  /** Why the work cannot start now; null when it can. */
+  private blockedReason(need: types.GenerationNeed): string | null {
+    if (this.health() !== types.EngineHealth.Live) return "the engine is leaving";
+    if (this.table.count === 0) return null;
+    if (this.table.count >= this.options.maxRunningCount) return "the batch is full";
+    if (!this.keepsInterTokenBound(need)) return "one more would slow down watched generations";
+    if (!this.hasPrefillRoom(need)) return "prompts are waiting for prefill";
+    this.fillCandidate(need);
+    const limitTokens = this.limitTokensFor(need);
+    const deviations = this.margin.deviations;
+    if (this.table.forecast.hasRoomFor(this.candidate, deviations, limitTokens)) return null;
+    return "memory would not suffice for the expected growth";
+  }
+
+  private waitOrRefuse(
+    need: types.GenerationNeed,
+    nowMs: number,
+    reason: string,
+  ): types.AdmissionDecision {
+    const estimatedWaitMs = this.estimateWaitMs(need);
+    const runMs = this.shortestRunMs(need);
+    const isLate = nowMs + estimatedWaitMs + runMs > need.deadlineAtMs;
+    const mayRefuse = need.producedTokens === 0;
+    const verdict =
+      isLate && mayRefuse ? types.AdmissionVerdict.Refuse : types.AdmissionVerdict.Wait;
+    return { verdict, reason, estimatedWaitMs };
+  }
+
+  private estimateWaitMs(need: types.GenerationNeed): number {
+    this.fillCandidate(need);
+    const steps = this.table.forecast.stepsUntilRoomFor(
+      this.candidate,
+      this.margin.deviations,
+      this.limitTokensFor(need),
+    );
+    if (steps === null) return constants.MAX_ESTIMATED_WAIT_MS;
+    return Math.min(constants.MAX_ESTIMATED_WAIT_MS, (steps + 1) * this.steps.stepTimeMs);
+  }
+
+  /** Time that the generation needs even if its output turns out short. */
+  private shortestRunMs(need: types.GenerationNeed): number {
+    const shortProbability = 0.1;
+    const lengths = this.options.lengths.distributionFor(need);
+    const tokens = lengths.residualQuantile(need.producedTokens, need.maxTokens, shortProbability);
+    return tokens * this.steps.stepTimeMs;
+  }
+
+  private fillCandidate(need: types.GenerationNeed): void {
+    forecasts.fillMemoryShare(this.candidate, {
+      lengths: this.options.lengths.distributionFor(need),
+      contextTokens: need.promptTokens + need.producedTokens,
+      producedTokens: need.producedTokens,
+      maxTokens: need.maxTokens,
+    });
+  }
+
+  private limitTokensFor(need: types.GenerationNeed): number {
+    const isInteractive = need.class === catalogue.RequestClass.Interactive;
+    const headroomRatio = isInteractive ? 0 : constants.INTERACTIVE_HEADROOM_RATIO;
+    return this.options.capacityTokens * (1 - headroomRatio) - this.foreignTokens;
+  }
+
+  private keepsInterTokenBound(need: types.GenerationNeed): boolean {
+    const boundMs = this.options.interTokenBoundMsOf(need.entryName);
+    const isWatchedAlready = this.table.watchedCount > 0;
+    if (boundMs === null && !isWatchedAlready) return true;
+    const limitMs = boundMs ?? this.lowestBoundMs();
+    return this.steps.stepTimeWithMs(this.table.count + 1) <= limitMs;
+  }
+
+  private lowestBoundMs(): number {
+    let lowestMs = Infinity;
+    for (const record of this.table.list()) {
+      const boundMs = this.options.interTokenBoundMsOf(record.need.entryName);
+      if (boundMs !== null) lowestMs = Math.min(lowestMs, boundMs);
+    }
+    return lowestMs;
+  }
+
+  private hasPrefillRoom(need: types.GenerationNeed): boolean {
+    if (need.class === catalogue.RequestClass.Interactive) return true;
+    if (this.table.watchedCount === 0) return true;
+    if (this.table.pendingPrefillTokens === 0) return true;
+    const pendingTokens = this.table.pendingPrefillTokens + need.promptTokens;
+    return pendingTokens <= constants.MAX_PENDING_PREFILL_TOKENS;
+  }
+
+  private usedTokens(): number {
+    return this.table.contextTokens + this.foreignTokens;
+  }
+
+  /** Memory that the engine spends on work that is not this home's. */
+  private foreignTokensIn(report: backends.EngineLoadReport): number {
+    let tokens = 0;
+    for (const run of report.running) {
+      if (this.table.get(run.requestId) === undefined) tokens += run.contextTokens;
+    }
+    return tokens;
+  }
+
+  private countSuspension(requestId: string): void {
+    this.suspensionCounts.set(requestId, (this.suspensionCounts.get(requestId) ?? 0) + 1);
+  }
+
+  private health(): types.EngineHealth {
+    const isLeaving = this.report !== null && this.report.leavingInMs !== null;
+    return isLeaving ? types.EngineHealth.Leaving : types.EngineHealth.Live;
+  }
+}
--- /dev/null
+++ b/src/engines/lengthLearner/index.ts
@@ -0,0 +1,126 @@
+import * as buckets from "../_lib/lengthBuckets/index.js";
+import * as constants from "../constants.js";
+import * as curves from "../lengthCurve/index.js";
+import * as histograms from "../lengthHistogram/index.js";
+import type * as types from "../types.js";
+
+/** What a learner tells other VMs: the histograms of its entries and models, by key. */
+export type LengthSnapshots = Readonly<Record<string, histograms.LengthHistogramSnapshot>>;
+
+/** A histogram with the curve last built from it and from the wider one it leans on. */
+interface LearnedLengths {
+  readonly histogram: histograms.LengthHistogram;
+  readonly parent: LearnedLengths | null;
+  curve: curves.LengthCurve | null;
+  mixedWeights: Float64Array;
+  builtRevision: number;
+}
+
+/**
+ * Learns output lengths per model, per entry and per account of an entry. Each leans on the wider
+ * one while its own observations are few, and the widest on all orders of magnitude alike.
+ */
+export class LengthLearner implements types.LengthEstimator {
+  private readonly shared = new Map<string, LearnedLengths>();
+  private readonly accounts = new Map<string, LearnedLengths>();
+
+  distributionFor(need: types.GenerationNeed): types.LengthDistribution {
+    return curveOf(this.accountLengths(need));
+  }
+
+  observe(need: types.GenerationNeed, totalTokens: number): void {
+    const account = this.accountLengths(need);
+    for (let item: LearnedLengths | null = account; item !== null; item = item.parent) {
+      item.histogram.observe(totalTokens);
+    }
+  }
+
+  /** The histograms of entries and models, for other VMs. */
+  snapshots(): LengthSnapshots {
+    const items = [...this.shared].map(([key, item]) => [key, item.histogram.snapshot()] as const);
+    return Object.fromEntries(items);
+  }
+
+  /**
+   * Takes in what another VM observed since it last told.
+   *
+   * @param snapshots - by key, as the other VM's `snapshots` gave them
+   * @param ratio - share of their weight that counts
+   */
+  merge(snapshots: LengthSnapshots, ratio = 1): void {
+    for (const [key, snapshot] of Object.entries(snapshots)) {
+      this.sharedLengths(key, parentKeyOf(key)).histogram.merge(snapshot, ratio);
+    }
+  }
+
+  private accountLengths(need: types.GenerationNeed): LearnedLengths {
+    const entryKey = JSON.stringify([need.model, need.entryName]);
+    const key = `${entryKey}${need.accountName}`;
+    const known = this.accounts.get(key);
+    if (known !== undefined) return known;
+    const created = createLengths(this.sharedLengths(entryKey, JSON.stringify([need.model])));
+    this.accounts.set(key, created);
+    if (this.accounts.size > constants.MAX_ACCOUNT_HISTOGRAMS) {
+      const oldest = this.accounts.keys().next();
+      if (oldest.done !== true) this.accounts.delete(oldest.value);
+    }
+    return created;
+  }
+
+  private sharedLengths(key: string, parentKey: string | null): LearnedLengths {
+    const known = this.shared.get(key);
+    if (known !== undefined) return known;
+    const parent = parentKey === null ? null : this.sharedLengths(parentKey, null);
+    const created = createLengths(parent);
+    this.shared.set(key, created);
+    return created;
+  }
+}
+
+function parentKeyOf(key: string): string | null {
+  const parts = JSON.parse(key) as string[];
+  return parts.length > 1 ? JSON.stringify(parts.slice(0, 1)) : null;
+}
+
+function createLengths(parent: LearnedLengths | null): LearnedLengths {
+  return {
+    histogram: new histograms.LengthHistogram(),
+    parent,
+    curve: null,
+    mixedWeights: new Float64Array(buckets.BUCKETS_COUNT),
+    builtRevision: -1,
+  };
+}
+
+function curveOf(lengths: LearnedLengths): curves.LengthCurve {
+  const revision = revisionOf(lengths);
+  if (lengths.curve !== null && lengths.builtRevision === revision) return lengths.curve;
+  mixWeights(lengths);
+  lengths.curve = new curves.LengthCurve(lengths.mixedWeights);
+  lengths.builtRevision = revision;
+  return lengths.curve;
+}
+
+function revisionOf(lengths: LearnedLengths): number {
+  const own = lengths.histogram.revision;
+  return lengths.parent === null ? own : own + revisionOf(lengths.parent);
+}
+
+/** Own weights plus the wider distribution as if it were a few observations more. */
+function mixWeights(lengths: LearnedLengths): void {
+  const { histogram, parent, mixedWeights } = lengths;
+  if (parent !== null) mixWeights(parent);
+  const priorCount =
+    parent === null ? constants.IGNORANCE_WEIGHT_COUNT : constants.PRIOR_WEIGHT_COUNT;
+  const priorTotal = parent === null ? buckets.BUCKETS_COUNT : sumOf(parent.mixedWeights);
+  for (let index = 0; index < mixedWeights.length; index += 1) {
+    const prior = parent === null ? 1 : (parent.mixedWeights[index] ?? 0);
+    mixedWeights[index] = histogram.weightOf(index) + (priorCount * prior) / priorTotal;
+  }
+}
+
+function sumOf(values: Float64Array): number {
+  let total = 0;
+  for (const value of values) total += value;
+  return total;
+}
--- /dev/null
+++ b/src/engines/selectEngine/index.ts
@@ -0,0 +1,94 @@
+import type * as backends from "../../backends/types.js";
+import type * as randoms from "../../_lib/random/index.js";
+import * as constants from "../constants.js";
+import * as types from "../types.js";
+
+/** What the choice of an engine depends on besides the engines themselves. */
+export interface SelectEngineOptions {
+  readonly dataCentre: string;
+  readonly random: randoms.RandomSource;
+  /** Probability, from 0 to 1, that the engine has the prompt's prefix cached. */
+  readonly prefixLikelihoodOf?: (engineName: string, need: types.GenerationNeed) => number;
+  /** Engines that must not be chosen, e.g. because they just turned the request away. */
+  readonly excludedNames?: ReadonlySet<string>;
+}
+
+/** The engine chosen for a request, and why. */
+export interface EngineChoice {
+  readonly engineName: string;
+  readonly reason: string;
+}
+
+/**
+ * Chooses an engine for a request. Among engines of nearly the same score one is drawn at random,
+ * so that several VMs with the same stale views do not herd onto one engine.
+ *
+ * @param need - the request
+ * @param views - all engines known, usable or not
+ * @returns the choice, or null when no engine can serve the request
+ */
+export function selectEngine(
+  need: types.GenerationNeed,
+  views: readonly types.EngineView[],
+  options: SelectEngineOptions,
+): EngineChoice | null {
+  let best: types.EngineView | null = null;
+  let bestScore = Infinity;
+  let nearCount = 0;
+  for (const view of views) {
+    if (!isUsable(view, need, options)) continue;
+    const score = scoreOf(view, need, options);
+    if (score < bestScore - constants.NEAR_EQUAL_SCORE) nearCount = 0;
+    else if (score > bestScore + constants.NEAR_EQUAL_SCORE) continue;
+    nearCount += 1;
+    bestScore = Math.min(bestScore, score);
+    if (options.random.next() * nearCount < 1) best = view;
+  }
+  if (best === null) return null;
+  const reason = `score ${bestScore.toFixed(2)}, drawn from ${nearCount} near-equal engines`;
+  return { engineName: best.name, reason };
+}
+
+/** Whether an engine has a model with its version and adapter loaded. */
+export function hasModelLoaded(
+  loadedModels: readonly backends.LoadedModel[],
+  need: Pick<types.GenerationNeed, "model" | "version" | "adapter">,
+): boolean {
+  return loadedModels.some(
+    (item) =>
+      item.model === need.model &&
+      item.version === need.version &&
+      (need.adapter === null || item.adapters.includes(need.adapter)),
+  );
+}
+
+function isUsable(
+  view: types.EngineView,
+  need: types.GenerationNeed,
+  options: SelectEngineOptions,
+): boolean {
+  if (view.health === types.EngineHealth.Dead) return false;
+  if (view.health === types.EngineHealth.Leaving) return false;
+  if (options.excludedNames?.has(view.name) === true) return false;
+  return hasModelLoaded(view.loadedModels, need);
+}
+
+/** Lower is better; a whole engine's memory counts 1. */
+function scoreOf(
+  view: types.EngineView,
+  need: types.GenerationNeed,
+  options: SelectEngineOptions,
+): number {
+  const filledRatio = (view.reservedTokens + view.sentSinceTokens) / view.capacityTokens;
+  const distance = view.dataCentre === options.dataCentre ? 0 : constants.OTHER_DATA_CENTRE_SCORE;
+  const suspicion = view.health === types.EngineHealth.Suspect ? constants.SUSPECT_SCORE : 0;
+  const stepRatio = view.stepTimeMs / constants.INITIAL_STEP_TIME_MS;
+  const hitLikelihood = options.prefixLikelihoodOf?.(view.name, need) ?? 0;
+  return (
+    filledRatio +
+    distance +
+    suspicion +
+    constants.SLOW_STEP_SCORE * stepRatio -
+    constants.PREFIX_HIT_SCORE * hitLikelihood
+  );
+}
--- a/src/engines/types.ts
+++ b/src/engines/types.ts
@@ -92,3 +92,46 @@
   /** What other VMs need to know to choose this engine. */
   view(nowMs: number): EngineView;
 }
+
+/** How many tokens a generation will still produce. */
+export interface ResidualEstimate {
+  readonly meanTokens: number;
+  readonly deviationTokens: number;
+}
+
+/** A distribution of output lengths. */
+export interface LengthDistribution {
+  /** Probability that an output is longer than this. */
+  survival(tokens: number): number;
+  /** What is still to come, given that more than the produced tokens come. */
+  residual(producedTokens: number, maxTokens: number): ResidualEstimate;
+  /** Tokens that are still to come at most, with the probability. */
+  residualQuantile(producedTokens: number, maxTokens: number, probability: number): number;
+}
+
+/** Knows how long outputs become. */
+export interface LengthEstimator {
+  distributionFor(need: GenerationNeed): LengthDistribution;
+  /** Learns from an output that ended whole. */
+  observe(need: GenerationNeed, totalTokens: number): void;
+}
+
+/** Room on an engine, as a home offers it to waiting work. */
+export interface EngineRoom {
+  readonly loadedModels: readonly backends.LoadedModel[];
+  /** Whether the engine would admit this work now. */
+  accepts(need: GenerationNeed): boolean;
+}
+
+/** The most urgent waiting request of one model; what a home needs to offer its room well. */
+export interface WaitingSummary {
+  readonly model: string;
+  readonly version: string;
+  readonly adapter: string | null;
+  readonly requestId: string;
+  readonly class: catalogue.RequestClass;
+  /** Class rank after ageing; lower is more urgent. */
+  readonly rank: number;
+  readonly deadlineAtMs: number;
+  readonly waitingCount: number;
+}
