--- /dev/null
+++ b/src/cli/catalogueCommand/index.ts
@@ -0,0 +1,230 @@
+import * as fs from "node:fs/promises";
+
+import type * as commander from "commander";
+import * as yaml from "yaml";
+
+import * as catalogue from "../../catalogue/index.js";
+import type * as http from "../../http/index.js";
+import * as cliErrors from "../_lib/cliError.js";
+import * as commonOptions from "../_lib/commonOptions.js";
+import * as itemDiffs from "../_lib/itemDiff.js";
+import * as output from "../_lib/output.js";
+import * as planning from "../_lib/planChanges.js";
+import * as forces from "../_lib/waitInForce.js";
+import * as constants from "../constants.js";
+import type * as types from "../types.js";
+
+const MS_PER_SECOND = 1_000;
+
+interface ApplyOptions extends types.CommonOptions {
+  readonly dryRun?: boolean;
+  readonly wait?: string;
+  readonly expectRevision?: string;
+}
+
+interface AppliedChange {
+  readonly kind: string;
+  readonly name: string;
+  readonly revision: number;
+}
+
+/** `chiveferry catalogue`: reads and changes the catalogue. */
+export function addCatalogueCommand(program: commander.Command, context: types.CliContext): void {
+  const group = program.command("catalogue").description("read and change the catalogue");
+  commonOptions
+    .addCommonOptions(group.command("apply <file>"), context)
+    .description("bring the items in a YAML file into force")
+    .option("--dry-run", "show what would change, and change nothing")
+    .option("--wait <seconds>", "wait until every VM has it in force")
+    .option("--expect-revision <number>", "fail unless the item is at this revision")
+    .action((file: string, options: ApplyOptions) => applyFile(context, file, options));
+  commonOptions
+    .addCommonOptions(group.command("get [kind] [name]"), context)
+    .description("print items as YAML, each with its revision")
+    .action((kind: string | undefined, name: string | undefined, options: types.CommonOptions) =>
+      getItems(context, kind, name, options),
+    );
+  commonOptions
+    .addCommonOptions(group.command("remove <kind> <name>"), context)
+    .description("remove an item")
+    .action((kind: string, name: string, options: types.CommonOptions) =>
+      removeItem(context, kind, name, options),
+    );
+  commonOptions
+    .addCommonOptions(group.command("history <kind> <name>"), context)
+    .description("print an item's changes that the log still holds")
+    .action((kind: string, name: string, options: types.CommonOptions) =>
+      printHistory(context, kind, name, options),
+    );
+  commonOptions
+    .addCommonOptions(group.command("diff <file>"), context)
+    .description("show how the items in a file differ from the catalogue")
+    .action((file: string, options: types.CommonOptions) => printDiff(context, file, options));
+  commonOptions
+    .addCommonOptions(group.command("status [revision]"), context)
+    .description("show which VMs have a revision in force (the newest one by default)")
+    .action((revision: string | undefined, options: types.CommonOptions) =>
+      printStatus(context, revision, options),
+    );
+}
+
+async function applyFile(
+  context: types.CliContext,
+  file: string,
+  options: ApplyOptions,
+): Promise<void> {
+  const expectedRevision = parseCount(options.expectRevision, "--expect-revision");
+  const waitSeconds = parseCount(options.wait, "--wait");
+  const desired = await readItems(file);
+  const client = await context.createClient(options);
+  const changes = planning.planChanges(
+    await client.listItems(),
+    desired,
+    expectedRevision === undefined ? {} : { expectedRevision },
+  );
+  if (options.dryRun === true) {
+    output.writeResult(context, options, changes, () => itemDiffs.formatPlan(changes));
+    return;
+  }
+  const applied: AppliedChange[] = [];
+  for (const { change } of changes) {
+    const { revision } = await client.proposeChange(change);
+    applied.push({ kind: change.kind, name: change.name, revision });
+  }
+  const revision = Math.max(-1, ...applied.map((item) => item.revision));
+  const force =
+    waitSeconds === undefined
+      ? forces.splitByForce((await client.listNodes()).value, revision)
+      : await forces.waitInForce(context, client, revision, waitSeconds * MS_PER_SECOND);
+  output.writeResult(context, options, { applied, ...force }, () => formatApplied(applied, force));
+  if (waitSeconds !== undefined && force.notYet.length > 0) {
+    const message = `not in force after ${waitSeconds} s on: ${force.notYet.join(", ")}`;
+    throw new cliErrors.CliError(message, constants.ExitCode.Failure);
+  }
+}
+
+async function getItems(
+  context: types.CliContext,
+  kind: string | undefined,
+  name: string | undefined,
+  options: types.CommonOptions,
+): Promise<void> {
+  const client = await context.createClient(options);
+  const items = (await client.listItems()).filter(
+    ({ item }) =>
+      (kind === undefined || item.kind === kind) && (name === undefined || item.name === name),
+  );
+  if (name !== undefined && items.length === 0) throw notFound(kind ?? "", name);
+  output.writeResult(context, options, items, () => formatItems(items));
+}
+
+async function removeItem(
+  context: types.CliContext,
+  kind: string,
+  name: string,
+  options: types.CommonOptions,
+): Promise<void> {
+  const client = await context.createClient(options);
+  const known = planning.findItem(await client.listItems(), kind, name);
+  if (known === undefined) throw notFound(kind, name);
+  const { change } = planning.planRemoval(known);
+  const accepted = await client.proposeChange(change);
+  output.writeResult(
+    context,
+    options,
+    accepted,
+    () => `removed ${kind}/${name} at revision ${accepted.revision}\n`,
+  );
+}
+
+async function printHistory(
+  context: types.CliContext,
+  kind: string,
+  name: string,
+  options: types.CommonOptions,
+): Promise<void> {
+  const client = await context.createClient(options);
+  const history = await client.readHistory(kind, name);
+  output.writeResult(context, options, history, () => formatHistory(history));
+}
+
+async function printDiff(
+  context: types.CliContext,
+  file: string,
+  options: types.CommonOptions,
+): Promise<void> {
+  const desired = await readItems(file);
+  const client = await context.createClient(options);
+  const changes = planning.planChanges(await client.listItems(), desired);
+  output.writeResult(context, options, changes, () => itemDiffs.formatPlan(changes));
+}
+
+async function printStatus(
+  context: types.CliContext,
+  revisionText: string | undefined,
+  options: types.CommonOptions,
+): Promise<void> {
+  const client = await context.createClient(options);
+  const newest = Math.max(-1, ...(await client.listItems()).map((item) => item.revision));
+  const revision = parseCount(revisionText, "revision") ?? newest;
+  const nodes = await client.listNodes();
+  const status = forces.splitByForce(nodes.value, revision);
+  output.writeResult(context, options, status, () => formatForce(status));
+}
+
+async function readItems(file: string): Promise<readonly catalogue.CatalogueItem[]> {
+  let text: string;
+  try {
+    text = await fs.readFile(file, "utf8");
+  } catch (error) {
+    const reason = error instanceof Error ? error.message : "unreadable";
+    throw new cliErrors.CliError(`${file}: ${reason}`, constants.ExitCode.Usage);
+  }
+  const parsed = catalogue.parseCatalogueDocument(text);
+  if (parsed.isOk()) return parsed.value;
+  const mistakes = parsed.error.map(
+    (issue) => `${file}:${issue.line}: ${issue.path}: ${issue.message}`,
+  );
+  throw new cliErrors.CliError(mistakes.join("\n"), constants.ExitCode.Usage);
+}
+
+function parseCount(text: string | undefined, optionName: string): number | undefined {
+  if (text === undefined) return undefined;
+  if (/^\d{1,12}$/.test(text)) return Number(text);
+  const message = `${optionName}: expected a whole number, found "${text}"`;
+  throw new cliErrors.CliError(message, constants.ExitCode.Usage);
+}
+
+function notFound(kind: string, name: string): cliErrors.CliError {
+  const message = `the catalogue has no item ${kind}/${name}`;
+  return new cliErrors.CliError(message, constants.ExitCode.NotFound);
+}
+
+function formatApplied(applied: readonly AppliedChange[], force: forces.ForceStatus): string {
+  if (applied.length === 0) return "nothing to change\n";
+  const lines = applied.map((item) => `accepted ${item.kind}/${item.name} at ${item.revision}\n`);
+  return lines.join("") + formatForce(force);
+}
+
+function formatForce(status: forces.ForceStatus): string {
+  const list = (names: readonly string[]): string => (names.length === 0 ? "-" : names.join(", "));
+  return `revision ${status.revision}\nin force on: ${list(status.inForce)}\nnot yet on:  ${list(status.notYet)}\n`;
+}
+
+function formatItems(items: readonly catalogue.RevisedItem[]): string {
+  return items
+    .map(({ item, revision }) => `# revision ${revision}\n${yaml.stringify(item)}`)
+    .join("---\n");
+}
+
+function formatHistory(history: http.ItemHistory): string {
+  const rows = history.lines.map((line) => [
+    line.offset,
+    new Date(line.atWallMs).toISOString(),
+    line.operator,
+    line.outcome,
+    line.changeId,
+  ]);
+  const table = output.formatTable(["REVISION", "AT", "OPERATOR", "OUTCOME", "CHANGE"], rows);
+  return `${table}the log holds changes from offset ${history.firstOffset} on\n`;
+}
--- /dev/null
+++ b/src/cli/explainCommand/index.ts
@@ -0,0 +1,65 @@
+import type * as commander from "commander";
+
+import type * as http from "../../http/index.js";
+import * as cliErrors from "../_lib/cliError.js";
+import * as commonOptions from "../_lib/commonOptions.js";
+import * as output from "../_lib/output.js";
+import * as constants from "../constants.js";
+import * as traces from "../renderTrace/index.js";
+import type * as types from "../types.js";
+
+/** `chiveferry explain`: why a request went as it did, or why an engine takes or refuses work. */
+export function addExplainCommand(program: commander.Command, context: types.CliContext): void {
+  const group = program.command("explain").description("explain what the fleet decided, and why");
+  commonOptions
+    .addCommonOptions(group.command("request <id>", { isDefault: true }), context)
+    .description("the decisions about a request, gathered from the VMs that held it")
+    .action((id: string, options: types.CommonOptions) => explainRequest(context, id, options));
+  commonOptions
+    .addCommonOptions(group.command("engine <name>"), context)
+    .description("what an engine holds, and why it takes or refuses work")
+    .action((name: string, options: types.CommonOptions) => explainEngine(context, name, options));
+}
+
+async function explainRequest(
+  context: types.CliContext,
+  requestId: string,
+  options: types.CommonOptions,
+): Promise<void> {
+  const client = await context.createClient(options);
+  const trace = await client.explainRequest(requestId);
+  output.warnMissing(context, trace.missingVms);
+  if (trace.value.length === 0) {
+    const message = `no VM holds decisions about request ${requestId}`;
+    throw new cliErrors.CliError(message, constants.ExitCode.NotFound);
+  }
+  output.writeResult(context, options, trace, () => traces.renderTrace(trace.value));
+}
+
+async function explainEngine(
+  context: types.CliContext,
+  name: string,
+  options: types.CommonOptions,
+): Promise<void> {
+  const client = await context.createClient(options);
+  const engine = await client.explainEngine(name);
+  output.writeResult(context, options, engine, () => formatEngine(engine));
+}
+
+function formatEngine(engine: http.EngineExplanation): string {
+  const verdict = engine.takesWork ? "takes work" : "takes no work";
+  const lines = [
+    `${engine.name} (home ${engine.home}, ${engine.health}): ${verdict}, ${engine.reason}`,
+    `memory: ${engine.usedTokens} used, ${engine.reservedTokens} reserved of ${engine.capacityTokens} tokens`,
+    `step time: ${engine.stepTimeMs.toFixed(1)} ms; safety factor: ${engine.safetyFactor?.toFixed(2) ?? "-"}`,
+  ];
+  const rows = engine.running.map((run) => [
+    run.requestId,
+    run.entryName,
+    run.contextTokens,
+    run.producedTokens,
+    run.expectedRemainingTokens ?? "-",
+  ]);
+  const table = output.formatTable(["REQUEST", "ENTRY", "CONTEXT", "PRODUCED", "EXPECTED"], rows);
+  return `${lines.join("\n")}\n${table}`;
+}
--- /dev/null
+++ b/src/cli/renderTrace/index.ts
@@ -0,0 +1,29 @@
+import type * as telemetry from "../../telemetry/types.js";
+
+/**
+ * Text of a request's decisions as a timeline.
+ *
+ * @param events - decisions of all holders, in any order
+ * @returns one line per decision, with the time since the first one
+ */
+export function renderTrace(events: readonly telemetry.TraceEvent[]): string {
+  const sorted = [...events].sort((left, right) => left.atWallMs - right.atWallMs);
+  const startMs = sorted[0]?.atWallMs ?? 0;
+  const stepWidth = Math.max(0, ...sorted.map((event) => event.step.length));
+  const vmWidth = Math.max(0, ...sorted.map((event) => event.vm.length));
+  const heading = `started ${new Date(startMs).toISOString()}\n`;
+  const lines = sorted.map((event) => {
+    const at = `+${Math.round(event.atWallMs - startMs)} ms`.padStart(12);
+    return `${at}  ${event.vm.padEnd(vmWidth)}  ${event.step.padEnd(stepWidth)}  ${describe(event)}\n`;
+  });
+  return heading + lines.join("");
+}
+
+function describe(event: telemetry.TraceEvent): string {
+  const details = [
+    event.backend === undefined ? "" : `backend ${event.backend}`,
+    event.offset === undefined ? "" : `offset ${event.offset}`,
+    event.durationMs === undefined ? "" : `after ${Math.round(event.durationMs)} ms`,
+  ].filter((text) => text !== "");
+  return details.length === 0 ? event.reason : `${event.reason} [${details.join(", ")}]`;
+}
--- /dev/null
+++ b/src/http/adminServer/index.ts
@@ -0,0 +1,97 @@
+import * as nodeTls from "node:tls";
+
+import type * as hapi from "@hapi/hapi";
+import * as neverthrow from "neverthrow";
+
+import * as stepError from "../../_lib/stepError/index.js";
+import type * as adminTypes from "../adminTypes.js";
+import * as keys from "../hashKey/index.js";
+import * as adminRoutes from "../_lib/adminRoutes.js";
+import * as authentication from "../_lib/authenticateAccount.js";
+import * as errors from "../_lib/errors.js";
+import * as hapiServers from "../_lib/hapiServer.js";
+import type * as types from "../types.js";
+
+/** An operator, and the hash of its key. */
+export interface OperatorKey {
+  readonly operator: string;
+  readonly keyHash: string;
+}
+
+/** The port that operators use; callers' keys do not open it. */
+export class AdminServer implements AsyncDisposable {
+  private constructor(private readonly server: hapi.Server) {}
+
+  /** Starts to listen. */
+  static async start(
+    operations: adminTypes.AdminOperations,
+    operatorKeys: readonly OperatorKey[],
+    listen: types.ListenOptions,
+    limits: types.ServerLimits,
+  ): Promise<AdminServer> {
+    const server = hapiServers.createHapiServer(listen, limits);
+    for (const route of adminRoutes.ADMIN_ROUTES) {
+      server.route({
+        method: route.method,
+        path: route.path,
+        handler: (request, h) => handle(operations, operatorKeys, route, request, h),
+      });
+    }
+    await server.start();
+    return new AdminServer(server);
+  }
+
+  /** Address with the port in use. */
+  get url(): string {
+    const { protocol, address, port } = this.server.info;
+    return `${protocol}://${address}:${port}`;
+  }
+
+  /** Replaces the certificates of a TLS listener; running connections keep theirs. */
+  renewTls(tls: NonNullable<types.ListenOptions["tls"]>): void {
+    const { listener } = this.server;
+    if (listener instanceof nodeTls.Server) listener.setSecureContext(tls);
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await this.server.stop({ timeout: 0 });
+  }
+}
+
+async function handle(
+  operations: adminTypes.AdminOperations,
+  operatorKeys: readonly OperatorKey[],
+  route: adminRoutes.AdminRoute,
+  request: hapi.Request,
+  h: hapi.ResponseToolkit,
+): Promise<hapi.ResponseObject> {
+  const operator = authenticateOperator(request, operatorKeys);
+  if (operator.isErr()) return hapiServers.sendProblem(h, operator.error);
+  const answer = await route.answer({
+    operations,
+    operator: operator.value,
+    params: request.params as Readonly<Record<string, string>>,
+    payload: request.payload as Uint8Array | null,
+  });
+  return answer.match(
+    (value) => h.response(JSON.stringify(value)).type("application/json"),
+    (error) => hapiServers.sendProblem(h, error),
+  );
+}
+
+function authenticateOperator(
+  request: hapi.Request,
+  operatorKeys: readonly OperatorKey[],
+): neverthrow.Result<string, stepError.StepError> {
+  const key = authentication.readBearerKey(request) ?? "";
+  const found = operatorKeys.filter(({ keyHash }) => keys.isKeyAmong(key, [keyHash]));
+  const [first] = found;
+  if (first !== undefined) return neverthrow.ok(first.operator);
+  return neverthrow.err(
+    errors.refuse(
+      stepError.ErrorCode.Unauthenticated,
+      "http.authenticate",
+      "expected an Authorization header with an operator's Bearer key",
+    ),
+  );
+}
--- a/src/http/index.ts
+++ b/src/http/index.ts
@@ -1,3 +1,5 @@
+export * from "./adminServer/index.js";
+export type * from "./adminTypes.js";
 export * from "./callerServer/index.js";
 export * from "./completionEvents/index.js";
 export * from "./hashKey/index.js";
