--- /dev/null
+++ b/src/catalogue/_lib/proposal/index.ts
@@ -0,0 +1,129 @@
+import * as neverthrow from "neverthrow";
+
+import type * as clocks from "../../../_lib/clock/index.js";
+import * as stepError from "../../../_lib/stepError/index.js";
+import * as platform from "../../../platform/types.js";
+import * as replication from "../../../replication/index.js";
+import * as applyRecord from "../../applyRecord/index.js";
+import * as constants from "../../constants.js";
+import * as types from "../../types.js";
+import * as indexedState from "../indexedState/index.js";
+import * as schemas from "../schemas/index.js";
+
+/** What a proposal works with. */
+export interface ProposalContext {
+  readonly clock: clocks.Clock;
+  readonly logService: platform.LogService;
+  readonly follower: replication.StreamFollower<indexedState.IndexedState>;
+}
+
+type ProposalResult = neverthrow.Result<types.ProposalOutcome, stepError.StepError>;
+
+/** Appends a change and settles it by reading; a lost answer is never taken for either outcome. */
+export async function proposeChange(
+  context: ProposalContext,
+  change: types.ChangeRecord,
+  deadlineAtMs: number,
+): Promise<ProposalResult> {
+  const parsed = schemas.changeRecord.safeParse(change);
+  if (!parsed.success) return neverthrow.err(invalid(schemas.describeIssues(parsed.error)));
+  let execution = stepError.ExecutionState.NotRun;
+  let cause: stepError.StepError | undefined;
+  for (let attempt = 0; attempt < constants.MAX_PROPOSE_APPENDS; attempt += 1) {
+    const remainingMs = deadlineAtMs - context.clock.nowMs();
+    if (remainingMs <= 0) break;
+    const appended = await appendOnce(context, parsed.data, remainingMs);
+    if (appended.isOk()) {
+      execution = stepError.ExecutionState.Unknown;
+      const waitMs = deadlineAtMs - context.clock.nowMs();
+      await context.follower.waitForOffset(appended.value, waitMs);
+    } else {
+      cause = appended.error;
+      if (cause.execution !== stepError.ExecutionState.NotRun) execution = cause.execution;
+      await context.follower.catchUpToEnd();
+    }
+    const outcome = findOutcome(context.follower.current, change);
+    if (outcome !== null) return neverthrow.ok(outcome);
+    if (appended.isOk()) break;
+    await context.clock.sleep(Math.min(remainingMs, constants.PROPOSE_RETRY_PAUSE_MS));
+  }
+  return neverthrow.err(unsettled(change.changeId, execution, cause));
+}
+
+/** Changes to one item in the retained log. */
+export async function readHistory(
+  logService: platform.LogService,
+  question: { readonly kind: types.ItemKind; readonly name: string; readonly maxRecords: number },
+): Promise<neverthrow.Result<types.ItemHistoryEntry[], stepError.StepError>> {
+  const entries: types.ItemHistoryEntry[] = [];
+  for (let nextOffset = 0, seenCount = 0; seenCount < question.maxRecords;) {
+    const read = await logService.read(platform.LogStream.Catalogue, nextOffset);
+    if (read.isErr()) return neverthrow.err(read.error);
+    const { records } = read.value;
+    for (const record of records) {
+      const parsed = schemas.changeRecord.safeParse(record.payload);
+      if (!parsed.success) continue;
+      if (parsed.data.kind !== question.kind || parsed.data.name !== question.name) continue;
+      const { offset, appendedAtWallMs } = record;
+      entries.push({ offset, appendedAtWallMs, change: parsed.data });
+    }
+    const last = records.at(-1);
+    if (last === undefined) break;
+    nextOffset = last.offset + 1;
+    seenCount += records.length;
+  }
+  return neverthrow.ok(entries);
+}
+
+async function appendOnce(
+  context: ProposalContext,
+  change: types.ChangeRecord,
+  remainingMs: number,
+): Promise<neverthrow.Result<number, stepError.StepError>> {
+  const { clock, logService } = context;
+  const work = logService.append(platform.LogStream.Catalogue, [change]);
+  const limitMs = Math.min(remainingMs, constants.APPEND_TIMEOUT_MS);
+  return replication.limitTime(clock, limitMs, work, { step: "log.append", peer: "log" });
+}
+
+function findOutcome(
+  state: indexedState.IndexedState,
+  change: types.ChangeRecord,
+): types.ProposalOutcome | null {
+  const settled = applyRecord.findSettledChange(state, change.changeId);
+  if (settled === undefined) return null;
+  const current = state.items.get(indexedState.itemKey(change.kind, change.name));
+  return {
+    isAccepted: settled.outcome === types.ChangeOutcomeKind.Accepted,
+    changeId: change.changeId,
+    offset: settled.offset,
+    reason: settled.reason,
+    currentRevision: current?.revision ?? null,
+    currentItem: current?.item ?? null,
+  };
+}
+
+function invalid(message: string): stepError.StepError {
+  return new stepError.StepError(message, {
+    code: stepError.ErrorCode.InvalidRequest,
+    step: "catalogue.propose",
+    execution: stepError.ExecutionState.NotRun,
+  });
+}
+
+function unsettled(
+  changeId: string,
+  execution: stepError.ExecutionState,
+  cause: stepError.StepError | undefined,
+): stepError.StepError {
+  const isOpen = execution !== stepError.ExecutionState.NotRun;
+  const advice = isOpen ? "it may still take effect; propose it again under the same id" : "";
+  return new stepError.StepError(`change ${changeId} could not be settled; ${advice}`, {
+    code: stepError.ErrorCode.PlatformUnavailable,
+    step: "catalogue.propose",
+    peer: "log",
+    execution,
+    retryAfterMs: constants.PROPOSE_RETRY_PAUSE_MS,
+    cause,
+  });
+}
--- /dev/null
+++ b/src/catalogue/catalogueReplica/test.ts
@@ -0,0 +1,133 @@
+import tap from "tap";
+
+import * as logger from "../../_lib/logger/index.js";
+import * as virtualClock from "../../_lib/virtualClock/index.js";
+import * as fleetView from "../../../standins/fleet/view/index.js";
+import * as logModel from "../../../standins/log/model/index.js";
+import * as hub from "../../../standins/peers/hub/index.js";
+import * as counters from "../../../standins/telemetry/counters/index.js";
+import * as platform from "../../platform/types.js";
+import * as replication from "../../replication/index.js";
+import * as types from "../types.js";
+import * as catalogueReplica from "./index.js";
+
+class Fleet {
+  readonly clock = new virtualClock.VirtualClock();
+  readonly log = new logModel.LogModel(this.clock);
+  readonly hub = new hub.PeerHub(this.clock);
+  readonly model = new fleetView.FleetModel();
+  readonly metrics = new counters.CounterModel();
+
+  /** Starts a VM; its log may be its own, to cut it off alone. */
+  start(name: string, dataCentre = "dc-a", log = this.log, options = {}): Replica {
+    this.model.add(name, dataCentre);
+    const replica = new catalogueReplica.CatalogueReplica(
+      this.clock,
+      logger.SILENT_LOGGER,
+      this.metrics,
+      log,
+      this.hub.join(name),
+      this.model.viewOf(name),
+      { ...replication.DEFAULT_FOLLOWER_OPTIONS, ...options },
+    );
+    replica.start();
+    return replica;
+  }
+
+  async settle<T>(work: Promise<T>, limitMs = 20_000): Promise<T> {
+    let isDone = false;
+    void work.finally(() => (isDone = true)).catch(() => undefined);
+    for (let ms = 0; ms < limitMs && !isDone; ms += 50) await this.clock.runForMs(50);
+    return work;
+  }
+
+  async stop(...replicas: Replica[]): Promise<void> {
+    await this.settle(Promise.all(replicas.map((replica) => replica[Symbol.asyncDispose]())));
+  }
+}
+
+type Replica = catalogueReplica.CatalogueReplica;
+
+let changesCount = 0;
+
+function changeVm(
+  name: string,
+  baseRevision: number | null,
+  state = types.DesiredState.Active,
+): types.ChangeRecord {
+  const kind = types.ItemKind.Vm;
+  const changeId = `change-${changesCount++}`;
+  const item: types.VmItem = { kind, name, state };
+  return { type: "change", changeId, operator: "op", kind, name, baseRevision, item };
+}
+
+tap.test("a change accepted at one VM is in force at all others within a second", async (t) => {
+  const fleet = new Fleet();
+  const replicas = ["a", "b", "c", "d"].map((name) => fleet.start(name));
+  await fleet.clock.runForMs(1_000);
+  t.ok(replicas.every((replica) => replica.ready));
+  const outcome = await fleet.settle(replicas[3]!.propose(changeVm("vm-1", null)));
+  t.equal(outcome._unsafeUnwrap().isAccepted, true);
+  await fleet.clock.runForMs(900);
+  t.same(
+    replicas.map((replica) => replica.current().items.has("vm/vm-1")),
+    [true, true, true, true],
+  );
+  const status = await fleet.settle(replicas[0]!.status());
+  t.same(
+    status.map((vm) => vm.appliedOffset),
+    [0, 0, 0, 0],
+  );
+  await fleet.stop(...replicas);
+});
+
+tap.test(
+  "of two racing changes one wins everywhere and the loser learns the revision",
+  async (t) => {
+    const fleet = new Fleet();
+    const [left, right] = [fleet.start("a"), fleet.start("b", "dc-b")];
+    await fleet.clock.runForMs(1_000);
+    const work = Promise.all([
+      left.propose(changeVm("vm-1", null, types.DesiredState.Draining)),
+      right.propose(changeVm("vm-1", null)),
+    ]);
+    const outcomes = (await fleet.settle(work)).map((outcome) => outcome._unsafeUnwrap());
+    t.equal(outcomes.filter((outcome) => outcome.isAccepted).length, 1);
+    const loser = outcomes.find((outcome) => !outcome.isAccepted)!;
+    t.equal(loser.currentRevision, 0);
+    t.same(left.current().items.get("vm/vm-1"), right.current().items.get("vm/vm-1"));
+    await fleet.stop(left, right);
+  },
+);
+
+tap.test("a lost append answer is settled by reading, with one effect", async (t) => {
+  const fleet = new Fleet();
+  const replica = fleet.start("a");
+  await fleet.clock.runForMs(1_000);
+  fleet.log.inject(logModel.LogFault.LostAnswer);
+  const outcome = await fleet.settle(replica.propose(changeVm("vm-1", null)));
+  t.equal(outcome._unsafeUnwrap().isAccepted, true);
+  t.equal(fleet.log.appendsCount, 1);
+  await fleet.stop(replica);
+});
+
+tap.test("a change while the log is down is refused as not run", async (t) => {
+  const fleet = new Fleet();
+  const replica = fleet.start("a");
+  await fleet.clock.runForMs(1_000);
+  fleet.log.inject(logModel.LogFault.Down);
+  const outcome = await fleet.settle(replica.propose(changeVm("vm-1", null)));
+  t.equal(outcome._unsafeUnwrapErr().execution, "not-run");
+  await fleet.stop(replica);
+});
+
+tap.test("a record of someone else's tool is skipped with its reason", async (t) => {
+  const fleet = new Fleet();
+  const replica = fleet.start("a");
+  await fleet.settle(fleet.log.append(platform.LogStream.Catalogue, [{ type: "change" }, 7]));
+  const outcome = await fleet.settle(replica.propose(changeVm("vm-1", null)));
+  t.equal(outcome._unsafeUnwrap().currentRevision, 2);
+  t.equal(replica.describe().skipped.length, 2);
+  t.match(replica.describe().skipped[0]!.reason, /changeId/);
+  await fleet.stop(replica);
+});
--- /dev/null
+++ b/src/catalogue/listServices/index.ts
@@ -0,0 +1,36 @@
+import * as indexedState from "../_lib/indexedState/index.js";
+import * as types from "../types.js";
+
+const lists = new WeakMap<object, ReadonlyMap<string, readonly types.ServiceBackend[]>>();
+
+/**
+ * The servers of a plain service; the same array as long as no server's item changes.
+ *
+ * @param state - the catalogue
+ * @param service - the service that call entries name
+ */
+export function listServices(
+  state: types.CatalogueState,
+  service: string,
+): readonly types.ServiceBackend[] {
+  const items = indexedState.itemsOfKind(state, types.ItemKind.Service);
+  let byService = lists.get(items);
+  if (byService === undefined) {
+    byService = groupByService(items.values());
+    lists.set(items, byService);
+  }
+  return byService.get(service) ?? [];
+}
+
+function groupByService(
+  items: Iterable<types.RevisedItem>,
+): ReadonlyMap<string, readonly types.ServiceBackend[]> {
+  const groups = new Map<string, types.ServiceBackend[]>();
+  for (const { item } of items) {
+    if (item.kind !== types.ItemKind.Service) continue;
+    const group = groups.get(item.service) ?? [];
+    group.push(item);
+    groups.set(item.service, group);
+  }
+  return groups;
+}
--- a/src/catalogue/types.ts
+++ b/src/catalogue/types.ts
@@ -154,6 +154,75 @@
   readonly items: ReadonlyMap<string, RevisedItem>;
 }
 
+/** What became of a record of the catalogue's stream. */
+export enum ChangeOutcomeKind {
+  Accepted = "accepted",
+  /** Another change to the item came first. */
+  Conflict = "conflict",
+  /** The change id was seen before; the record has no effect. */
+  Repeated = "repeated",
+  /** The record breaks the format or a rule, and is skipped everywhere. */
+  Invalid = "invalid",
+  /** Part of a snapshot; it changes nothing. */
+  Snapshot = "snapshot",
+  /** The offset was applied before. */
+  Stale = "stale",
+}
+
+/** The outcome of one record; the same at every VM. */
+export interface ChangeOutcome {
+  readonly kind: ChangeOutcomeKind;
+  readonly offset: number;
+  readonly changeId: string | null;
+  /** Why, in plain words; empty for an accepted change. */
+  readonly reason: string;
+  /** The item's revision after the record; null where there is no such item. */
+  readonly currentRevision: number | null;
+}
+
+/** What an operator is told about a proposed change. */
+export interface ProposalOutcome {
+  readonly isAccepted: boolean;
+  readonly changeId: string;
+  /** Offset of the record that settled it; null where it was refused before it reached the log. */
+  readonly offset: number | null;
+  readonly reason: string;
+  readonly currentRevision: number | null;
+  readonly currentItem: CatalogueItem | null;
+}
+
+/** One mistake in an operator's document. */
+export interface DocumentIssue {
+  /** Path in the document, e.g. `[2].deadlineMs`. */
+  readonly path: string;
+  /** Line in the document, from 1. */
+  readonly line: number;
+  readonly message: string;
+}
+
+/** One field in which two items differ. */
+export interface ItemDifference {
+  readonly path: string;
+  /** Undefined where the field is missing on that side. */
+  readonly before: unknown;
+  readonly after: unknown;
+}
+
+/** A record of the retained log that concerns one item. */
+export interface ItemHistoryEntry {
+  readonly offset: number;
+  readonly appendedAtWallMs: number;
+  readonly change: ChangeRecord;
+}
+
+/** Which offset a VM has in force. */
+export interface VmCatalogueStatus {
+  readonly vm: string;
+  /** Null where the VM did not answer. */
+  readonly appliedOffset: number | null;
+  readonly isReady: boolean;
+}
+
 /** The part of the catalogue replica that other aggregates read. */
 export interface CatalogueView {
   current(): CatalogueState;
--- /dev/null
+++ b/src/replication/_lib/peerExchange/index.ts
@@ -0,0 +1,133 @@
+import type * as zod from "zod";
+
+import type * as platform from "../../../platform/types.js";
+import * as constants from "../../constants.js";
+import type * as types from "../../types.js";
+import * as messages from "../messages/index.js";
+import * as snapshotCodec from "../snapshotCodec/index.js";
+
+/** What the exchange serves to peers. */
+export interface ServedStream {
+  status(): types.PeerStatus;
+  knownOffset(): number;
+  lowestOffset(): number;
+  recordsFrom(offset: number, maxCount: number): readonly platform.LogRecord[];
+  /** The current state as a packed snapshot; the same one for a while, so that all parts fit. */
+  packedSnapshot(): Promise<readonly types.SnapshotPart[]>;
+  /** A batch that a reader of this data centre sent on its own. */
+  onBatch(batch: types.RecordBatch, fromVm: string): void;
+}
+
+/** A state fetched from a peer. */
+export interface FetchedState {
+  readonly coveredOffset: number;
+  readonly parts: readonly unknown[];
+}
+
+/** Messages between the followers of one stream. */
+export class PeerExchange implements Disposable {
+  private readonly methods: ReturnType<typeof messages.methodNames>;
+  private readonly registrations: Disposable[];
+
+  constructor(
+    private readonly dependencies: types.FollowerDependencies,
+    stream: platform.LogStream,
+    private readonly served: ServedStream,
+  ) {
+    this.methods = messages.methodNames(stream);
+    const network = dependencies.peerNetwork;
+    this.registrations = [
+      network.register(this.methods.records, (params, from) => this.takeBatch(params, from)),
+      network.register(this.methods.catchUp, (params) => this.answerCatchUp(params)),
+      network.register(this.methods.part, (params) => this.answerPart(params)),
+      network.register(this.methods.status, () => this.served.status()),
+    ];
+  }
+
+  /** Sends records to a follower; it asks for what it misses. */
+  push(vmName: string, batch: types.RecordBatch): boolean {
+    return this.dependencies.peerNetwork.notify(vmName, this.methods.records, batch);
+  }
+
+  /** Where a peer stands; null where it does not say. */
+  async askStatus(vmName: string): Promise<types.PeerStatus | null> {
+    return this.ask(vmName, this.methods.status, {}, messages.peerStatus);
+  }
+
+  /** Records from an offset on, as a peer holds them. */
+  async askRecords(vmName: string, fromOffset: number): Promise<messages.CatchUpAnswer | null> {
+    return this.ask(vmName, this.methods.catchUp, { fromOffset }, messages.catchUpAnswer);
+  }
+
+  /** A peer's whole state, part by part; null where it cannot be had whole. */
+  async fetchState(vmName: string): Promise<FetchedState | null> {
+    const first = await this.askPart(vmName, null, 0);
+    if (first === null) return null;
+    const parts = [first];
+    for (let index = 1; index < first.count; index += 1) {
+      const part = await this.askPart(vmName, first.coveredOffset, index);
+      if (part?.snapshotId !== first.snapshotId) return null;
+      parts.push(part);
+    }
+    const unpacked = snapshotCodec.unpackParts(parts);
+    return unpacked === null ? null : { coveredOffset: first.coveredOffset, parts: unpacked };
+  }
+
+  [Symbol.dispose](): void {
+    for (const registration of this.registrations) registration[Symbol.dispose]();
+  }
+
+  private async askPart(
+    vmName: string,
+    coveredOffset: number | null,
+    index: number,
+  ): Promise<types.SnapshotPart | null> {
+    const answer = await this.call(vmName, this.methods.part, { coveredOffset, index });
+    return snapshotCodec.parseSnapshotPart(answer);
+  }
+
+  private async ask<T>(
+    vmName: string,
+    method: string,
+    params: unknown,
+    schema: zod.ZodType<T>,
+  ): Promise<T | null> {
+    const parsed = schema.safeParse(await this.call(vmName, method, params));
+    return parsed.success ? parsed.data : null;
+  }
+
+  private async call(vmName: string, method: string, params: unknown): Promise<unknown> {
+    const options = { timeoutMs: constants.PEER_TIMEOUT_MS };
+    const answer = await this.dependencies.peerNetwork.call(vmName, method, params, options);
+    return answer.isOk() ? answer.value : null;
+  }
+
+  private takeBatch(params: unknown, fromVm: string): null {
+    const batch = messages.recordBatch.safeParse(params);
+    if (batch.success) this.served.onBatch(batch.data, fromVm);
+    else this.dependencies.metrics.increment("replication.bad_message");
+    return null;
+  }
+
+  private answerCatchUp(params: unknown): messages.CatchUpAnswer | null {
+    const question = messages.catchUpQuestion.safeParse(params);
+    if (!question.success) return null;
+    const { fromOffset } = question.data;
+    return {
+      records: [...this.served.recordsFrom(fromOffset, constants.RECORDS_PER_MESSAGE)],
+      knownOffset: this.served.knownOffset(),
+      lowestOffset: this.served.lowestOffset(),
+    };
+  }
+
+  private async answerPart(params: unknown): Promise<types.SnapshotPart | null> {
+    const question = messages.partQuestion.safeParse(params);
+    if (!question.success || !this.served.status().isReady) return null;
+    const parts = await this.served.packedSnapshot();
+    const part = parts[question.data.index];
+    if (part === undefined) return null;
+    const isSameState =
+      question.data.coveredOffset === null || question.data.coveredOffset === part.coveredOffset;
+    return isSameState ? part : null;
+  }
+}
--- /dev/null
+++ b/src/replication/_lib/snapshotKeeper/index.ts
@@ -0,0 +1,136 @@
+import type * as platform from "../../../platform/types.js";
+import * as constants from "../../constants.js";
+import type * as types from "../../types.js";
+import type * as logReader from "../logReader/index.js";
+import * as readerRoles from "../readerRoles/index.js";
+import * as snapshotCodec from "../snapshotCodec/index.js";
+
+/** What the keeper needs of its follower. */
+export interface SnapshotSource<State> {
+  current(): State;
+  isReady(): boolean;
+}
+
+/** Packs snapshots of one stream's state and writes them to the log when they are due. */
+export class SnapshotKeeper<State> {
+  /** Offset covered by the newest complete snapshot seen in the log; -1 for none. */
+  coveredOffset = -1;
+  private uncoveredSinceWallMs: number | null = null;
+  private dueSinceMs: number | null = null;
+  private isWriting = false;
+  private readonly collector = new snapshotCodec.SnapshotCollector();
+  private packed: Promise<readonly types.SnapshotPart[]> | null = null;
+  private packedOffset = -1;
+
+  constructor(
+    private readonly dependencies: types.FollowerDependencies,
+    private readonly rules: types.StreamRules<State>,
+    private readonly options: types.FollowerOptions,
+    private readonly source: SnapshotSource<State>,
+  ) {}
+
+  /** Notes an applied record: a snapshot's part, or one that no snapshot covers yet. */
+  observe(record: platform.LogRecord): void {
+    this.uncoveredSinceWallMs ??= record.appendedAtWallMs;
+    const part = snapshotCodec.parseSnapshotPart(record.payload);
+    if (part === null) return;
+    const parts = this.collector.add(part);
+    if (parts === null || snapshotCodec.unpackParts(parts) === null) return;
+    this.noteComplete(part.coveredOffset, record.appendedAtWallMs);
+  }
+
+  /** Notes a snapshot that the state was loaded from. */
+  noteLoaded(found: logReader.FoundSnapshot): void {
+    this.noteComplete(found.coveredOffset, found.appendedAtWallMs);
+  }
+
+  /** Notes a state that came from a peer: the log's own snapshots are not known then. */
+  noteLoadedFromPeer(): void {
+    this.uncoveredSinceWallMs ??= this.dependencies.clock.wallTimeMs();
+  }
+
+  /** The current state packed, or a recent one that peers can complete from recent records. */
+  async packRecent(): Promise<readonly types.SnapshotPart[]> {
+    const appliedOffset = this.rules.appliedOffsetOf(this.source.current());
+    const isRecent = appliedOffset - this.packedOffset < constants.RECENT_RECORDS_COUNT / 2;
+    if (this.packed !== null && isRecent) return this.packed;
+    this.packedOffset = appliedOffset;
+    this.packed = this.pack();
+    return this.packed;
+  }
+
+  /** Writes a snapshot if one is due and it is this VM's turn. */
+  async writeIfDue(): Promise<void> {
+    if (this.isWriting || !this.options.areSnapshotsWritten || !this.isDue()) return;
+    this.isWriting = true;
+    try {
+      await this.write();
+    } catch (error) {
+      const { stream } = this.rules;
+      this.dependencies.logger.error({ stream, err: error }, "snapshot could not be written");
+    } finally {
+      this.isWriting = false;
+      this.dueSinceMs = null;
+    }
+  }
+
+  private isDue(): boolean {
+    if (!this.source.isReady() || !this.isUncovered()) {
+      this.dueSinceMs = null;
+      return false;
+    }
+    const { clock, fleetView } = this.dependencies;
+    this.dueSinceMs ??= clock.nowMs();
+    const turn = readerRoles.snapshotTurn(fleetView, `${this.rules.stream}/${this.coveredOffset}`);
+    return clock.nowMs() - this.dueSinceMs >= turn * constants.SNAPSHOT_STAGGER_MS;
+  }
+
+  private isUncovered(): boolean {
+    const appliedOffset = this.rules.appliedOffsetOf(this.source.current());
+    if (appliedOffset < 0) return false;
+    if (appliedOffset - this.coveredOffset >= this.options.snapshotEveryRecords) return true;
+    const sinceWallMs = this.uncoveredSinceWallMs ?? Infinity;
+    const ageMs = this.dependencies.clock.wallTimeMs() - sinceWallMs;
+    return ageMs >= this.options.retentionMs * constants.SNAPSHOT_RETENTION_SHARE;
+  }
+
+  private async write(): Promise<void> {
+    const { logger, logService, metrics } = this.dependencies;
+    const { stream } = this.rules;
+    const parts = await this.pack();
+    for (let start = 0; start < parts.length; start += constants.PARTS_PER_APPEND) {
+      const group = parts.slice(start, start + constants.PARTS_PER_APPEND);
+      const appended = await logService.append(stream, group);
+      if (appended.isOk()) continue;
+      metrics.increment("replication.snapshot_failed", 1, { stream });
+      return;
+    }
+    metrics.increment("replication.snapshot_written", 1, { stream });
+    const coveredOffset = parts[0]?.coveredOffset ?? -1;
+    logger.info({ stream, coveredOffset, parts: parts.length }, "snapshot written");
+  }
+
+  /** Packs the state as it is now; its immutability lets records be applied meanwhile. */
+  private async pack(): Promise<readonly types.SnapshotPart[]> {
+    const { clock, fleetView } = this.dependencies;
+    const state = this.source.current();
+    const coveredOffset = this.rules.appliedOffsetOf(state);
+    const packedParts: string[] = [];
+    for (const part of this.rules.encodeParts(state)) {
+      packedParts.push(snapshotCodec.packPart(part));
+      await clock.sleep(0);
+    }
+    const snapshotId = `${fleetView.self.name}/${coveredOffset}/${clock.wallTimeMs()}`;
+    return snapshotCodec.assembleSnapshot(snapshotId, coveredOffset, packedParts);
+  }
+
+  private noteComplete(coveredOffset: number, appendedAtWallMs: number): void {
+    if (coveredOffset <= this.coveredOffset) {
+      this.dependencies.metrics.increment("replication.snapshot_ignored");
+      return;
+    }
+    this.coveredOffset = coveredOffset;
+    this.uncoveredSinceWallMs = appendedAtWallMs;
+    this.collector.dropBelow(coveredOffset);
+  }
+}
--- /dev/null
+++ b/standins/telemetry/counters/index.ts
@@ -0,0 +1,38 @@
+import type * as telemetry from "../../../src/telemetry/types.js";
+
+/** Counters in memory, for tests and measurements. */
+export class CounterModel implements telemetry.Metrics, telemetry.Tracer {
+  readonly counts = new Map<string, number>();
+  private readonly traces = new Map<string, telemetry.TraceEvent[]>();
+
+  /** The value of a counter, all its tags together. */
+  countOf(name: string): number {
+    return this.counts.get(name) ?? 0;
+  }
+
+  increment(name: string, count = 1): void {
+    this.counts.set(name, this.countOf(name) + count);
+  }
+
+  gauge(name: string, value: number): void {
+    this.counts.set(name, value);
+  }
+
+  observe(): void {
+    this.increment("observed");
+  }
+
+  completed(): void {
+    this.increment("completed");
+  }
+
+  record(requestId: string, event: Omit<telemetry.TraceEvent, "atWallMs" | "vm">): void {
+    const events = this.traces.get(requestId) ?? [];
+    events.push({ ...event, atWallMs: 0, vm: "" });
+    this.traces.set(requestId, events);
+  }
+
+  trace(requestId: string): readonly telemetry.TraceEvent[] {
+    return this.traces.get(requestId) ?? [];
+  }
+}
