--- /dev/null
+++ b/src/generations/_lib/engineRequest/index.ts
@@ -0,0 +1,61 @@
+import * as crypto from "node:crypto";
+
+import type * as backends from "../../../backends/types.js";
+import * as catalogueTypes from "../../../catalogue/types.js";
+import type * as engines from "../../../engines/types.js";
+import type * as types from "../../types.js";
+
+const PRIORITIES: Readonly<Record<catalogueTypes.RequestClass, number>> = {
+  [catalogueTypes.RequestClass.Interactive]: 0,
+  [catalogueTypes.RequestClass.Streaming]: 1,
+  [catalogueTypes.RequestClass.Batch]: 2,
+};
+
+/** Keeps seeds within 31 bits, which every engine takes. */
+const SEED_MASK = 0x7fffffff;
+
+/** The request to an engine; every attempt of a generation has the same sampling seed. */
+export function createEngineRequest(
+  request: types.GenerationRequest,
+  attempt: number,
+  prefixTokens: readonly string[],
+): backends.EngineRequest {
+  return {
+    requestId: request.requestId,
+    attempt,
+    model: request.entry.model,
+    version: request.entry.version,
+    adapter: request.entry.adapter ?? null,
+    prompt: request.prompt,
+    prefixTokens: [...prefixTokens],
+    maxTokens: request.maxTokens,
+    priority: PRIORITIES[request.entry.class],
+    seed: samplingSeed(request.requestId),
+  };
+}
+
+/** What a request needs of an engine, with times on this VM's monotonic clock. */
+export function createNeed(
+  request: types.GenerationRequest,
+  producedTokens: number,
+  times: { readonly acceptedAtMs: number; readonly deadlineAtMs: number },
+): engines.GenerationNeed {
+  return {
+    requestId: request.requestId,
+    entryName: request.entry.name,
+    accountName: request.accountName,
+    class: request.entry.class,
+    model: request.entry.model,
+    version: request.entry.version,
+    adapter: request.entry.adapter ?? null,
+    promptTokens: request.promptTokens,
+    prefixHashes: [],
+    producedTokens,
+    maxTokens: request.maxTokens,
+    ...times,
+  };
+}
+
+function samplingSeed(requestId: string): number {
+  return crypto.createHash("sha1").update(requestId).digest().readUInt32BE(0) & SEED_MASK;
+}
--- /dev/null
+++ b/src/generations/_lib/engineRun/index.ts
@@ -0,0 +1,229 @@
+import * as stepError from "../../../_lib/stepError/index.js";
+import type * as backends from "../../../backends/types.js";
+import * as constants from "../../constants.js";
+import type * as types from "../../types.js";
+import type * as contexts from "../context/index.js";
+import * as messages from "../messages/index.js";
+import * as progressBounds from "../progressBound/index.js";
+import * as requests from "../engineRequest/index.js";
+
+/** Receives what a run produces. */
+export interface RunObserver {
+  onFrame(run: EngineRun, frame: types.TokenFrame): void;
+  onEnded(run: EngineRun, kind: messages.RunEndKind, reason: string): void;
+  onFinished(run: EngineRun, reason: backends.FinishReason): void;
+}
+
+/** One generation on one engine, at the engine's home; resumes its stream on new connections. */
+export class EngineRun {
+  attempt: number;
+  ownerVm: string;
+  keeperVm: string | null;
+  /** The attempt under which the engine knows the stream. */
+  engineAttempt: number;
+  finishReason: backends.FinishReason | null = null;
+  isEnded = false;
+  isPreempted = false;
+  /** Offset up to which the owner takes tokens; beyond it the stream is not read. */
+  creditOffset = Infinity;
+  lastProgressAtMs: number;
+  lastOwnerContactAtMs: number;
+  expiresAtMs = Infinity;
+  readonly request: types.GenerationRequest;
+  readonly samplingAttempt: number;
+  readonly tokens: string[];
+  private readonly progress: progressBounds.ProgressBound;
+  private connection = new AbortController();
+  private resumesWithoutTokenCount = 0;
+  private wakeReader: (() => void) | null = null;
+
+  constructor(
+    private readonly context: contexts.GenerationContext,
+    private readonly client: backends.EngineClient,
+    private readonly observer: RunObserver,
+    dispatch: messages.DispatchRequest,
+  ) {
+    const { snapshot } = dispatch;
+    this.request = snapshot.request;
+    this.attempt = snapshot.attempt;
+    this.ownerVm = snapshot.ownerVm;
+    this.keeperVm = snapshot.keeperVm;
+    this.samplingAttempt = snapshot.samplingAttempt;
+    this.engineAttempt = dispatch.resumeAttempt ?? snapshot.attempt;
+    this.tokens = [...snapshot.tokens];
+    this.lastProgressAtMs = context.clock.nowMs();
+    this.lastOwnerContactAtMs = this.lastProgressAtMs;
+    this.progress = new progressBounds.ProgressBound(this.request.promptTokens);
+    this.isResumable = dispatch.resumeAttempt !== null;
+  }
+
+  private isResumable: boolean;
+
+  get requestId(): string {
+    return this.request.requestId;
+  }
+
+  get engineName(): string {
+    return this.client.name;
+  }
+
+  get location(): messages.RunLocation {
+    const { engineName, engineAttempt } = this;
+    return { homeVm: this.context.link.selfName, engineName, engineAttempt };
+  }
+
+  /** Reads the engine's stream until it ends, on as many connections as it takes. */
+  async run(): Promise<void> {
+    while (!this.isEnded) {
+      this.connection = new AbortController();
+      try {
+        await this.readConnection();
+      } catch (error) {
+        this.onConnectionFailed(error);
+      }
+    }
+  }
+
+  /** Opens a new connection where the stream has been silent past its bound. */
+  checkProgress(stepTimeMs: number): void {
+    if (this.isEnded || this.isHeldBack()) return;
+    const silentMs = this.context.clock.nowMs() - this.lastProgressAtMs;
+    const boundMs = this.progress.boundMs(stepTimeMs) * (this.resumesWithoutTokenCount + 1);
+    if (silentMs < boundMs * (this.resumesWithoutTokenCount + 1)) return;
+    if (this.resumesWithoutTokenCount >= constants.STALLED_RESUMES_COUNT && !this.isPreempted) {
+      this.end(messages.RunEndKind.EngineStalled, `no token for ${Math.round(silentMs)} ms`);
+      return;
+    }
+    this.resumesWithoutTokenCount += 1;
+    this.record("engine.resumed", `no token for ${Math.round(silentMs)} ms`);
+    this.context.metrics.increment("generations.engine_resumes");
+    this.connection.abort();
+  }
+
+  /** Ends the run at this VM; the engine's stream is left alone. */
+  end(kind: messages.RunEndKind, reason: string): void {
+    if (this.isEnded) return;
+    this.isEnded = true;
+    this.close();
+    this.observer.onEnded(this, kind, reason);
+  }
+
+  /** Ends the run and frees the engine's memory. */
+  async cancel(): Promise<void> {
+    this.isEnded = true;
+    this.close();
+    await this.client.cancel(this.requestId, this.engineAttempt);
+  }
+
+  grantCredit(offset: number): void {
+    this.creditOffset = offset;
+    this.wakeReader?.();
+  }
+
+  /** A new owner takes the run over; frames of the old attempt are no longer sent. */
+  adopt(attempt: number, ownerVm: string): void {
+    this.attempt = attempt;
+    this.ownerVm = ownerVm;
+    this.creditOffset = Infinity;
+    this.lastOwnerContactAtMs = this.context.clock.nowMs();
+    this.wakeReader?.();
+  }
+
+  /** Sends everything from an offset on again. */
+  resend(fromOffset: number): void {
+    this.lastOwnerContactAtMs = this.context.clock.nowMs();
+    if (fromOffset > this.tokens.length) return;
+    if (fromOffset === this.tokens.length && this.finishReason === null) return;
+    this.emit(fromOffset);
+  }
+
+  record(step: string, reason: string): void {
+    this.context.tracer.record(this.requestId, {
+      step,
+      backend: this.engineName,
+      offset: this.tokens.length,
+      reason,
+    });
+  }
+
+  private async readConnection(): Promise<void> {
+    const { signal } = this.connection;
+    const stream = this.isResumable
+      ? this.client.resume(this.requestId, this.engineAttempt, this.tokens.length, signal)
+      : this.startStream(signal);
+    this.isResumable = true;
+    for await (const frame of stream) {
+      this.takeFrame(frame);
+      if (this.isEnded) return;
+      if (this.isHeldBack()) await this.waitForCredit();
+    }
+    if (this.finishReason === null) throw new Error("the stream ended without a finish reason");
+  }
+
+  private startStream(signal: AbortSignal): AsyncIterable<backends.EngineFrame> {
+    this.engineAttempt = this.attempt;
+    const request = requests.createEngineRequest(this.request, this.attempt, this.tokens);
+    return this.client.start(request, signal);
+  }
+
+  private takeFrame(frame: backends.EngineFrame): void {
+    const skipCount = this.tokens.length - frame.offset;
+    if (skipCount < 0) throw new Error(`tokens before offset ${frame.offset} are missing`);
+    const fromOffset = this.tokens.length;
+    for (const token of frame.tokens.slice(skipCount)) this.tokens.push(token);
+    if (this.tokens.length > fromOffset) this.noteProgress();
+    this.finishReason = frame.finishReason;
+    if (this.tokens.length > fromOffset || frame.finishReason !== null) this.emit(fromOffset);
+    if (frame.finishReason === null) return;
+    this.isEnded = true;
+    this.observer.onFinished(this, frame.finishReason);
+  }
+
+  private noteProgress(): void {
+    const nowMs = this.context.clock.nowMs();
+    this.progress.note(nowMs - this.lastProgressAtMs);
+    this.lastProgressAtMs = nowMs;
+    this.resumesWithoutTokenCount = 0;
+  }
+
+  private emit(fromOffset: number): void {
+    this.observer.onFrame(this, {
+      requestId: this.requestId,
+      attempt: this.attempt,
+      offset: fromOffset,
+      tokens: this.tokens.slice(fromOffset),
+      finishReason: this.finishReason,
+    });
+  }
+
+  private onConnectionFailed(error: unknown): void {
+    if (this.isEnded) return;
+    if (this.connection.signal.aborted) return;
+    const reason = error instanceof Error ? error.message : "unknown failure";
+    const isRefused =
+      error instanceof stepError.StepError &&
+      error.execution === stepError.ExecutionState.NotRun;
+    if (isRefused || this.resumesWithoutTokenCount > 0) {
+      this.end(messages.RunEndKind.EngineLost, reason);
+      return;
+    }
+    this.resumesWithoutTokenCount += 1;
+    this.record("engine.resumed", reason);
+  }
+
+  private isHeldBack(): boolean {
+    return this.tokens.length >= this.creditOffset;
+  }
+
+  private async waitForCredit(): Promise<void> {
+    while (this.isHeldBack() && !this.isEnded) {
+      await new Promise<void>((resolve) => (this.wakeReader = resolve));
+    }
+    this.lastProgressAtMs = this.context.clock.nowMs();
+  }
+
+  private close(): void {
+    this.connection.abort();
+    this.wakeReader?.();
+  }
+}
--- /dev/null
+++ b/src/generations/_lib/placement/index.ts
@@ -0,0 +1,127 @@
+import type * as neverthrow from "neverthrow";
+
+import type * as clocks from "../../../_lib/clock/index.js";
+import type * as stepError from "../../../_lib/stepError/index.js";
+import type * as catalogue from "../../../catalogue/types.js";
+import * as catalogueTypes from "../../../catalogue/types.js";
+import * as constants from "../../constants.js";
+import * as selectHomes from "../../selectHome/index.js";
+import type * as contexts from "../context/index.js";
+import * as messages from "../messages/index.js";
+import type * as records from "../record/index.js";
+import type * as views from "../views/index.js";
+
+/** An engine to send a generation to, through its home. */
+export interface Target {
+  readonly engine: catalogue.EngineBackend;
+  readonly homeVm: string;
+  /** The engine's stream to take up; null where a new one is to be started. */
+  readonly resumeAttempt: number | null;
+}
+
+interface PlacementServices {
+  readonly context: contexts.GenerationContext;
+  readonly views: views.EngineViews;
+  readonly avoidance: Avoidance;
+}
+
+/** VMs and engines that failed lately and are passed over for a while. */
+export class Avoidance {
+  private readonly vmsUntilMs = new Map<string, number>();
+  private readonly enginesUntilMs = new Map<string, number>();
+
+  constructor(private readonly clock: clocks.Clock) {}
+
+  avoidVm(vmName: string): void {
+    this.vmsUntilMs.set(vmName, this.clock.nowMs() + constants.AVOID_VM_MS);
+  }
+
+  avoidEngine(engineName: string): void {
+    this.enginesUntilMs.set(engineName, this.clock.nowMs() + constants.AVOID_ENGINE_MS);
+  }
+
+  isVmAvoided(vmName: string): boolean {
+    return (this.vmsUntilMs.get(vmName) ?? 0) > this.clock.nowMs();
+  }
+
+  isEngineAvoided(engineName: string): boolean {
+    return (this.enginesUntilMs.get(engineName) ?? 0) > this.clock.nowMs();
+  }
+}
+
+/** The engine and home for a generation's next attempt: where it ran before, else the best one. */
+export function selectTarget(
+  services: PlacementServices,
+  record: records.GenerationRecord,
+  preferredEngine: string | null,
+): Target | null {
+  if (record.run !== null) {
+    const engine = findEngine(services.context, record.run.engineName);
+    const target = engine && createTarget(services, engine, record.run.engineAttempt);
+    if (target) return target;
+  }
+  const engineName = services.views.selectEngine(record, preferredEngine, (name) =>
+    services.avoidance.isEngineAvoided(name),
+  );
+  const engine = engineName === null ? null : findEngine(services.context, engineName);
+  return engine && createTarget(services, engine, null);
+}
+
+/** Sends a generation to a home under a new attempt. */
+export async function dispatch(
+  services: PlacementServices,
+  record: records.GenerationRecord,
+  target: Target,
+): Promise<neverthrow.Result<messages.DispatchAnswer, stepError.StepError>> {
+  record.attempt += 1;
+  const params: messages.DispatchRequest = {
+    snapshot: record.snapshot(),
+    engineName: target.engine.name,
+    resumeAttempt: target.resumeAttempt,
+  };
+  services.views.noteSent(target.engine.name, record.request.promptTokens);
+  return services.context.link.call(
+    target.homeVm,
+    messages.Method.Dispatch,
+    params,
+    messages.dispatchAnswerSchema,
+  );
+}
+
+/** Asks a home whether it still runs a generation; it sends again what is missing. */
+export async function probe(
+  services: PlacementServices,
+  record: records.GenerationRecord,
+  run: messages.RunLocation,
+): Promise<"running" | "unknown" | "unreachable"> {
+  const { requestId, attempt } = record;
+  const params = { requestId, attempt, offset: record.tokens.length };
+  const answer = await services.context.link.call(
+    run.homeVm,
+    messages.Method.Probe,
+    params,
+    messages.probeAnswerSchema,
+  );
+  if (answer.isErr()) return "unreachable";
+  return answer.value.isRunning ? "running" : "unknown";
+}
+
+function createTarget(
+  services: PlacementServices,
+  engine: catalogue.EngineBackend,
+  resumeAttempt: number | null,
+): Target | null {
+  const members = services.context.fleet.members();
+  const homeVm = selectHomes.selectHome(engine, members, (vmName) =>
+    services.avoidance.isVmAvoided(vmName),
+  );
+  return homeVm === null ? null : { engine, homeVm, resumeAttempt };
+}
+
+function findEngine(
+  context: contexts.GenerationContext,
+  engineName: string,
+): catalogue.EngineBackend | null {
+  const item = context.catalogue.current().items.get(`engine/${engineName}`)?.item;
+  return item?.kind === catalogueTypes.ItemKind.Engine ? item : null;
+}
--- /dev/null
+++ b/src/generations/_lib/views/index.ts
@@ -0,0 +1,121 @@
+import * as zod from "zod";
+
+import type * as backends from "../../../backends/types.js";
+import * as catalogueTypes from "../../../catalogue/types.js";
+import * as engineTypes from "../../../engines/types.js";
+import * as constants from "../../constants.js";
+import type * as contexts from "../context/index.js";
+import type * as engineHomes from "../engineHome/index.js";
+import * as messages from "../messages/index.js";
+import type * as records from "../record/index.js";
+
+const viewSchema = zod.object({
+  name: zod.string(),
+  dataCentre: zod.string(),
+  health: zod.enum(engineTypes.EngineHealth),
+  capacityTokens: zod.number(),
+  reservedTokens: zod.number(),
+  runningCount: zod.number(),
+  waitingCount: zod.number(),
+  stepTimeMs: zod.number(),
+  loadedModels: zod.array(
+    zod.object({ model: zod.string(), version: zod.string(), adapters: zod.array(zod.string()) }),
+  ),
+});
+
+interface HeldView {
+  readonly view: zod.infer<typeof viewSchema>;
+  readonly receivedAtMs: number;
+  sentTokens: number;
+  sentCount: number;
+}
+
+/** What this VM knows about engines, from their homes' summaries. */
+export class EngineViews {
+  private readonly views = new Map<string, HeldView>();
+
+  constructor(private readonly context: contexts.GenerationContext) {}
+
+  start(): void {
+    const schema = zod.array(viewSchema);
+    this.context.link.handle(messages.Method.EngineViews, schema, (received) => {
+      for (const view of received) this.take(view);
+    });
+  }
+
+  /** Sends the views of this VM's engines to the others. */
+  spread(homes: readonly engineHomes.EngineHome[]): void {
+    if (homes.length === 0) return;
+    const nowMs = this.context.clock.nowMs();
+    const summaries = homes.map((home) => viewSchema.parse(home.view(nowMs)));
+    for (const member of this.context.fleet.members()) {
+      this.context.link.notify(member.name, messages.Method.EngineViews, summaries);
+    }
+  }
+
+  /** Notes work sent to an engine, which its next summary will show. */
+  noteSent(engineName: string, tokens: number): void {
+    const held = this.views.get(engineName);
+    if (held === undefined) return;
+    held.sentTokens += tokens;
+    held.sentCount += 1;
+  }
+
+  /** All views, with their age. */
+  list(): readonly engineTypes.EngineView[] {
+    const nowMs = this.context.clock.nowMs();
+    return [...this.views.values()].map((held) => ({
+      ...held.view,
+      ageMs: nowMs - held.receivedAtMs,
+      sentSinceTokens: held.sentTokens,
+      sentSinceCount: held.sentCount,
+    }));
+  }
+
+  /** The engine that should run a generation next; null where none can. */
+  selectEngine(
+    record: records.GenerationRecord,
+    preferredEngine: string | null,
+    isAvoided: (engineName: string) => boolean,
+  ): string | null {
+    const usable = this.list().filter(
+      (view) => this.isUsable(view, record) && !isAvoided(view.name),
+    );
+    const preferred = usable.find((view) => view.name === preferredEngine);
+    if (preferred !== undefined) return preferred.name;
+    const sorted = usable.sort((left, right) => loadRatio(left) - loadRatio(right));
+    return sorted[0]?.name ?? null;
+  }
+
+  private isUsable(view: engineTypes.EngineView, record: records.GenerationRecord): boolean {
+    const item = this.context.catalogue.current().items.get(`engine/${view.name}`)?.item;
+    if (item?.kind !== catalogueTypes.ItemKind.Engine) return false;
+    if (item.state === catalogueTypes.DesiredState.Draining) return false;
+    if (view.health !== engineTypes.EngineHealth.Live) return false;
+    if (view.ageMs > constants.VIEW_EXPIRY_MS) return false;
+    return hasModel(view.loadedModels, record);
+  }
+
+  private take(view: zod.infer<typeof viewSchema>): void {
+    const receivedAtMs = this.context.clock.nowMs();
+    this.views.set(view.name, { view, receivedAtMs, sentTokens: 0, sentCount: 0 });
+  }
+}
+
+function hasModel(
+  loadedModels: readonly backends.LoadedModel[],
+  record: records.GenerationRecord,
+): boolean {
+  const { model, version, adapter } = record.request.entry;
+  return loadedModels.some(
+    (loaded) =>
+      loaded.model === model &&
+      loaded.version === version &&
+      (adapter === undefined || loaded.adapters.includes(adapter)),
+  );
+}
+
+function loadRatio(view: engineTypes.EngineView): number {
+  const usedTokens = view.reservedTokens + view.sentSinceTokens;
+  return usedTokens / Math.max(1, view.capacityTokens) + view.waitingCount + view.sentSinceCount;
+}
--- /dev/null
+++ b/src/generations/constants.ts
@@ -0,0 +1,65 @@
+/** Longest wait for an answer from another VM of the fleet. */
+export const PEER_CALL_TIMEOUT_MS = 300;
+
+/** Longest wait for an engine's load report. */
+export const LOAD_REPORT_TIMEOUT_MS = 1_000;
+
+/** Interval at which a home asks its engines for load reports. */
+export const LOAD_POLL_INTERVAL_MS = 500;
+
+/** Load reports missed in a row before an engine counts as dead. */
+export const MISSED_REPORTS_COUNT = 3;
+
+/** Interval at which streams are checked for silence. */
+export const WATCH_INTERVAL_MS = 50;
+
+/** Shortest silence that may count as a broken stream. */
+export const MIN_PROGRESS_BOUND_MS = 250;
+
+/** Longest silence before a stream is resumed on a new connection. */
+export const MAX_PROGRESS_BOUND_MS = 5_000;
+
+/** A stream is silent after this many of its usual intervals between frames. */
+export const PROGRESS_BOUND_INTERVALS = 8;
+
+/** Time allowed for the first token besides the prompt's own. */
+export const FIRST_TOKEN_BOUND_MS = 2_000;
+
+/** Time allowed for the first token per token of prompt. */
+export const FIRST_TOKEN_BOUND_PER_PROMPT_TOKEN_MS = 2;
+
+/** Weight of the newest interval in a stream's learned interval between frames. */
+export const INTERVAL_SMOOTHING = 0.1;
+
+/** Resumed connections in a row without a token before an engine counts as stalled. */
+export const STALLED_RESUMES_COUNT = 3;
+
+/** How long a waiting request goes without an announcement before it asks a home again. */
+export const WAITING_RETRY_MS = 250;
+
+/** How long a VM that did not answer is passed over as a home. */
+export const AVOID_VM_MS = 3_000;
+
+/** How long an engine that failed is passed over, unless it reports again. */
+export const AVOID_ENGINE_MS = 3_000;
+
+/** Longest wait for a copy's acknowledgement before another second holder is chosen. */
+export const COPY_ACK_TIMEOUT_MS = 500;
+
+/** How long a home runs on without hearing from the owner before it looks for the second holder. */
+export const ORPHAN_AFTER_MS = 5_000;
+
+/** Tokens that may be in flight towards a slow caller before its stream is held back. */
+export const CREDIT_WINDOW_TOKENS = 4_096;
+
+/** Longest time that a read of another VM's generation waits for tokens. */
+export const READ_WAIT_MS = 1_000;
+
+/** Interval of engine views towards other VMs. */
+export const VIEW_INTERVAL_MS = 500;
+
+/** Age after which an engine's view is no longer believed. */
+export const VIEW_EXPIRY_MS = 10_000;
+
+/** Estimate of when to try again where nothing better is known. */
+export const DEFAULT_RETRY_AFTER_MS = 2_000;
--- /dev/null
+++ b/src/generations/generations/index.ts
@@ -0,0 +1,202 @@
+import type * as bunyan from "bunyan";
+import * as neverthrow from "neverthrow";
+import * as tsyringe from "tsyringe";
+
+import type * as clocks from "../../_lib/clock/index.js";
+import * as disposableStore from "../../_lib/disposableStore/index.js";
+import type * as randoms from "../../_lib/random/index.js";
+import * as stepError from "../../_lib/stepError/index.js";
+import * as tokens from "../../_lib/tokens/index.js";
+import type * as backends from "../../backends/types.js";
+import type * as catalogue from "../../catalogue/types.js";
+import type * as fleet from "../../fleet/types.js";
+import * as fleetTypes from "../../fleet/types.js";
+import type * as peers from "../../peers/types.js";
+import type * as telemetry from "../../telemetry/types.js";
+import type * as contexts from "../_lib/context/index.js";
+import * as errors from "../_lib/errors/index.js";
+import * as homeDesks from "../_lib/homeDesk/index.js";
+import * as keeperDesks from "../_lib/keeperDesk/index.js";
+import * as locators from "../_lib/locator/index.js";
+import type * as messages from "../_lib/messages/index.js";
+import * as ownerDesks from "../_lib/ownerDesk/index.js";
+import * as peerLinks from "../_lib/peerLink/index.js";
+import * as readers from "../_lib/reader/index.js";
+import * as schedulers from "../_lib/createScheduler/index.js";
+import * as views from "../_lib/views/index.js";
+import * as constants from "../constants.js";
+import * as requestIds from "../createRequestId/index.js";
+import * as selectKeepers from "../selectKeeper/index.js";
+import type * as types from "../types.js";
+
+/** Generations that survive the failure of engines, VMs and links. */
+@tsyringe.injectable()
+export class Generations implements types.GenerationService, AsyncDisposable {
+  private readonly context: contexts.GenerationContext;
+  private readonly holders: locators.Holders;
+  private readonly views: views.EngineViews;
+  private readonly locator: locators.Locator;
+  private readonly reader: readers.Reader;
+  private readonly resources = new disposableStore.DisposableStore();
+  private readonly stopping = new AbortController();
+
+  constructor(
+    @tsyringe.inject(tokens.TOKENS.clock) clock: clocks.Clock,
+    @tsyringe.inject(tokens.TOKENS.random) random: randoms.RandomSource,
+    @tsyringe.inject(tokens.TOKENS.logger) logger: bunyan,
+    @tsyringe.inject(tokens.TOKENS.metrics) metrics: telemetry.Metrics,
+    @tsyringe.inject(tokens.TOKENS.tracer) tracer: telemetry.Tracer,
+    @tsyringe.inject(tokens.TOKENS.peerNetwork) peerNetwork: peers.PeerNetwork,
+    @tsyringe.inject(tokens.TOKENS.fleetView) fleetView: fleet.FleetView,
+    @tsyringe.inject(tokens.TOKENS.catalogueView) catalogueView: catalogue.CatalogueView,
+    @tsyringe.inject(tokens.TOKENS.engineClients) engineClients: backends.EngineClients,
+  ) {
+    const link = this.resources.add(new peerLinks.PeerLink(fleetView.self.name, peerNetwork));
+    this.context = {
+      clock,
+      random,
+      logger,
+      metrics,
+      tracer,
+      link,
+      fleet: fleetView,
+      catalogue: catalogueView,
+      engineClients,
+      createScheduler: schedulers.createSchedulerFactory(catalogueView),
+    };
+    this.views = new views.EngineViews(this.context);
+    const owner = this.resources.add(new ownerDesks.OwnerDesk(this.context, this.views));
+    const keeper = new keeperDesks.KeeperDesk(this.context, (requestId) =>
+      owner.findRecord(requestId),
+    );
+    const home = this.resources.add(new homeDesks.HomeDesk(this.context));
+    this.holders = { owner, keeper, home };
+    this.locator = new locators.Locator(this.context, this.holders);
+    this.reader = new readers.Reader(this.context, this.holders, this.locator);
+  }
+
+  /** Registers with the peers and takes up the engines whose home this VM is. */
+  start(): void {
+    this.views.start();
+    this.holders.owner.start();
+    this.holders.keeper.start();
+    this.holders.home.start();
+    this.locator.start();
+    this.reader.start();
+    void this.repeat(constants.WATCH_INTERVAL_MS, () => this.watch());
+    void this.repeat(constants.VIEW_INTERVAL_MS, () => this.spreadViews());
+  }
+
+  /** Makes the id of a new request, with hints of the two VMs that will hold it. */
+  createRequestId(): string {
+    const { fleet: fleetView, clock, random } = this.context;
+    const ownerVm = fleetView.self.name;
+    const id = { wallTimeMs: clock.wallTimeMs(), random, ownerVm };
+    const seed = String(random.next());
+    const keeperVm = selectKeepers.selectKeeper(seed, fleetView.self, fleetView.members());
+    return requestIds.createRequestId({ ...id, keeperVm });
+  }
+
+  async submit(
+    request: types.GenerationRequest,
+  ): Promise<neverthrow.Result<types.GenerationHandle, stepError.StepError>> {
+    const refusal = this.checkAcceptance(request);
+    if (refusal !== null) return neverthrow.err(refusal);
+    const generation = this.holders.owner.own(this.createSnapshot(request));
+    const { record } = generation;
+    await this.holders.owner.replicator.keep(record);
+    await generation.firstVerdict;
+    if (record.failure === null || record.tokens.length > 0) {
+      return neverthrow.ok(this.createHandle(request.requestId, request.accountName));
+    }
+    this.holders.owner.forget(request.requestId);
+    const { message, code, step, retryAfterMs } = record.failure;
+    return neverthrow.err(errors.createRefusal(message, code, step, retryAfterMs));
+  }
+
+  async attach(
+    requestId: string,
+    accountName: string,
+  ): Promise<neverthrow.Result<types.GenerationHandle, stepError.StepError>> {
+    const record = this.holders.owner.findRecord(requestId);
+    const holders = record === null ? await this.locator.locate(requestId) : [];
+    const heldFor = record?.request.accountName ?? holders[0]?.answer.accountName;
+    if (heldFor !== accountName) return neverthrow.err(errors.createNotFound(requestId));
+    return neverthrow.ok(this.createHandle(requestId, accountName));
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.stopping.abort();
+    await this.resources[Symbol.asyncDispose]();
+  }
+
+  private createHandle(requestId: string, accountName: string): types.GenerationHandle {
+    return {
+      requestId,
+      frames: (fromOffset) => this.reader.frames(requestId, accountName, fromOffset),
+    };
+  }
+
+  private createSnapshot(request: types.GenerationRequest): messages.GenerationSnapshot {
+    return {
+      request: request as messages.GenerationSnapshot["request"],
+      ownerVm: this.context.link.selfName,
+      keeperVm: this.hintedKeeper(request.requestId),
+      attempt: 0,
+      samplingAttempt: 1,
+      tokens: [],
+      finishReason: null,
+      run: null,
+    };
+  }
+
+  private hintedKeeper(requestId: string): string | null {
+    const hints = requestIds.parseRequestHints(requestId);
+    const member = this.context.fleet
+      .members()
+      .find(
+        (candidate) =>
+          candidate.state === fleetTypes.MemberState.Live &&
+          candidate.name !== this.context.link.selfName &&
+          requestIds.vmHint(candidate.name) === hints?.keeperHint,
+      );
+    return member?.name ?? null;
+  }
+
+  private checkAcceptance(request: types.GenerationRequest): stepError.StepError | null {
+    if (this.holders.owner.find(request.requestId) !== null) {
+      const message = `request ${request.requestId} is held already`;
+      return errors.createRefusal(message, stepError.ErrorCode.Conflict, "generation.submit");
+    }
+    if (request.deadlineAtWallMs <= this.context.clock.wallTimeMs()) {
+      const message = "the deadline has passed";
+      const code = stepError.ErrorCode.DeadlineExceeded;
+      return errors.createRefusal(message, code, "generation.submit");
+    }
+    const waitingCount = this.holders.owner
+      .list()
+      .filter((held) => held.isWaiting && held.record.request.entry.name === request.entry.name);
+    if (waitingCount.length < request.entry.maxWaitingCount) return null;
+    const message = `${waitingCount.length} requests of ${request.entry.name} are waiting already`;
+    return errors.createRefusal(message, stepError.ErrorCode.Overloaded, "generation.submit");
+  }
+
+  private watch(): void {
+    const nowMs = this.context.clock.nowMs();
+    this.holders.owner.watch(nowMs);
+    this.holders.home.watch(nowMs);
+    this.holders.keeper.expire(nowMs);
+  }
+
+  private spreadViews(): void {
+    this.views.spread(this.holders.home.list());
+  }
+
+  private async repeat(intervalMs: number, action: () => void): Promise<void> {
+    const { signal } = this.stopping;
+    while (!signal.aborted) {
+      action();
+      await this.context.clock.sleep(intervalMs, signal).catch(() => undefined);
+    }
+  }
+}
--- /dev/null
+++ b/src/generations/index.ts
@@ -0,0 +1,5 @@
+export * from "./types.js";
+export { createRequestId, parseRequestHints } from "./createRequestId/index.js";
+export { Generations } from "./generations/index.js";
+export { selectHome } from "./selectHome/index.js";
+export { selectKeeper } from "./selectKeeper/index.js";
--- /dev/null
+++ b/src/generations/selectHome/index.ts
@@ -0,0 +1,32 @@
+import type * as catalogue from "../../catalogue/types.js";
+import type * as fleet from "../../fleet/types.js";
+import * as fleetTypes from "../../fleet/types.js";
+import * as rendezvous from "../_lib/rendezvous/index.js";
+
+/**
+ * The VM that decides about an engine: the live VM of the engine's data centre that rendezvous
+ * hashing names, or of any data centre where that one has no live VM.
+ *
+ * @param engine - the engine
+ * @param members - the fleet as this VM sees it
+ * @param isAvoided - VMs to pass over, such as those that do not answer
+ * @returns the VM's name; null where there is none
+ */
+export function selectHome(
+  engine: Pick<catalogue.EngineBackend, "name" | "dataCentre">,
+  members: readonly fleet.VmMember[],
+  isAvoided: (vmName: string) => boolean = () => false,
+): string | null {
+  const eligible = members.filter(
+    (member) => isHomeState(member.state) && !isAvoided(member.name),
+  );
+  const local = eligible.filter((member) => member.dataCentre === engine.dataCentre);
+  const candidates = local.length > 0 ? local : eligible;
+  const names = candidates.map((member) => member.name);
+  return rendezvous.rankByRendezvous(engine.name, names)[0] ?? null;
+}
+
+/** A suspect VM stays a home: a suspicion that is refuted must not move engines twice. */
+function isHomeState(state: fleet.MemberState): boolean {
+  return state === fleetTypes.MemberState.Live || state === fleetTypes.MemberState.Suspect;
+}
