--- a/src/cli/_lib/planChanges.ts
+++ b/src/cli/_lib/planChanges.ts
@@ -44,7 +44,7 @@
   kind: string,
   name: string,
 ): catalogue.RevisedItem | undefined {
-  return items.find(({ item }) => item.kind === kind && item.name === name);
+  return items.find(({ item }) => `${item.kind}/${item.name}` === `${kind}/${name}`);
 }
 
 function plan(
--- a/src/cli/adminClient/index.ts
+++ b/src/cli/adminClient/index.ts
@@ -93,22 +93,22 @@
     } catch (error) {
       throw unreachable(url, error);
     }
-    return this.parseAnswer<T>(status, body);
+    return this.parseAnswer(status, body) as T;
   }
 
-  private parseAnswer<T>(status: number, body: string): T {
+  private parseAnswer(status: number, body: string): unknown {
     const parsed = parseJson(body);
     const isSuccess = status >= 200 && status < 300;
-    if (isSuccess && parsed !== undefined) return parsed as T;
+    if (isSuccess && parsed !== undefined) return parsed;
     const problem = PROBLEM_SCHEMA.safeParse(parsed);
     if (!problem.success) {
       throw unreachable(this.options.url, new Error(`it is no admin port (status ${status})`));
     }
     const { type, detail, step, peer, execution } = problem.data;
-    const code = type.slice(PROBLEM_TYPE_PREFIX.length) as stepError.ErrorCode;
+    const code = zod.enum(stepError.ErrorCode).safeParse(type.slice(PROBLEM_TYPE_PREFIX.length));
     throw cliErrors.cliErrorOf(
       new stepError.StepError(detail, {
-        code,
+        code: code.success ? code.data : stepError.ErrorCode.Internal,
         step,
         peer: peer ?? this.options.url,
         execution,
--- a/src/cli/catalogueCommand/index.ts
+++ b/src/cli/catalogueCommand/index.ts
@@ -112,7 +112,8 @@
   const client = await context.createClient(options);
   const items = (await client.listItems()).filter(
     ({ item }) =>
-      (kind === undefined || item.kind === kind) && (name === undefined || item.name === name),
+      (kind === undefined || `${item.kind}` === kind) &&
+      (name === undefined || item.name === name),
   );
   if (name !== undefined && items.length === 0) throw notFound(kind ?? "", name);
   output.writeResult(context, options, items, () => formatItems(items));
--- a/src/cli/fleetCommands/index.ts
+++ b/src/cli/fleetCommands/index.ts
@@ -156,8 +156,8 @@
   state: catalogue.DesiredState,
 ): catalogue.CatalogueItem {
   if (item !== undefined && "state" in item) return { ...item, state };
-  const isVm = kind === String(catalogue.ItemKind.Vm);
-  if (isVm) return { kind: catalogue.ItemKind.Vm, name, state };
+  if (kind === catalogue.ItemKind.Vm.toString())
+    return { kind: catalogue.ItemKind.Vm, name, state };
   const message = `${kind}/${name} is no engine, service or vm of the catalogue`;
   throw new cliErrors.CliError(message, constants.ExitCode.NotFound);
 }
--- a/src/http/_lib/callRoute.ts
+++ b/src/http/_lib/callRoute.ts
@@ -19,8 +19,10 @@
     const entryName = String(request.params.entry);
     const admitted = admission.admitCaller(parts, request, entryName, catalogue.findCallEntry);
     if (admitted.isErr()) return hapiServers.sendProblem(h, admitted.error, requestId);
-    using _permit = admitted.value.permit;
-    const answer = await callEntry(parts, request, requestId, admitted.value);
+    const { permit } = admitted.value;
+    const answer = await callEntry(parts, request, requestId, admitted.value).finally(() =>
+      permit[Symbol.dispose](),
+    );
     return answer.match(
       (value) => sendAnswer(h, requestId, value),
       (error) => hapiServers.sendProblem(h, error, requestId),
