Add the peer network over TCP and rendezvous hashing

Cause: VMs need calls with deadlines and ordered notifications that survive silent connections and hostile bytes. Change: json-rpc-2.0 over msgpack frames, one connection and one task per direction, bounded queues, HMAC challenge-response both ways (mutual TLS by setting), silence found by a ping and met with a new connection, jittered backoff without background work. Also homeOf and rankByRendezvous, and tokens for the options of this part.

--- a/src/_lib/tokens/index.ts
+++ b/src/_lib/tokens/index.ts
@@ -17,4 +17,11 @@
   accountLimiter: Symbol("account-limiter"),
   generationService: Symbol("generation-service"),
   callService: Symbol("call-service"),
+  peerOptions: Symbol("peer-options"),
+  peerDirectory: Symbol("peer-directory"),
+  membershipOptions: Symbol("membership-options"),
+  datagramSocket: Symbol("datagram-socket"),
+  accountLimitOptions: Symbol("account-limit-options"),
+  leaseOptions: Symbol("lease-options"),
+  appendBudget: Symbol("append-budget"),
 } as const;
--- /dev/null
+++ b/src/fleet/homeOf/index.ts
@@ -0,0 +1,22 @@
+import * as rank from "../rankByRendezvous/index.js";
+import * as types from "../types.js";
+
+/**
+ * The VM that decides about an engine: the first by rendezvous hashing among the live VMs of
+ * the engine's data centre.
+ *
+ * @param engineName - name of the engine
+ * @param dataCentre - the engine's data centre
+ * @param members - the fleet as this VM sees it
+ * @returns the home, or undefined where the data centre has no live VM
+ */
+export function homeOf(
+  engineName: string,
+  dataCentre: string,
+  members: readonly types.VmMember[],
+): types.VmMember | undefined {
+  const candidates = members.filter(
+    (member) => member.dataCentre === dataCentre && member.state === types.MemberState.Live,
+  );
+  return rank.rankByRendezvous(engineName, candidates)[0];
+}
--- /dev/null
+++ b/src/peers/_lib/peerLink/index.ts
@@ -0,0 +1,269 @@
+import * as jsonrpc from "json-rpc-2.0";
+import * as neverthrow from "neverthrow";
+
+import * as stepError from "../../../_lib/stepError/index.js";
+import * as frameQueue from "../frameQueue/index.js";
+import type * as linkContext from "../linkContext/index.js";
+import * as linkErrors from "../linkErrors/index.js";
+import * as messageCodec from "../messageCodec/index.js";
+import * as openPeerConnection from "../openPeerConnection/index.js";
+import * as remoteError from "../remoteError/index.js";
+import * as writeFrames from "../writeFrames/index.js";
+
+/** Names of the messages that links exchange among themselves. */
+export enum LinkMethod {
+  Ping = "rpc.ping",
+  /** Says that the dialler closes the connection because it is idle. */
+  Bye = "rpc.bye",
+}
+
+interface PendingCall {
+  /** The frame's place in the queue's count; it was written once the count has passed it. */
+  readonly sequence: number;
+  readonly timer: Disposable;
+}
+
+/**
+ * Everything that this VM sends to one other VM: a bounded queue, and one task that connects,
+ * writes, reads the answers and connects again. The task runs only while there is something to
+ * send or a connection is open.
+ */
+export class PeerLink {
+  private readonly queue: frameQueue.FrameQueue;
+  private readonly client: jsonrpc.JSONRPCClient<Buffer>;
+  private readonly pending = new Map<number, PendingCall>();
+  private readonly stop = new AbortController();
+  private connection: openPeerConnection.OpenConnection | undefined;
+  private task: Promise<void> | undefined;
+  private nextId = 1;
+  private connectionNumber = 0;
+  private failuresCount = 0;
+  private retryNotBeforeMs = 0;
+
+  constructor(
+    private readonly vmName: string,
+    private readonly context: linkContext.LinkContext,
+  ) {
+    this.queue = new frameQueue.FrameQueue(context.options);
+    this.client = new jsonrpc.JSONRPCClient<Buffer>((_request, frame) => this.enqueue(frame));
+  }
+
+  /** Sends a request and waits for its answer, at most for the time given. */
+  async call(
+    method: string,
+    params: unknown,
+    timeoutMs: number,
+  ): Promise<neverthrow.Result<unknown, stepError.StepError>> {
+    const id = this.nextId++;
+    const prepared = this.prepare(() => messageCodec.encodeRequest(id, method, params));
+    if (prepared.isErr()) return neverthrow.err(prepared.error);
+    const timer = this.context.deadlines.add(timeoutMs, () => this.expire(id, method, timeoutMs));
+    this.pending.set(id, { sequence: this.queue.addedCount + 1, timer });
+    const request: jsonrpc.JSONRPCRequest = { jsonrpc: "2.0", id, method, params: null };
+    const response = await this.client.requestAdvanced(request, prepared.value);
+    timer[Symbol.dispose]();
+    this.pending.delete(id);
+    if (response.error === undefined) return neverthrow.ok(response.result as unknown);
+    return neverthrow.err(remoteError.fromErrorResponse(response.error, this.vmName));
+  }
+
+  /** Sends a notification; false when it was not even queued. */
+  notify(method: string, params: unknown): boolean {
+    const prepared = this.prepare(() => messageCodec.encodeNotification(method, params));
+    if (prepared.isErr()) return false;
+    this.enqueue(prepared.value);
+    return true;
+  }
+
+  /** Looks for silence and idleness; called at every sweep interval. */
+  check(nowMs: number): void {
+    const connection = this.connection;
+    if (connection === undefined) return;
+    const { options } = this.context;
+    if (connection.awaitingSinceMs !== null) {
+      const silentMs = nowMs - connection.awaitingSinceMs;
+      if (silentMs > options.silenceTimeoutMs) this.giveUpSilent(connection, silentMs);
+      else if (silentMs > options.pingAfterMs && !connection.isPinged) this.ping(connection);
+      return;
+    }
+    const isIdle = nowMs - connection.lastUsedAtMs > options.idleCloseMs;
+    if (isIdle && this.pending.size === 0 && this.queue.isEmpty) this.closeIdle(connection);
+  }
+
+  /** Starts the measurement of silence again, after this process itself has stood still. */
+  forgiveSilence(nowMs: number): void {
+    if (this.connection === undefined) return;
+    if (this.connection.awaitingSinceMs === null) return;
+    this.connection.awaitingSinceMs = nowMs;
+    this.connection.isPinged = false;
+  }
+
+  /** Closes the connection and fails what waits. */
+  async close(): Promise<void> {
+    this.stop.abort(new Error("peer network closed"));
+    this.connection?.socket.destroy();
+    this.queue.wake();
+    await this.task;
+    this.failPending("the peer network was closed");
+  }
+
+  private prepare(encode: () => Buffer): neverthrow.Result<Buffer, stepError.StepError> {
+    if (this.stop.signal.aborted)
+      return neverthrow.err(linkErrors.notSentError(this.vmName, "peer network is closed"));
+    const waitMs = this.retryNotBeforeMs - this.context.clock.nowMs();
+    if (waitMs > 0 && this.task === undefined) {
+      const message = "the last attempt to connect failed";
+      return neverthrow.err(linkErrors.notSentError(this.vmName, message, waitMs));
+    }
+    if (this.queue.isFull) {
+      this.context.metrics.increment("peers.queue_full");
+      return neverthrow.err(linkErrors.queueFullError(this.vmName));
+    }
+    const frame = encode();
+    const maxBytes = this.context.options.maxFrameBytes;
+    if (frame.length <= maxBytes) return neverthrow.ok(frame);
+    return neverthrow.err(linkErrors.tooLargeError(this.vmName, frame.length));
+  }
+
+  private enqueue(frame: Buffer): void {
+    this.queue.push(frame);
+    this.task ??= this.run().finally(() => {
+      this.task = undefined;
+    });
+  }
+
+  private async run(): Promise<void> {
+    while (!this.stop.signal.aborted && !this.queue.isEmpty) {
+      const connection = await this.connect();
+      if (connection === undefined) return;
+      await this.serve(connection);
+    }
+  }
+
+  private async connect(): Promise<openPeerConnection.OpenConnection | undefined> {
+    try {
+      const connection = await openPeerConnection.openPeerConnection(
+        this.vmName,
+        ++this.connectionNumber,
+        this.context,
+        this.stop.signal,
+      );
+      this.failuresCount = 0;
+      this.retryNotBeforeMs = 0;
+      this.context.metrics.increment("peers.connected");
+      return connection;
+    } catch (error) {
+      this.onConnectFailed(error);
+      return undefined;
+    }
+  }
+
+  private async serve(connection: openPeerConnection.OpenConnection): Promise<void> {
+    const { socket, closed } = connection;
+    this.connection = connection;
+    const destroy = (): unknown => socket.destroy();
+    const writer = writeFrames
+      .writeFrames(socket, this.queue, closed.signal, () => this.onWritten(connection))
+      .catch(destroy);
+    await this.readAnswers(connection).catch(destroy);
+    this.connection = undefined;
+    socket.destroy();
+    closed.abort();
+    await writer;
+    if (connection.isIdleClosed || this.stop.signal.aborted) return;
+    this.failWritten();
+    this.context.metrics.increment("peers.lost");
+    this.context.onLost(this.vmName);
+  }
+
+  private async readAnswers(connection: openPeerConnection.OpenConnection): Promise<void> {
+    for (;;) {
+      const frames = await connection.source.nextFrames();
+      if (frames === undefined) return;
+      connection.awaitingSinceMs = null;
+      connection.isPinged = false;
+      for (const frame of frames) this.receive(frame);
+    }
+  }
+
+  private receive(frame: Buffer): void {
+    const message = messageCodec.decodeMessage(frame);
+    if (message.isErr()) throw message.error;
+    if (!jsonrpc.isJSONRPCResponse(message.value))
+      throw linkErrors.notSentError(this.vmName, "expected a response");
+    this.client.receive(message.value);
+  }
+
+  private onWritten(connection: openPeerConnection.OpenConnection): void {
+    const nowMs = this.context.clock.nowMs();
+    connection.lastUsedAtMs = nowMs;
+    connection.awaitingSinceMs ??= nowMs;
+  }
+
+  private ping(connection: openPeerConnection.OpenConnection): void {
+    connection.isPinged = true;
+    this.enqueue(messageCodec.encodeRequest(0, LinkMethod.Ping, null));
+  }
+
+  private giveUpSilent(connection: openPeerConnection.OpenConnection, silentMs: number): void {
+    this.context.metrics.increment("peers.silent");
+    this.context.logger.warn({ peer: this.vmName, silentMs }, "connection went silent");
+    connection.socket.destroy();
+  }
+
+  private closeIdle(connection: openPeerConnection.OpenConnection): void {
+    connection.isIdleClosed = true;
+    connection.closed.abort();
+    connection.socket.end(messageCodec.encodeNotification(LinkMethod.Bye, null));
+  }
+
+  private onConnectFailed(error: unknown): void {
+    const { options, random, clock, logger } = this.context;
+    const ceilingMs = Math.min(
+      options.maxBackoffMs,
+      options.minBackoffMs * 2 ** this.failuresCount,
+    );
+    this.retryNotBeforeMs = clock.nowMs() + ceilingMs * (0.5 + random.next() / 2);
+    this.failuresCount += 1;
+    this.queue.clear();
+    const message = error instanceof Error ? error.message : "unknown failure";
+    this.failPending(`no connection: ${message}`, stepError.ExecutionState.NotRun);
+    if (this.failuresCount > 1) return;
+    logger.warn({ peer: this.vmName, reason: message }, "peer unreachable");
+    this.context.metrics.increment("peers.unreachable");
+    this.context.onLost(this.vmName);
+  }
+
+  /** Fails the calls whose frames have left; those still queued go out on the next connection. */
+  private failWritten(): void {
+    for (const [id, call] of this.pending) {
+      if (call.sequence > this.queue.takenCount) continue;
+      this.fail(id, "the connection was lost", stepError.ExecutionState.Unknown);
+    }
+  }
+
+  private failPending(message: string, execution = stepError.ExecutionState.Unknown): void {
+    for (const id of this.pending.keys()) this.fail(id, message, execution);
+  }
+
+  private expire(id: number, method: string, timeoutMs: number): void {
+    const call = this.pending.get(id);
+    if (call === undefined) return;
+    this.fail(
+      id,
+      `no answer to ${method} within ${timeoutMs} ms`,
+      stepError.ExecutionState.Unknown,
+      stepError.ErrorCode.DeadlineExceeded,
+    );
+  }
+
+  private fail(
+    id: number,
+    message: string,
+    execution: stepError.ExecutionState,
+    code = stepError.ErrorCode.PeerUnreachable,
+  ): void {
+    const error = linkErrors.callFailedError(this.vmName, message, execution, code);
+    this.client.receive(remoteError.toErrorResponse(id, error));
+  }
+}
--- /dev/null
+++ b/src/peers/_lib/writeFrames/index.ts
@@ -0,0 +1,38 @@
+import * as events from "node:events";
+import type * as net from "node:net";
+import * as timers from "node:timers/promises";
+
+import type * as frameQueue from "../frameQueue/index.js";
+
+/**
+ * Writes a queue's frames to a socket until the signal is aborted. Frames of one turn of the
+ * event loop leave in one write.
+ *
+ * @param onWritten - called after each write
+ * @throws the socket's error
+ */
+export async function writeFrames(
+  socket: net.Socket,
+  queue: frameQueue.FrameQueue,
+  signal: AbortSignal,
+  onWritten: () => void,
+): Promise<void> {
+  const wake = (): void => queue.wake();
+  signal.addEventListener("abort", wake, { once: true });
+  try {
+    while (!signal.aborted) {
+      await queue.waitForFrame();
+      await timers.setImmediate();
+      if (queue.isEmpty || hasEnded(signal)) continue;
+      const hasRoom = socket.write(queue.takeBatch());
+      onWritten();
+      if (!hasRoom) await events.EventEmitter.once(socket, "drain", { signal });
+    }
+  } finally {
+    signal.removeEventListener("abort", wake);
+  }
+}
+
+function hasEnded(signal: AbortSignal): boolean {
+  return signal.aborted;
+}
--- /dev/null
+++ b/src/peers/constants.ts
@@ -0,0 +1,32 @@
+import type * as types from "./types.js";
+
+/** Bytes of the length before each frame. */
+export const LENGTH_PREFIX_BYTES = 4;
+
+/** The largest frame of the handshake. */
+export const MAX_HANDSHAKE_FRAME_BYTES = 1_024;
+
+/** Interval at which connections are checked for silence and idleness. */
+export const SWEEP_INTERVAL_MS = 200;
+
+/** Bytes that are joined into one write at most. */
+export const MAX_WRITE_BYTES = 262_144;
+
+/** Defaults of all options that have one. */
+export const DEFAULT_PEER_OPTIONS: Omit<
+  types.PeerOptions,
+  "vmName" | "listenAddress" | "listenPort" | "fleetKey"
+> = {
+  tls: null,
+  maxFrameBytes: 16_777_216,
+  maxQueuedBytes: 33_554_432,
+  maxQueuedCount: 65_536,
+  maxPendingCount: 16_384,
+  maxUnauthenticatedCount: 128,
+  connectTimeoutMs: 1_000,
+  pingAfterMs: 400,
+  silenceTimeoutMs: 1_200,
+  idleCloseMs: 60_000,
+  minBackoffMs: 50,
+  maxBackoffMs: 2_000,
+};
--- a/src/peers/types.ts
+++ b/src/peers/types.ts
@@ -30,3 +30,49 @@
   /** Called when the connection to a VM is lost. */
   onDisconnect(listener: (vmName: string) => void): Disposable;
 }
+
+/** Where a VM listens for its peers. */
+export interface PeerEndpoint {
+  readonly address: string;
+  readonly port: number;
+}
+
+/** Finds a VM's endpoint by its name; the fleet's members are the usual source. */
+export interface PeerDirectory {
+  endpointOf(vmName: string): PeerEndpoint | undefined;
+}
+
+/** Certificates for mutual TLS between VMs, as PEM. */
+export interface PeerTlsOptions {
+  readonly ca: string;
+  readonly cert: string;
+  readonly key: string;
+}
+
+/** How a VM's peer network behaves. */
+export interface PeerOptions {
+  readonly vmName: string;
+  readonly listenAddress: string;
+  /** 0 lets the system choose. */
+  readonly listenPort: number;
+  /** Secret that all VMs of the fleet share. */
+  readonly fleetKey: string;
+  /** Mutual TLS under the fleet key's authentication; null for plain TCP. */
+  readonly tls: PeerTlsOptions | null;
+  readonly maxFrameBytes: number;
+  /** Bounds of what waits to be written to one VM. */
+  readonly maxQueuedBytes: number;
+  readonly maxQueuedCount: number;
+  /** Requests of one VM in progress at once; past it the VM's connection is not read. */
+  readonly maxPendingCount: number;
+  readonly maxUnauthenticatedCount: number;
+  readonly connectTimeoutMs: number;
+  /** Silence after a message, before a ping is sent. */
+  readonly pingAfterMs: number;
+  /** Silence after a message, before a new connection is tried. */
+  readonly silenceTimeoutMs: number;
+  /** A connection without messages is closed after this time. */
+  readonly idleCloseMs: number;
+  readonly minBackoffMs: number;
+  readonly maxBackoffMs: number;
+}
--- /dev/null
+++ b/standins/peers/tcpFleet/index.ts
@@ -0,0 +1,43 @@
+import * as clocks from "../../../src/_lib/clock/index.js";
+import * as logging from "../../../src/_lib/logger/index.js";
+import * as randoms from "../../../src/_lib/random/index.js";
+import * as peers from "../../../src/peers/index.js";
+import * as metrics from "../../metrics/index.js";
+
+/** Peer networks of several VMs on loopback, closed together. */
+export class TcpFleet implements AsyncDisposable {
+  readonly endpoints = new Map<string, peers.PeerEndpoint>();
+  private readonly networks: peers.TcpPeerNetwork[] = [];
+
+  /** Starts a VM and enters it in the directory that all of them share. */
+  async start(
+    vmName: string,
+    overrides: Partial<peers.PeerOptions> = {},
+  ): Promise<peers.TcpPeerNetwork> {
+    const options: peers.PeerOptions = {
+      ...peers.DEFAULT_PEER_OPTIONS,
+      vmName,
+      listenAddress: "127.0.0.1",
+      listenPort: 0,
+      fleetKey: "fleet key",
+      ...overrides,
+    };
+    const directory = { endpointOf: (name: string) => this.endpoints.get(name) };
+    const network = new peers.TcpPeerNetwork(
+      options,
+      directory,
+      new clocks.SystemClock(),
+      randoms.createRandom(6),
+      logging.SILENT_LOGGER,
+      new metrics.CountingMetrics(),
+    );
+    await network.listen();
+    this.networks.push(network);
+    this.endpoints.set(vmName, { address: "127.0.0.1", port: network.port });
+    return network;
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await Promise.all(this.networks.map((network) => network[Symbol.asyncDispose]()));
+  }
+}
