--- a/src/cli/catalogueCommand/index.ts
+++ b/src/cli/catalogueCommand/index.ts
@@ -110,11 +110,11 @@
   options: types.CommonOptions,
 ): Promise<void> {
   const client = await context.createClient(options);
-  const items = (await client.listItems()).filter(
-    ({ item }) =>
-      (kind === undefined || `${item.kind}` === kind) &&
-      (name === undefined || item.name === name),
-  );
+  const wanted = [kind ?? [], name ?? []].flat().join("/");
+  const items = (await client.listItems()).filter(({ item }) => {
+    const key = `${item.kind}/${item.name}`;
+    return name === undefined ? key.startsWith(wanted) : key === wanted;
+  });
   if (name !== undefined && items.length === 0) throw notFound(kind ?? "", name);
   output.writeResult(context, options, items, () => formatItems(items));
 }
