--- a/src/generations/_lib/context/index.ts
+++ b/src/generations/_lib/context/index.ts
@@ -1,6 +1,5 @@
-import type * as bunyan from "bunyan";
-
 import type * as clocks from "../../../_lib/clock/index.js";
+import type * as loggers from "../../../_lib/logger/index.js";
 import type * as randoms from "../../../_lib/random/index.js";
 import type * as backends from "../../../backends/types.js";
 import type * as catalogue from "../../../catalogue/types.js";
@@ -16,7 +15,7 @@
 export interface GenerationContext {
   readonly clock: clocks.Clock;
   readonly random: randoms.RandomSource;
-  readonly logger: bunyan;
+  readonly logger: loggers.Logger;
   readonly metrics: telemetry.Metrics;
   readonly tracer: telemetry.Tracer;
   readonly link: peerLinks.PeerLink;
--- /dev/null
+++ b/src/generations/_lib/createScheduler/index.ts
@@ -0,0 +1,32 @@
+import type * as catalogue from "../../../catalogue/types.js";
+import * as catalogueTypes from "../../../catalogue/types.js";
+import * as engines from "../../../engines/index.js";
+import type * as contexts from "../context/index.js";
+
+/** Most generations in one engine's batch; memory usually ends it earlier. */
+const MAX_RUNNING_COUNT = 256;
+
+/**
+ * Makes the schedulers of this VM's engines. They share what has been learned about output lengths.
+ *
+ * @param view - the catalogue, for the objectives of entries
+ */
+export function createSchedulerFactory(view: catalogue.CatalogueView): contexts.SchedulerFactory {
+  const lengths = new engines.LengthLearner();
+  return (engine) =>
+    new engines.EngineScheduler({
+      engineName: engine.name,
+      dataCentre: engine.dataCentre,
+      capacityTokens: engine.memoryTokens,
+      maxRunningCount: MAX_RUNNING_COUNT,
+      lengths,
+      interTokenBoundMsOf: (entryName) => interTokenBoundMsOf(view, entryName),
+    });
+}
+
+function interTokenBoundMsOf(view: catalogue.CatalogueView, entryName: string): number | null {
+  const item = view.current().items.get(`generation/${entryName}`)?.item;
+  if (item?.kind !== catalogueTypes.ItemKind.Generation) return null;
+  if (item.class !== catalogueTypes.RequestClass.Streaming) return null;
+  return item.objectives.interTokenMs ?? null;
+}
--- a/src/generations/_lib/engineHome/index.ts
+++ b/src/generations/_lib/engineHome/index.ts
@@ -185,10 +185,7 @@
     this.stopRun(run, messages.RunEndKind.Suspended, "suspended to free memory");
   }
 
-  private adoptExisting(
-    run: engineRuns.EngineRun,
-    dispatch: messages.DispatchRequest,
-  ): boolean {
+  private adoptExisting(run: engineRuns.EngineRun, dispatch: messages.DispatchRequest): boolean {
     const isSameSampling = run.samplingAttempt === dispatch.snapshot.samplingAttempt;
     if (!isSameSampling || run.tokens.length < dispatch.snapshot.tokens.length) return false;
     run.adopt(dispatch.snapshot.attempt, dispatch.snapshot.ownerVm);
@@ -196,9 +193,7 @@
     return true;
   }
 
-  private checkAdmission(
-    snapshot: messages.GenerationSnapshot,
-  ): messages.DispatchAnswer | null {
+  private checkAdmission(snapshot: messages.GenerationSnapshot): messages.DispatchAnswer | null {
     const health = this.health();
     if (health !== engineTypes.EngineHealth.Live) {
       return this.answer(messages.DispatchVerdict.Unavailable, `the engine is ${health}`);
@@ -226,10 +221,7 @@
     return this.answer(messages.DispatchVerdict.Admitted, "started", run);
   }
 
-  private needOf(
-    snapshot: messages.GenerationSnapshot,
-    nowMs: number,
-  ): engines.GenerationNeed {
+  private needOf(snapshot: messages.GenerationSnapshot, nowMs: number): engines.GenerationNeed {
     const leftMs = snapshot.request.deadlineAtWallMs - this.context.clock.wallTimeMs();
     return engineRequests.createNeed(snapshot.request, snapshot.tokens.length, {
       acceptedAtMs: nowMs,
--- a/src/generations/_lib/engineRun/index.ts
+++ b/src/generations/_lib/engineRun/index.ts
@@ -201,8 +201,7 @@
     if (this.connection.signal.aborted) return;
     const reason = error instanceof Error ? error.message : "unknown failure";
     const isRefused =
-      error instanceof stepError.StepError &&
-      error.execution === stepError.ExecutionState.NotRun;
+      error instanceof stepError.StepError && error.execution === stepError.ExecutionState.NotRun;
     if (isRefused || this.resumesWithoutTokenCount > 0) {
       this.end(messages.RunEndKind.EngineLost, reason);
       return;
--- a/src/generations/_lib/homeDesk/index.ts
+++ b/src/generations/_lib/homeDesk/index.ts
@@ -34,9 +34,9 @@
     link.handle(messages.Method.Cancel, messages.attemptSchema, (cancel) => {
       for (const home of this.homes.values()) home.cancel(cancel.requestId, cancel.attempt);
     });
-    link.handle(messages.Method.Credit, messages.offsetSchema, (credit) => {
+    link.handle(messages.Method.Credit, messages.creditSchema, (credit) => {
       const run = this.findRun(credit.requestId);
-      if (run?.attempt === credit.attempt) run.grantCredit(credit.offset);
+      if (run?.attempt === credit.attempt) run.grantCredit(credit.offset ?? Infinity);
     });
     this.resources.add(this.context.catalogue.onChange(() => this.refresh()));
     this.resources.add(this.context.fleet.onChange(() => this.refresh()));
@@ -87,10 +87,7 @@
     await this.resources[Symbol.asyncDispose]();
   }
 
-  private dispatch(
-    dispatch: messages.DispatchRequest,
-    fromVm: string,
-  ): messages.DispatchAnswer {
+  private dispatch(dispatch: messages.DispatchRequest, fromVm: string): messages.DispatchAnswer {
     const home = this.homeFor(dispatch.engineName);
     if (home === null) {
       return {
--- a/src/generations/_lib/keeperDesk/index.ts
+++ b/src/generations/_lib/keeperDesk/index.ts
@@ -78,7 +78,7 @@
     const counts: CopiedCount[] = [];
     for (const frame of frames) {
       const copy = this.copies.get(frame.requestId);
-      if (copy === undefined || copy.ownerVm !== fromVm) continue;
+      if (copy?.ownerVm !== fromVm) continue;
       copy.attempt = Math.max(copy.attempt, frame.attempt);
       copy.acceptFrame(frame);
       const { requestId, attempt } = copy;
--- a/src/generations/_lib/locator/index.ts
+++ b/src/generations/_lib/locator/index.ts
@@ -90,10 +90,7 @@
     return generation;
   }
 
-  private async askHolder(
-    vmName: string,
-    requestId: string,
-  ): Promise<LocatedHolder | null> {
+  private async askHolder(vmName: string, requestId: string): Promise<LocatedHolder | null> {
     const answer = await this.context.link.call(
       vmName,
       messages.Method.Locate,
--- a/src/generations/_lib/messages/index.ts
+++ b/src/generations/_lib/messages/index.ts
@@ -135,6 +135,11 @@
 
 export const offsetSchema = attemptSchema.extend({ offset: zod.number() });
 
+export const creditSchema = attemptSchema.extend({
+  /** Offset up to which tokens may be sent; null for no bound. */
+  offset: zod.number().nullable(),
+});
+
 export const probeAnswerSchema = zod.object({
   isRunning: zod.boolean(),
   tokensCount: zod.number(),
--- a/src/generations/_lib/ownerDesk/index.ts
+++ b/src/generations/_lib/ownerDesk/index.ts
@@ -101,8 +101,7 @@
   private offerRoom(engineName: string): void {
     const waiting = this.list().filter((generation) => generation.isWaiting);
     waiting.sort(
-      (left, right) =>
-        left.record.request.deadlineAtWallMs - right.record.request.deadlineAtWallMs,
+      (left, right) => left.record.request.deadlineAtWallMs - right.record.request.deadlineAtWallMs,
     );
     waiting[0]?.offerRoom(engineName);
   }
@@ -116,7 +115,8 @@
 
   private onFleetChange(): void {
     for (const member of this.context.fleet.members()) {
-      if (member.state === fleetTypes.MemberState.Dead) this.onVmLost(member.name, "the VM is dead");
+      if (member.state === fleetTypes.MemberState.Dead)
+        this.onVmLost(member.name, "the VM is dead");
     }
   }
 
--- a/src/generations/_lib/record/index.ts
+++ b/src/generations/_lib/record/index.ts
@@ -121,7 +121,7 @@
 
   snapshot(): messages.GenerationSnapshot {
     return {
-      request: this.request as messages.GenerationSnapshot["request"],
+      request: this.request,
       ownerVm: this.ownerVm,
       keeperVm: this.keeperVm,
       attempt: this.attempt,
--- a/src/generations/_lib/replicator/index.ts
+++ b/src/generations/_lib/replicator/index.ts
@@ -108,10 +108,7 @@
     this.context.link.notify(record.keeperVm, messages.Method.Forget, { requestId, attempt });
   }
 
-  private async keepAnywhere(
-    record: records.GenerationRecord,
-    state: CopyState,
-  ): Promise<boolean> {
+  private async keepAnywhere(record: records.GenerationRecord, state: CopyState): Promise<boolean> {
     for (;;) {
       const keeperVm = this.selectKeeper(record);
       if (keeperVm === null) return false;
--- a/src/generations/_lib/takeOver/index.ts
+++ b/src/generations/_lib/takeOver/index.ts
@@ -71,7 +71,7 @@
 
 function snapshotOfRun(run: engineRuns.EngineRun, attempt: number): messages.GenerationSnapshot {
   return {
-    request: run.request as messages.GenerationSnapshot["request"],
+    request: run.request,
     ownerVm: run.ownerVm,
     keeperVm: run.keeperVm,
     attempt,
--- a/src/generations/_lib/views/index.ts
+++ b/src/generations/_lib/views/index.ts
@@ -1,18 +1,18 @@
 import * as zod from "zod";
 
-import type * as backends from "../../../backends/types.js";
 import * as catalogueTypes from "../../../catalogue/types.js";
-import * as engineTypes from "../../../engines/types.js";
+import * as engines from "../../../engines/index.js";
 import * as constants from "../../constants.js";
 import type * as contexts from "../context/index.js";
 import type * as engineHomes from "../engineHome/index.js";
+import * as engineRequests from "../engineRequest/index.js";
 import * as messages from "../messages/index.js";
 import type * as records from "../record/index.js";
 
 const viewSchema = zod.object({
   name: zod.string(),
   dataCentre: zod.string(),
-  health: zod.enum(engineTypes.EngineHealth),
+  health: zod.enum(engines.EngineHealth),
   capacityTokens: zod.number(),
   reservedTokens: zod.number(),
   runningCount: zod.number(),
@@ -62,7 +62,7 @@
   }
 
   /** All views, with their age. */
-  list(): readonly engineTypes.EngineView[] {
+  list(): readonly engines.EngineView[] {
     const nowMs = this.context.clock.nowMs();
     return [...this.views.values()].map((held) => ({
       ...held.view,
@@ -72,28 +72,35 @@
     }));
   }
 
-  /** The engine that should run a generation next; null where none can. */
+  /**
+   * The engine that should run a generation next, or the preferred one where it can.
+   *
+   * @returns the engine's name; null where none can
+   */
   selectEngine(
     record: records.GenerationRecord,
     preferredEngine: string | null,
     isAvoided: (engineName: string) => boolean,
   ): string | null {
-    const usable = this.list().filter(
-      (view) => this.isUsable(view, record) && !isAvoided(view.name),
-    );
+    const need = engineRequests.createNeed(record.request, record.tokens.length, {
+      acceptedAtMs: 0,
+      deadlineAtMs: Infinity,
+    });
+    const usable = this.list().filter((view) => this.isUsable(view) && !isAvoided(view.name));
     const preferred = usable.find((view) => view.name === preferredEngine);
-    if (preferred !== undefined) return preferred.name;
-    const sorted = usable.sort((left, right) => loadRatio(left) - loadRatio(right));
-    return sorted[0]?.name ?? null;
+    if (preferred !== undefined && engines.hasModelLoaded(preferred.loadedModels, need)) {
+      return preferred.name;
+    }
+    const { fleet, random } = this.context;
+    const options = { dataCentre: fleet.self.dataCentre, random };
+    return engines.selectEngine(need, usable, options)?.engineName ?? null;
   }
 
-  private isUsable(view: engineTypes.EngineView, record: records.GenerationRecord): boolean {
+  private isUsable(view: engines.EngineView): boolean {
     const item = this.context.catalogue.current().items.get(`engine/${view.name}`)?.item;
     if (item?.kind !== catalogueTypes.ItemKind.Engine) return false;
     if (item.state === catalogueTypes.DesiredState.Draining) return false;
-    if (view.health !== engineTypes.EngineHealth.Live) return false;
-    if (view.ageMs > constants.VIEW_EXPIRY_MS) return false;
-    return hasModel(view.loadedModels, record);
+    return view.ageMs <= constants.VIEW_EXPIRY_MS;
   }
 
   private take(view: zod.infer<typeof viewSchema>): void {
@@ -101,21 +108,3 @@
     this.views.set(view.name, { view, receivedAtMs, sentTokens: 0, sentCount: 0 });
   }
 }
-
-function hasModel(
-  loadedModels: readonly backends.LoadedModel[],
-  record: records.GenerationRecord,
-): boolean {
-  const { model, version, adapter } = record.request.entry;
-  return loadedModels.some(
-    (loaded) =>
-      loaded.model === model &&
-      loaded.version === version &&
-      (adapter === undefined || loaded.adapters.includes(adapter)),
-  );
-}
-
-function loadRatio(view: engineTypes.EngineView): number {
-  const usedTokens = view.reservedTokens + view.sentSinceTokens;
-  return usedTokens / Math.max(1, view.capacityTokens) + view.waitingCount + view.sentSinceCount;
-}
--- a/src/generations/generations/index.ts
+++ b/src/generations/generations/index.ts
@@ -1,9 +1,11 @@
-import type * as bunyan from "bunyan";
+import "reflect-metadata";
+
 import * as neverthrow from "neverthrow";
 import * as tsyringe from "tsyringe";
 
 import type * as clocks from "../../_lib/clock/index.js";
 import * as disposableStore from "../../_lib/disposableStore/index.js";
+import type * as loggers from "../../_lib/logger/index.js";
 import type * as randoms from "../../_lib/random/index.js";
 import * as stepError from "../../_lib/stepError/index.js";
 import * as tokens from "../../_lib/tokens/index.js";
@@ -43,7 +45,7 @@
   constructor(
     @tsyringe.inject(tokens.TOKENS.clock) clock: clocks.Clock,
     @tsyringe.inject(tokens.TOKENS.random) random: randoms.RandomSource,
-    @tsyringe.inject(tokens.TOKENS.logger) logger: bunyan,
+    @tsyringe.inject(tokens.TOKENS.logger) logger: loggers.Logger,
     @tsyringe.inject(tokens.TOKENS.metrics) metrics: telemetry.Metrics,
     @tsyringe.inject(tokens.TOKENS.tracer) tracer: telemetry.Tracer,
     @tsyringe.inject(tokens.TOKENS.peerNetwork) peerNetwork: peers.PeerNetwork,
@@ -139,7 +141,7 @@
 
   private createSnapshot(request: types.GenerationRequest): messages.GenerationSnapshot {
     return {
-      request: request as messages.GenerationSnapshot["request"],
+      request: request,
       ownerVm: this.context.link.selfName,
       keeperVm: this.hintedKeeper(request.requestId),
       attempt: 0,
--- a/src/generations/selectHome/index.ts
+++ b/src/generations/selectHome/index.ts
@@ -17,9 +17,7 @@
   members: readonly fleet.VmMember[],
   isAvoided: (vmName: string) => boolean = () => false,
 ): string | null {
-  const eligible = members.filter(
-    (member) => isHomeState(member.state) && !isAvoided(member.name),
-  );
+  const eligible = members.filter((member) => isHomeState(member.state) && !isAvoided(member.name));
   const local = eligible.filter((member) => member.dataCentre === engine.dataCentre);
   const candidates = local.length > 0 ? local : eligible;
   const names = candidates.map((member) => member.name);
--- a/standins/engine/client/index.ts
+++ b/standins/engine/client/index.ts
@@ -58,9 +58,7 @@
     return neverthrowResults.ok(this.model.cache.eventsAfter(afterSequence));
   }
 
-  async order(
-    order: backends.EngineOrder,
-  ): Promise<neverthrow.Result<void, stepError.StepError>> {
+  async order(order: backends.EngineOrder): Promise<neverthrow.Result<void, stepError.StepError>> {
     await this.clock.sleep(this.latencyMs);
     if (this.model.isDead()) return neverthrowResults.err(this.brokenError("engine.order"));
     return this.model.orders.take(order);
--- /dev/null
+++ b/standins/vms/index.ts
@@ -0,0 +1,216 @@
+import * as disposableStore from "../../src/_lib/disposableStore/index.js";
+import * as loggers from "../../src/_lib/logger/index.js";
+import * as randoms from "../../src/_lib/random/index.js";
+import * as virtualClocks from "../../src/_lib/virtualClock/index.js";
+import type * as backends from "../../src/backends/types.js";
+import * as catalogue from "../../src/catalogue/types.js";
+import type * as fleet from "../../src/fleet/types.js";
+import * as fleetTypes from "../../src/fleet/types.js";
+import * as generations from "../../src/generations/index.js";
+import type * as telemetry from "../../src/telemetry/types.js";
+import * as catalogueViews from "../catalogue/view/index.js";
+import * as engineClients from "../engine/client/index.js";
+import * as engineModels from "../engine/model/index.js";
+import type * as engineTypes from "../engine/types.js";
+import * as fleetViews from "../fleet/view/index.js";
+import * as hubs from "../peers/hub/index.js";
+
+/** Where the VMs and engines of a group stand. */
+export interface VmGroupOptions {
+  /** Data centre of each VM, by name. */
+  readonly vms: Readonly<Record<string, string>>;
+  /** Data centre of each engine, by name. */
+  readonly engines: Readonly<Record<string, string>>;
+  readonly engineOptions?: Partial<engineTypes.EngineModelOptions>;
+  readonly seed?: number;
+}
+
+/** One VM's generation service and what it is connected to. */
+export interface GroupedVm {
+  readonly name: string;
+  readonly service: generations.Generations;
+  readonly fleet: fleetViews.FakeFleetView;
+  readonly tracer: MemoryTracer;
+  readonly metrics: CountingMetrics;
+}
+
+const LOADED: backends.LoadedModel = { model: "m", version: "1", adapters: ["a"] };
+
+const ENGINE_OPTIONS: engineTypes.EngineModelOptions = {
+  name: "",
+  capacityTokens: 20_000,
+  maxRunningCount: 16,
+  stepBaseMs: 10,
+  stepPerSequenceMs: 0.5,
+  stepPerContextTokenMs: 0,
+  stepPerPrefillTokenMs: 0.05,
+  maxPrefillTokensPerStep: 512,
+  cacheBlockTokens: 16,
+  loadReportLagMs: 100,
+  cacheEventLagMs: 100,
+  cacheEventLossRatio: 0,
+  checksFencing: true,
+  modelLoadMs: 100,
+  loadedModels: [LOADED],
+  lengthOf: () => 100,
+  promptTokensOf: () => 20,
+};
+
+/** Several VMs' generation services in one process, on fakes at their interfaces. */
+export class VmGroup implements AsyncDisposable {
+  readonly clock = new virtualClocks.VirtualClock();
+  readonly hub = new hubs.PeerHub(this.clock);
+  readonly catalogue: catalogueViews.FakeCatalogueView;
+  readonly engines = new Map<string, engineModels.EngineModel>();
+  readonly vms = new Map<string, GroupedVm>();
+  private readonly clients: engineClients.ModelEngineClients;
+  private readonly resources = new disposableStore.DisposableStore();
+  private readonly random: randoms.RandomSource;
+
+  constructor(private readonly options: VmGroupOptions) {
+    this.random = randoms.createRandom(options.seed ?? 1);
+    this.hub.latencyMs = 1;
+    this.catalogue = new catalogueViews.FakeCatalogueView([createEntry(), ...this.engineItems()]);
+    for (const name of Object.keys(options.engines)) this.addEngine(name);
+    this.clients = new engineClients.ModelEngineClients(this.engines, this.clock);
+    const identities = Object.entries(options.vms).map(([name, dataCentre]) =>
+      fleetViews.createVmIdentity(name, dataCentre),
+    );
+    for (const identity of identities) this.addVm(identity, identities);
+  }
+
+  /** A VM by name. */
+  vm(name: string): GroupedVm {
+    const vm = this.vms.get(name);
+    if (vm === undefined) throw new Error(`no VM is called ${name}`);
+    return vm;
+  }
+
+  engine(name: string): engineModels.EngineModel {
+    const engine = this.engines.get(name);
+    if (engine === undefined) throw new Error(`no engine is called ${name}`);
+    return engine;
+  }
+
+  /** Lets homes learn their engines and spread the views. */
+  async settle(): Promise<void> {
+    await this.clock.runForMs(1_500);
+  }
+
+  /** Kills a VM's process; the others notice after a while. */
+  killVm(name: string, noticedAfterMs = 2_000): void {
+    this.hub.kill(name);
+    void this.vm(name).service[Symbol.asyncDispose]();
+    this.clock.schedule(noticedAfterMs, () => this.markVm(name, fleetTypes.MemberState.Dead));
+  }
+
+  /** Changes what all VMs believe about one of them. */
+  markVm(name: string, state: fleet.MemberState): void {
+    for (const vm of this.vms.values()) vm.fleet.setState(name, state);
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await this.resources[Symbol.asyncDispose]();
+  }
+
+  private addVm(identity: fleet.VmIdentity, identities: readonly fleet.VmIdentity[]): void {
+    const tracer = new MemoryTracer(identity.name, this.clock);
+    const metrics = new CountingMetrics();
+    const view = new fleetViews.FakeFleetView(identity, identities);
+    const service = new generations.Generations(
+      this.clock,
+      this.random.fork(),
+      loggers.SILENT_LOGGER,
+      metrics,
+      tracer,
+      this.hub.join(identity.name),
+      view,
+      this.catalogue,
+      this.clients,
+    );
+    service.start();
+    this.resources.add(service);
+    this.vms.set(identity.name, { name: identity.name, service, fleet: view, tracer, metrics });
+  }
+
+  private addEngine(name: string): void {
+    const options = { ...ENGINE_OPTIONS, ...this.options.engineOptions, name };
+    this.engines.set(name, new engineModels.EngineModel(options, this.clock, this.random.fork()));
+  }
+
+  private engineItems(): readonly catalogue.EngineBackend[] {
+    return Object.entries(this.options.engines).map(([name, dataCentre]) => ({
+      kind: catalogue.ItemKind.Engine,
+      name,
+      dataCentre,
+      url: "http://127.0.0.1/",
+      memoryTokens: this.options.engineOptions?.capacityTokens ?? ENGINE_OPTIONS.capacityTokens,
+      checksFencing: true,
+      state: catalogue.DesiredState.Active,
+    }));
+  }
+}
+
+/** A generation entry that streams. */
+export function createEntry(
+  overrides: Partial<catalogue.GenerationEntry> = {},
+): catalogue.GenerationEntry {
+  return {
+    kind: catalogue.ItemKind.Generation,
+    name: "draft",
+    owner: "test",
+    class: catalogue.RequestClass.Streaming,
+    model: "m",
+    version: "1",
+    maxTokens: 1_000,
+    deadlineMs: 60_000,
+    maxWaitingCount: 100,
+    abandonAfterMs: 10_000,
+    keepFinishedMs: 30_000,
+    minLoadedEngines: 1,
+    objectives: { targetRatio: 0.95 },
+    ...overrides,
+  };
+}
+
+/** Keeps traces in memory. */
+export class MemoryTracer implements telemetry.Tracer {
+  private readonly events = new Map<string, telemetry.TraceEvent[]>();
+
+  constructor(
+    private readonly vm: string,
+    private readonly clock: virtualClocks.VirtualClock,
+  ) {}
+
+  record(requestId: string, event: Omit<telemetry.TraceEvent, "atWallMs" | "vm">): void {
+    const events = this.events.get(requestId) ?? [];
+    events.push({ atWallMs: this.clock.wallTimeMs(), vm: this.vm, ...event });
+    this.events.set(requestId, events);
+  }
+
+  trace(requestId: string): readonly telemetry.TraceEvent[] {
+    return this.events.get(requestId) ?? [];
+  }
+}
+
+/** Counts in memory. */
+export class CountingMetrics implements telemetry.Metrics {
+  readonly counts = new Map<string, number>();
+  readonly observations: { measure: telemetry.Measure; value: number }[] = [];
+
+  increment(name: string, count = 1): void {
+    this.counts.set(name, (this.counts.get(name) ?? 0) + count);
+  }
+
+  gauge(name: string, value: number): void {
+    this.counts.set(name, value);
+  }
+
+  observe(measure: telemetry.Measure, _entryName: string, value: number): void {
+    this.observations.push({ measure, value });
+  }
+
+  completed(entryName: string, isWhole: boolean): void {
+    this.increment(`${entryName}.${isWhole ? "whole" : "cut"}`);
+  }
+}
