--- a/src/catalogue/catalogueReplica/index.ts
+++ b/src/catalogue/catalogueReplica/index.ts
@@ -1,3 +1,5 @@
+import "reflect-metadata";
+
 import * as neverthrow from "neverthrow";
 import * as tsyringe from "tsyringe";
 
--- a/src/catalogue/catalogueReplica/test.ts
+++ b/src/catalogue/catalogueReplica/test.ts
@@ -34,10 +34,11 @@
     return replica;
   }
 
+  /** Runs the clock until the work is done. */
   async settle<T>(work: Promise<T>, limitMs = 20_000): Promise<T> {
-    let isDone = false;
-    void work.finally(() => (isDone = true)).catch(() => undefined);
-    for (let ms = 0; ms < limitMs && !isDone; ms += 50) await this.clock.runForMs(50);
+    const progress = { isDone: false };
+    void work.finally(() => (progress.isDone = true)).catch(() => undefined);
+    for (let ms = 0; ms < limitMs && !progress.isDone; ms += 50) await this.clock.runForMs(50);
     return work;
   }
 
