Add fleet membership over authenticated heartbeats

Cause: every VM has to know who is live without a coordination service. Change: one heartbeat an interval to a partner in turn, news and table digests ride on it, two relays a data centre (rendezvous) talk to the others; incarnations, suspicion, refutation, sticky leaving, a process that stood still joins again before it takes up a role. Datagrams behind an interface with an in-memory network for tests on a virtual clock.

--- /dev/null
+++ b/src/fleet/constants.ts
@@ -0,0 +1,51 @@
+import type * as types from "./types.js";
+
+/** The largest datagram that is sent; fits the usual MTU. */
+export const MAX_DATAGRAM_BYTES = 1_200;
+
+/** Members that are asked to try a partner which has not answered. */
+export const INDIRECT_PROBES_COUNT = 2;
+
+/** Relays of each data centre. */
+export const RELAYS_COUNT = 2;
+
+/** Each change is passed on this many times the logarithm of the member count. */
+export const GOSSIP_MULTIPLIER = 3;
+
+/** Changes that ride on one heartbeat. */
+export const MAX_UPDATES_PER_HEARTBEAT = 6;
+
+/** Interval between comparisons of whole tables. */
+export const SYNC_INTERVAL_MS = 2_000;
+
+/** Interval at which heartbeats carry the ages of contacts with other data centres. */
+export const AGES_INTERVAL_MS = 1_500;
+
+/** Share of a relay's heartbeats that go to any member instead of the other side's relays. */
+export const RELAY_EXPLORATION_RATIO = 0.25;
+
+/** Listed VMs that are not members yet and are tried at each interval. */
+export const SEED_PROBES_COUNT = 3;
+
+/** Interval at which one dead member is tried again. */
+export const DEAD_RETRY_INTERVAL_MS = 5_000;
+
+/** The longest interval between attempts to reach a listed VM that never answers. */
+export const MAX_SEED_BACKOFF_MS = 60_000;
+
+/** Incarnations of one process; the part above it is the second of the process's start. */
+export const INCARNATIONS_PER_PROCESS = 1_024;
+
+/** Defaults of all options that have one. */
+export const DEFAULT_MEMBERSHIP_OPTIONS: Omit<types.MembershipOptions, "self" | "fleetKey"> = {
+  heartbeatIntervalMs: 500,
+  ackTimeoutMs: 200,
+  suspicionMs: 4_000,
+  relayIntervalMs: 1_000,
+  dataCentreSilenceMs: 5_000,
+  dataCentreSilencePerDataCentreMs: 1_000,
+  listIntervalMs: 5_000,
+  pauseThresholdMs: 2_000,
+  joinTimeoutMs: 3_000,
+  deadRetentionMs: 7_200_000,
+};
--- a/src/fleet/types.ts
+++ b/src/fleet/types.ts
@@ -46,3 +46,36 @@
   readonly fencingNumber: number;
   readonly expiresAtMs: number;
 }
+
+/** Sends and receives datagrams; UDP in the daemon, memory in tests. */
+export interface DatagramSocket extends AsyncDisposable {
+  /** Sends without waiting; a datagram may be lost. */
+  send(bytes: Uint8Array, address: string, port: number): void;
+  onMessage(listener: (bytes: Uint8Array, address: string, port: number) => void): Disposable;
+}
+
+/** How a VM takes part in the fleet's membership. */
+export interface MembershipOptions {
+  readonly self: VmIdentity;
+  /** Secret that all VMs of the fleet share. */
+  readonly fleetKey: string;
+  /** Interval between heartbeats to partners in the own data centre. */
+  readonly heartbeatIntervalMs: number;
+  /** Time a partner has to answer before others are asked to try it. */
+  readonly ackTimeoutMs: number;
+  /** Time between suspicion and death. */
+  readonly suspicionMs: number;
+  /** Interval between a relay's heartbeats to other data centres. */
+  readonly relayIntervalMs: number;
+  /** Time without contact after which a data centre counts as cut off, and more per data centre. */
+  readonly dataCentreSilenceMs: number;
+  readonly dataCentreSilencePerDataCentreMs: number;
+  /** Interval at which the platform's list is read. */
+  readonly listIntervalMs: number;
+  /** A process that stood still for longer takes up no role before it has heard from others. */
+  readonly pauseThresholdMs: number;
+  /** How long a VM that starts or returns waits for others before it goes on alone. */
+  readonly joinTimeoutMs: number;
+  /** How long dead members are remembered. */
+  readonly deadRetentionMs: number;
+}
--- /dev/null
+++ b/src/fleet/udpSocket/index.ts
@@ -0,0 +1,52 @@
+import * as dgram from "node:dgram";
+import * as events from "node:events";
+
+import type * as types from "../types.js";
+
+const RECEIVE_BUFFER_BYTES = 262_144;
+
+/** Datagrams over UDP. */
+export class UdpSocket implements types.DatagramSocket {
+  private constructor(private readonly socket: dgram.Socket) {
+    // A datagram that cannot be sent is a lost one; who waits for its answer finds out.
+    socket.on("error", () => undefined);
+  }
+
+  /** The port that is bound. */
+  get port(): number {
+    return this.socket.address().port;
+  }
+
+  /**
+   * Binds a socket.
+   *
+   * @param port - 0 lets the system choose
+   * @throws the system's error where the address cannot be bound
+   */
+  static async open(address: string, port: number): Promise<UdpSocket> {
+    const socket = dgram.createSocket({ type: "udp4", recvBufferSize: RECEIVE_BUFFER_BYTES });
+    socket.bind({ address, port });
+    await events.EventEmitter.once(socket, "listening");
+    return new UdpSocket(socket);
+  }
+
+  send(bytes: Uint8Array, address: string, port: number): void {
+    this.socket.send(bytes, port, address, () => undefined);
+  }
+
+  onMessage(listener: (bytes: Uint8Array, address: string, port: number) => void): Disposable {
+    const onDatagram = (bytes: Buffer, sender: dgram.RemoteInfo): void => {
+      listener(bytes, sender.address, sender.port);
+    };
+    this.socket.on("message", onDatagram);
+    return {
+      [Symbol.dispose]: () => {
+        this.socket.off("message", onDatagram);
+      },
+    };
+  }
+
+  [Symbol.asyncDispose](): Promise<void> {
+    return new Promise((resolve) => this.socket.close(() => resolve()));
+  }
+}
--- /dev/null
+++ b/standins/fleet/virtualFleet/index.ts
@@ -0,0 +1,198 @@
+import * as neverthrow from "neverthrow";
+
+import * as logging from "../../../src/_lib/logger/index.js";
+import * as randoms from "../../../src/_lib/random/index.js";
+import * as stepError from "../../../src/_lib/stepError/index.js";
+import * as virtualClock from "../../../src/_lib/virtualClock/index.js";
+import * as fleet from "../../../src/fleet/index.js";
+import * as platform from "../../../src/platform/types.js";
+import * as datagrams from "../../datagrams/hub/index.js";
+import * as metrics from "../../metrics/index.js";
+import * as pausableClock from "../../pausableClock/index.js";
+
+const HEARTBEAT_PORT = 7_000;
+const PEER_PORT = 7_001;
+
+/** The platform's list as a test sets it; each data centre can be cut off from it. */
+export class ListModel {
+  listed: platform.ListedVm[] = [];
+  readonly cutOffDataCentres = new Set<string>();
+
+  viewFrom(dataCentre: string): platform.VmList {
+    return { list: () => Promise.resolve(this.read(dataCentre)) };
+  }
+
+  private read(
+    dataCentre: string,
+  ): neverthrow.Result<readonly platform.ListedVm[], stepError.StepError> {
+    if (!this.cutOffDataCentres.has(dataCentre)) return neverthrow.ok([...this.listed]);
+    return neverthrow.err(
+      new stepError.StepError("list is down", {
+        code: stepError.ErrorCode.PlatformUnavailable,
+        step: "vmList.list",
+        execution: stepError.ExecutionState.NotRun,
+      }),
+    );
+  }
+}
+
+/** One VM of a VirtualFleet. */
+export interface VirtualVm {
+  readonly membership: fleet.FleetMembership;
+  readonly clock: pausableClock.PausableClock;
+  readonly socket: datagrams.HubSocket;
+  readonly metrics: metrics.CountingMetrics;
+  readonly address: string;
+}
+
+/** Memberships of many VMs on one virtual clock and an in-memory network. */
+export class VirtualFleet {
+  readonly clock = new virtualClock.VirtualClock();
+  readonly hub: datagrams.DatagramHub;
+  readonly list = new ListModel();
+  readonly vms = new Map<string, VirtualVm>();
+  private readonly random: randoms.RandomSource;
+  private readonly dataCentreOfAddress = new Map<string, string>();
+  private addressesCount = 0;
+
+  constructor(
+    seed: number,
+    private readonly overrides: Partial<fleet.MembershipOptions> = {},
+  ) {
+    this.random = randoms.createRandom(seed);
+    this.hub = new datagrams.DatagramHub(this.clock, this.random.fork());
+  }
+
+  /** Starts VMs named `<dataCentre>-<n>` in each data centre. */
+  startMany(vmsPerDataCentre: number, dataCentres: readonly string[]): void {
+    for (let index = 1; index <= vmsPerDataCentre; index += 1) {
+      for (const dataCentre of dataCentres) this.start(`${dataCentre}-${index}`, dataCentre);
+    }
+  }
+
+  /** Starts a VM at an address of its own and lists it. */
+  start(name: string, dataCentre: string, listing = platform.VmListing.Live): VirtualVm {
+    const address = this.nextAddress(dataCentre);
+    this.list.listed.push({ name, dataCentre, address, listing });
+    return this.startAt(name, dataCentre, address);
+  }
+
+  /** Stops a VM without a word to the others. */
+  async kill(name: string): Promise<void> {
+    const vm = this.vms.get(name);
+    this.vms.delete(name);
+    this.list.listed = this.list.listed.filter((listed) => listed.name !== name);
+    await vm?.socket[Symbol.asyncDispose]();
+    await vm?.membership[Symbol.asyncDispose]();
+  }
+
+  pause(name: string): void {
+    const vm = this.vms.get(name);
+    if (vm === undefined) return;
+    vm.clock.pause();
+    vm.socket.isPaused = true;
+  }
+
+  resume(name: string): void {
+    const vm = this.vms.get(name);
+    vm?.clock.resume();
+    vm?.socket.resume();
+  }
+
+  /** Cuts all links between VMs of one group of data centres and all others. */
+  cutOff(dataCentres: readonly string[]): void {
+    const isInside = (endpoint: string): boolean => {
+      const [address] = endpoint.split(":");
+      return dataCentres.includes(this.dataCentreOfAddress.get(address ?? "") ?? "");
+    };
+    this.hub.cutWhere((from, to) => isInside(from) !== isInside(to));
+  }
+
+  /** Cuts all links of one VM. */
+  isolate(name: string): void {
+    const endpoint = `${this.vms.get(name)?.address ?? ""}:${HEARTBEAT_PORT}`;
+    this.hub.cutWhere((from, to) => from === endpoint || to === endpoint);
+  }
+
+  /** What a VM believes about another one. */
+  stateAt(observer: string, name: string): fleet.MemberState | undefined {
+    const members = this.vms.get(observer)?.membership.members() ?? [];
+    return members.find((member) => member.name === name)?.state;
+  }
+
+  /** Whether every running VM believes the same, the dead left out. */
+  isAgreed(): boolean {
+    const views = [...this.vms.values()].map((vm) =>
+      vm.membership
+        .members()
+        .filter((member) => member.state !== fleet.MemberState.Dead)
+        .map((member) => `${member.name} ${member.state} ${member.incarnation}`)
+        .sort()
+        .join("\n"),
+    );
+    return new Set(views).size <= 1;
+  }
+
+  /** Whether every running VM believes that exactly the running ones are live. */
+  isWhole(): boolean {
+    const running = [...this.vms.keys()].sort().join("\n");
+    const hasWholeView = (vm: VirtualVm): boolean => {
+      const live = vm.membership
+        .members()
+        .filter((member) => member.state === fleet.MemberState.Live)
+        .map((member) => member.name);
+      return live.sort().join("\n") === running;
+    };
+    return [...this.vms.values()].every(hasWholeView);
+  }
+
+  /** Runs until a condition holds; returns the milliseconds it took, or Infinity. */
+  async runUntil(isTrue: () => boolean, limitMs: number): Promise<number> {
+    const STEP_MS = 100;
+    const startedAtMs = this.clock.nowMs();
+    while (!isTrue()) {
+      if (this.clock.nowMs() - startedAtMs >= limitMs) return Infinity;
+      await this.clock.runForMs(STEP_MS);
+    }
+    return this.clock.nowMs() - startedAtMs;
+  }
+
+  private startAt(name: string, dataCentre: string, address: string): VirtualVm {
+    const socket = this.hub.open(address, HEARTBEAT_PORT);
+    const clock = new pausableClock.PausableClock(this.clock);
+    const counting = new metrics.CountingMetrics();
+    const options: fleet.MembershipOptions = {
+      ...fleet.DEFAULT_MEMBERSHIP_OPTIONS,
+      self: {
+        name,
+        region: "riga",
+        dataCentre,
+        peerAddress: address,
+        peerPort: PEER_PORT,
+        heartbeatPort: HEARTBEAT_PORT,
+      },
+      fleetKey: "fleet key",
+      ...this.overrides,
+    };
+    const membership = new fleet.FleetMembership(
+      options,
+      socket,
+      this.list.viewFrom(dataCentre),
+      clock,
+      this.random.fork(),
+      logging.SILENT_LOGGER,
+      counting,
+    );
+    membership.start();
+    const vm = { membership, clock, socket, metrics: counting, address };
+    this.vms.set(name, vm);
+    return vm;
+  }
+
+  private nextAddress(dataCentre: string): string {
+    this.addressesCount += 1;
+    const address = `10.0.${this.addressesCount >> 8}.${this.addressesCount & 255}`;
+    this.dataCentreOfAddress.set(address, dataCentre);
+    return address;
+  }
+}
