Take over generations whose owner is gone, and test each fault alone

Callers re-attach at any VM through the hints in the request id; a holder whose owner stays away claims the generation itself. Focused tests on the virtual clock bring about each fault: death of engine, home and entry, a paused entry, silent engine connections, a stalled engine, a silent link.

--- a/src/generations/_lib/homeDesk/index.ts
+++ b/src/generations/_lib/homeDesk/index.ts
@@ -56,6 +56,11 @@
     return null;
   }
 
+  /** All runs of this VM's engines, those kept after their end included. */
+  listRuns(): readonly engineRuns.EngineRun[] {
+    return this.list().flatMap((home) => [...home.runs.values()]);
+  }
+
   watch(nowMs: number): void {
     for (const home of this.homes.values()) home.watch(nowMs);
   }
--- a/src/generations/_lib/keeperDesk/index.ts
+++ b/src/generations/_lib/keeperDesk/index.ts
@@ -49,6 +49,12 @@
     return [...this.copies.values()];
   }
 
+  /** Notes which VM answers for a generation now. */
+  noteOwner(requestId: string, ownerVm: string): void {
+    const copy = this.copies.get(requestId);
+    if (copy !== undefined) copy.ownerVm = ownerVm;
+  }
+
   remove(requestId: string): void {
     this.copies.delete(requestId);
   }
--- a/src/generations/_lib/owned/index.ts
+++ b/src/generations/_lib/owned/index.ts
@@ -38,6 +38,7 @@
     this.acceptedAtMs = services.context.clock.nowMs();
     this.placer = new placers.Placer(services, this);
     this.runWatch = new runWatches.RunWatch(services.context, this.record);
+    if (this.record.isSettled) this.settle();
     this.firstVerdict = new Promise((resolve) => (this.reportVerdict = resolve));
   }
 
--- a/src/generations/_lib/reader/index.ts
+++ b/src/generations/_lib/reader/index.ts
@@ -7,6 +7,13 @@
 import * as messages from "../messages/index.js";
 import type * as owneds from "../owned/index.js";
 
+/** Where a caller has got to. */
+interface ReadPosition {
+  readonly requestId: string;
+  readonly accountName: string;
+  readonly fromOffset: number;
+}
+
 /** Reads generations for callers, wherever they are owned. */
 export class Reader {
   constructor(
@@ -28,11 +35,14 @@
     requestId: string,
     accountName: string,
     fromOffset: number,
+    located: readonly locators.LocatedHolder[] = [],
   ): AsyncGenerator<types.TokenFrame> {
+    let holders = located;
     let offset = fromOffset;
     let samplingAttempt: number | null = null;
     for (;;) {
-      const answer = await this.read(requestId, accountName, offset);
+      const answer = await this.read({ requestId, accountName, fromOffset: offset }, holders);
+      holders = [];
       const isOther = samplingAttempt !== null && answer.samplingAttempt !== samplingAttempt;
       if (answer.isSpliced || (isOther && offset > 0)) throw this.interrupted(offset);
       samplingAttempt = answer.samplingAttempt;
@@ -48,28 +58,29 @@
 
   /** Reads from the owner, and sees to it that there is one. */
   private async read(
-    requestId: string,
-    accountName: string,
-    fromOffset: number,
+    position: ReadPosition,
+    located: readonly locators.LocatedHolder[],
   ): Promise<messages.ReadAnswer> {
+    let holders = located;
     for (;;) {
-      const generation = this.holders.owner.find(requestId);
+      const generation = this.holders.owner.find(position.requestId);
       if (generation?.isCurrentOwner === true) {
-        const answer = await this.readHere(generation, fromOffset, Infinity);
+        const answer = await this.readHere(generation, position.fromOffset, Infinity);
         if (answer.isOwner) return answer;
         continue;
       }
-      const answer = await this.readElsewhere(requestId, accountName, fromOffset);
+      if (holders.length === 0) holders = await this.locator.locate(position.requestId);
+      const answer = await this.readElsewhere(position, holders);
       if (answer !== null) return answer;
+      holders = [];
     }
   }
 
   private async readElsewhere(
-    requestId: string,
-    accountName: string,
-    fromOffset: number,
+    position: ReadPosition,
+    located: readonly locators.LocatedHolder[],
   ): Promise<messages.ReadAnswer | null> {
-    const located = await this.locator.locate(requestId);
+    const { requestId } = position;
     const owner = located.find((holder) => holder.answer.role === messages.HolderRole.Owner);
     if (owner === undefined) {
       const taken = await this.locator.takeOver(requestId, located);
@@ -80,7 +91,7 @@
       const answer = await this.context.link.call(
         owner.vmName,
         messages.Method.Read,
-        { requestId, accountName, fromOffset, waitMs: constants.READ_WAIT_MS },
+        { ...position, waitMs: constants.READ_WAIT_MS },
         messages.readAnswerSchema,
         constants.READ_WAIT_MS + constants.PEER_CALL_TIMEOUT_MS,
       );
--- a/src/generations/_lib/replicator/index.ts
+++ b/src/generations/_lib/replicator/index.ts
@@ -129,7 +129,7 @@
         return true;
       }
       state.unackedSinceMs = null;
-      if (!this.isHomeHere(record)) return true;
+      if (!this.needsCopy(record)) return true;
       record.markHeld(tokensCount);
       if (record.tokens.length > tokensCount || record.isSettled) {
         this.copyFrom(record, tokensCount);
@@ -166,7 +166,12 @@
     state.unackedSinceMs = null;
     this.trace(record, "keeper.none", "no other VM can be reached; one holder only");
     this.context.metrics.increment("generations.single_holder");
-    if (this.isHomeHere(record)) record.markHeld(record.tokens.length);
+    if (this.needsCopy(record)) record.markHeld(record.tokens.length);
+  }
+
+  /** Whether the second holder of the tokens is the keeper, and not the home of the run. */
+  private needsCopy(record: records.GenerationRecord): boolean {
+    return record.isSettled || this.isHomeHere(record);
   }
 
   private isHomeHere(record: records.GenerationRecord): boolean {
--- a/src/generations/constants.ts
+++ b/src/generations/constants.ts
@@ -49,6 +49,9 @@
 /** How long a home runs on without hearing from the owner before it looks for the second holder. */
 export const ORPHAN_AFTER_MS = 5_000;
 
+/** How long a generation is left to callers who re-attach before a holder claims it by itself. */
+export const CLAIM_DELAY_MS = 500;
+
 /** Tokens that may be in flight towards a slow caller before its stream is held back. */
 export const CREDIT_WINDOW_TOKENS = 4_096;
 
--- a/src/generations/generations/index.ts
+++ b/src/generations/generations/index.ts
@@ -21,6 +21,7 @@
 import * as keeperDesks from "../_lib/keeperDesk/index.js";
 import * as locators from "../_lib/locator/index.js";
 import type * as messages from "../_lib/messages/index.js";
+import * as orphanWatches from "../_lib/orphans/index.js";
 import * as ownerDesks from "../_lib/ownerDesk/index.js";
 import * as peerLinks from "../_lib/peerLink/index.js";
 import * as readers from "../_lib/reader/index.js";
@@ -38,6 +39,7 @@
   private readonly holders: locators.Holders;
   private readonly views: views.EngineViews;
   private readonly locator: locators.Locator;
+  private readonly orphans: orphanWatches.OrphanWatch;
   private readonly reader: readers.Reader;
   private readonly resources = new disposableStore.DisposableStore();
   private readonly stopping = new AbortController();
@@ -74,6 +76,7 @@
     const home = this.resources.add(new homeDesks.HomeDesk(this.context));
     this.holders = { owner, keeper, home };
     this.locator = new locators.Locator(this.context, this.holders);
+    this.orphans = new orphanWatches.OrphanWatch(this.context, this.holders, this.locator);
     this.reader = new readers.Reader(this.context, this.holders, this.locator);
   }
 
@@ -124,7 +127,7 @@
     const holders = record === null ? await this.locator.locate(requestId) : [];
     const heldFor = record?.request.accountName ?? holders[0]?.answer.accountName;
     if (heldFor !== accountName) return neverthrow.err(errors.createNotFound(requestId));
-    return neverthrow.ok(this.createHandle(requestId, accountName));
+    return neverthrow.ok(this.createHandle(requestId, accountName, holders));
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
@@ -132,10 +135,14 @@
     await this.resources[Symbol.asyncDispose]();
   }
 
-  private createHandle(requestId: string, accountName: string): types.GenerationHandle {
+  private createHandle(
+    requestId: string,
+    accountName: string,
+    located: readonly locators.LocatedHolder[] = [],
+  ): types.GenerationHandle {
     return {
       requestId,
-      frames: (fromOffset) => this.reader.frames(requestId, accountName, fromOffset),
+      frames: (fromOffset) => this.reader.frames(requestId, accountName, fromOffset, located),
     };
   }
 
@@ -188,6 +195,7 @@
     this.holders.owner.watch(nowMs);
     this.holders.home.watch(nowMs);
     this.holders.keeper.expire(nowMs);
+    this.orphans.watch(nowMs);
   }
 
   private spreadViews(): void {
--- a/standins/vms/index.ts
+++ b/standins/vms/index.ts
@@ -14,6 +14,7 @@
 import type * as engineTypes from "../engine/types.js";
 import * as fleetViews from "../fleet/view/index.js";
 import * as hubs from "../peers/hub/index.js";
+import * as pausables from "./pausable/index.js";
 
 /** Where the VMs and engines of a group stand. */
 export interface VmGroupOptions {
@@ -30,6 +31,7 @@
   readonly name: string;
   readonly service: generations.Generations;
   readonly fleet: fleetViews.FakeFleetView;
+  readonly process: pausables.PausableProcess;
   readonly tracer: MemoryTracer;
   readonly metrics: CountingMetrics;
 }
@@ -104,6 +106,26 @@
     this.clock.schedule(noticedAfterMs, () => this.markVm(name, fleetTypes.MemberState.Dead));
   }
 
+  /** Stops a VM's process and its messages; returns a function that lets it go on. */
+  pauseVm(name: string): () => void {
+    const resumeMessages = this.hub.pause(name);
+    this.vm(name).process.pause();
+    return () => {
+      resumeMessages();
+      this.vm(name).process.resume();
+    };
+  }
+
+  /** All decisions about a request, by any VM, in order. */
+  trace(requestId: string): readonly string[] {
+    const events = [...this.vms.values()].flatMap((vm) => vm.tracer.trace(requestId));
+    events.sort((left, right) => left.atWallMs - right.atWallMs);
+    return events.map(
+      ({ atWallMs, vm, step, backend, offset, reason }) =>
+        `${atWallMs} ${vm} ${step} ${backend ?? ""} @${offset ?? ""}: ${reason}`,
+    );
+  }
+
   /** Changes what all VMs believe about one of them. */
   markVm(name: string, state: fleet.MemberState): void {
     for (const vm of this.vms.values()) vm.fleet.setState(name, state);
@@ -117,8 +139,9 @@
     const tracer = new MemoryTracer(identity.name, this.clock);
     const metrics = new CountingMetrics();
     const view = new fleetViews.FakeFleetView(identity, identities);
+    const process = new pausables.PausableProcess(this.clock, this.clients);
     const service = new generations.Generations(
-      this.clock,
+      process,
       this.random.fork(),
       loggers.SILENT_LOGGER,
       metrics,
@@ -126,11 +149,12 @@
       this.hub.join(identity.name),
       view,
       this.catalogue,
-      this.clients,
+      process,
     );
     service.start();
     this.resources.add(service);
-    this.vms.set(identity.name, { name: identity.name, service, fleet: view, tracer, metrics });
+    const { name } = identity;
+    this.vms.set(name, { name, service, fleet: view, process, tracer, metrics });
   }
 
   private addEngine(name: string): void {
