--- /dev/null
+++ b/src/daemon/_lib/createContainer.ts
@@ -0,0 +1,195 @@
+import "reflect-metadata";
+
+import * as crypto from "node:crypto";
+
+import * as hotShots from "hot-shots";
+import * as tsyringe from "tsyringe";
+
+import * as clocks from "../../_lib/clock/index.js";
+import type * as disposableStore from "../../_lib/disposableStore/index.js";
+import * as randoms from "../../_lib/random/index.js";
+import * as tokens from "../../_lib/tokens/index.js";
+import * as accounts from "../../accounts/index.js";
+import * as backends from "../../backends/index.js";
+import * as catalogue from "../../catalogue/index.js";
+import * as fleet from "../../fleet/index.js";
+import * as peers from "../../peers/index.js";
+import * as appendBudgets from "../../platform/appendBudget/index.js";
+import * as platform from "../../platform/index.js";
+import * as replication from "../../replication/index.js";
+import type * as settings from "../../settings/index.js";
+import * as telemetry from "../../telemetry/index.js";
+import * as certificateFiles from "../certificateFiles/index.js";
+import * as seededVmLists from "../seededVmList/index.js";
+
+const { TOKENS } = tokens;
+
+/** Parts that tests and experiments replace. */
+export interface DaemonOverrides {
+  readonly clock?: clocks.Clock;
+  readonly randomSeed?: number;
+  readonly membership?: Partial<fleet.MembershipOptions>;
+  readonly replication?: Partial<replication.FollowerOptions>;
+}
+
+/** What the container is filled from. */
+interface ContainerSource {
+  readonly container: tsyringe.DependencyContainer;
+  readonly settings: settings.Settings;
+  readonly store: disposableStore.DisposableStore;
+  readonly overrides: DaemonOverrides;
+}
+
+/** Most random seed of a daemon that was given none. */
+const MAX_SEED = 2 ** 31;
+
+/** Registers everything that a daemon's parts are built from; the store closes what was opened. */
+export async function createContainer(
+  options: settings.Settings,
+  store: disposableStore.DisposableStore,
+  overrides: DaemonOverrides,
+): Promise<tsyringe.DependencyContainer> {
+  const container = tsyringe.container.createChildContainer();
+  const source: ContainerSource = { container, settings: options, store, overrides };
+  const seed = overrides.randomSeed ?? crypto.randomInt(MAX_SEED);
+  container.registerInstance(TOKENS.clock, overrides.clock ?? new clocks.SystemClock());
+  container.registerInstance(TOKENS.random, randoms.createRandom(seed));
+  container.registerInstance(TOKENS.settings, options);
+  registerTelemetry(source);
+  registerOutside(source);
+  await registerPeers(source);
+  registerShared(source);
+  return container;
+}
+
+function registerTelemetry({ container, settings: options, store }: ContainerSource): void {
+  const { vm, logging, requests } = options;
+  const clock = container.resolve<clocks.Clock>(TOKENS.clock);
+  const logger = telemetry.createLogger({
+    vmName: vm.name,
+    level: logging.level,
+    destination: logging.file ?? "stderr",
+  });
+  const burn = new telemetry.BurnRecorder(clock, (entryName) => {
+    const view = container.resolve<catalogue.CatalogueView>(TOKENS.catalogueView);
+    return catalogue.findGenerationEntry(view.current(), entryName);
+  });
+  const statsd = createStatsd(options, store);
+  container.registerInstance(TOKENS.logger, logger);
+  container.registerInstance(telemetry.BurnRecorder, burn);
+  container.registerInstance(TOKENS.metrics, new telemetry.TelemetryHub({ burn, statsd }));
+  const tracer = new telemetry.TraceRing(vm.name, clock, requests.maxTraces);
+  container.registerInstance(TOKENS.tracer, tracer);
+}
+
+function createStatsd(
+  { metrics, vm }: settings.Settings,
+  store: disposableStore.DisposableStore,
+): hotShots.StatsD | null {
+  if (metrics === undefined) return null;
+  const statsd = new hotShots.StatsD({
+    host: metrics.host,
+    port: metrics.port,
+    prefix: metrics.prefix,
+    globalTags: { vm: vm.name },
+    errorHandler: () => undefined,
+  });
+  store.defer(
+    () =>
+      new Promise<void>((resolve) => {
+        statsd.close(() => resolve());
+      }),
+  );
+  return statsd;
+}
+
+function registerOutside({ container, settings: options, store }: ContainerSource): void {
+  const listed = store.add(container.resolve(platform.HttpVmList));
+  container.registerInstance(
+    TOKENS.vmList,
+    new seededVmLists.SeededVmList(options.fleet.seedPeers, listed),
+  );
+  container.registerInstance(
+    TOKENS.logService,
+    store.add(container.resolve(platform.HttpLogService)),
+  );
+  container.registerInstance(
+    TOKENS.weightStore,
+    store.add(container.resolve(platform.HttpWeightStore)),
+  );
+  container.registerInstance(
+    TOKENS.engineClients,
+    store.add(container.resolve(backends.HttpEngineClients)),
+  );
+  container.registerInstance(
+    TOKENS.serviceClients,
+    store.add(container.resolve(backends.HttpServiceClients)),
+  );
+}
+
+async function registerPeers(source: ContainerSource): Promise<void> {
+  const { container, settings: options, store, overrides } = source;
+  const { vm } = options;
+  const socket = await fleet.UdpSocket.open(vm.peerAddress, vm.heartbeatPort);
+  container.registerInstance(TOKENS.datagramSocket, store.add(socket));
+  container.registerInstance<fleet.MembershipOptions>(TOKENS.membershipOptions, {
+    ...fleet.DEFAULT_MEMBERSHIP_OPTIONS,
+    listIntervalMs: options.platform.vmListIntervalMs,
+    ...overrides.membership,
+    self: vm,
+    fleetKey: options.fleet.key,
+  });
+  const membership = store.add(container.resolve(fleet.FleetMembership));
+  container.registerInstance(fleet.FleetMembership, membership);
+  container.registerInstance(TOKENS.fleetView, membership);
+  container.registerInstance<peers.PeerDirectory>(TOKENS.peerDirectory, {
+    endpointOf: (name) => endpointOf(membership, name),
+  });
+  container.registerInstance<peers.PeerOptions>(TOKENS.peerOptions, {
+    ...peers.DEFAULT_PEER_OPTIONS,
+    vmName: vm.name,
+    listenAddress: vm.peerAddress,
+    listenPort: vm.peerPort,
+    fleetKey: options.fleet.key,
+    tls: await readPeerCertificates(options),
+  });
+  const network = store.add(container.resolve(peers.TcpPeerNetwork));
+  container.registerInstance(peers.TcpPeerNetwork, network);
+  container.registerInstance(TOKENS.peerNetwork, network);
+}
+
+async function readPeerCertificates({
+  fleet: options,
+}: settings.Settings): Promise<peers.PeerTlsOptions | null> {
+  if (options.tls === undefined) return null;
+  const { cert, key, ca } = await certificateFiles.readCertificates(options.tls);
+  if (typeof ca === "string") return { cert, key, ca };
+  throw new Error("fleet.tls.caFile: expected a file, since VMs check each other's certificates");
+}
+
+function endpointOf(
+  membership: fleet.FleetMembership,
+  name: string,
+): peers.PeerEndpoint | undefined {
+  const member = membership.members().find((candidate) => candidate.name === name);
+  if (member === undefined) return undefined;
+  return { address: member.peerAddress, port: member.peerPort };
+}
+
+/** Parts that several aggregates use: the append budget, the catalogue, and their options. */
+function registerShared({ container, store, overrides }: ContainerSource): void {
+  const clock = container.resolve<clocks.Clock>(TOKENS.clock);
+  const membership = container.resolve(fleet.FleetMembership);
+  const liveVmCount = (): number =>
+    membership.members().filter((member) => member.state === fleet.MemberState.Live).length;
+  const budget = new appendBudgets.AppendBudget(clock, () => Math.max(1, liveVmCount()));
+  container.registerInstance(TOKENS.appendBudget, budget);
+  container.registerInstance<replication.FollowerOptions>(TOKENS.replicationOptions, {
+    ...replication.DEFAULT_FOLLOWER_OPTIONS,
+    ...overrides.replication,
+  });
+  container.registerInstance(TOKENS.accountLimitOptions, accounts.DEFAULT_ACCOUNT_LIMIT_OPTIONS);
+  const replica = store.add(container.resolve(catalogue.CatalogueReplica));
+  container.registerInstance(catalogue.CatalogueReplica, replica);
+  container.registerInstance(TOKENS.catalogueView, replica);
+}
--- /dev/null
+++ b/src/daemon/createDaemon/index.ts
@@ -0,0 +1,30 @@
+import * as disposableStore from "../../_lib/disposableStore/index.js";
+import type * as settings from "../../settings/index.js";
+import * as containers from "../_lib/createContainer.js";
+import * as daemons from "../daemon/index.js";
+
+export type { DaemonOverrides } from "../_lib/createContainer.js";
+
+/**
+ * Builds and starts a daemon.
+ *
+ * @param options - its checked settings
+ * @param overrides - parts that tests replace
+ * @returns the running daemon; disposing of it stops it at once, without leaving in order
+ * @throws the cause where a port cannot be opened or a certificate cannot be read
+ */
+export async function createDaemon(
+  options: settings.Settings,
+  overrides: containers.DaemonOverrides = {},
+): Promise<daemons.Daemon> {
+  const store = new disposableStore.DisposableStore();
+  try {
+    const container = await containers.createContainer(options, store, overrides);
+    const daemon = new daemons.Daemon(options, container, store);
+    await daemon.start();
+    return daemon;
+  } catch (error) {
+    await store[Symbol.asyncDispose]();
+    throw error;
+  }
+}
--- /dev/null
+++ b/src/daemon/daemon/index.ts
@@ -0,0 +1,169 @@
+import type * as tsyringe from "tsyringe";
+
+import type * as clocks from "../../_lib/clock/index.js";
+import * as disposableStore from "../../_lib/disposableStore/index.js";
+import type * as logging from "../../_lib/logger/index.js";
+import * as tokens from "../../_lib/tokens/index.js";
+import * as accounts from "../../accounts/index.js";
+import * as calls from "../../calls/index.js";
+import * as catalogue from "../../catalogue/index.js";
+import * as fleet from "../../fleet/index.js";
+import * as generations from "../../generations/index.js";
+import * as http from "../../http/index.js";
+import * as peers from "../../peers/index.js";
+import type * as settings from "../../settings/index.js";
+import * as telemetry from "../../telemetry/index.js";
+import * as adminDesks from "../adminDesk/index.js";
+import * as listeners from "../_lib/openListeners.js";
+import * as renewal from "../_lib/renewCertificates.js";
+
+const { TOKENS } = tokens;
+
+/** One VM's daemon: its parts, started in order and closed in reverse. */
+export class Daemon implements AsyncDisposable {
+  readonly catalogue: catalogue.CatalogueReplica;
+  readonly generations: generations.Generations;
+  readonly membership: fleet.FleetMembership;
+  private readonly calls: calls.Calls;
+  private readonly limits: accounts.AccountLimits;
+  private readonly clock: clocks.Clock;
+  private readonly logger: logging.Logger;
+  private readonly desk: adminDesks.AdminDesk;
+  private readonly stopping = new AbortController();
+  private ports: listeners.Listeners | undefined;
+  private isLeaving = false;
+  private wasReady = false;
+
+  /** Builds the parts; nothing is started. */
+  constructor(
+    private readonly options: settings.Settings,
+    private readonly container: tsyringe.DependencyContainer,
+    private readonly store: disposableStore.DisposableStore,
+  ) {
+    this.clock = container.resolve(TOKENS.clock);
+    this.logger = container.resolve(TOKENS.logger);
+    this.membership = container.resolve(fleet.FleetMembership);
+    this.catalogue = container.resolve(catalogue.CatalogueReplica);
+    this.limits = store.add(container.resolve(accounts.AccountLimits));
+    this.calls = store.add(container.resolve(calls.Calls));
+    this.generations = store.add(container.resolve(generations.Generations));
+    this.desk = store.add(this.createDesk());
+  }
+
+  /** Where callers reach this VM. */
+  get callerUrl(): string {
+    return this.ports?.callers.url ?? "";
+  }
+
+  /** Where operators reach this VM. */
+  get adminUrl(): string {
+    return this.ports?.admin.url ?? "";
+  }
+
+  /** Starts the parts and opens the ports. */
+  async start(): Promise<void> {
+    await this.container.resolve(peers.TcpPeerNetwork).listen();
+    this.membership.start();
+    this.catalogue.start();
+    this.limits.start();
+    this.calls.start();
+    this.generations.start();
+    this.ports = await listeners.openListeners(this.options, this.callerParts(), this.desk);
+    this.store.add(this.ports.callers);
+    this.store.add(this.ports.admin);
+    this.renewCertificates(this.ports.renewable);
+    this.logger.info({ callers: this.callerUrl, admin: this.adminUrl }, "daemon started");
+  }
+
+  /** Whether the balancer may send requests here, and why not. */
+  readiness(): http.Readiness {
+    const reason = this.unreadyReason();
+    const isReady = reason === null;
+    if (isReady !== this.wasReady) {
+      this.wasReady = isReady;
+      this.logger.info({ reason: reason ?? "ready" }, isReady ? "ready" : "not ready");
+    }
+    return { isReady, reason: reason ?? "ready" };
+  }
+
+  /** What would be lost if this VM stopped now, in words; empty where it is nothing. */
+  describeHeld(): string {
+    return this.generations.describeHeld();
+  }
+
+  /**
+   * Leaves in order: not ready, waits for the balancer, finishes or hands over what is held.
+   *
+   * @returns whether everything was finished or handed over within the grace period
+   */
+  async leave(): Promise<boolean> {
+    if (this.isLeaving) return false;
+    this.isLeaving = true;
+    const { balancerNoticeMs, graceMs } = this.options.shutdown;
+    this.logger.info({ graceMs }, "leaving");
+    await this.clock.sleep(balancerNoticeMs);
+    this.membership.leave();
+    return this.generations.drain(graceMs);
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.stopping.abort();
+    await this.store[Symbol.asyncDispose]();
+  }
+
+  private unreadyReason(): string | null {
+    if (this.isLeaving) return "this VM is leaving";
+    if (!this.catalogue.ready) return "the catalogue is not known yet";
+    const self = this.membership.members().find((member) => member.name === this.options.vm.name);
+    if (self?.state === fleet.MemberState.Leaving) return "this VM is leaving";
+    if (self?.state !== fleet.MemberState.Live) return "this VM has not joined the fleet yet";
+    if (this.isDrained()) return "operators drain this VM";
+    return null;
+  }
+
+  private isDrained(): boolean {
+    const key = `${catalogue.ItemKind.Vm}/${this.options.vm.name}`;
+    const item = this.catalogue.current().items.get(key)?.item;
+    return item?.kind === catalogue.ItemKind.Vm && item.state === catalogue.DesiredState.Draining;
+  }
+
+  private callerParts(): http.CallerServerParts {
+    return {
+      clock: this.clock,
+      metrics: this.container.resolve(TOKENS.metrics),
+      tracer: this.container.resolve(TOKENS.tracer),
+      catalogue: this.catalogue,
+      limiter: this.limits,
+      generations: this.generations,
+      calls: this.calls,
+      readiness: () => this.readiness(),
+      createRequestId: () => this.generations.createRequestId(),
+    };
+  }
+
+  private createDesk(): adminDesks.AdminDesk {
+    return new adminDesks.AdminDesk({
+      clock: this.clock,
+      fleetView: this.membership,
+      peerNetwork: this.container.resolve(TOKENS.peerNetwork),
+      catalogue: this.catalogue,
+      generations: this.generations,
+      calls: this.calls,
+      tracer: this.container.resolve(TOKENS.tracer),
+      burn: this.container.resolve(telemetry.BurnRecorder),
+      hub: this.container.resolve(TOKENS.metrics),
+      readiness: () => this.readiness(),
+    });
+  }
+
+  private renewCertificates(renewable: readonly renewal.RenewableListener[]): void {
+    const parts = {
+      clock: this.clock,
+      logger: this.logger,
+      metrics: this.container.resolve<telemetry.Metrics>(TOKENS.metrics),
+    };
+    for (const listener of renewable) {
+      void renewal.renewCertificates(listener, parts, this.stopping.signal);
+    }
+  }
+}
--- /dev/null
+++ b/src/daemon/index.ts
@@ -0,0 +1,2 @@
+export * from "./createDaemon/index.js";
+export * from "./daemon/index.js";
