Run once-only calls by the log's order, and retry idempotent ones within budgets

An intent of many calls shares one append; the first live intent of a key dispatches, once, and no other ever does. Lost append answers are settled by reading, attempts that are given up are released, and keys age by the log's own time, so that every VM forgets them at the same place. Idempotent calls are retried within a budget per service, hedged after the learned percentile, and spare servers that fail in a row.

--- a/src/_lib/persistentMap/index.ts
+++ b/src/_lib/persistentMap/index.ts
@@ -58,6 +58,12 @@
     return this.withBucket(key, bucket);
   }
 
+  /** Keys of one of the map's 64 slices, so that a sweep can be spread over time. */
+  keysOfSlice(slice: number): string[] {
+    const row = this.rows[slice % FANOUT] ?? [];
+    return row.flatMap((bucket) => (bucket === undefined ? [] : [...bucket.keys()]));
+  }
+
   *entries(): MapIterator<[string, V]> {
     for (const row of this.rows) {
       if (row === undefined) continue;
--- /dev/null
+++ b/src/calls/_lib/statusLookup/index.ts
@@ -0,0 +1,43 @@
+import type * as clocks from "../../../_lib/clock/index.js";
+import type * as backends from "../../../backends/types.js";
+import * as replication from "../../../replication/index.js";
+import type * as types from "../../types.js";
+import * as constants from "../../constants.js";
+import type * as serverPool from "../serverPool/index.js";
+
+const STATUS_OK = 200;
+
+/** What a lookup works with. */
+export interface LookupDependencies {
+  readonly clock: clocks.Clock;
+  readonly pool: serverPool.ServerPool;
+}
+
+/**
+ * Asks the service once what became of a key.
+ *
+ * @returns the answer as the service kept it; null where it does not know one, or does not say
+ */
+export async function lookUpStatus(
+  dependencies: LookupDependencies,
+  request: types.CallRequest,
+  key: string,
+  remainingMs: number,
+): Promise<backends.ServiceAnswer | null> {
+  const { entry } = request;
+  if (entry.statusPath === undefined || remainingMs <= 0) return null;
+  const server = dependencies.pool.take(entry.service, new Set());
+  if (server === null) return null;
+  const timeoutMs = Math.min(remainingMs, constants.STATUS_TIMEOUT_MS);
+  const work = server.client.call({
+    method: "GET",
+    path: entry.statusPath.replaceAll("{key}", encodeURIComponent(key)),
+    headers: { [constants.KEY_HEADER]: key },
+    body: new Uint8Array(0),
+    timeoutMs,
+  });
+  const place = { step: "call.status", peer: server.backend.name };
+  const result = await replication.limitTime(dependencies.clock, timeoutMs, work, place);
+  server.report(result.isOk());
+  return result.isOk() && result.value.statusCode === STATUS_OK ? result.value : null;
+}
--- /dev/null
+++ b/src/calls/applyCallRecord/index.ts
@@ -0,0 +1,163 @@
+import type * as platform from "../../platform/types.js";
+import * as callRecords from "../_lib/callRecords/index.js";
+import * as constants from "../constants.js";
+import * as types from "../types.js";
+
+/**
+ * Applies one record of the calls' stream. Every VM applies records in offset order by this
+ * function alone, so all agree which attempt of a key is the live one.
+ *
+ * @param state - the state before the record
+ * @param record - the record; one that is malformed changes nothing but the offset
+ */
+export function applyCallRecord(
+  state: types.CallsState,
+  record: platform.LogRecord,
+): types.CallsState {
+  if (record.offset <= state.appliedOffset) return state;
+  const advanced = sweep({
+    ...state,
+    appliedOffset: record.offset,
+    logTimeMs: Math.max(state.logTimeMs, record.appendedAtWallMs),
+  });
+  const parsed = callRecords.parseCallRecord(record.payload);
+  if (parsed === null) return advanced;
+  const before = findKeyState(advanced, parsed.keyId);
+  const apply = HANDLERS[parsed.type] as Handler<types.CallRecord>;
+  const after = apply(advanced, before, parsed);
+  return after === before
+    ? advanced
+    : { ...advanced, keys: advanced.keys.with(parsed.keyId, after) };
+}
+
+/**
+ * What is known of a key, by the log's time.
+ *
+ * @returns the key's state; a free one where the key was never used
+ */
+export function findKeyState(state: types.CallsState, keyId: string): types.KeyState {
+  const stored = state.keys.get(keyId);
+  return stored === undefined ? UNUSED_KEY : age(stored, state.logTimeMs);
+}
+
+/** Whether a key that carries its own time is too old to be told from one that was forgotten. */
+export function isKeyTooOld(state: types.CallsState, keyTimeMs: number | null): boolean {
+  return keyTimeMs !== null && keyTimeMs < state.logTimeMs - constants.TIMED_KEY_WINDOW_MS;
+}
+
+const UNUSED_KEY: types.KeyState = {
+  phase: types.KeyPhase.Free,
+  attempt: "",
+  bodyHash: "",
+  vm: "",
+  changedAtWallMs: 0,
+  retentionMs: 0,
+  keyTimeMs: null,
+  answer: null,
+  releasedAttempts: [],
+};
+
+type Handler<R extends types.CallRecord> = (
+  state: types.CallsState,
+  before: types.KeyState,
+  record: R,
+) => types.KeyState;
+
+type Handlers = {
+  readonly [T in types.CallRecord["type"]]: Handler<Extract<types.CallRecord, { type: T }>>;
+};
+
+const HANDLERS: Handlers = {
+  intent: applyIntent,
+  released: applyReleased,
+  outcome: applyOutcome,
+  unknown: applyUnknown,
+};
+
+/** An intent takes a free key; any other intent, and one of a released attempt, has no effect. */
+function applyIntent(
+  state: types.CallsState,
+  before: types.KeyState,
+  record: types.IntentRecord,
+): types.KeyState {
+  if (before.phase !== types.KeyPhase.Free) return before;
+  if (before.releasedAttempts.includes(record.attempt)) return before;
+  if (isKeyTooOld(state, record.keyTimeMs)) return before;
+  return {
+    ...before,
+    phase: types.KeyPhase.Held,
+    attempt: record.attempt,
+    bodyHash: record.bodyHash,
+    vm: record.vm,
+    keyTimeMs: record.keyTimeMs,
+    retentionMs: record.retentionMs,
+    changedAtWallMs: state.logTimeMs,
+  };
+}
+
+/** A release frees the key from its attempt, and bars the attempt should its intent come later. */
+function applyReleased(
+  state: types.CallsState,
+  before: types.KeyState,
+  record: types.ReleasedRecord,
+): types.KeyState {
+  if (before.releasedAttempts.includes(record.attempt)) return before;
+  const releasedAttempts = [...before.releasedAttempts, record.attempt].slice(
+    -constants.MAX_RELEASED_ATTEMPTS,
+  );
+  const isHolder = before.phase === types.KeyPhase.Held && before.attempt === record.attempt;
+  if (!isHolder && before.phase !== types.KeyPhase.Free) return { ...before, releasedAttempts };
+  return { ...UNUSED_KEY, releasedAttempts, changedAtWallMs: state.logTimeMs };
+}
+
+/** The first outcome of the live attempt stays. */
+function applyOutcome(
+  state: types.CallsState,
+  before: types.KeyState,
+  record: types.OutcomeRecord,
+): types.KeyState {
+  if (!isOpen(before) || before.attempt !== record.attempt) return before;
+  const changedAtWallMs = state.logTimeMs;
+  return { ...before, phase: types.KeyPhase.Done, answer: record.answer, changedAtWallMs };
+}
+
+function applyUnknown(
+  state: types.CallsState,
+  before: types.KeyState,
+  record: types.UnknownRecord,
+): types.KeyState {
+  if (before.phase !== types.KeyPhase.Held || before.attempt !== record.attempt) return before;
+  return { ...before, phase: types.KeyPhase.Unknown, changedAtWallMs: state.logTimeMs };
+}
+
+function isOpen(key: types.KeyState): boolean {
+  return key.phase === types.KeyPhase.Held || key.phase === types.KeyPhase.Unknown;
+}
+
+/** The key with its answer dropped once its retention is over. */
+function age(key: types.KeyState, logTimeMs: number): types.KeyState {
+  const isOver = logTimeMs - key.changedAtWallMs > key.retentionMs;
+  if (key.phase !== types.KeyPhase.Done || !isOver) return key;
+  return { ...key, phase: types.KeyPhase.Spent, answer: null, releasedAttempts: [] };
+}
+
+/** Drops what no longer matters, one slice of the keys at a time; places in the log decide when. */
+function sweep(state: types.CallsState): types.CallsState {
+  if (state.appliedOffset % constants.RECORDS_PER_SWEEP !== 0) return state;
+  let { keys } = state;
+  for (const keyId of keys.keysOfSlice(state.appliedOffset / constants.RECORDS_PER_SWEEP)) {
+    const stored = keys.get(keyId);
+    if (stored === undefined) continue;
+    const aged = age(stored, state.logTimeMs);
+    if (isForgettable(state, aged)) keys = keys.without(keyId);
+    else if (aged !== stored) keys = keys.with(keyId, aged);
+  }
+  return keys === state.keys ? state : { ...state, keys };
+}
+
+function isForgettable(state: types.CallsState, key: types.KeyState): boolean {
+  if (key.phase === types.KeyPhase.Free) {
+    return state.logTimeMs - key.changedAtWallMs > constants.RELEASED_ATTEMPT_RETENTION_MS;
+  }
+  return isKeyTooOld(state, key.keyTimeMs);
+}
--- /dev/null
+++ b/src/calls/calls/index.ts
@@ -0,0 +1,155 @@
+import "reflect-metadata";
+
+import * as tsyringe from "tsyringe";
+
+import type * as clocks from "../../_lib/clock/index.js";
+import * as disposableStore from "../../_lib/disposableStore/index.js";
+import type * as loggers from "../../_lib/logger/index.js";
+import type * as random from "../../_lib/random/index.js";
+import * as stepError from "../../_lib/stepError/index.js";
+import * as tokens from "../../_lib/tokens/index.js";
+import type * as backends from "../../backends/types.js";
+import * as catalogue from "../../catalogue/index.js";
+import type * as fleet from "../../fleet/types.js";
+import type * as peers from "../../peers/types.js";
+import type * as appendBudgets from "../../platform/appendBudget/index.js";
+import * as platform from "../../platform/types.js";
+import * as replication from "../../replication/index.js";
+import type * as telemetry from "../../telemetry/types.js";
+import * as callErrors from "../_lib/callErrors/index.js";
+import * as groupAppender from "../_lib/groupAppender/index.js";
+import * as idempotentCaller from "../_lib/idempotentCaller/index.js";
+import * as keyLedger from "../_lib/keyLedger/index.js";
+import * as onceOnlyCaller from "../_lib/onceOnlyCaller/index.js";
+import * as serverPool from "../_lib/serverPool/index.js";
+import * as snapshotParts from "../_lib/snapshotParts/index.js";
+import * as applyCallRecord from "../applyCallRecord/index.js";
+import * as constants from "../constants.js";
+import * as createCallsState from "../createCallsState/index.js";
+import * as types from "../types.js";
+
+/** Calls to plain services: idempotent ones are retried, once-only ones are dispatched once. */
+@tsyringe.injectable()
+export class Calls implements types.CallService, AsyncDisposable {
+  private readonly store = new disposableStore.DisposableStore();
+  private readonly follower: replication.StreamFollower<types.CallsState>;
+  private readonly pool: serverPool.ServerPool;
+  private readonly ledger: keyLedger.KeyLedger;
+  private readonly idempotent: idempotentCaller.IdempotentCaller;
+  private readonly onceOnly: onceOnlyCaller.OnceOnlyCaller;
+
+  constructor(
+    @tsyringe.inject(tokens.TOKENS.clock) private readonly clock: clocks.Clock,
+    @tsyringe.inject(tokens.TOKENS.random) randomSource: random.RandomSource,
+    @tsyringe.inject(tokens.TOKENS.logger) logger: loggers.Logger,
+    @tsyringe.inject(tokens.TOKENS.metrics) private readonly metrics: telemetry.Metrics,
+    @tsyringe.inject(tokens.TOKENS.tracer) tracer: telemetry.Tracer,
+    @tsyringe.inject(tokens.TOKENS.logService) logService: platform.LogService,
+    @tsyringe.inject(tokens.TOKENS.peerNetwork) peerNetwork: peers.PeerNetwork,
+    @tsyringe.inject(tokens.TOKENS.fleetView) fleetView: fleet.FleetView,
+    @tsyringe.inject(tokens.TOKENS.catalogueView) catalogueView: catalogue.CatalogueView,
+    @tsyringe.inject(tokens.TOKENS.serviceClients) serviceClients: backends.ServiceClients,
+    @tsyringe.inject(tokens.TOKENS.appendBudget) appendBudget: appendBudgets.AppendBudget,
+    @tsyringe.inject(tokens.TOKENS.replicationOptions) options: replication.FollowerOptions,
+  ) {
+    const shared = { clock, logger, metrics, tracer, fleetView, logService, appendBudget };
+    this.follower = this.store.add(
+      new replication.StreamFollower(STREAM_RULES, { ...shared, peerNetwork }, options),
+    );
+    const { follower } = this;
+    const appender = this.store.add(new groupAppender.GroupAppender(shared, STREAM_RULES.stream));
+    this.ledger = this.store.add(new keyLedger.KeyLedger({ ...shared, follower, appender }));
+    const { ledger } = this;
+    const chosen = { ...shared, random: randomSource, catalogueView, serviceClients };
+    this.pool = this.store.add(new serverPool.ServerPool(chosen));
+    const { pool } = this;
+    this.idempotent = new idempotentCaller.IdempotentCaller({ ...chosen, pool });
+    this.onceOnly = new onceOnlyCaller.OnceOnlyCaller({ ...chosen, pool, ledger });
+  }
+
+  /** Starts to follow the calls' stream; call once. */
+  start(): void {
+    this.follower.start();
+  }
+
+  /** Whether once-only calls with a key can be judged here. */
+  get ready(): boolean {
+    return this.follower.isReady;
+  }
+
+  async call(request: types.CallRequest): Promise<callErrors.CallResult> {
+    const remainingMs = request.deadlineAtWallMs - this.clock.wallTimeMs();
+    if (remainingMs <= 0) return refuseLate();
+    const startedAtMs = this.clock.nowMs();
+    const result = await this.route(request, startedAtMs + remainingMs);
+    this.metrics.increment("calls.finished", 1, {
+      entry: request.entry.name,
+      execution: result.isOk() ? stepError.ExecutionState.Ran : result.error.execution,
+    });
+    return result;
+  }
+
+  /** Gives a server no new calls, on a sign from any source, until its catalogue item changes. */
+  markLeaving(serverName: string): void {
+    this.pool.markLeaving(serverName);
+  }
+
+  describe(): types.CallsDescription {
+    return {
+      servers: this.pool.describe(),
+      keysByPhase: countByPhase(this.follower.current),
+      waitingCount: this.ledger.watch.waitingCount,
+      unwrittenCount: this.ledger.unwrittenCount,
+      follower: this.follower.status(),
+    };
+  }
+
+  /** Waits for outcomes on their way to the log, but not without end, and stops. */
+  async [Symbol.asyncDispose](): Promise<void> {
+    await replication.waitAtMost(this.clock, constants.FLUSH_LIMIT_MS, this.ledger.flush());
+    await this.store[Symbol.asyncDispose]();
+  }
+
+  private route(request: types.CallRequest, deadlineAtMs: number): Promise<callErrors.CallResult> {
+    const { entry, idempotencyKey } = request;
+    if (entry.semantics === catalogue.CallSemantics.Idempotent) {
+      return this.idempotent.call(request, deadlineAtMs);
+    }
+    if (idempotencyKey === null) {
+      if (entry.keyRequired) return Promise.resolve(refuseKey("the entry requires a key"));
+      return this.onceOnly.callWithoutKey(request, deadlineAtMs);
+    }
+    const { length } = idempotencyKey;
+    if (length === 0 || length > constants.MAX_KEY_LENGTH) {
+      const message = `a key has 1 to ${constants.MAX_KEY_LENGTH} characters`;
+      return Promise.resolve(refuseKey(message));
+    }
+    return this.onceOnly.callWithKey(request, idempotencyKey, deadlineAtMs);
+  }
+}
+
+const STREAM_RULES: replication.StreamRules<types.CallsState> = {
+  stream: platform.LogStream.Calls,
+  initialState: createCallsState.createCallsState(),
+  apply: applyCallRecord.applyCallRecord,
+  appliedOffsetOf: (state) => state.appliedOffset,
+  encodeParts: snapshotParts.encodeParts,
+  decodeParts: snapshotParts.decodeParts,
+};
+
+function countByPhase(state: types.CallsState): Record<types.KeyPhase, number> {
+  const counts = Object.fromEntries(
+    Object.values(types.KeyPhase).map((phase) => [phase, 0]),
+  ) as Record<types.KeyPhase, number>;
+  for (const key of state.keys.values()) counts[key.phase] += 1;
+  return counts;
+}
+
+function refuseLate(): callErrors.CallResult {
+  const code = stepError.ErrorCode.DeadlineExceeded;
+  return callErrors.refuse(code, "call.accept", "the deadline has passed");
+}
+
+function refuseKey(message: string): callErrors.CallResult {
+  return callErrors.refuse(stepError.ErrorCode.InvalidRequest, "call.key", message);
+}
--- a/src/catalogue/_lib/proposal/index.ts
+++ b/src/catalogue/_lib/proposal/index.ts
@@ -2,6 +2,7 @@
 
 import type * as clocks from "../../../_lib/clock/index.js";
 import * as stepError from "../../../_lib/stepError/index.js";
+import * as appendBudgets from "../../../platform/appendBudget/index.js";
 import * as platform from "../../../platform/types.js";
 import * as replication from "../../../replication/index.js";
 import * as applyRecord from "../../applyRecord/index.js";
@@ -14,6 +15,7 @@
 export interface ProposalContext {
   readonly clock: clocks.Clock;
   readonly logService: platform.LogService;
+  readonly appendBudget: appendBudgets.AppendBudget;
   readonly follower: replication.StreamFollower<indexedState.IndexedState>;
 }
 
@@ -81,6 +83,7 @@
   remainingMs: number,
 ): Promise<neverthrow.Result<number, stepError.StepError>> {
   const { clock, logService } = context;
+  context.appendBudget.tryTake(appendBudgets.AppendPriority.Operator);
   const work = logService.append(platform.LogStream.Catalogue, [change]);
   const limitMs = Math.min(remainingMs, constants.APPEND_TIMEOUT_MS);
   return replication.limitTime(clock, limitMs, work, { step: "log.append", peer: "log" });
--- a/src/catalogue/catalogueReplica/index.ts
+++ b/src/catalogue/catalogueReplica/index.ts
@@ -9,6 +9,7 @@
 import * as tokens from "../../_lib/tokens/index.js";
 import type * as fleet from "../../fleet/types.js";
 import type * as peers from "../../peers/types.js";
+import type * as appendBudgets from "../../platform/appendBudget/index.js";
 import * as platform from "../../platform/types.js";
 import * as replication from "../../replication/index.js";
 import type * as telemetry from "../../telemetry/types.js";
@@ -47,6 +48,8 @@
     @tsyringe.inject(tokens.TOKENS.logService) private readonly logService: platform.LogService,
     @tsyringe.inject(tokens.TOKENS.peerNetwork) peerNetwork: peers.PeerNetwork,
     @tsyringe.inject(tokens.TOKENS.fleetView) private readonly fleetView: fleet.FleetView,
+    @tsyringe.inject(tokens.TOKENS.appendBudget)
+    private readonly appendBudget: appendBudgets.AppendBudget,
     @tsyringe.inject(tokens.TOKENS.replicationOptions) options: replication.FollowerOptions,
   ) {
     this.follower = new replication.StreamFollower(
@@ -58,7 +61,7 @@
         encodeParts: snapshotParts.encodeParts,
         decodeParts: snapshotParts.decodeParts,
       },
-      { clock, logger, metrics, logService, peerNetwork, fleetView },
+      { clock, logger, metrics, logService, peerNetwork, fleetView, appendBudget },
       options,
     );
   }
@@ -98,9 +101,13 @@
     options: ProposeOptions = {},
   ): Promise<neverthrow.Result<types.ProposalOutcome, stepError.StepError>> {
     const timeoutMs = options.timeoutMs ?? constants.DEFAULT_PROPOSE_TIMEOUT_MS;
-    const { clock, logService, follower } = this;
+    const { clock, logService, follower, appendBudget } = this;
     const deadlineAtMs = clock.nowMs() + timeoutMs;
-    return proposal.proposeChange({ clock, logService, follower }, change, deadlineAtMs);
+    return proposal.proposeChange(
+      { clock, logService, follower, appendBudget },
+      change,
+      deadlineAtMs,
+    );
   }
 
   /** Which offset each VM of the fleet has in force; asked now, a bounded number at a time. */
--- a/src/catalogue/catalogueReplica/test.ts
+++ b/src/catalogue/catalogueReplica/test.ts
@@ -6,6 +6,7 @@
 import * as logModel from "../../../standins/log/model/index.js";
 import * as hub from "../../../standins/peers/hub/index.js";
 import * as counters from "../../../standins/telemetry/counters/index.js";
+import * as appendBudgets from "../../platform/appendBudget/index.js";
 import * as platform from "../../platform/types.js";
 import * as replication from "../../replication/index.js";
 import * as types from "../types.js";
@@ -28,6 +29,7 @@
       log,
       this.hub.join(name),
       this.model.viewOf(name),
+      new appendBudgets.AppendBudget(this.clock, () => 4),
       { ...replication.DEFAULT_FOLLOWER_OPTIONS, ...options },
     );
     replica.start();
--- a/src/catalogue/index.ts
+++ b/src/catalogue/index.ts
@@ -6,6 +6,7 @@
 export * from "./findCallEntry/index.js";
 export * from "./findGenerationEntry/index.js";
 export * from "./listEngines/index.js";
+export * from "./listServiceServers/index.js";
 export * from "./listServices/index.js";
 export * from "./parseCatalogueDocument/index.js";
 export * from "./types.js";
--- /dev/null
+++ b/src/catalogue/listServiceServers/index.ts
@@ -0,0 +1,13 @@
+import * as indexedState from "../_lib/indexedState/index.js";
+import * as types from "../types.js";
+
+/**
+ * The servers of all plain services, in no particular order.
+ *
+ * @param state - the catalogue
+ */
+export function listServiceServers(state: types.CatalogueState): types.ServiceBackend[] {
+  return [...indexedState.itemsOfKind(state, types.ItemKind.Service).values()]
+    .map((revised) => revised.item)
+    .filter((item) => item.kind === types.ItemKind.Service);
+}
--- a/src/replication/_lib/snapshotKeeper/index.ts
+++ b/src/replication/_lib/snapshotKeeper/index.ts
@@ -1,3 +1,4 @@
+import * as appendBudgets from "../../../platform/appendBudget/index.js";
 import type * as platform from "../../../platform/types.js";
 import * as constants from "../../constants.js";
 import type * as types from "../../types.js";
@@ -95,13 +96,15 @@
   }
 
   private async write(): Promise<void> {
-    const { logger, logService, metrics } = this.dependencies;
+    const { appendBudget, logger, logService, metrics } = this.dependencies;
     const { stream } = this.rules;
     const parts = await this.pack();
     for (let start = 0; start < parts.length; start += constants.PARTS_PER_APPEND) {
       const group = parts.slice(start, start + constants.PARTS_PER_APPEND);
+      await appendBudget.take(appendBudgets.AppendPriority.Control);
       const appended = await logService.append(stream, group);
       if (appended.isOk()) continue;
+      appendBudget.onRefused(appended.error.retryAfterMs ?? 0);
       metrics.increment("replication.snapshot_failed", 1, { stream });
       return;
     }
--- a/src/replication/types.ts
+++ b/src/replication/types.ts
@@ -2,6 +2,7 @@
 import type * as loggers from "../_lib/logger/index.js";
 import type * as fleet from "../fleet/types.js";
 import type * as peers from "../peers/types.js";
+import type * as appendBudgets from "../platform/appendBudget/index.js";
 import type * as platform from "../platform/types.js";
 import type * as telemetry from "../telemetry/types.js";
 
@@ -26,6 +27,7 @@
   readonly logService: platform.LogService;
   readonly peerNetwork: peers.PeerNetwork;
   readonly fleetView: fleet.FleetView;
+  readonly appendBudget: appendBudgets.AppendBudget;
 }
 
 /** How a follower behaves. */
