--- a/src/catalogue/catalogueReplica/test.ts
+++ b/src/catalogue/catalogueReplica/test.ts
@@ -2,7 +2,7 @@
 
 import * as logger from "../../_lib/logger/index.js";
 import * as virtualClock from "../../_lib/virtualClock/index.js";
-import * as fleetView from "../../../standins/fleet/view/index.js";
+import * as fleetView from "../../../standins/fleet/model/index.js";
 import * as logModel from "../../../standins/log/model/index.js";
 import * as hub from "../../../standins/peers/hub/index.js";
 import * as counters from "../../../standins/telemetry/counters/index.js";
--- a/standins/fleet/view/index.ts
+++ b/standins/fleet/view/index.ts
@@ -1,47 +1,48 @@
-import * as fleet from "../../../src/fleet/types.js";
+import type * as fleet from "../../../src/fleet/types.js";
+import * as fleetTypes from "../../../src/fleet/types.js";
 
-/** A fleet of known members whose states a test sets; each VM has its own view. */
-export class FleetModel {
-  private readonly membersByName = new Map<string, fleet.VmMember>();
+/** The fleet as one VM sees it, with states set by the test. */
+export class FakeFleetView implements fleet.FleetView {
+  private readonly states = new Map<string, fleet.MemberState>();
   private readonly listeners = new Set<() => void>();
 
-  /** Adds a VM, or returns it to life. */
-  add(name: string, dataCentre: string): void {
-    this.membersByName.set(name, {
-      name,
-      region: "region",
-      dataCentre,
-      peerAddress: "127.0.0.1",
-      peerPort: 1,
-      heartbeatPort: 1,
-      state: fleet.MemberState.Live,
-      incarnation: 1,
-    });
-    this.changed();
-  }
+  constructor(
+    readonly self: fleet.VmIdentity,
+    private readonly identities: readonly fleet.VmIdentity[],
+  ) {}
 
-  setState(name: string, state: fleet.MemberState): void {
-    const member = this.membersByName.get(name);
-    if (member === undefined) return;
-    this.membersByName.set(name, { ...member, state });
-    this.changed();
+  members(): readonly fleet.VmMember[] {
+    return this.identities.map((identity) => ({
+      ...identity,
+      state: this.states.get(identity.name) ?? fleetTypes.MemberState.Live,
+      incarnation: 1,
+    }));
   }
 
-  /** The fleet as one of its VMs sees it. */
-  viewOf(name: string): fleet.FleetView {
-    const self = this.membersByName.get(name);
-    if (self === undefined) throw new Error(`${name} is not a member`);
+  onChange(listener: () => void): Disposable {
+    this.listeners.add(listener);
     return {
-      self,
-      members: () => [...this.membersByName.values()],
-      onChange: (listener) => {
-        this.listeners.add(listener);
-        return { [Symbol.dispose]: () => this.listeners.delete(listener) };
+      [Symbol.dispose]: () => {
+        this.listeners.delete(listener);
       },
     };
   }
 
-  private changed(): void {
+  /** Changes what this VM believes about another one. */
+  setState(vmName: string, state: fleet.MemberState): void {
+    this.states.set(vmName, state);
     for (const listener of this.listeners) listener();
   }
 }
+
+/** Identity of a VM that exists only in this process. */
+export function createVmIdentity(name: string, dataCentre: string): fleet.VmIdentity {
+  return {
+    name,
+    region: "test-region",
+    dataCentre,
+    peerAddress: "127.0.0.1",
+    peerPort: 0,
+    heartbeatPort: 0,
+  };
+}
