--- a/src/_lib/tokens/index.ts
+++ b/src/_lib/tokens/index.ts
@@ -25,5 +25,4 @@
   datagramSocket: Symbol("datagram-socket"),
   accountLimitOptions: Symbol("account-limit-options"),
   leaseOptions: Symbol("lease-options"),
-  appendBudget: Symbol("append-budget"),
 } as const;
--- a/src/cli/adminClient/index.ts
+++ b/src/cli/adminClient/index.ts
@@ -65,7 +65,7 @@
     return this.get(`/v1/engines/${encodeURIComponent(name)}`);
   }
 
-  readHistory(kind: string, name: string): Promise<http.ItemHistory> {
+  readHistory(kind: string, name: string): Promise<readonly http.HistoryLine[]> {
     return this.get(`/v1/items/${encodeURIComponent(kind)}/${encodeURIComponent(name)}/history`);
   }
 
--- a/src/cli/catalogueCommand/index.ts
+++ b/src/cli/catalogueCommand/index.ts
@@ -218,14 +218,13 @@
     .join("---\n");
 }
 
-function formatHistory(history: http.ItemHistory): string {
-  const rows = history.lines.map((line) => [
+function formatHistory(history: readonly http.HistoryLine[]): string {
+  const rows = history.map((line) => [
     line.offset,
     new Date(line.atWallMs).toISOString(),
     line.operator,
-    line.outcome,
+    line.baseRevision ?? "new",
     line.changeId,
   ]);
-  const table = output.formatTable(["REVISION", "AT", "OPERATOR", "OUTCOME", "CHANGE"], rows);
-  return `${table}the log holds changes from offset ${history.firstOffset} on\n`;
+  return output.formatTable(["OFFSET", "AT", "OPERATOR", "BUILDS ON", "CHANGE"], rows);
 }
--- a/src/cli/explainCommand/index.ts
+++ b/src/cli/explainCommand/index.ts
@@ -51,15 +51,14 @@
   const lines = [
     `${engine.name} (home ${engine.home}, ${engine.health}): ${verdict}, ${engine.reason}`,
     `memory: ${engine.usedTokens} used, ${engine.reservedTokens} reserved of ${engine.capacityTokens} tokens`,
-    `step time: ${engine.stepTimeMs.toFixed(1)} ms; safety factor: ${engine.safetyFactor?.toFixed(2) ?? "-"}`,
+    `step time: ${engine.stepTimeMs.toFixed(1)} ms`,
   ];
   const rows = engine.running.map((run) => [
     run.requestId,
     run.entryName,
     run.contextTokens,
     run.producedTokens,
-    run.expectedRemainingTokens ?? "-",
   ]);
-  const table = output.formatTable(["REQUEST", "ENTRY", "CONTEXT", "PRODUCED", "EXPECTED"], rows);
+  const table = output.formatTable(["REQUEST", "ENTRY", "CONTEXT", "PRODUCED"], rows);
   return `${lines.join("\n")}\n${table}`;
 }
--- a/src/cli/fleetCommands/index.ts
+++ b/src/cli/fleetCommands/index.ts
@@ -88,7 +88,6 @@
     backend.home ?? "-",
     formatRatio(backend.usedRatio),
     backend.runningCount ?? "-",
-    backend.waitingCount ?? "-",
     backend.detail,
   ]);
   const headings = [
@@ -99,7 +98,6 @@
     "HOME",
     "MEMORY",
     "RUNNING",
-    "WAITING",
     "DETAIL",
   ];
   return { ...backends, text: output.formatTable(headings, rows) };
--- /dev/null
+++ b/src/daemon/_lib/describeBackends.ts
@@ -0,0 +1,116 @@
+import * as neverthrow from "neverthrow";
+
+import * as stepError from "../../_lib/stepError/index.js";
+import type * as calls from "../../calls/index.js";
+import * as catalogue from "../../catalogue/index.js";
+import type * as generations from "../../generations/index.js";
+import type * as http from "../../http/index.js";
+
+/** Engines as their home sees them. */
+export function describeEngineBackends(
+  homeVm: string,
+  engines: readonly generations.EngineDescription[],
+): readonly http.BackendDescription[] {
+  return engines.map((engine) => ({
+    name: engine.name,
+    kind: "engine",
+    dataCentre: engine.dataCentre,
+    home: homeVm,
+    state: engine.health,
+    usedRatio: engine.usedTokens / engine.capacityTokens,
+    runningCount: engine.running.length,
+    detail: engine.reason,
+  }));
+}
+
+/** Servers of plain services as one VM sees them. */
+export function describeServiceBackends(
+  vm: string,
+  { servers }: calls.CallsDescription,
+): readonly http.BackendDescription[] {
+  return servers.map((server) => ({
+    name: server.name,
+    kind: "service",
+    dataCentre: server.dataCentre,
+    home: null,
+    state: server.health,
+    usedRatio: null,
+    runningCount: server.inFlightCount,
+    detail: `${server.failuresCount} failures in a row at ${vm}`,
+  }));
+}
+
+/** One line per backend server of the catalogue; the worst view of a service's server is shown. */
+export function joinBackends(
+  state: catalogue.CatalogueState,
+  seen: readonly http.BackendDescription[],
+): readonly http.BackendDescription[] {
+  const byName = new Map<string, http.BackendDescription>();
+  for (const backend of seen) {
+    const known = byName.get(backend.name);
+    byName.set(backend.name, known === undefined ? backend : joinViews(known, backend));
+  }
+  const listed = [...state.items.values()].flatMap(({ item }) => describeItem(item));
+  return listed.map((backend) => byName.get(backend.name) ?? backend);
+}
+
+/** What an operator is told about a change that was settled. */
+export function acceptedChange(
+  record: catalogue.ChangeRecord,
+  outcome: catalogue.ProposalOutcome,
+): neverthrow.Result<http.AcceptedChange, stepError.StepError> {
+  if (outcome.isAccepted && outcome.currentRevision !== null) {
+    return neverthrow.ok({ changeId: record.changeId, revision: outcome.currentRevision });
+  }
+  if (outcome.isAccepted && outcome.offset !== null) {
+    return neverthrow.ok({ changeId: record.changeId, revision: outcome.offset });
+  }
+  const current = outcome.currentRevision ?? "none";
+  const message = `${record.kind}/${record.name}: ${outcome.reason}; current revision: ${current}`;
+  return neverthrow.err(
+    new stepError.StepError(message, {
+      code: stepError.ErrorCode.Conflict,
+      step: "catalogue.propose",
+      execution: stepError.ExecutionState.NotRun,
+    }),
+  );
+}
+
+/** One past change of an item. */
+export function describeChange(entry: catalogue.ItemHistoryEntry): http.HistoryLine {
+  const { operator, changeId, baseRevision, item } = entry.change;
+  return {
+    offset: entry.offset,
+    atWallMs: entry.appendedAtWallMs,
+    operator,
+    changeId,
+    baseRevision,
+    item,
+  };
+}
+
+function describeItem(item: catalogue.CatalogueItem): readonly http.BackendDescription[] {
+  const isEngine = item.kind === catalogue.ItemKind.Engine;
+  if (!isEngine && item.kind !== catalogue.ItemKind.Service) return [];
+  return [
+    {
+      name: item.name,
+      kind: isEngine ? "engine" : "service",
+      dataCentre: item.dataCentre,
+      home: null,
+      state: item.state,
+      usedRatio: null,
+      runningCount: null,
+      detail: isEngine ? "no VM is its home" : "not used yet",
+    },
+  ];
+}
+
+function joinViews(
+  left: http.BackendDescription,
+  right: http.BackendDescription,
+): http.BackendDescription {
+  const worse = left.state === "healthy" ? right : left;
+  const runningCount = (left.runningCount ?? 0) + (right.runningCount ?? 0);
+  return { ...worse, runningCount };
+}
--- a/src/daemon/_lib/renewCertificates.ts
+++ b/src/daemon/_lib/renewCertificates.ts
@@ -26,11 +26,12 @@
   signal: AbortSignal,
 ): Promise<void> {
   let current = listener.current;
-  while (!signal.aborted) {
-    await parts.clock
-      .sleep(constants.CERTIFICATE_CHECK_INTERVAL_MS, signal)
-      .catch(() => undefined);
-    if (signal.aborted) return;
+  for (;;) {
+    const isStopped = await parts.clock.sleep(constants.CERTIFICATE_CHECK_INTERVAL_MS, signal).then(
+      () => false,
+      () => true,
+    );
+    if (isStopped) return;
     current = await takeUpRenewed(listener, current, parts);
   }
 }
--- a/src/daemon/adminDesk/index.ts
+++ b/src/daemon/adminDesk/index.ts
@@ -126,9 +126,12 @@
     return proposed.andThen((outcome) => descriptions.acceptedChange(record, outcome));
   }
 
-  async readHistory(kind: catalogue.ItemKind, name: string): http.AdminResult<http.ItemHistory> {
+  async readHistory(
+    kind: catalogue.ItemKind,
+    name: string,
+  ): http.AdminResult<readonly http.HistoryLine[]> {
     const history = await this.parts.catalogue.history(kind, name);
-    return history.map((lines) => descriptions.describeHistory(lines));
+    return history.map((entries) => entries.map(descriptions.describeChange));
   }
 
   [Symbol.dispose](): void {
@@ -155,14 +158,15 @@
 
   private ownQueue(): readonly http.QueueDescription[] {
     const selfName = this.parts.fleetView.self.name;
-    return descriptions.describeQueue(selfName, this.parts.generations.describeQueue());
+    return this.parts.generations.describeQueue().map((waiting) => ({ ...waiting, vm: selfName }));
   }
 
   private ownEngines(name: string): readonly http.EngineExplanation[] {
     const selfName = this.parts.fleetView.self.name;
-    return descriptions
-      .explainEngines(selfName, this.parts.generations.describeEngines())
-      .filter((engine) => engine.name === name);
+    return this.parts.generations
+      .describeEngines()
+      .filter((engine) => engine.name === name)
+      .map((engine) => ({ ...engine, home: selfName }));
   }
 }
 
--- a/src/generations/generations/index.ts
+++ b/src/generations/generations/index.ts
@@ -24,6 +24,7 @@
 import * as orphanWatches from "../_lib/orphans/index.js";
 import * as ownerDesks from "../_lib/ownerDesk/index.js";
 import * as peerLinks from "../_lib/peerLink/index.js";
+import * as readModels from "../_lib/readModels/index.js";
 import * as readers from "../_lib/reader/index.js";
 import * as schedulers from "../_lib/createScheduler/index.js";
 import * as views from "../_lib/views/index.js";
@@ -43,6 +44,7 @@
   private readonly reader: readers.Reader;
   private readonly resources = new disposableStore.DisposableStore();
   private readonly stopping = new AbortController();
+  private isDraining = false;
 
   constructor(
     @tsyringe.inject(tokens.TOKENS.clock) clock: clocks.Clock,
@@ -130,6 +132,45 @@
     return neverthrow.ok(this.createHandle(requestId, accountName, holders));
   }
 
+  /** What this VM holds on the engines whose home it is. */
+  describeEngines(): readonly types.EngineDescription[] {
+    const nowMs = this.context.clock.nowMs();
+    return this.holders.home.list().map((home) => readModels.describeEngine(home, nowMs));
+  }
+
+  /** Requests that wait at this VM, and what for. */
+  describeQueue(): readonly types.WaitingDescription[] {
+    const { clock } = this.context;
+    return this.holders.owner
+      .list()
+      .filter((held) => held.isActive && held.isWaiting)
+      .map((held) => readModels.describeWaiting(held, clock.nowMs(), clock.wallTimeMs()));
+  }
+
+  /** What would be lost if this VM stopped now, in words; empty where it is nothing. */
+  describeHeld(): string {
+    const ownedCount = this.holders.owner.list().filter((held) => held.isActive).length;
+    const runsCount = this.holders.home.listRuns().filter((run) => !run.isEnded).length;
+    if (ownedCount + runsCount === 0) return "";
+    return `${ownedCount} requests accepted here, ${runsCount} generations on engines`;
+  }
+
+  /**
+   * Accepts nothing more, and waits until everything held is finished or handed over.
+   *
+   * @param graceMs - the longest time to wait
+   * @returns whether nothing is left
+   */
+  async drain(graceMs: number): Promise<boolean> {
+    this.isDraining = true;
+    const { clock } = this.context;
+    const endMs = clock.nowMs() + graceMs;
+    while (this.describeHeld() !== "" && clock.nowMs() < endMs) {
+      await clock.sleep(constants.WATCH_INTERVAL_MS);
+    }
+    return this.describeHeld() === "";
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     this.stopping.abort();
     await this.resources[Symbol.asyncDispose]();
@@ -173,6 +214,10 @@
   }
 
   private checkAcceptance(request: types.GenerationRequest): stepError.StepError | null {
+    if (this.isDraining) {
+      const code = stepError.ErrorCode.ShuttingDown;
+      return errors.createRefusal("this VM is leaving", code, "generation.submit");
+    }
     if (this.holders.owner.find(request.requestId) !== null) {
       const message = `request ${request.requestId} is held already`;
       return errors.createRefusal(message, stepError.ErrorCode.Conflict, "generation.submit");
--- a/src/generations/types.ts
+++ b/src/generations/types.ts
@@ -3,6 +3,7 @@
 import type * as stepError from "../_lib/stepError/index.js";
 import type * as backends from "../backends/types.js";
 import type * as catalogue from "../catalogue/types.js";
+import type * as engines from "../engines/types.js";
 
 /** An accepted caller's request for a generation. */
 export interface GenerationRequest {
@@ -48,3 +49,36 @@
     accountName: string,
   ): Promise<neverthrow.Result<GenerationHandle, stepError.StepError>>;
 }
+
+/** One generation on an engine, as its home sees it. */
+export interface EngineRunDescription {
+  readonly requestId: string;
+  readonly entryName: string;
+  readonly contextTokens: number;
+  readonly producedTokens: number;
+}
+
+/** What a home holds on one engine, and why the engine takes or refuses work. */
+export interface EngineDescription {
+  readonly name: string;
+  readonly dataCentre: string;
+  readonly health: engines.EngineHealth;
+  readonly takesWork: boolean;
+  readonly reason: string;
+  readonly capacityTokens: number;
+  readonly usedTokens: number;
+  readonly reservedTokens: number;
+  readonly stepTimeMs: number;
+  readonly running: readonly EngineRunDescription[];
+}
+
+/** One request that waits at this VM, and what for. */
+export interface WaitingDescription {
+  readonly requestId: string;
+  readonly entryName: string;
+  readonly class: catalogue.RequestClass;
+  readonly accountName: string;
+  readonly waitedMs: number;
+  readonly deadlineInMs: number;
+  readonly reason: string;
+}
--- a/src/http/adminTypes.ts
+++ b/src/http/adminTypes.ts
@@ -3,6 +3,7 @@
 import type * as stepError from "../_lib/stepError/index.js";
 import type * as catalogue from "../catalogue/types.js";
 import type * as fleet from "../fleet/types.js";
+import type * as generations from "../generations/types.js";
 import type * as telemetry from "../telemetry/types.js";
 
 /** One VM's account of itself. */
@@ -41,44 +42,17 @@
   readonly state: string;
   readonly usedRatio: number | null;
   readonly runningCount: number | null;
-  readonly waitingCount: number | null;
   readonly detail: string;
 }
 
-/** One group of requests that wait. */
-export interface QueueDescription {
+/** A request that waits, and the VM at which it does. */
+export interface QueueDescription extends generations.WaitingDescription {
   readonly vm: string;
-  readonly requestId: string;
-  readonly entryName: string;
-  readonly class: string;
-  readonly accountName: string;
-  readonly waitedMs: number;
-  readonly deadlineInMs: number;
-  readonly reason: string;
 }
 
 /** What an engine holds and why it takes or refuses work. */
-export interface EngineExplanation {
-  readonly name: string;
+export interface EngineExplanation extends generations.EngineDescription {
   readonly home: string;
-  readonly health: string;
-  readonly takesWork: boolean;
-  readonly reason: string;
-  readonly capacityTokens: number;
-  readonly usedTokens: number;
-  readonly reservedTokens: number;
-  readonly stepTimeMs: number;
-  readonly safetyFactor: number | null;
-  readonly running: readonly EngineRun[];
-}
-
-/** One generation on an engine. */
-export interface EngineRun {
-  readonly requestId: string;
-  readonly entryName: string;
-  readonly contextTokens: number;
-  readonly producedTokens: number;
-  readonly expectedRemainingTokens: number | null;
 }
 
 /** A change as an operator sends it; the server adds the operator's name. */
@@ -96,16 +70,11 @@
   readonly atWallMs: number;
   readonly operator: string;
   readonly changeId: string;
-  readonly outcome: string;
+  /** The revision that the change built on; null for a new item. */
+  readonly baseRevision: number | null;
   readonly item: catalogue.CatalogueItem | null;
 }
 
-/** A page of an item's history; older changes may have left the log. */
-export interface ItemHistory {
-  readonly lines: readonly HistoryLine[];
-  readonly firstOffset: number;
-}
-
 /** Result of an operation for operators. */
 export type AdminResult<T> = Promise<neverthrow.Result<T, stepError.StepError>>;
 
@@ -120,5 +89,5 @@
   gatherBurn(): AdminResult<Gathered<readonly telemetry.BurnSeries[]>>;
   listItems(): readonly catalogue.RevisedItem[];
   proposeChange(change: ProposedChange, operator: string): AdminResult<AcceptedChange>;
-  readHistory(kind: catalogue.ItemKind, name: string): AdminResult<ItemHistory>;
+  readHistory(kind: catalogue.ItemKind, name: string): AdminResult<readonly HistoryLine[]>;
 }
