--- /dev/null
+++ b/experiments/planRequests/index.ts
@@ -0,0 +1,81 @@
+import * as randoms from "../../src/_lib/random/index.js";
+import * as capacities from "../requestsPerSecondAtCapacity/index.js";
+import * as draws from "../_lib/draws/index.js";
+import type * as types from "../types.js";
+
+/** Spread of the logarithm of the time between arrivals; 1 gives bursts and pauses. */
+const ARRIVAL_SPREAD = 1;
+
+/** Requests drawn to learn the mean demand of a workload. */
+const DEMAND_SAMPLE_COUNT = 40_000;
+
+type DrawnRequest = Omit<types.PlannedRequest, "requestId" | "atMs">;
+
+/**
+ * The requests of a run; equal arguments give equal requests.
+ *
+ * @param load - mean arrival rate relative to what the engines could serve
+ * @returns requests by time of arrival
+ */
+export function planRequests(
+  experiment: types.Experiment,
+  seed: number,
+  load: number,
+): readonly types.PlannedRequest[] {
+  const random = randoms.createRandom(seed);
+  const requestsPerSecond = load * capacityOf(experiment.workload);
+  const meanGapMs = 1_000 / requestsPerSecond;
+  const medianGapMs = meanGapMs / Math.exp(ARRIVAL_SPREAD ** 2 / 2);
+  const gaps = random.fork();
+  const requests: types.PlannedRequest[] = [];
+  let atMs = 0;
+  for (;;) {
+    const progress = atMs / experiment.durationMs;
+    const gapMs = draws.drawLognormal(gaps, medianGapMs, ARRIVAL_SPREAD);
+    atMs += gapMs / experiment.rateAt(progress);
+    if (atMs >= experiment.durationMs) return requests;
+    const lengthFactor = experiment.lengthFactorAt(progress);
+    const drawn = drawRequest(experiment.workload, random, lengthFactor);
+    requests.push({ ...drawn, requestId: `r${requests.length}`, atMs });
+  }
+}
+
+/** Requests per second of the whole mix at which the first group of engines is full. */
+function capacityOf(workload: types.Workload): number {
+  const random = randoms.createRandom(1);
+  const sample = Array.from({ length: DEMAND_SAMPLE_COUNT }, (_, index) => ({
+    ...drawRequest(workload, random, 1),
+    requestId: `s${index}`,
+    atMs: 0,
+  }));
+  const rates = workload.groups.map((group) => {
+    const served = sample.filter((request) => request.entry.model === group.model);
+    const rate = capacities.requestsPerSecondAtCapacity(group, capacities.meanDemandOf(served));
+    return (rate * sample.length) / Math.max(1, served.length);
+  });
+  return Math.min(...rates);
+}
+
+function drawRequest(
+  workload: types.Workload,
+  random: randoms.RandomSource,
+  lengthFactor: number,
+): DrawnRequest {
+  const entry = draws.drawWeighted(random, workload.entries, (item) => item.ratio);
+  const accounts = [...workload.accountWeights.keys()];
+  const account = draws.drawWeighted(
+    random,
+    accounts,
+    (index) => workload.accountWeights[index] ?? 0,
+  );
+  const maxTokens = draws.drawWeighted(random, entry.declaredMaxTokens, () => 1);
+  const outputTokens = Math.round(draws.drawTokens(random, entry.output) * lengthFactor);
+  return {
+    entry,
+    accountName: `account-${account}`,
+    vmIndex: Math.floor(random.next() * workload.vmsCount),
+    promptTokens: draws.drawTokens(random, entry.prompt),
+    maxTokens,
+    trueTokens: Math.max(1, Math.min(maxTokens, outputTokens)),
+  };
+}
--- a/src/engines/_lib/runningTable/index.ts
+++ b/src/engines/_lib/runningTable/index.ts
@@ -37,7 +37,7 @@
     return [...this.records.values()];
   }
 
-  add(need: types.GenerationNeed, nowMs: number, suspensionsCount: number): void {
+  add(need: types.GenerationNeed, nowMs: number): void {
     this.remove(need.requestId);
     const record: RunningRecord = {
       need,
@@ -45,7 +45,7 @@
       contextTokens: need.promptTokens + need.producedTokens,
       producedTokens: need.producedTokens,
       lastTokenAtMs: nowMs,
-      suspensionsCount,
+      suspensionsCount: need.suspensionsCount ?? 0,
       forecastAtTokens: need.producedTokens,
       share: forecasts.createMemoryShare(),
       pendingPrefillTokens: need.promptTokens,
--- a/src/engines/_lib/waitingLane/index.ts
+++ b/src/engines/_lib/waitingLane/index.ts
@@ -3,7 +3,8 @@
 
 /** Waiting requests of one account, and how much service the account had in this lane. */
 interface AccountQueue {
-  readonly waiting: Map<string, types.GenerationNeed>;
+  /** In the order in which they are served. */
+  readonly waiting: types.GenerationNeed[];
   servedTokens: number;
 }
 
@@ -12,7 +13,7 @@
   count = 0;
   readonly target: Pick<types.GenerationNeed, "model" | "version" | "adapter">;
   private readonly accounts = new Map<string, AccountQueue>();
-  private readonly accountOf = new Map<string, AccountQueue>();
+  private readonly needs = new Map<string, types.GenerationNeed>();
   /** Service that an account starts with when it comes back, so that idle time earns no credit. */
   private floorTokens = 0;
 
@@ -24,45 +25,40 @@
   }
 
   push(need: types.GenerationNeed): void {
-    const account = this.accountFor(need.accountName);
-    account.waiting.set(need.requestId, need);
-    this.accountOf.set(need.requestId, account);
+    const { waiting } = this.accountFor(need.accountName);
+    waiting.splice(positionOf(waiting, need), 0, need);
+    this.needs.set(need.requestId, need);
     this.count += 1;
   }
 
   remove(requestId: string): types.GenerationNeed | null {
-    const account = this.accountOf.get(requestId);
-    const need = account?.waiting.get(requestId);
-    if (account === undefined || need === undefined) return null;
-    account.waiting.delete(requestId);
-    this.accountOf.delete(requestId);
+    const need = this.needs.get(requestId);
+    const account = need === undefined ? undefined : this.accounts.get(need.accountName);
+    if (need === undefined || account === undefined) return null;
+    account.waiting.splice(account.waiting.indexOf(need, positionOf(account.waiting, need)), 1);
+    this.needs.delete(requestId);
     this.count -= 1;
     this.forgetIdleAccounts();
     return need;
   }
 
-  /** Rank of the lane's oldest request: its class, made more urgent by waiting. */
+  /** Rank of the lane's longest waiting request: its class, made more urgent by waiting. */
   rank(nowMs: number): number {
     if (this.basePriority === 0) return 0;
-    let oldestAtMs = Infinity;
-    for (const account of this.accounts.values()) {
-      const oldest = account.waiting.values().next().value;
-      if (oldest !== undefined) oldestAtMs = Math.min(oldestAtMs, oldest.acceptedAtMs);
-    }
-    const waitedMs = Math.max(0, nowMs - oldestAtMs);
-    return Math.max(0.5, this.basePriority - waitedMs / constants.AGEING_MS);
+    const oldest = this.needs.values().next().value;
+    const waitedMs = oldest === undefined ? 0 : Math.max(0, nowMs - oldest.acceptedAtMs);
+    return Math.max(constants.MOST_AGED_RANK, this.basePriority - waitedMs / constants.AGEING_MS);
   }
 
   /** The request whose turn it is, whether it fits anywhere or not. */
   first(): types.GenerationNeed | null {
-    const account = this.accountsByService()[0];
-    return account === undefined ? null : (byDeadline(account)[0] ?? null);
+    return this.accountsByService()[0]?.waiting[0] ?? null;
   }
 
   /** The request whose turn it is among those that the engine accepts. */
   next(room: types.EngineRoom): types.GenerationNeed | null {
     for (const account of this.accountsByService()) {
-      const inTurn = byDeadline(account).slice(0, constants.MAX_OFFER_SCAN_COUNT);
+      const inTurn = account.waiting.slice(0, constants.MAX_OFFER_SCAN_COUNT);
       for (const need of inTurn) if (room.accepts(need)) return need;
     }
     return null;
@@ -77,43 +73,54 @@
   }
 
   expired(nowMs: number): readonly types.GenerationNeed[] {
-    return [...this.accounts.values()].flatMap((account) =>
-      [...account.waiting.values()].filter(
-        (need) => need.producedTokens === 0 && need.deadlineAtMs <= nowMs,
-      ),
-    );
+    const isExpired = (need: types.GenerationNeed): boolean =>
+      need.producedTokens === 0 && need.deadlineAtMs <= nowMs;
+    return [...this.needs.values()].filter(isExpired);
   }
 
   private forgetIdleAccounts(): void {
     if (this.accounts.size <= constants.MAX_REMEMBERED_ACCOUNTS) return;
     for (const [name, account] of this.accounts) {
-      if (account.waiting.size === 0) this.accounts.delete(name);
+      if (account.waiting.length === 0) this.accounts.delete(name);
     }
   }
 
   private accountFor(accountName: string): AccountQueue {
     const known = this.accounts.get(accountName);
-    if (known !== undefined) {
-      if (known.waiting.size > 0) return known;
-      known.servedTokens = Math.max(known.servedTokens, this.floorTokens);
-      return known;
+    if (known === undefined) {
+      const created = { waiting: [], servedTokens: this.floorTokens };
+      this.accounts.set(accountName, created);
+      return created;
     }
-    const created = { waiting: new Map(), servedTokens: this.floorTokens };
-    this.accounts.set(accountName, created);
-    return created;
+    if (known.waiting.length > 0) return known;
+    known.servedTokens = Math.max(known.servedTokens, this.floorTokens);
+    return known;
   }
 
   private accountsByService(): readonly AccountQueue[] {
-    const waiting = [...this.accounts.values()].filter((account) => account.waiting.size > 0);
+    const waiting = [...this.accounts.values()].filter((account) => account.waiting.length > 0);
     return waiting.sort((left, right) => left.servedTokens - right.servedTokens);
   }
 }
 
-/** Work that has started goes first, then the earliest deadline. */
-function byDeadline(account: AccountQueue): readonly types.GenerationNeed[] {
-  return [...account.waiting.values()].sort(
-    (left, right) =>
-      Number(right.producedTokens > 0) - Number(left.producedTokens > 0) ||
-      left.deadlineAtMs - right.deadlineAtMs,
+/** Where a request stands, or would stand before others of the same urgency. */
+function positionOf(waiting: readonly types.GenerationNeed[], need: types.GenerationNeed): number {
+  let low = 0;
+  let high = waiting.length;
+  while (low < high) {
+    const middle = (low + high) >> 1;
+    const other = waiting[middle];
+    if (other !== undefined && compareUrgency(other, need) < 0) low = middle + 1;
+    else high = middle;
+  }
+  return low;
+}
+
+/** Work that has started goes first, then the earliest deadline, then the first accepted. */
+function compareUrgency(left: types.GenerationNeed, right: types.GenerationNeed): number {
+  return (
+    Number(right.producedTokens > 0) - Number(left.producedTokens > 0) ||
+    left.deadlineAtMs - right.deadlineAtMs ||
+    left.acceptedAtMs - right.acceptedAtMs
   );
 }
--- a/src/engines/constants.ts
+++ b/src/engines/constants.ts
@@ -13,6 +13,9 @@
 /** Weight, in observations, of the assumption that every order of magnitude is as likely. */
 export const IGNORANCE_WEIGHT_COUNT = 2;
 
+/** A curve is rebuilt once it lacks more than this share of the observations. */
+export const CURVE_TOLERANCE_RATIO = 0.02;
+
 /** Accounts per learner whose own lengths are kept. */
 export const MAX_ACCOUNT_HISTOGRAMS = 4_096;
 
@@ -58,6 +61,9 @@
 /** Waiting time after which work counts as one class more urgent. */
 export const AGEING_MS = 60_000;
 
+/** Rank that waiting alone can reach; interactive work keeps the rank before it. */
+export const MOST_AGED_RANK = 0.5;
+
 /** Requests of one account and class that are looked at for one offer of room. */
 export const MAX_OFFER_SCAN_COUNT = 8;
 
--- a/src/engines/engineScheduler/index.ts
+++ b/src/engines/engineScheduler/index.ts
@@ -31,7 +31,6 @@
   private readonly margin = new safetyMargins.SafetyMargin();
   private readonly steps = new stepTimes.StepTimes();
   private readonly candidate = forecasts.createMemoryShare();
-  private readonly suspensionCounts = new Map<string, number>();
   private report: backends.EngineLoadReport | null = null;
   private foreignTokens = 0;
   private reportedAtMs = 0;
@@ -54,7 +53,7 @@
   }
 
   onStarted(need: types.GenerationNeed, nowMs: number): void {
-    this.table.add(need, nowMs, this.suspensionCounts.get(need.requestId) ?? 0);
+    this.table.add(need, nowMs);
   }
 
   onProgress(requestId: string, producedTokens: number, nowMs: number): void {
@@ -64,7 +63,6 @@
   onEnded(requestId: string, nowMs: number, isWhole: boolean): void {
     const record = this.table.remove(requestId);
     if (record === undefined || !isWhole) return;
-    this.suspensionCounts.delete(requestId);
     this.options.lengths.observe(record.need, record.producedTokens);
     const hasWorkWaited = nowMs - this.waitedAtMs < constants.WAITING_MEMORY_MS;
     if (hasWorkWaited) this.margin.onEndedWhileWorkWaited();
@@ -86,7 +84,6 @@
     const excessTokens = this.usedTokens() + growthTokens - limitTokens;
     if (excessTokens <= 0) return [];
     const chosen = victims.selectVictims(this.table.list(), excessTokens);
-    for (const requestId of chosen) this.countSuspension(requestId);
     this.margin.onInterruptions(chosen.length);
     this.waitedAtMs = nowMs;
     return chosen;
@@ -213,10 +210,6 @@
     return tokens;
   }
 
-  private countSuspension(requestId: string): void {
-    this.suspensionCounts.set(requestId, (this.suspensionCounts.get(requestId) ?? 0) + 1);
-  }
-
   private health(): types.EngineHealth {
     const isLeaving = this.report !== null && this.report.leavingInMs !== null;
     return isLeaving ? types.EngineHealth.Leaving : types.EngineHealth.Live;
--- a/src/engines/lengthLearner/index.ts
+++ b/src/engines/lengthLearner/index.ts
@@ -23,6 +23,8 @@
 export class LengthLearner implements types.LengthEstimator {
   private readonly shared = new Map<string, LearnedLengths>();
   private readonly accounts = new Map<string, LearnedLengths>();
+  /** Observations that other VMs were not told of yet. */
+  private untold = new Map<string, histograms.LengthHistogram>();
 
   distributionFor(need: types.GenerationNeed): types.LengthDistribution {
     return curveOf(this.accountLengths(need));
@@ -33,18 +35,27 @@
     for (let item: LearnedLengths | null = account; item !== null; item = item.parent) {
       item.histogram.observe(totalTokens);
     }
+    this.untoldLengths(entryKeyOf(need)).observe(totalTokens);
+    this.untoldLengths(JSON.stringify([need.model])).observe(totalTokens);
   }
 
-  /** The histograms of entries and models, for other VMs. */
+  /** What this VM itself observed since the last call, for other VMs to merge. */
+  takeObservations(): LengthSnapshots {
+    const items = [...this.untold].map(([key, item]) => [key, item.snapshot()] as const);
+    this.untold = new Map();
+    return Object.fromEntries(items);
+  }
+
+  /** All that is known of entries and models, for a VM that has just started. */
   snapshots(): LengthSnapshots {
     const items = [...this.shared].map(([key, item]) => [key, item.histogram.snapshot()] as const);
     return Object.fromEntries(items);
   }
 
   /**
-   * Takes in what another VM observed since it last told.
+   * Takes in what another VM observed.
    *
-   * @param snapshots - by key, as the other VM's `snapshots` gave them
+   * @param snapshots - by key, each observation in one of them only
    * @param ratio - share of their weight that counts
    */
   merge(snapshots: LengthSnapshots, ratio = 1): void {
@@ -54,7 +65,7 @@
   }
 
   private accountLengths(need: types.GenerationNeed): LearnedLengths {
-    const entryKey = JSON.stringify([need.model, need.entryName]);
+    const entryKey = entryKeyOf(need);
     const key = `${entryKey}${need.accountName}`;
     const known = this.accounts.get(key);
     if (known !== undefined) return known;
@@ -67,6 +78,14 @@
     return created;
   }
 
+  private untoldLengths(key: string): histograms.LengthHistogram {
+    const known = this.untold.get(key);
+    if (known !== undefined) return known;
+    const created = new histograms.LengthHistogram();
+    this.untold.set(key, created);
+    return created;
+  }
+
   private sharedLengths(key: string, parentKey: string | null): LearnedLengths {
     const known = this.shared.get(key);
     if (known !== undefined) return known;
@@ -77,6 +96,10 @@
   }
 }
 
+function entryKeyOf(need: types.GenerationNeed): string {
+  return JSON.stringify([need.model, need.entryName]);
+}
+
 function parentKeyOf(key: string): string | null {
   const parts = JSON.parse(key) as string[];
   return parts.length > 1 ? JSON.stringify(parts.slice(0, 1)) : null;
@@ -94,7 +117,8 @@
 
 function curveOf(lengths: LearnedLengths): curves.LengthCurve {
   const revision = revisionOf(lengths);
-  if (lengths.curve !== null && lengths.builtRevision === revision) return lengths.curve;
+  const tolerance = lengths.histogram.observationsCount * constants.CURVE_TOLERANCE_RATIO;
+  if (lengths.curve !== null && revision - lengths.builtRevision <= tolerance) return lengths.curve;
   mixWeights(lengths);
   lengths.curve = new curves.LengthCurve(lengths.mixedWeights);
   lengths.builtRevision = revision;
--- a/src/engines/types.ts
+++ b/src/engines/types.ts
@@ -15,6 +15,8 @@
   readonly prefixHashes: readonly string[];
   /** Tokens already produced, where the work was suspended or moved. */
   readonly producedTokens: number;
+  /** How often it was suspended before, at any engine; none where left out. */
+  readonly suspensionsCount?: number;
   readonly maxTokens: number;
   readonly acceptedAtMs: number;
   readonly deadlineAtMs: number;
--- a/standins/engine/model/index.ts
+++ b/standins/engine/model/index.ts
@@ -243,8 +243,8 @@
   }
 
   private hashesOf(request: backends.EngineRequest, producedTokens: number): readonly string[] {
-    const mark = tokenTexts.samplingMark(request);
     const words = request.prompt.split(" ");
+    const mark = producedTokens > 0 ? tokenTexts.samplingMark(request) : "";
     for (let offset = 0; offset < producedTokens; offset += 1) {
       words.push(tokenTexts.tokenText(mark, offset));
     }
