Test once-only calls under each fault alone

Dead and paused VMs, lost answers of the log and of the service, the caller's own retries at several VMs, a log outage and a parted data centre; a fake service counts executions by key.

--- a/src/_lib/tokens/index.ts
+++ b/src/_lib/tokens/index.ts
@@ -14,7 +14,6 @@
   peerNetwork: Symbol("peer-network"),
   fleetView: Symbol("fleet-view"),
   catalogueView: Symbol("catalogue-view"),
-  appendBudget: Symbol("append-budget"),
   replicationOptions: Symbol("replication-options"),
   accountLimiter: Symbol("account-limiter"),
   generationService: Symbol("generation-service"),
--- a/src/calls/_lib/callErrors/index.ts
+++ b/src/calls/_lib/callErrors/index.ts
@@ -26,6 +26,12 @@
   return refuse(stepError.ErrorCode.NoBackend, "call.choose", message, { retryAfterMs });
 }
 
+/** Refuses a call whose deadline passed before anything was sent. */
+export function refuseLate(): CallResult {
+  const message = "the deadline passed before the call could be dispatched";
+  return refuse(stepError.ErrorCode.DeadlineExceeded, "call.dispatch", message);
+}
+
 /** Refuses a call of which nothing was or will be run. */
 export function refuse(
   code: stepError.ErrorCode,
--- a/src/calls/_lib/dispatchOnce/index.ts
+++ b/src/calls/_lib/dispatchOnce/index.ts
@@ -41,8 +41,10 @@
   const triedNames = new Set<string>();
   let refusal = callErrors.refuseWithoutBackend(request.entry.service);
   while (triedNames.size < constants.MAX_UNSENT_OFFERS) {
-    const timeoutMs = deadlineAtMs - dependencies.clock.nowMs();
-    const server = timeoutMs > 0 ? dependencies.pool.take(request.entry.service, triedNames) : null;
+    const remainingMs = deadlineAtMs - dependencies.clock.nowMs();
+    if (remainingMs <= 0) return { kind: DispatchKind.NotSent, result: callErrors.refuseLate() };
+    const timeoutMs = dispatchLimitMs(request, remainingMs);
+    const server = dependencies.pool.take(request.entry.service, triedNames);
     if (server === null) break;
     triedNames.add(server.backend.name);
     const result = await send(dependencies, server, request, key, timeoutMs);
@@ -54,6 +56,12 @@
   return { kind: DispatchKind.NotSent, result: refusal };
 }
 
+/** Leaves time for status lookups where the entry names one. */
+function dispatchLimitMs(request: types.CallRequest, remainingMs: number): number {
+  const hasLookup = request.entry.statusPath !== undefined;
+  return hasLookup ? remainingMs * (1 - constants.STATUS_TIME_SHARE) : remainingMs;
+}
+
 function send(
   dependencies: DispatchDependencies,
   server: serverPool.TakenServer,
--- a/src/calls/_lib/onceOnlyCaller/index.ts
+++ b/src/calls/_lib/onceOnlyCaller/index.ts
@@ -102,7 +102,7 @@
   private async claimAndDispatch(call: KeyedCall): Promise<callErrors.CallResult | null> {
     const { ledger, fleetView } = this.dependencies;
     const { keyId, bodyHash, keyTimeMs, deadlineAtMs } = call;
-    if (this.remainingMs(call) <= 0) return refuseLate();
+    if (this.remainingMs(call) <= 0) return callErrors.refuseLate();
     const intent: types.IntentRecord = {
       type: "intent",
       keyId,
@@ -269,8 +269,3 @@
   const code = stepError.ErrorCode.PlatformUnavailable;
   return callErrors.refuse(code, "call.claim", message, { peer: "log", retryAfterMs });
 }
-
-function refuseLate(): callErrors.CallResult {
-  const message = "the deadline passed before the call could be dispatched";
-  return callErrors.refuse(stepError.ErrorCode.DeadlineExceeded, "call.claim", message);
-}
--- a/src/calls/calls/index.ts
+++ b/src/calls/calls/index.ts
@@ -79,7 +79,7 @@
 
   async call(request: types.CallRequest): Promise<callErrors.CallResult> {
     const remainingMs = request.deadlineAtWallMs - this.clock.wallTimeMs();
-    if (remainingMs <= 0) return refuseLate();
+    if (remainingMs <= 0) return callErrors.refuseLate();
     const startedAtMs = this.clock.nowMs();
     const result = await this.route(request, startedAtMs + remainingMs);
     this.metrics.increment("calls.finished", 1, {
@@ -145,11 +145,6 @@
   return counts;
 }
 
-function refuseLate(): callErrors.CallResult {
-  const code = stepError.ErrorCode.DeadlineExceeded;
-  return callErrors.refuse(code, "call.accept", "the deadline has passed");
-}
-
 function refuseKey(message: string): callErrors.CallResult {
   return callErrors.refuse(stepError.ErrorCode.InvalidRequest, "call.key", message);
 }
--- /dev/null
+++ b/src/calls/calls/test.ts
@@ -0,0 +1,180 @@
+import tap from "tap";
+
+import * as callsFleet from "../../../standins/calls/index.js";
+import * as logModel from "../../../standins/log/model/index.js";
+import * as serviceClients from "../../../standins/service/clients/index.js";
+import * as catalogue from "../../catalogue/index.js";
+import * as fleet from "../../fleet/types.js";
+
+const { summarise } = callsFleet;
+const { ServiceFault } = serviceClients;
+
+async function startFleet(...dataCentres: string[]): Promise<callsFleet.CallsFleet> {
+  const rig = new callsFleet.CallsFleet();
+  for (const [index, dataCentre] of dataCentres.entries()) rig.start(`vm-${index}`, dataCentre);
+  await rig.clock.runForMs(1_000);
+  return rig;
+}
+
+tap.test("a second call with the key gets the first one's answer at another VM", async (t) => {
+  const rig = await startFleet("dc-a", "dc-b");
+  const [left, right] = rig.vms;
+  const first = await rig.settle(left!.calls.call(rig.request("key-1")));
+  const second = await rig.settle(right!.calls.call(rig.request("key-1")));
+  t.equal(summarise(first), "execution key-1");
+  t.equal(summarise(second), "execution key-1");
+  t.equal(rig.service.executionsByKey.get("key-1"), 1);
+  await rig[Symbol.asyncDispose]();
+});
+
+tap.test("retries of the caller at all VMs at once run once and get one answer", async (t) => {
+  const rig = await startFleet("dc-a", "dc-a", "dc-b", "dc-b");
+  rig.service.latencyMs = 700;
+  const work = rig.vms.map((vm) => vm.calls.call(rig.request("key-1")));
+  const results = await rig.settle(Promise.all(work));
+  t.same(new Set(results.map(summarise)), new Set(["execution key-1"]));
+  t.equal(rig.service.executionsByKey.get("key-1"), 1);
+  await rig[Symbol.asyncDispose]();
+});
+
+tap.test("the same key with another body is refused as not run", async (t) => {
+  const rig = await startFleet("dc-a");
+  await rig.settle(rig.vms[0]!.calls.call(rig.request("key-1", "one")));
+  const other = await rig.settle(rig.vms[0]!.calls.call(rig.request("key-1", "two")));
+  t.equal(summarise(other), "not-run");
+  t.equal(rig.service.executionsByKey.get("key-1"), 1);
+  await rig[Symbol.asyncDispose]();
+});
+
+tap.test("a lost append answer is settled by reading and the call runs once", async (t) => {
+  const rig = await startFleet("dc-a");
+  rig.log.inject(logModel.LogFault.LostAnswer);
+  const result = await rig.settle(rig.vms[0]!.calls.call(rig.request("key-1")));
+  rig.log.heal(logModel.LogFault.LostAnswer);
+  t.equal(summarise(result), "execution key-1");
+  t.equal(rig.service.executionsByKey.get("key-1"), 1);
+  await rig[Symbol.asyncDispose]();
+});
+
+tap.test("a lost answer of the service leaves the key open and never runs it again", async (t) => {
+  const rig = await startFleet("dc-a", "dc-b");
+  rig.service.fault = ServiceFault.LostAnswer;
+  const first = await rig.settle(rig.vms[0]!.calls.call(rig.request("key-1")));
+  rig.service.fault = ServiceFault.None;
+  const second = await rig.settle(rig.vms[1]!.calls.call(rig.request("key-1")));
+  t.equal(summarise(first), "unknown");
+  t.equal(summarise(second), "unknown");
+  t.equal(rig.service.executionsByKey.get("key-1"), 1);
+  await rig[Symbol.asyncDispose]();
+});
+
+tap.test("a silent service's outcome is settled by its status lookup", async (t) => {
+  const rig = await startFleet("dc-a");
+  rig.service.fault = ServiceFault.Silent;
+  const request = rig.request("key-1", "body", { statusPath: "/status/{key}" });
+  const result = await rig.settle(rig.vms[0]!.calls.call(request));
+  t.equal(summarise(result), "execution key-1");
+  t.equal(rig.service.executionsByKey.get("key-1"), 1);
+  await rig[Symbol.asyncDispose]();
+});
+
+tap.test("a key of a dead VM is settled by the status lookup, and is open without", async (t) => {
+  const rig = await startFleet("dc-a", "dc-b");
+  rig.service.fault = ServiceFault.Silent;
+  void rig.vms[0]!.calls.call(rig.request("key-1", "body", {}, 600_000));
+  await rig.clock.runForMs(500);
+  rig.hub.kill("vm-0");
+  rig.fleet.setState("vm-0", fleet.MemberState.Dead);
+  rig.service.fault = ServiceFault.None;
+  const plain = await rig.settle(rig.vms[1]!.calls.call(rig.request("key-1")));
+  const looked = rig.request("key-1", "body", { statusPath: "/status/{key}" });
+  const settled = await rig.settle(rig.vms[1]!.calls.call(looked));
+  t.equal(summarise(plain), "unknown");
+  t.equal(summarise(settled), "execution key-1");
+  t.equal(rig.service.executionsByKey.get("key-1"), 1);
+});
+
+tap.test(
+  "a VM paused between intent and dispatch past its deadline never runs the call",
+  async (t) => {
+    const rig = await startFleet("dc-a", "dc-b");
+    const [left, right] = rig.vms;
+    let resume: () => void = () => undefined;
+    const paused = new Promise<void>((resolve) => (resume = resolve));
+    left!.log.beforeAppend = () => paused;
+    const late = left!.calls.call(rig.request("key-1", "body", {}, 1_000));
+    await rig.clock.runForMs(30_000);
+    const other = await rig.settle(right!.calls.call(rig.request("key-1")));
+    resume();
+    left!.log.beforeAppend = () => Promise.resolve();
+    t.equal(summarise(await rig.settle(late)), "not-run");
+    t.equal(summarise(other), "execution key-1");
+    t.equal(rig.service.executionsByKey.get("key-1"), 1);
+    await rig[Symbol.asyncDispose]();
+  },
+);
+
+tap.test("an unreachable service frees the key for the next call", async (t) => {
+  const rig = await startFleet("dc-a", "dc-b");
+  rig.service.fault = ServiceFault.Unreachable;
+  const refused = await rig.settle(rig.vms[0]!.calls.call(rig.request("key-1")));
+  rig.service.fault = ServiceFault.None;
+  const next = await rig.settle(rig.vms[1]!.calls.call(rig.request("key-1")));
+  t.equal(summarise(refused), "not-run");
+  t.equal(summarise(next), "execution key-1");
+  await rig[Symbol.asyncDispose]();
+});
+
+tap.test("while the log is down a call waits or is refused, as its entry says", async (t) => {
+  const rig = await startFleet("dc-a");
+  const { calls } = rig.vms[0]!;
+  rig.log.inject(logModel.LogFault.Down);
+  const refuse = { logOutage: catalogue.LogOutagePolicy.Refuse };
+  t.equal(summarise(await rig.settle(calls.call(rig.request("key-1", "b", refuse)))), "not-run");
+  const waiting = calls.call(rig.request("key-2", "b", {}, 20_000));
+  await rig.clock.runForMs(5_000);
+  rig.log.heal(logModel.LogFault.Down);
+  t.equal(summarise(await rig.settle(waiting)), "execution key-2");
+  await rig[Symbol.asyncDispose]();
+});
+
+tap.test("a data centre cut off from the log and the others refuses as not run", async (t) => {
+  const rig = await startFleet("dc-a", "dc-b");
+  const [left, right] = rig.vms;
+  right!.log.isCut = true;
+  rig.hub.cut("vm-0", "vm-1");
+  const [here, there] = await rig.settle(
+    Promise.all([left!.calls.call(rig.request("key-1")), right!.calls.call(rig.request("key-1"))]),
+  );
+  t.equal(summarise(here), "execution key-1");
+  t.equal(summarise(there), "not-run");
+  right!.log.isCut = false;
+  const healed = await rig.settle(right!.calls.call(rig.request("key-1")));
+  t.equal(summarise(healed), "execution key-1");
+  t.equal(rig.service.executionsByKey.get("key-1"), 1);
+  await rig[Symbol.asyncDispose]();
+});
+
+tap.test("a call without a key is dispatched once and needs no log", async (t) => {
+  const rig = await startFleet("dc-a");
+  rig.log.inject(logModel.LogFault.Down);
+  rig.service.fault = ServiceFault.LostAnswer;
+  const request = rig.request(null, "body", { keyRequired: false });
+  t.equal(summarise(await rig.settle(rig.vms[0]!.calls.call(request))), "unknown");
+  t.equal(rig.service.attemptsCount, 1);
+  const required = rig.request(null);
+  t.equal(summarise(await rig.settle(rig.vms[0]!.calls.call(required))), "not-run");
+});
+
+tap.test("intents of many calls share appends", async (t) => {
+  const rig = await startFleet("dc-a");
+  const before = rig.log.appendsCount;
+  const work = Array.from({ length: 500 }, (_, index) =>
+    rig.vms[0]!.calls.call(rig.request(`key-${index}`)),
+  );
+  const results = await rig.settle(Promise.all(work));
+  t.ok(results.every((result) => result.isOk()));
+  t.equal(rig.service.maxExecutions, 1);
+  t.ok(rig.log.appendsCount - before <= 30, `${rig.log.appendsCount - before} appends`);
+  await rig[Symbol.asyncDispose]();
+});
--- a/src/calls/constants.ts
+++ b/src/calls/constants.ts
@@ -118,3 +118,6 @@
 
 /** When a caller may try again after no server took its call. */
 export const BACKEND_RETRY_AFTER_MS = 1_000;
+
+/** Share of the remaining time that is kept for status lookups, where the entry names one. */
+export const STATUS_TIME_SHARE = 0.25;
--- /dev/null
+++ b/standins/calls/index.ts
@@ -0,0 +1,170 @@
+import * as logger from "../../src/_lib/logger/index.js";
+import * as random from "../../src/_lib/random/index.js";
+import * as virtualClock from "../../src/_lib/virtualClock/index.js";
+import type * as backends from "../../src/backends/types.js";
+import * as calls from "../../src/calls/index.js";
+import * as catalogue from "../../src/catalogue/index.js";
+import * as appendBudgets from "../../src/platform/appendBudget/index.js";
+import type * as platform from "../../src/platform/types.js";
+import * as replication from "../../src/replication/index.js";
+import * as catalogueView from "../catalogue/view/index.js";
+import * as fleetModel from "../fleet/model/index.js";
+import * as logModel from "../log/model/index.js";
+import * as hub from "../peers/hub/index.js";
+import * as serviceClients from "../service/clients/index.js";
+import * as counters from "../telemetry/counters/index.js";
+
+/** A VM's log: the shared one, through a link that can be cut or slowed for this VM alone. */
+export class LogLink implements platform.LogService {
+  isCut = false;
+  /** Called before each append, to pause the VM there. */
+  beforeAppend: () => Promise<void> = () => Promise.resolve();
+
+  constructor(
+    private readonly log: logModel.LogModel,
+    private readonly downLog: logModel.LogModel,
+  ) {}
+
+  async append(
+    stream: platform.LogStream,
+    payloads: readonly unknown[],
+  ): ReturnType<platform.LogService["append"]> {
+    await this.beforeAppend();
+    return (this.isCut ? this.downLog : this.log).append(stream, payloads);
+  }
+
+  read(
+    stream: platform.LogStream,
+    fromOffset: number,
+    options?: platform.LogReadOptions,
+  ): ReturnType<platform.LogService["read"]> {
+    return (this.isCut ? this.downLog : this.log).read(stream, fromOffset, options);
+  }
+}
+
+/** One VM that serves calls. */
+export interface CallsVm {
+  readonly name: string;
+  readonly calls: calls.Calls;
+  readonly log: LogLink;
+}
+
+const SERVERS = [
+  ["ledger-a", "dc-a"],
+  ["ledger-b", "dc-b"],
+] as const;
+
+/** Several VMs that serve calls, over one log, one hub and one service, on a virtual clock. */
+export class CallsFleet {
+  readonly clock = new virtualClock.VirtualClock();
+  readonly log = new logModel.LogModel(this.clock, LOG_OPTIONS);
+  readonly hub = new hub.PeerHub(this.clock);
+  readonly fleet = new fleetModel.FleetModel();
+  readonly service = new serviceClients.ServiceClientsModel(this.clock);
+  readonly counters = new counters.CounterModel();
+  readonly catalogue = new catalogueView.FakeCatalogueView(SERVERS.map(serverItem));
+  readonly vms: CallsVm[] = [];
+  private requestsCount = 0;
+  private readonly downLog = new logModel.LogModel(this.clock, LOG_OPTIONS);
+
+  constructor(private readonly seed = 1) {
+    this.downLog.inject(logModel.LogFault.Down);
+  }
+
+  /** Starts a VM. */
+  start(
+    name: string,
+    dataCentre = "dc-a",
+    options: Partial<replication.FollowerOptions> = {},
+  ): CallsVm {
+    this.fleet.add(name, dataCentre);
+    const log = new LogLink(this.log, this.downLog);
+    const service = new calls.Calls(
+      this.clock,
+      random.createRandom(this.seed),
+      logger.SILENT_LOGGER,
+      this.counters,
+      this.counters,
+      log,
+      this.hub.join(name),
+      this.fleet.viewOf(name),
+      this.catalogue,
+      this.service,
+      new appendBudgets.AppendBudget(this.clock, () => Math.max(1, this.vms.length)),
+      { ...replication.DEFAULT_FOLLOWER_OPTIONS, ...options },
+    );
+    service.start();
+    const vm = { name, calls: service, log };
+    this.vms.push(vm);
+    return vm;
+  }
+
+  /** A once-only request; an entry's other fields may be given. */
+  request(
+    key: string | null,
+    body = "body",
+    entry: Partial<catalogue.CallEntry> = {},
+    deadlineMs = 10_000,
+  ): calls.CallRequest {
+    this.requestsCount += 1;
+    return {
+      requestId: `request-${this.requestsCount}`,
+      entry: { ...ENTRY, ...entry },
+      accountName: "account",
+      idempotencyKey: key,
+      contentType: "application/json",
+      body: new TextEncoder().encode(body),
+      deadlineAtWallMs: this.clock.wallTimeMs() + deadlineMs,
+    };
+  }
+
+  /** Runs the clock until the work is done. */
+  async settle<T>(work: Promise<T>, limitMs = 120_000): Promise<T> {
+    const progress = { isDone: false };
+    void work.finally(() => (progress.isDone = true)).catch(() => undefined);
+    for (let ms = 0; ms < limitMs && !progress.isDone; ms += STEP_MS) {
+      await this.clock.runForMs(STEP_MS);
+    }
+    if (!progress.isDone) throw new Error(`not done within ${limitMs} ms`);
+    return work;
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await this.settle(Promise.all(this.vms.map((vm) => vm.calls[Symbol.asyncDispose]())));
+  }
+}
+
+/** An answer's text, or the execution state of its error. */
+export function summarise(result: Awaited<ReturnType<calls.Calls["call"]>>): string {
+  if (result.isErr()) return result.error.execution;
+  return textOf(result.value);
+}
+
+const STEP_MS = 20;
+const LOG_OPTIONS = { ...logModel.DEFAULT_LOG_OPTIONS, retentionMs: 86_400_000 };
+
+const ENTRY: catalogue.CallEntry = {
+  kind: catalogue.ItemKind.Call,
+  name: "register",
+  owner: "owner",
+  class: catalogue.RequestClass.Interactive,
+  service: "ledger",
+  method: "POST",
+  path: "/tags",
+  semantics: catalogue.CallSemantics.OnceOnly,
+  keyRequired: true,
+  keyRetentionMs: 3_600_000,
+  logOutage: catalogue.LogOutagePolicy.Wait,
+  deadlineMs: 10_000,
+  objectives: { targetRatio: 0.95 },
+};
+
+function serverItem([name, dataCentre]: readonly [string, string]): catalogue.ServiceBackend {
+  const kind = catalogue.ItemKind.Service;
+  const state = catalogue.DesiredState.Active;
+  return { kind, name, service: "ledger", dataCentre, url: "http://127.0.0.1:1", state };
+}
+
+function textOf(answer: backends.ServiceAnswer): string {
+  return new TextDecoder().decode(answer.body);
+}
