--- a/src/_lib/tokens/index.ts
+++ b/src/_lib/tokens/index.ts
@@ -24,4 +24,5 @@
   datagramSocket: Symbol("datagram-socket"),
   accountLimitOptions: Symbol("account-limit-options"),
   leaseOptions: Symbol("lease-options"),
+  appendBudget: Symbol("append-budget"),
 } as const;
--- a/src/daemon/createDaemon/test.ts
+++ b/src/daemon/createDaemon/test.ts
@@ -8,6 +8,7 @@
 import * as http from "../../http/index.js";
 import * as settings from "../../settings/index.js";
 import * as engineDefaults from "../../../standins/engine/defaultOptions/index.js";
+import * as freePorts from "../../../standins/freePorts/index.js";
 import * as worlds from "../../../standins/world/index.js";
 import type * as daemons from "../daemon/index.js";
 import * as createDaemon from "./index.js";
@@ -63,9 +64,10 @@
   readonly world: worlds.StandInWorld;
 }
 
-function parseOptions(world: worlds.StandInWorld): settings.Settings {
+async function createOptions(world: worlds.StandInWorld): Promise<settings.Settings> {
+  const [peerPort, heartbeatPort] = await freePorts.findFreePorts(2);
   const text = `
-vm: { name: vm-1, region: riga, dataCentre: riga-a, peerAddress: 127.0.0.1, peerPort: 0, heartbeatPort: 0 }
+vm: { name: vm-1, region: riga, dataCentre: riga-a, peerAddress: 127.0.0.1, peerPort: ${peerPort}, heartbeatPort: ${heartbeatPort} }
 callers: { address: 127.0.0.1, port: 0 }
 admin:
   port: 0
@@ -86,7 +88,7 @@
   );
   await world.start();
   const daemon = store.add(
-    await createDaemon.createDaemon(parseOptions(world), {
+    await createDaemon.createDaemon(await createOptions(world), {
       randomSeed: 1,
       membership: { joinTimeoutMs: 100 },
     }),
@@ -106,9 +108,7 @@
 ---
 { kind: service, name: permits-1, service: permits, dataCentre: riga-a, url: "${service.url}", state: active }
 `;
-  const items = catalogue
-    .parseCatalogueDocument(CATALOGUE_YAML + backendsYaml)
-    ._unsafeUnwrap();
+  const items = catalogue.parseCatalogueDocument(CATALOGUE_YAML + backendsYaml)._unsafeUnwrap();
   for (const item of items) {
     await admin.proposeChange({
       changeId: `change-${item.name}`,
@@ -161,7 +161,10 @@
   t.equal(first.status, 200);
   t.equal(await first.text(), await second.text());
   t.same(
-    setup.world.serviceModel("permits").countRuns().map((run) => run.count),
+    setup.world
+      .serviceModel("permits")
+      .countRuns()
+      .map((run) => run.count),
     [1],
   );
 });
