--- a/src/accounts/types.ts
+++ b/src/accounts/types.ts
@@ -11,6 +11,8 @@
 
 /** Limits per client account as the HTTP port uses them. */
 export interface AccountLimiter {
+  /** Waits until this VM may judge the account, for a short time at most. */
+  prepare(account: catalogue.ClientAccount): Promise<void>;
   admit(account: catalogue.ClientAccount): neverthrow.Result<AccountPermit, stepError.StepError>;
 }
 
--- a/src/generations/selectHome/index.ts
+++ b/src/generations/selectHome/index.ts
@@ -5,7 +5,8 @@
 
 /**
  * The VM that decides about an engine: the live VM of the engine's data centre that rendezvous
- * hashing names, or of any data centre where that one has no live VM.
+ * hashing names, or of any data centre where that one has no live VM. Where no VM at all is live,
+ * one that leaves still finishes what it holds.
  *
  * @param engine - the engine
  * @param members - the fleet as this VM sees it
@@ -17,7 +18,10 @@
   members: readonly fleet.VmMember[],
   isAvoided: (vmName: string) => boolean = () => false,
 ): string | null {
-  const eligible = members.filter((member) => isHomeState(member.state) && !isAvoided(member.name));
+  const reachable = members.filter((member) => !isAvoided(member.name));
+  const live = reachable.filter((member) => isHomeState(member.state));
+  const leaving = reachable.filter((member) => member.state === fleetTypes.MemberState.Leaving);
+  const eligible = live.length > 0 ? live : leaving;
   const local = eligible.filter((member) => member.dataCentre === engine.dataCentre);
   const candidates = local.length > 0 ? local : eligible;
   const names = candidates.map((member) => member.name);
--- a/src/http/_lib/admitCaller.ts
+++ b/src/http/_lib/admitCaller.ts
@@ -19,23 +19,22 @@
 export type FindEntry<Entry> = (state: catalogue.CatalogueState, name: string) => Entry | undefined;
 
 /** Authenticates a caller, finds the entry it names, and takes a place within the account's limits. */
-export function admitCaller<Entry extends { readonly owner: string }>(
+export async function admitCaller<Entry extends { readonly owner: string }>(
   parts: types.CallerServerParts,
   request: hapi.Request,
   entryName: string,
   findEntry: FindEntry<Entry>,
-): neverthrow.Result<AdmittedCaller<Entry>, stepError.StepError> {
+): Promise<neverthrow.Result<AdmittedCaller<Entry>, stepError.StepError>> {
   const { isReady, reason } = parts.readiness();
   if (!isReady) return neverthrow.err(notReady(reason));
   const state = parts.catalogue.current();
-  return authentication
-    .authenticateAccount(request, state)
-    .andThen((account) =>
-      findUsableEntry(state, account, entryName, findEntry).map((entry) => ({ account, entry })),
-    )
-    .andThen(({ account, entry }) =>
-      parts.limiter.admit(account).map((permit) => ({ account, entry, permit })),
-    );
+  const account = authentication.authenticateAccount(request, state);
+  if (account.isErr()) return neverthrow.err(account.error);
+  const entry = findUsableEntry(state, account.value, entryName, findEntry);
+  if (entry.isErr()) return neverthrow.err(entry.error);
+  await parts.limiter.prepare(account.value);
+  const permit = parts.limiter.admit(account.value);
+  return permit.map((value) => ({ account: account.value, entry: entry.value, permit: value }));
 }
 
 function findUsableEntry<Entry extends { readonly owner: string }>(
--- a/src/http/_lib/callRoute.ts
+++ b/src/http/_lib/callRoute.ts
@@ -17,7 +17,12 @@
   return async (request, h) => {
     const requestId = parts.createRequestId();
     const entryName = String(request.params.entry);
-    const admitted = admission.admitCaller(parts, request, entryName, catalogue.findCallEntry);
+    const admitted = await admission.admitCaller(
+      parts,
+      request,
+      entryName,
+      catalogue.findCallEntry,
+    );
     if (admitted.isErr()) return hapiServers.sendProblem(h, admitted.error, requestId);
     const { permit } = admitted.value;
     const answer = await callEntry(parts, request, requestId, admitted.value).finally(() =>
--- a/src/http/_lib/completionRoute.ts
+++ b/src/http/_lib/completionRoute.ts
@@ -36,7 +36,7 @@
     const requestId = parts.createRequestId();
     const body = schemas.parseCompletionBody(request.payload as Buffer);
     if (body.isErr()) return hapiServers.sendProblem(h, body.error, requestId);
-    const admitted = admission.admitCaller(
+    const admitted = await admission.admitCaller(
       parts,
       request,
       body.value.model,
