Let tests stand between a daemon and the outside

Cause: scenarios cut a VM's links, hold it up and kill it inside one process. Change: createDaemon takes wrappers for log, list of VMs, engine and service clients, datagrams and the peer directory; without them nothing changes.

--- a/src/daemon/_lib/createContainer.ts
+++ b/src/daemon/_lib/createContainer.ts
@@ -16,6 +16,7 @@
 import * as peers from "../../peers/index.js";
 import * as appendBudgets from "../../platform/appendBudget/index.js";
 import * as platform from "../../platform/index.js";
+import type * as platformTypes from "../../platform/types.js";
 import * as replication from "../../replication/index.js";
 import type * as settings from "../../settings/index.js";
 import * as telemetry from "../../telemetry/index.js";
@@ -24,8 +25,21 @@
 
 const { TOKENS } = tokens;
 
+type Wrapper<Part> = (inner: Part) => Part;
+
+/** What tests put between a VM and the outside, to cut its links or to hold it up. */
+export interface OutsideWrappers {
+  readonly logService: Wrapper<platformTypes.LogService>;
+  readonly vmList: Wrapper<platformTypes.VmList>;
+  readonly engineClients: Wrapper<backends.EngineClients>;
+  readonly serviceClients: Wrapper<backends.ServiceClients>;
+  readonly datagramSocket: Wrapper<fleet.DatagramSocket>;
+  readonly peerDirectory: Wrapper<peers.PeerDirectory>;
+}
+
 /** Parts that tests and experiments replace. */
 export interface DaemonOverrides {
+  readonly wrappers?: OutsideWrappers;
   readonly clock?: clocks.Clock;
   readonly randomSeed?: number;
   readonly membership?: Partial<fleet.MembershipOptions>;
@@ -103,35 +117,40 @@
   return statsd;
 }
 
-function registerOutside({ container, settings: options, store }: ContainerSource): void {
+function registerOutside({
+  container,
+  settings: options,
+  store,
+  overrides,
+}: ContainerSource): void {
+  const { wrappers } = overrides;
   const listed = store.add(container.resolve(platform.HttpVmList));
-  container.registerInstance(
-    TOKENS.vmList,
-    new seededVmLists.SeededVmList(options.fleet.seedPeers, listed),
-  );
-  container.registerInstance(
-    TOKENS.logService,
-    store.add(container.resolve(platform.HttpLogService)),
-  );
+  const vmList = new seededVmLists.SeededVmList(options.fleet.seedPeers, listed);
+  const logService = store.add(container.resolve(platform.HttpLogService));
+  const engineClients = store.add(container.resolve(backends.HttpEngineClients));
+  const serviceClients = store.add(container.resolve(backends.HttpServiceClients));
+  container.registerInstance(TOKENS.vmList, wrap(vmList, wrappers?.vmList));
+  container.registerInstance(TOKENS.logService, wrap(logService, wrappers?.logService));
   container.registerInstance(
     TOKENS.weightStore,
     store.add(container.resolve(platform.HttpWeightStore)),
   );
-  container.registerInstance(
-    TOKENS.engineClients,
-    store.add(container.resolve(backends.HttpEngineClients)),
-  );
-  container.registerInstance(
-    TOKENS.serviceClients,
-    store.add(container.resolve(backends.HttpServiceClients)),
-  );
+  container.registerInstance(TOKENS.engineClients, wrap(engineClients, wrappers?.engineClients));
+  container.registerInstance(TOKENS.serviceClients, wrap(serviceClients, wrappers?.serviceClients));
+}
+
+function wrap<Part>(inner: Part, wrapper: Wrapper<Part> | undefined): Part {
+  return wrapper === undefined ? inner : wrapper(inner);
 }
 
 async function registerPeers(source: ContainerSource): Promise<void> {
   const { container, settings: options, store, overrides } = source;
   const { vm } = options;
   const socket = await fleet.UdpSocket.open(vm.peerAddress, vm.heartbeatPort);
-  container.registerInstance(TOKENS.datagramSocket, store.add(socket));
+  container.registerInstance(
+    TOKENS.datagramSocket,
+    wrap<fleet.DatagramSocket>(store.add(socket), overrides.wrappers?.datagramSocket),
+  );
   container.registerInstance<fleet.MembershipOptions>(TOKENS.membershipOptions, {
     ...fleet.DEFAULT_MEMBERSHIP_OPTIONS,
     listIntervalMs: options.platform.vmListIntervalMs,
@@ -142,9 +161,11 @@
   const membership = store.add(container.resolve(fleet.FleetMembership));
   container.registerInstance(fleet.FleetMembership, membership);
   container.registerInstance(TOKENS.fleetView, membership);
-  container.registerInstance<peers.PeerDirectory>(TOKENS.peerDirectory, {
-    endpointOf: (name) => endpointOf(membership, name),
-  });
+  const directory = { endpointOf: (name: string) => endpointOf(membership, name) };
+  container.registerInstance(
+    TOKENS.peerDirectory,
+    wrap<peers.PeerDirectory>(directory, overrides.wrappers?.peerDirectory),
+  );
   container.registerInstance<peers.PeerOptions>(TOKENS.peerOptions, {
     ...peers.DEFAULT_PEER_OPTIONS,
     vmName: vm.name,
