--- a/experiments/local/exampleCatalogues/test.ts
+++ b/experiments/local/exampleCatalogues/test.ts
@@ -42,4 +42,19 @@
     );
     t.end();
   });
+
+  tap.test(`every entry of ${deployment.name} has an account that may use it`, (t) => {
+    const text = fs.readFileSync(`examples/${deployment.name}/catalogue.yaml`, "utf8");
+    const items = catalogue.parseCatalogueDocument(text)._unsafeUnwrap();
+    const ownersOf = (kinds: readonly catalogueTypes.ItemKind[]): readonly string[] =>
+      items.flatMap((item) => (kinds.includes(item.kind) && "owner" in item ? [item.owner] : []));
+    const accountOwners = ownersOf([catalogueTypes.ItemKind.Account]);
+    const entryOwners = ownersOf([
+      catalogueTypes.ItemKind.Generation,
+      catalogueTypes.ItemKind.Call,
+    ]);
+    t.ok(entryOwners.length > 0);
+    t.ok(entryOwners.every((owner) => accountOwners.includes(owner)));
+    t.end();
+  });
 }
