Add the scenario language

Cause: whole daemons are to be driven through faults by scripts that people can read, and what every party saw is to be kept.

--- /dev/null
+++ b/scenarios/_lib/gatedPlatform/index.ts
@@ -0,0 +1,73 @@
+import * as neverthrow from "neverthrow";
+
+import * as stepError from "../../../src/_lib/stepError/index.js";
+import type * as platform from "../../../src/platform/types.js";
+import * as linkTables from "../linkTable/index.js";
+import type * as vmGates from "../vmGate/index.js";
+
+type Outcome<T> = Promise<neverthrow.Result<T, stepError.StepError>>;
+
+/** How one VM reaches the platform. */
+export interface PlatformLink {
+  readonly self: linkTables.Place;
+  readonly gate: vmGates.VmGate;
+  readonly links: linkTables.LinkTable;
+}
+
+/** The log as one VM reaches it, or does not. */
+export class GatedLogService implements platform.LogService {
+  constructor(
+    private readonly log: platform.LogService,
+    private readonly link: PlatformLink,
+  ) {}
+
+  append(stream: platform.LogStream, payloads: readonly unknown[]): Outcome<number> {
+    return passThrough(this.link, "log.append", () => this.log.append(stream, payloads));
+  }
+
+  read(
+    stream: platform.LogStream,
+    fromOffset: number,
+    options?: platform.LogReadOptions,
+  ): Outcome<platform.LogBatch> {
+    return passThrough(this.link, "log.read", () => this.log.read(stream, fromOffset, options));
+  }
+}
+
+/** The list of VMs as one VM reaches it, or does not. */
+export class GatedVmList implements platform.VmList {
+  constructor(
+    private readonly vmList: platform.VmList,
+    private readonly link: PlatformLink,
+  ) {}
+
+  list(): Outcome<readonly platform.ListedVm[]> {
+    return passThrough(this.link, "vm-list.read", () => this.vmList.list());
+  }
+}
+
+async function passThrough<T>(
+  link: PlatformLink,
+  step: string,
+  work: () => Outcome<T>,
+): Outcome<T> {
+  await link.gate.pass();
+  if (isUnreachable(link)) return neverthrow.err(cutError(step, stepError.ExecutionState.NotRun));
+  const result = await work();
+  await link.gate.pass();
+  if (isUnreachable(link)) return neverthrow.err(cutError(step, stepError.ExecutionState.Unknown));
+  return result;
+}
+
+function isUnreachable({ self, gate, links }: PlatformLink): boolean {
+  return gate.isDead || links.isCut(self, linkTables.PLATFORM);
+}
+
+function cutError(step: string, execution: stepError.ExecutionState): stepError.StepError {
+  return new stepError.StepError("the platform cannot be reached", {
+    code: stepError.ErrorCode.PlatformUnavailable,
+    step,
+    peer: "platform",
+    execution,
+  });
+}
--- /dev/null
+++ b/scenarios/_lib/gatedServices/index.ts
@@ -0,0 +1,42 @@
+import * as neverthrow from "neverthrow";
+
+import * as stepError from "../../../src/_lib/stepError/index.js";
+import type * as backends from "../../../src/backends/types.js";
+import type * as catalogue from "../../../src/catalogue/types.js";
+import type * as gatedPlatform from "../gatedPlatform/index.js";
+
+/** Plain services' clients of one VM, through which nothing passes where it is dead or cut off. */
+export class GatedServiceClients implements backends.ServiceClients {
+  constructor(
+    private readonly inner: backends.ServiceClients,
+    private readonly link: gatedPlatform.PlatformLink,
+  ) {}
+
+  clientFor(backend: catalogue.ServiceBackend): backends.ServiceClient {
+    const inner = this.inner.clientFor(backend);
+    const { gate, links, self } = this.link;
+    const isUnreachable = (): boolean => gate.isDead || links.isCut(self, backend);
+    return {
+      name: inner.name,
+      call: async (request) => {
+        await gate.pass();
+        if (isUnreachable()) {
+          return neverthrow.err(cutError(inner.name, stepError.ExecutionState.NotRun));
+        }
+        const answer = await inner.call(request);
+        await gate.pass();
+        if (!isUnreachable()) return answer;
+        return neverthrow.err(cutError(inner.name, stepError.ExecutionState.Unknown));
+      },
+    };
+  }
+}
+
+function cutError(peer: string, execution: stepError.ExecutionState): stepError.StepError {
+  return new stepError.StepError("the service cannot be reached", {
+    code: stepError.ErrorCode.BackendFailed,
+    step: "service.call",
+    peer,
+    execution,
+  });
+}
--- /dev/null
+++ b/scenarios/_lib/steps/requestSteps.ts
@@ -0,0 +1,84 @@
+import type * as types from "../../types.js";
+import type * as callerSessions from "../callerSession/index.js";
+import type * as scenarioRuns from "../scenarioRun/index.js";
+import * as vmSettings from "../vmSettings.js";
+
+const JSON_HEADERS = { "content-type": "application/json" };
+
+/** Asks for a generation; its answer is taken in while the scenario goes on. */
+export function generate(run: scenarioRuns.ScenarioRun, step: types.StepOf<"generate">): void {
+  const body = {
+    model: step.entry,
+    prompt: `${step.prompt} #tokens=${step.tokens}`,
+    stream: step.stream,
+    ...(step.maxTokens === undefined ? {} : { max_tokens: step.maxTokens }),
+    ...(step.deadlineMs === undefined ? {} : { deadline_ms: step.deadlineMs }),
+  };
+  sendFrom(run, run.addCaller(step.as), step.at, {
+    method: "POST",
+    path: "/v1/completions",
+    headers: { ...JSON_HEADERS, ...keyHeader(step.account) },
+    body: JSON.stringify(body),
+  });
+}
+
+/** Takes an answer up again after the last token that its caller has. */
+export function reattach(run: scenarioRuns.ScenarioRun, step: types.StepOf<"reattach">): void {
+  const caller = run.caller(step.as);
+  const { requestId, lastEventId, lastHeaders } = caller;
+  if (requestId === null) throw new Error(`${step.as} has no request id yet`);
+  const { authorization = "" } = lastHeaders;
+  sendFrom(run, caller, step.at, {
+    method: "GET",
+    path: `/v1/requests/${requestId}`,
+    headers: {
+      authorization,
+      ...(lastEventId === null ? {} : { "last-event-id": lastEventId }),
+    },
+  });
+}
+
+export function detach(run: scenarioRuns.ScenarioRun, step: types.StepOf<"detach">): void {
+  run.caller(step.as).detach();
+}
+
+/** Calls a plain service; the answer is taken in while the scenario goes on. */
+export function call(run: scenarioRuns.ScenarioRun, step: types.StepOf<"call">): void {
+  const key = step.key === undefined ? {} : { "idempotency-key": step.key };
+  sendFrom(run, run.addCaller(step.as), step.at, {
+    method: "POST",
+    path: `/v1/calls/${step.entry}`,
+    headers: { ...JSON_HEADERS, ...keyHeader(step.account), ...key },
+    body: step.body,
+  });
+}
+
+/** Sends any request, also one that no caller should send. */
+export function send(run: scenarioRuns.ScenarioRun, step: types.StepOf<"send">): void {
+  const body = step.bodyBytes === undefined ? step.body : " ".repeat(step.bodyBytes);
+  sendFrom(run, run.addCaller(step.as), step.at, {
+    method: step.method,
+    path: step.path,
+    headers: {
+      ...JSON_HEADERS,
+      ...(step.account === undefined ? {} : keyHeader(step.account)),
+      ...step.headers,
+    },
+    body,
+  });
+}
+
+function sendFrom(
+  run: scenarioRuns.ScenarioRun,
+  caller: callerSessions.CallerSession,
+  vmName: string | undefined,
+  request: Omit<callerSessions.CallerRequest, "url">,
+): void {
+  const vm = run.vmAt(vmName);
+  caller.vmName = vm.place.name;
+  void caller.send({ ...request, url: `${vm.callerUrl}${request.path}` });
+}
+
+function keyHeader(account: string): Readonly<Record<string, string>> {
+  return { authorization: `Bearer ${vmSettings.keyOf(account)}` };
+}
--- /dev/null
+++ b/scenarios/_lib/steps/waitSteps.ts
@@ -0,0 +1,81 @@
+import * as timers from "node:timers/promises";
+
+import type * as types from "../../types.js";
+import type * as scenarioRuns from "../scenarioRun/index.js";
+import * as waitUntil from "../waitUntil/index.js";
+import * as catalogueSteps from "./catalogueSteps.js";
+import * as vmSteps from "./vmSteps.js";
+
+type WaitStep = types.StepOf<"wait">;
+
+type Waiter = (run: scenarioRuns.ScenarioRun, step: WaitStep) => Promise<void>;
+
+/** What a wait may wait for, by the field that asks for it; several wait for all. */
+const WAITERS: Partial<Record<keyof WaitStep, Waiter>> = {
+  ms: async (_run, step) => {
+    await timers.setTimeout(step.ms);
+  },
+  request: waitForRequest,
+  ready: (run, step) => vmSteps.waitForReady(run, step.ready ?? [], step.timeoutMs),
+  left: waitForLeft,
+  sees: waitForView,
+  inForce: (run, step) => catalogueSteps.waitForForce(run, step.timeoutMs),
+  started: waitForStarted,
+  runs: waitForRuns,
+};
+
+export async function wait(run: scenarioRuns.ScenarioRun, step: WaitStep): Promise<void> {
+  for (const [field, waiter] of Object.entries(WAITERS)) {
+    if (step[field as keyof WaitStep] !== undefined) await waiter(run, step);
+  }
+}
+
+async function waitForRequest(run: scenarioRuns.ScenarioRun, step: WaitStep): Promise<void> {
+  const caller = run.caller(step.request ?? "");
+  const { tokens } = step;
+  await waitUntil.waitUntil(
+    () => (tokens === undefined ? caller.isEnded : caller.tokens.length >= tokens),
+    step.timeoutMs,
+    () => `${caller.name} has ${caller.tokens.length} tokens; ${caller.describe()}`,
+  );
+}
+
+async function waitForLeft(run: scenarioRuns.ScenarioRun, step: WaitStep): Promise<void> {
+  const vm = run.vm(step.left ?? "");
+  await waitUntil.waitUntil(
+    () => vm.hasLeftWhole !== null,
+    step.timeoutMs,
+    () => `${vm.place.name} still holds ${vm.running().describeHeld()}`,
+  );
+  if (vm.hasLeftWhole === false) throw new Error(`${vm.place.name} left work unfinished`);
+}
+
+async function waitForView(run: scenarioRuns.ScenarioRun, step: WaitStep): Promise<void> {
+  const wanted = Object.entries(step.sees ?? {});
+  const { membership } = run.vmAt(step.vm).running();
+  const stateOf = (name: string): string =>
+    membership.members().find((member) => member.name === name)?.state ?? "unknown";
+  await waitUntil.waitUntil(
+    () => wanted.every(([name, state]) => stateOf(name) === state),
+    step.timeoutMs,
+    () => wanted.map(([name]) => `${name} is ${stateOf(name)}`).join(", "),
+  );
+}
+
+async function waitForStarted(run: scenarioRuns.ScenarioRun, step: WaitStep): Promise<void> {
+  const counters = run.world.engines.get(step.engine ?? "")?.model.counters;
+  await waitUntil.waitUntil(
+    () => (counters?.startedCount ?? 0) >= (step.started ?? 0),
+    step.timeoutMs,
+    () => `${step.engine} has started ${counters?.startedCount ?? 0}`,
+  );
+}
+
+async function waitForRuns(run: scenarioRuns.ScenarioRun, step: WaitStep): Promise<void> {
+  const { runs } = run.world.serviceModel(step.service ?? "");
+  await waitUntil.waitUntil(
+    () => runs.length >= (step.runs ?? 0),
+    step.timeoutMs,
+    () => `${step.service} has run ${runs.length}`,
+  );
+}
--- a/standins/engine/model/index.ts
+++ b/standins/engine/model/index.ts
@@ -30,7 +30,7 @@
   };
   readonly cache: prefixCaches.PrefixCache;
   readonly orders: orderDesks.OrderDesk;
-  private readonly batch: batches.Batch;
+  readonly batch: batches.Batch;
   private readonly streams = new Map<string, batches.EngineStream>();
   private readonly faults = new Set<types.EngineFault>();
   private readonly reports: reportLogs.ReportLog;
--- a/standins/engine/server/index.ts
+++ b/standins/engine/server/index.ts
@@ -22,9 +22,26 @@
 
 const cacheQuery = zod.object({ after: zod.coerce.number().int().default(0) });
 
+/** Kinds of requests about a stream. */
+export enum StreamAction {
+  Start = "start",
+  Resume = "resume",
+  Cancel = "cancel",
+}
+
+/** One request about a stream, as the engine received it. */
+export interface ReceivedAction {
+  readonly action: StreamAction;
+  readonly requestId: string;
+  readonly attempt: number;
+  readonly fromOffset: number;
+}
+
 /** A model engine over HTTP with OpenAI-shaped server-sent events. */
 export class EngineServer extends httpStandIn.HttpStandIn {
   readonly model: models.EngineModel;
+  /** Requests about streams in the order of their arrival, for expectations. */
+  readonly received: ReceivedAction[] = [];
   /** The response that carries each stream now; a resumed stream leaves its older one. */
   private readonly openStreams = new Map<string, eventStreams.EventStream>();
 
@@ -103,7 +120,9 @@
     if (!body.success) return this.refuseMalformed(h, body.error);
     const engineRequest = backends.engineWire.decodeCompletion(body.data);
     const { requestId, attempt, prefixTokens } = engineRequest;
-    const stream = this.createStream(requestId, attempt, prefixTokens.length, request);
+    const fromOffset = prefixTokens.length;
+    this.received.push({ action: StreamAction.Start, requestId, attempt, fromOffset });
+    const stream = this.createStream(requestId, attempt, fromOffset, request);
     const started = this.model.start(engineRequest, stream);
     if (started.isErr()) return refusals.refuse(h, started.error);
     stream.begin();
@@ -115,6 +134,7 @@
     if (!query.success) return this.refuseMalformed(h, query.error);
     const { attempt, from } = query.data;
     const requestId = requestIdOf(request);
+    this.received.push({ action: StreamAction.Resume, requestId, attempt, fromOffset: from });
     const stream = this.createStream(requestId, attempt, from, request);
     const resumed = this.model.resume(requestId, attempt, from, stream);
     if (resumed.isErr()) return refusals.refuse(h, resumed.error);
@@ -125,7 +145,10 @@
   private cancel(request: hapi.Request, h: hapi.ResponseToolkit): hapi.ResponseObject {
     const query = streamQuery.safeParse(request.query);
     if (!query.success) return this.refuseMalformed(h, query.error);
-    this.model.cancel(requestIdOf(request), query.data.attempt);
+    const requestId = requestIdOf(request);
+    const { attempt } = query.data;
+    this.received.push({ action: StreamAction.Cancel, requestId, attempt, fromOffset: 0 });
+    this.model.cancel(requestId, attempt);
     return h.response({ cancelled: true });
   }
 
--- a/standins/log/model/index.ts
+++ b/standins/log/model/index.ts
@@ -103,6 +103,11 @@
     });
   }
 
+  /** The retained records of a stream, for expectations; costs no time and fails never. */
+  recordsOf(stream: platform.LogStream): readonly platform.LogRecord[] {
+    return this.stateOf(stream).records;
+  }
+
   /** Drops all records below an offset, as the end of their retention would. */
   truncateBefore(stream: platform.LogStream, offset: number): void {
     const state = this.stateOf(stream);
