--- a/src/engines/_lib/memoryForecast/index.ts
+++ b/src/engines/_lib/memoryForecast/index.ts
@@ -27,6 +27,7 @@
 
 /**
  * Fills a share: at each horizon the generation has either ended, or grown by a token per step.
+ * It counts with what it takes just before the next horizon, so that no peak hides between two.
  *
  * @param share - overwritten
  */
@@ -37,7 +38,7 @@
     const steps = HORIZONS[index] ?? 0;
     const reached = producedTokens + steps;
     const alive = aliveAt(lengths, reached, maxTokens, aliveNow);
-    const tokens = contextTokens + steps;
+    const tokens = contextTokens + (HORIZONS[index + 1] ?? steps) - 1;
     share.meansTokens[index] = alive * tokens;
     share.variances[index] = alive * (1 - alive) * tokens * tokens;
   }
@@ -82,30 +83,30 @@
     return peak;
   }
 
-  /** Whether one more share fits under the limit at every horizon. */
+  /** Whether one more share fits under the limit at every horizon that it still reaches. */
   hasRoomFor(share: MemoryShare, marginDeviations: number, limitTokens: number): boolean {
     for (let index = 0; index < HORIZONS.length; index += 1) {
       const mean = share.meansTokens[index] ?? 0;
       const variance = share.variances[index] ?? 0;
+      if (mean < constants.NEGLIGIBLE_SHARE_TOKENS) continue;
       if (this.needTokens(index, marginDeviations, mean, variance) > limitTokens) return false;
     }
     return true;
   }
 
   /**
-   * Steps until a share that starts later fits for good.
+   * Steps until a share that starts later fits, if nothing else starts before it.
    *
    * @returns a horizon in steps, or null when none is far enough
    */
   stepsUntilRoomFor(share: MemoryShare, deviations: number, limitTokens: number): number | null {
     let peakMean = 0;
     for (const mean of share.meansTokens) peakMean = Math.max(peakMean, mean);
-    let found: number | null = null;
-    for (let index = HORIZONS.length - 1; index >= 0; index -= 1) {
-      if (this.needTokens(index, deviations, peakMean, 0) > limitTokens) return found;
-      found = HORIZONS[index] ?? 0;
+    for (let index = 0; index < HORIZONS.length; index += 1) {
+      const isFitting = this.needTokens(index, deviations, peakMean, 0) <= limitTokens;
+      if (isFitting) return HORIZONS[index] ?? 0;
     }
-    return found;
+    return null;
   }
 
   private needTokens(index: number, deviations: number, mean: number, variance: number): number {
--- a/src/engines/constants.ts
+++ b/src/engines/constants.ts
@@ -21,10 +21,14 @@
 
 /** Times ahead, in decoding steps, at which memory is forecast. */
 export const FORECAST_HORIZONS_STEPS: readonly number[] = [
-  0, 16, 32, 64, 96, 128, 192, 256, 384, 512, 768, 1_024, 1_536, 2_048, 3_072, 4_096, 6_144, 8_192,
-  12_288, 16_384,
+  0, 16, 32, 48, 64, 80, 96, 112, 128, 160, 192, 224, 256, 320, 384, 448, 512, 640, 768, 896, 1_024,
+  1_280, 1_536, 1_792, 2_048, 2_560, 3_072, 3_584, 4_096, 5_120, 6_144, 7_168, 8_192, 10_240,
+  12_288, 14_336, 16_384, 20_480, 24_576,
 ];
 
+/** A generation that is expected to take less than this at a horizon counts as ended there. */
+export const NEGLIGIBLE_SHARE_TOKENS = 8;
+
 /** A running generation's forecast is renewed after this many tokens. */
 export const REFORECAST_TOKENS = 16;
 
@@ -40,8 +44,11 @@
 /** Share of memory that only interactive work may fill. */
 export const INTERACTIVE_HEADROOM_RATIO = 0.03;
 
+/** Share of memory that admission never plans with. */
+export const UNPLANNED_RATIO = 0.01;
+
 /** Share of memory at which the home suspends work itself. */
-export const SUSPEND_AT_RATIO = 0.985;
+export const SUSPEND_AT_RATIO = 0.998;
 
 /** Steps ahead that suspension looks, to act before the engine does. */
 export const SUSPEND_LOOKAHEAD_STEPS = 4;
@@ -55,6 +62,9 @@
 /** Prompt tokens that may wait for prefill on an engine with watched generations. */
 export const MAX_PENDING_PREFILL_TOKENS = 1_024;
 
+/** Steps after which some running generation is expected to end, where only its place is missing. */
+export const NEXT_END_STEPS = 64;
+
 /** Longest wait that an estimate states. */
 export const MAX_ESTIMATED_WAIT_MS = 600_000;
 
--- a/src/engines/engineScheduler/index.ts
+++ b/src/engines/engineScheduler/index.ts
@@ -146,7 +146,8 @@
       this.limitTokensFor(need),
     );
     if (steps === null) return constants.MAX_ESTIMATED_WAIT_MS;
-    return Math.min(constants.MAX_ESTIMATED_WAIT_MS, (steps + 1) * this.steps.stepTimeMs);
+    const waitMs = Math.max(steps, constants.NEXT_END_STEPS) * this.steps.stepTimeMs;
+    return Math.min(constants.MAX_ESTIMATED_WAIT_MS, waitMs);
   }
 
   /** Time that the generation needs even if its output turns out short. */
@@ -169,7 +170,8 @@
   private limitTokensFor(need: types.GenerationNeed): number {
     const isInteractive = need.class === catalogue.RequestClass.Interactive;
     const headroomRatio = isInteractive ? 0 : constants.INTERACTIVE_HEADROOM_RATIO;
-    return this.options.capacityTokens * (1 - headroomRatio) - this.foreignTokens;
+    const plannedRatio = 1 - constants.UNPLANNED_RATIO - headroomRatio;
+    return this.options.capacityTokens * plannedRatio - this.foreignTokens;
   }
 
   private keepsInterTokenBound(need: types.GenerationNeed): boolean {
