--- a/experiments/runExperiment/index.ts
+++ b/experiments/runExperiment/index.ts
@@ -16,6 +16,8 @@
 const RECLAIM_NOTICE_MS = 30_000;
 /** A run ends at the latest after this many times its own duration. */
 const LONGEST_DRAIN_FACTOR = 40;
+/** Queues that a home asks for work in one offer, the most urgent first. */
+const MAX_ASKED_QUEUES = 2;
 /** Requests that one offer of room may start. */
 const MAX_STARTS_PER_OFFER = 64;
 
@@ -166,7 +168,8 @@
     const ranked = this.queuesFor(node)
       .filter((queue) => queue.count > 0)
       .map((queue) => ({ queue, urgency: urgencyOf(queue, loadedModels, nowMs) }))
-      .sort((left, right) => left.urgency - right.urgency);
+      .sort((left, right) => left.urgency - right.urgency)
+      .slice(0, MAX_ASKED_QUEUES);
     for (const { queue } of ranked) {
       const need = queue.nextFor(room, nowMs);
       if (need !== null) return need;
--- a/src/engines/_lib/runningTable/index.ts
+++ b/src/engines/_lib/runningTable/index.ts
@@ -29,8 +29,8 @@
     return this.records.size;
   }
 
-  get(requestId: string): RunningRecord | undefined {
-    return this.records.get(requestId);
+  has(requestId: string): boolean {
+    return this.records.has(requestId);
   }
 
   list(): readonly RunningRecord[] {
--- a/src/engines/_lib/stepTimes/index.ts
+++ b/src/engines/_lib/stepTimes/index.ts
@@ -7,6 +7,7 @@
 export class StepTimes {
   private averageMs = constants.INITIAL_STEP_TIME_MS;
   private averageCount = 0;
+  private hasObservations = false;
   private covariance = 0;
   private countVariance = 0;
 
@@ -17,11 +18,13 @@
   /** Learns from a step time that an engine reported together with its batch. */
   observe(stepTimeMs: number, runningCount: number): void {
     if (!(stepTimeMs > 0) || runningCount < MIN_RUNNING_COUNT) return;
-    const weight = constants.STEP_TIME_WEIGHT;
+    const weight = this.hasObservations ? constants.STEP_TIME_WEIGHT : 1;
+    this.hasObservations = true;
     const timeOffset = stepTimeMs - this.averageMs;
     const countOffset = runningCount - this.averageCount;
     this.averageMs += weight * timeOffset;
     this.averageCount += weight * countOffset;
+    if (weight === 1) return;
     this.covariance += weight * (timeOffset * countOffset - this.covariance);
     this.countVariance += weight * (countOffset * countOffset - this.countVariance);
   }
--- a/src/engines/_lib/waitingLane/index.ts
+++ b/src/engines/_lib/waitingLane/index.ts
@@ -57,9 +57,13 @@
 
   /** The request whose turn it is among those that the engine accepts. */
   next(room: types.EngineRoom): types.GenerationNeed | null {
+    let offersLeft = constants.MAX_OFFER_SCAN_COUNT;
     for (const account of this.accountsByService()) {
-      const inTurn = account.waiting.slice(0, constants.MAX_OFFER_SCAN_COUNT);
-      for (const need of inTurn) if (room.accepts(need)) return need;
+      for (const need of account.waiting.slice(0, offersLeft)) {
+        if (room.accepts(need)) return need;
+        offersLeft -= 1;
+      }
+      if (offersLeft <= 0) return null;
     }
     return null;
   }
--- a/src/engines/constants.ts
+++ b/src/engines/constants.ts
@@ -74,8 +74,8 @@
 /** Rank that waiting alone can reach; interactive work keeps the rank before it. */
 export const MOST_AGED_RANK = 0.5;
 
-/** Requests of one account and class that are looked at for one offer of room. */
-export const MAX_OFFER_SCAN_COUNT = 8;
+/** Requests of one class and model that are looked at for one offer of room. */
+export const MAX_OFFER_SCAN_COUNT = 4;
 
 /** Scores of engines that differ by less are near-equal; one of them is drawn at random. */
 export const NEAR_EQUAL_SCORE = 0.05;
@@ -91,3 +91,6 @@
 
 /** Accounts without waiting work whose past service a lane still remembers. */
 export const MAX_REMEMBERED_ACCOUNTS = 1_024;
+
+/** A load report may be this old; what ended since then still counts as our own work. */
+export const REPORT_LAG_LIMIT_MS = 10_000;
--- a/src/engines/engineScheduler/index.ts
+++ b/src/engines/engineScheduler/index.ts
@@ -33,6 +33,8 @@
   private readonly candidate = forecasts.createMemoryShare();
   private report: backends.EngineLoadReport | null = null;
   private foreignTokens = 0;
+  /** When generations ended here; lagging reports still list them. */
+  private readonly endedAtMs = new Map<string, number>();
   private reportedAtMs = 0;
   private waitedAtMs = -Infinity;
 
@@ -62,6 +64,7 @@
 
   onEnded(requestId: string, nowMs: number, isWhole: boolean): void {
     const record = this.table.remove(requestId);
+    this.endedAtMs.set(requestId, nowMs);
     if (record === undefined || !isWhole) return;
     this.options.lengths.observe(record.need, record.producedTokens);
     const hasWorkWaited = nowMs - this.waitedAtMs < constants.WAITING_MEMORY_MS;
@@ -75,6 +78,7 @@
     this.report = report;
     this.reportedAtMs = nowMs;
     this.steps.observe(report.stepTimeMs, report.runningCount);
+    this.forgetEndedBefore(nowMs - constants.REPORT_LAG_LIMIT_MS);
     this.foreignTokens = this.foreignTokensIn(report);
   }
 
@@ -207,11 +211,19 @@
   private foreignTokensIn(report: backends.EngineLoadReport): number {
     let tokens = 0;
     for (const run of report.running) {
-      if (this.table.get(run.requestId) === undefined) tokens += run.contextTokens;
+      const isOwn = this.table.has(run.requestId) || this.endedAtMs.has(run.requestId);
+      if (!isOwn) tokens += run.contextTokens;
     }
     return tokens;
   }
 
+  private forgetEndedBefore(limitMs: number): void {
+    for (const [requestId, endedAtMs] of this.endedAtMs) {
+      if (endedAtMs >= limitMs) return;
+      this.endedAtMs.delete(requestId);
+    }
+  }
+
   private health(): types.EngineHealth {
     const isLeaving = this.report !== null && this.report.leavingInMs !== null;
     return isLeaving ? types.EngineHealth.Leaving : types.EngineHealth.Live;
--- /dev/null
+++ b/src/engines/engineScheduler/test.ts
@@ -0,0 +1,141 @@
+import tap from "tap";
+
+import * as catalogue from "../../catalogue/types.js";
+import type * as backends from "../../backends/types.js";
+import * as learners from "../lengthLearner/index.js";
+import * as types from "../types.js";
+import * as schedulers from "./index.js";
+
+const NEED: types.GenerationNeed = {
+  requestId: "r1",
+  entryName: "report",
+  accountName: "a",
+  class: catalogue.RequestClass.Batch,
+  model: "m",
+  version: "1",
+  adapter: null,
+  promptTokens: 200,
+  prefixHashes: [],
+  producedTokens: 0,
+  maxTokens: 4_000,
+  acceptedAtMs: 0,
+  deadlineAtMs: 3_600_000,
+};
+
+const REPORT: backends.EngineLoadReport = {
+  takenAtMs: 0,
+  runningCount: 1,
+  waitingCount: 0,
+  usedTokens: 0,
+  capacityTokens: 10_000,
+  stepTimeMs: 30,
+  preemptionsCount: 0,
+  loadedModels: [{ model: "m", version: "1", adapters: [] }],
+  running: [],
+  leavingInMs: null,
+};
+
+function createScheduler(
+  overrides: Partial<schedulers.EngineSchedulerOptions> = {},
+): schedulers.EngineScheduler {
+  const lengths = new learners.LengthLearner();
+  for (let index = 0; index < 200; index += 1) lengths.observe(NEED, 800 + index);
+  return new schedulers.EngineScheduler({
+    engineName: "e1",
+    dataCentre: "tln-a",
+    capacityTokens: 10_000,
+    maxRunningCount: 64,
+    lengths,
+    interTokenBoundMsOf: () => null,
+    ...overrides,
+  });
+}
+
+function startMany(scheduler: schedulers.EngineScheduler, count: number): void {
+  for (let index = 0; index < count; index += 1) {
+    scheduler.onStarted({ ...NEED, requestId: `s${index}` }, 0);
+  }
+}
+
+function reportedRun(requestId: string, contextTokens: number): backends.ReportedRun {
+  return { requestId, attempt: 1, contextTokens, isPreempted: false };
+}
+
+tap.test("admission counts the growth to come, not only what is used", (t) => {
+  const scheduler = createScheduler();
+  startMany(scheduler, 9);
+  t.equal(scheduler.view(0).runningCount, 9);
+  const decision = scheduler.admit(NEED, 0);
+  t.equal(decision.verdict, types.AdmissionVerdict.Wait, "2,000 of 10,000 tokens are in use");
+  t.ok(decision.estimatedWaitMs > 0);
+  t.end();
+});
+
+tap.test("a short request still fits where a long one does not", (t) => {
+  const scheduler = createScheduler();
+  startMany(scheduler, 9);
+  const short = { ...NEED, requestId: "r2", maxTokens: 20 };
+  t.equal(scheduler.admit(short, 0).verdict, types.AdmissionVerdict.Admit);
+  t.end();
+});
+
+tap.test("work that cannot meet its deadline is refused before it waits", (t) => {
+  const scheduler = createScheduler();
+  startMany(scheduler, 12);
+  const urgent = { ...NEED, deadlineAtMs: 2_000 };
+  t.equal(scheduler.admit(urgent, 0).verdict, types.AdmissionVerdict.Refuse);
+  const begun = { ...urgent, producedTokens: 10 };
+  t.equal(scheduler.admit(begun, 0).verdict, types.AdmissionVerdict.Wait, "what has begun is kept");
+  t.end();
+});
+
+tap.test("a run that ended after a lagging report was taken is not foreign work", (t) => {
+  const scheduler = createScheduler();
+  scheduler.onStarted(NEED, 0);
+  scheduler.onEnded(NEED.requestId, 100, true);
+  scheduler.onLoadReport({ ...REPORT, takenAtMs: 50, running: [reportedRun("r1", 9_000)] }, 200);
+  t.equal(scheduler.view(200).reservedTokens, 0);
+  t.end();
+});
+
+tap.test("work of another home takes room", (t) => {
+  const scheduler = createScheduler();
+  scheduler.onLoadReport({ ...REPORT, takenAtMs: 50, running: [reportedRun("x", 9_000)] }, 200);
+  startMany(scheduler, 1);
+  t.equal(scheduler.admit(NEED, 200).verdict, types.AdmissionVerdict.Wait);
+  t.end();
+});
+
+tap.test("memory that is about to run out suspends before the engine preempts", (t) => {
+  const scheduler = createScheduler();
+  startMany(scheduler, 10);
+  for (let index = 0; index < 10; index += 1) scheduler.onProgress(`s${index}`, 700, 1_000);
+  t.same(scheduler.selectSuspensions(1_000), [], "9,000 tokens and 10 per step still fit");
+  for (let index = 0; index < 10; index += 1) scheduler.onProgress(`s${index}`, 797, 2_000);
+  const marginBefore = scheduler.marginDeviations;
+  t.equal(scheduler.selectSuspensions(2_000).length, 1);
+  t.ok(scheduler.marginDeviations > marginBefore, "and makes admission more careful");
+  t.end();
+});
+
+tap.test("a leaving engine gets no new work", (t) => {
+  const scheduler = createScheduler();
+  scheduler.onLoadReport({ ...REPORT, takenAtMs: 1, leavingInMs: 20_000 }, 1);
+  t.equal(scheduler.admit(NEED, 2).verdict, types.AdmissionVerdict.Wait);
+  t.equal(scheduler.view(2).health, types.EngineHealth.Leaving);
+  t.end();
+});
+
+tap.test("watched generations keep their bound between tokens", (t) => {
+  const scheduler = createScheduler({ interTokenBoundMsOf: () => 40 });
+  const watched = { ...NEED, class: catalogue.RequestClass.Streaming, maxTokens: 50 };
+  for (let count = 1; count <= 20; count += 1) {
+    scheduler.onStarted({ ...watched, requestId: `w${count}` }, count);
+    const report = { ...REPORT, takenAtMs: count, runningCount: count, stepTimeMs: 20 + count };
+    scheduler.onLoadReport(report, count);
+  }
+  const decision = scheduler.admit(watched, 21);
+  t.equal(decision.verdict, types.AdmissionVerdict.Wait, "the step would take more than 40 ms");
+  t.match(decision.reason, /watched/);
+  t.end();
+});
