Shut down, leave engines, give up on absent callers, and measure what callers see

A shutdown hands runs to the next homes and unread generations to their second holders. Slow callers hold back only their own stream, by credit.

--- /dev/null
+++ b/src/generations/_lib/callerMeasures/index.ts
@@ -0,0 +1,47 @@
+import type * as clocks from "../../../_lib/clock/index.js";
+import * as telemetry from "../../../telemetry/index.js";
+
+/**
+ * The users' measures of one caller's answer. Time that the caller itself takes over a frame does
+ * not count.
+ */
+export class CallerMeasures {
+  private lastTokenAtMs: number;
+  private longestWaitMs = 0;
+  private hasToken = false;
+
+  constructor(
+    private readonly clock: clocks.Clock,
+    private readonly metrics: telemetry.Metrics,
+    private readonly entryName: string,
+    private readonly startedAtMs: number,
+  ) {
+    this.lastTokenAtMs = startedAtMs;
+  }
+
+  /** The caller is ready for the next frame. */
+  onAsked(): void {
+    if (this.hasToken) this.lastTokenAtMs = Math.max(this.lastTokenAtMs, this.clock.nowMs());
+  }
+
+  onTokens(): void {
+    const nowMs = this.clock.nowMs();
+    const waitedMs = nowMs - this.lastTokenAtMs;
+    const measure = this.hasToken ? telemetry.Measure.InterTokenMs : telemetry.Measure.FirstTokenMs;
+    this.metrics.observe(measure, this.entryName, waitedMs);
+    this.longestWaitMs = Math.max(this.longestWaitMs, waitedMs);
+    this.hasToken = true;
+    this.lastTokenAtMs = nowMs;
+  }
+
+  onEnded(isWhole: boolean): void {
+    const nowMs = this.clock.nowMs();
+    const stallMs = Math.max(this.longestWaitMs, nowMs - this.lastTokenAtMs);
+    this.metrics.observe(telemetry.Measure.StallMs, this.entryName, stallMs);
+    if (isWhole) {
+      const { CompletionMs } = telemetry.Measure;
+      this.metrics.observe(CompletionMs, this.entryName, nowMs - this.startedAtMs);
+    }
+    this.metrics.completed(this.entryName, isWhole);
+  }
+}
--- /dev/null
+++ b/src/generations/_lib/descriptions/index.ts
@@ -0,0 +1,70 @@
+import * as engines from "../../../engines/index.js";
+import type * as types from "../../types.js";
+import type * as engineHomes from "../engineHome/index.js";
+import type * as engineRuns from "../engineRun/index.js";
+import type * as locators from "../locator/index.js";
+
+/** What would be lost if this VM stopped now. */
+export function describeHeld(holders: locators.Holders): types.HeldSummary {
+  const owned = holders.owner.list().filter((generation) => generation.isCurrentOwner);
+  const unfinished = owned.filter((generation) => !generation.record.isSettled);
+  const waitingCount = unfinished.filter((generation) => generation.isWaiting).length;
+  return {
+    runningCount: unfinished.length - waitingCount,
+    waitingCount,
+    keptFinishedCount: owned.length - unfinished.length,
+    engineRunsCount: holders.home.listRuns().filter((run) => !run.isEnded).length,
+    copiesCount: holders.keeper.count,
+    unfinishedRequestIds: unfinished.map((generation) => generation.record.requestId),
+  };
+}
+
+/** What each engine's home holds, and why it takes no work. */
+export function describeEngines(
+  holders: locators.Holders,
+  nowMs: number,
+): readonly types.HeldEngine[] {
+  return holders.home.list().map((home) => ({
+    view: home.view(nowMs),
+    refusalReason: refusalReasonOf(home, nowMs),
+    runs: [...home.runs.values()]
+      .filter((run) => !run.isEnded)
+      .map((run) => describeRun(run, nowMs)),
+  }));
+}
+
+/** What waits at this VM, and why. */
+export function describeQueue(
+  holders: locators.Holders,
+  nowMs: number,
+): readonly types.WaitingGeneration[] {
+  return holders.owner
+    .list()
+    .filter((generation) => generation.isWaiting && generation.isActive)
+    .map((generation) => ({
+      requestId: generation.record.requestId,
+      entryName: generation.record.request.entry.name,
+      accountName: generation.record.request.accountName,
+      waitedMs: nowMs - generation.acceptedAtMs,
+      producedTokens: generation.record.tokens.length,
+      reason: generation.waitingReason,
+    }));
+}
+
+function refusalReasonOf(home: engineHomes.EngineHome, nowMs: number): string | null {
+  const { health, reservedTokens, capacityTokens } = home.view(nowMs);
+  if (health !== engines.EngineHealth.Live) return `the engine is ${health}`;
+  if (reservedTokens < capacityTokens) return null;
+  return `${Math.round(reservedTokens)} of ${capacityTokens} tokens of memory are reserved`;
+}
+
+function describeRun(run: engineRuns.EngineRun, nowMs: number): types.HeldRun {
+  return {
+    requestId: run.requestId,
+    attempt: run.attempt,
+    ownerVm: run.ownerVm,
+    producedTokens: run.tokens.length,
+    isPreempted: run.isPreempted,
+    silentMs: nowMs - run.lastProgressAtMs,
+  };
+}
--- a/src/generations/_lib/engineHome/index.ts
+++ b/src/generations/_lib/engineHome/index.ts
@@ -1,5 +1,6 @@
 import type * as backends from "../../../backends/types.js";
 import type * as catalogue from "../../../catalogue/types.js";
+import * as catalogueTypes from "../../../catalogue/types.js";
 import type * as engines from "../../../engines/types.js";
 import * as engineTypes from "../../../engines/types.js";
 import * as constants from "../../constants.js";
@@ -195,7 +196,7 @@
 
   private checkAdmission(snapshot: messages.GenerationSnapshot): messages.DispatchAnswer | null {
     const health = this.health();
-    if (health !== engineTypes.EngineHealth.Live) {
+    if (health === engineTypes.EngineHealth.Leaving || health === engineTypes.EngineHealth.Dead) {
       return this.answer(messages.DispatchVerdict.Unavailable, `the engine is ${health}`);
     }
     const nowMs = this.context.clock.nowMs();
@@ -230,7 +231,7 @@
   }
 
   private health(): engineTypes.EngineHealth {
-    if (this.leaving.isNoted) return engineTypes.EngineHealth.Leaving;
+    if (this.leaving.isNoted || this.isDrained()) return engineTypes.EngineHealth.Leaving;
     if (this.missedReportsCount >= constants.MISSED_REPORTS_COUNT) {
       return engineTypes.EngineHealth.Dead;
     }
@@ -238,6 +239,13 @@
     return engineTypes.EngineHealth.Live;
   }
 
+  /** What operators say is followed both ways; signs from elsewhere stay noted. */
+  private isDrained(): boolean {
+    const item = this.context.catalogue.current().items.get(`engine/${this.engine.name}`)?.item;
+    if (item?.kind !== catalogueTypes.ItemKind.Engine) return true;
+    return item.state === catalogueTypes.DesiredState.Draining;
+  }
+
   private answer(
     verdict: messages.DispatchVerdict,
     reason: string,
--- a/src/generations/_lib/homeDesk/index.ts
+++ b/src/generations/_lib/homeDesk/index.ts
@@ -61,6 +61,11 @@
     return this.list().flatMap((home) => [...home.runs.values()]);
   }
 
+  /** Notes that an engine leaves, as some source outside the catalogue says. */
+  noteLeaving(engineName: string): void {
+    this.homes.get(engineName)?.leaving.note(Infinity);
+  }
+
   watch(nowMs: number): void {
     for (const home of this.homes.values()) home.watch(nowMs);
   }
@@ -149,22 +154,23 @@
 
   private refresh(): void {
     const members = this.context.fleet.members();
-    const listed = new Set<string>();
     for (const { item } of this.context.catalogue.current().items.values()) {
       if (item.kind !== catalogueTypes.ItemKind.Engine) continue;
-      listed.add(item.name);
       const isHome = selectHomes.selectHome(item, members) === this.context.link.selfName;
       if (isHome && !this.homes.has(item.name)) this.open(item);
-      this.followCatalogue(item);
-    }
-    for (const home of this.homes.values()) {
-      if (!listed.has(home.engine.name)) home.leaving.note(Infinity);
     }
+    this.closeForeign();
   }
 
-  private followCatalogue(engine: catalogue.EngineBackend): void {
-    if (engine.state !== catalogueTypes.DesiredState.Draining) return;
-    this.homes.get(engine.name)?.leaving.note(Infinity);
+  /** Engines whose home is elsewhere are let go once nothing of theirs runs here. */
+  private closeForeign(): void {
+    const members = this.context.fleet.members();
+    for (const home of this.homes.values()) {
+      const isHome = selectHomes.selectHome(home.engine, members) === this.context.link.selfName;
+      if (isHome || home.runs.size > 0) continue;
+      home[Symbol.dispose]();
+      this.homes.delete(home.engine.name);
+    }
   }
 
   private open(engine: catalogue.EngineBackend): engineHomes.EngineHome {
--- a/src/generations/_lib/messages/index.ts
+++ b/src/generations/_lib/messages/index.ts
@@ -18,6 +18,7 @@
   Cancel = "generations/cancel",
   Credit = "generations/credit",
   TakeOver = "generations/take-over",
+  Claim = "generations/claim",
   Locate = "generations/locate",
   Read = "generations/read",
   Room = "generations/room",
@@ -187,7 +188,7 @@
   isSpliced: zod.boolean(),
   attempt: zod.number(),
   samplingAttempt: zod.number(),
-  tokens: zod.array(zod.string()),
+  tokens: zod.array(zod.string()).readonly(),
   finishReason: zod.enum(backendTypes.FinishReason).nullable(),
   failure: zod
     .object({
--- a/src/generations/_lib/owned/index.ts
+++ b/src/generations/_lib/owned/index.ts
@@ -1,6 +1,7 @@
 import * as stepError from "../../../_lib/stepError/index.js";
 import type * as types from "../../types.js";
 import * as errors from "../errors/index.js";
+import * as deliveryStates from "../deliveries/index.js";
 import * as mailboxes from "../mailbox/index.js";
 import * as messages from "../messages/index.js";
 import * as placements from "../placement/index.js";
@@ -14,17 +15,12 @@
 /** A generation that this VM answers for: it places it, takes its tokens and repairs its run. */
 export class OwnedGeneration implements placers.PlacedGeneration {
   readonly record: records.GenerationRecord;
+  readonly deliveries: deliveryStates.Deliveries;
   readonly acceptedAtMs: number;
   readonly firstVerdict: Promise<FirstVerdict>;
   isWaiting = false;
   waitingReason = "";
-  /** Callers attached at this VM. */
-  attachedCount = 0;
   private isOwner = true;
-  /** Lowest offset at which this owner had a new run started instead of resuming one. */
-  private branchOffset = Infinity;
-  /** How far callers have read here. */
-  private deliveredOffset = 0;
   private readonly runWatch: runWatches.RunWatch;
   readonly events = new mailboxes.Mailbox<placers.OwnerEvent>();
   private readonly placer: placers.Placer;
@@ -37,6 +33,7 @@
     this.record = new records.GenerationRecord(snapshot);
     this.acceptedAtMs = services.context.clock.nowMs();
     this.placer = new placers.Placer(services, this);
+    this.deliveries = new deliveryStates.Deliveries(services.context.clock);
     this.runWatch = new runWatches.RunWatch(services.context, this.record);
     if (this.record.isSettled) this.settle();
     this.firstVerdict = new Promise((resolve) => (this.reportVerdict = resolve));
@@ -47,12 +44,15 @@
     return this.isOwner;
   }
 
-  /**
-   * Whether a caller that has read up to an offset holds tokens of another sampling: a new run was
-   * started before that offset, and this owner did not deliver the tokens in between.
-   */
-  isSplicedAt(offset: number): boolean {
-    return offset > this.branchOffset && offset > this.deliveredOffset;
+  /** Whether tokens, if only the last ones, have yet to reach the second holder. */
+  get needsHolders(): boolean {
+    const isWholeHeld = this.record.heldCount === this.record.tokens.length;
+    return this.isActive || (this.isOwner && !isWholeHeld);
+  }
+
+  /** Whether this VM may forget the generation without losing anything. */
+  get isHandedOver(): boolean {
+    return !this.isOwner || this.record.failure !== null || this.deliveries.hasDeliveredEnd;
   }
 
   get isActive(): boolean {
@@ -122,19 +122,34 @@
 
   /** Notes how far a caller has read, and lets the run go on accordingly. */
   noteDelivered(offset: number): void {
-    this.deliveredOffset = Math.max(this.deliveredOffset, offset);
-    if (this.isActive) this.runWatch.onDelivered(this.deliveredOffset);
+    this.deliveries.noteDelivered(offset);
+    if (this.isActive) this.runWatch.onDelivered(this.deliveries.deliveredOffset);
+  }
+
+  /** A caller reads the generation here, until the result is disposed of. */
+  attach(): Disposable {
+    this.deliveries.attach();
+    return {
+      [Symbol.dispose]: () => {
+        this.deliveries.detach();
+        if (!this.deliveries.isAttached && this.isActive) this.runWatch.liftCredit();
+      },
+    };
   }
 
   /** Checks the deadline and, while running, the silence of the home. */
   watch(): void {
+    if (this.needsHolders) this.services.replicator.watch(this.record);
     if (!this.isActive) return;
     const { context } = this.services;
     if (context.clock.wallTimeMs() >= this.record.request.deadlineAtWallMs) {
       this.onDeadline();
       return;
     }
-    this.services.replicator.watch(this.record);
+    if (this.isAbandoned()) {
+      this.onAbandoned();
+      return;
+    }
     const overdueMs = this.runWatch.overdueMs();
     if (overdueMs !== null) void this.probe(`no frame for ${Math.round(overdueMs)} ms`);
   }
@@ -143,7 +158,7 @@
   onPlaced(target: placements.Target): void {
     this.isWaiting = false;
     if (target.resumeAttempt === null) {
-      this.branchOffset = Math.min(this.branchOffset, this.record.tokens.length);
+      this.deliveries.noteBranch(this.record.tokens.length);
     }
     this.record.run = {
       homeVm: target.homeVm,
@@ -191,6 +206,12 @@
     if (ended.attempt !== this.record.attempt || run === null) return;
     this.record.run = null;
     this.trace(`run.${ended.kind}`, ended.reason);
+    if (ended.kind === messages.RunEndKind.HomeLeaving) {
+      this.record.run = run;
+      this.services.avoidance.avoidVm(run.homeVm);
+      this.events.push({ kind: "home-lost", reason: ended.reason });
+      return;
+    }
     if (ended.kind === messages.RunEndKind.Suspended) {
       this.placer.preferredEngine = run.engineName;
       this.isWaiting = true;
@@ -233,6 +254,19 @@
     this.giveUp(errors.createFailure(message, { code, ...details }));
   }
 
+  /** The caller has been gone for longer than the entry lets a generation run on unread. */
+  private isAbandoned(): boolean {
+    const { abandonAfterMs } = this.record.request.entry;
+    return abandonAfterMs !== null && this.deliveries.unattendedMs >= abandonAfterMs;
+  }
+
+  private onAbandoned(): void {
+    this.services.context.metrics.increment("generations.abandoned");
+    const details = { step: "generation.abandoned", deliveredTokens: this.record.heldCount };
+    const code = stepError.ErrorCode.Interrupted;
+    this.giveUp(errors.createFailure("the caller was gone", { code, ...details }));
+  }
+
   private settle(): void {
     const { clock } = this.services.context;
     this.record.expiresAtMs = clock.nowMs() + this.record.request.entry.keepFinishedMs;
--- a/src/generations/_lib/ownerDesk/index.ts
+++ b/src/generations/_lib/ownerDesk/index.ts
@@ -114,15 +114,21 @@
   }
 
   private onFleetChange(): void {
-    for (const member of this.context.fleet.members()) {
-      if (member.state === fleetTypes.MemberState.Dead)
-        this.onVmLost(member.name, "the VM is dead");
+    for (const { name, state } of this.context.fleet.members()) {
+      if (state === fleetTypes.MemberState.Dead) this.onVmLost(name, "the VM is dead");
+      if (state === fleetTypes.MemberState.Leaving) this.onKeeperLeaving(name);
+    }
+  }
+
+  private onKeeperLeaving(vmName: string): void {
+    for (const { record } of this.owned.values()) {
+      if (record.keeperVm === vmName) this.replicator.onKeeperLost(record, "the VM leaves");
     }
   }
 
   private onVmLost(vmName: string, reason: string): void {
     for (const generation of this.owned.values()) {
-      if (!generation.isActive) continue;
+      if (!generation.isCurrentOwner) continue;
       generation.onHomeLost(vmName, reason);
       if (generation.record.keeperVm === vmName) {
         this.replicator.onKeeperLost(generation.record, reason);
--- a/src/generations/_lib/placement/index.ts
+++ b/src/generations/_lib/placement/index.ts
@@ -27,6 +27,7 @@
 
 /** VMs and engines that failed lately and are passed over for a while. */
 export class Avoidance {
+  private readonly excludedVms = new Set<string>();
   private readonly vmsUntilMs = new Map<string, number>();
   private readonly enginesUntilMs = new Map<string, number>();
 
@@ -36,11 +37,17 @@
     this.vmsUntilMs.set(vmName, this.clock.nowMs() + constants.AVOID_VM_MS);
   }
 
+  /** Passes a VM over for good, such as this one once it shuts down. */
+  excludeVm(vmName: string): void {
+    this.excludedVms.add(vmName);
+  }
+
   avoidEngine(engineName: string): void {
     this.enginesUntilMs.set(engineName, this.clock.nowMs() + constants.AVOID_ENGINE_MS);
   }
 
   isVmAvoided(vmName: string): boolean {
+    if (this.excludedVms.has(vmName)) return true;
     return (this.vmsUntilMs.get(vmName) ?? 0) > this.clock.nowMs();
   }
 
--- a/src/generations/_lib/reader/index.ts
+++ b/src/generations/_lib/reader/index.ts
@@ -1,6 +1,7 @@
 import * as stepError from "../../../_lib/stepError/index.js";
 import * as constants from "../../constants.js";
 import type * as types from "../../types.js";
+import type * as callerMeasures from "../callerMeasures/index.js";
 import type * as contexts from "../context/index.js";
 import * as errors from "../errors/index.js";
 import type * as locators from "../locator/index.js";
@@ -8,7 +9,7 @@
 import type * as owneds from "../owned/index.js";
 
 /** Where a caller has got to. */
-interface ReadPosition {
+export interface ReadPosition {
   readonly requestId: string;
   readonly accountName: string;
   readonly fromOffset: number;
@@ -26,27 +27,70 @@
     this.context.link.handle(messages.Method.Read, messages.readSchema, async (read) => {
       const generation = this.holders.owner.find(read.requestId);
       if (generation?.record.request.accountName !== read.accountName) return notOwner();
-      return this.readHere(generation, read.fromOffset, read.waitMs);
+      const timeout = new AbortController();
+      const timer = this.context.clock.schedule(read.waitMs, () => timeout.abort());
+      const attachment = generation.attach();
+      try {
+        return await this.readHere(generation, read.fromOffset, timeout.signal);
+      } finally {
+        attachment[Symbol.dispose]();
+        timer[Symbol.dispose]();
+      }
     });
   }
 
-  /** Frames from an offset on, each token once; follows the generation to whichever VM owns it. */
-  async *frames(
-    requestId: string,
-    accountName: string,
-    fromOffset: number,
-    located: readonly locators.LocatedHolder[] = [],
-  ): AsyncGenerator<types.TokenFrame> {
+  /**
+   * Frames from an offset on, each token once; follows the generation to whichever VM owns it.
+   * Ending the iteration detaches the caller at once, also while it waits for a token.
+   */
+  frames(
+    position: ReadPosition,
+    located: readonly locators.LocatedHolder[],
+    measures: callerMeasures.CallerMeasures | null,
+  ): AsyncIterableIterator<types.TokenFrame> {
+    const closing = new AbortController();
+    const generator = this.follow(position, located, measures, closing.signal);
+    return {
+      next: () => {
+        measures?.onAsked();
+        return generator.next();
+      },
+      return: async () => {
+        closing.abort();
+        return generator.return(undefined);
+      },
+      [Symbol.asyncIterator]() {
+        return this;
+      },
+    };
+  }
+
+  private async *follow(
+    position: ReadPosition,
+    located: readonly locators.LocatedHolder[],
+    measures: callerMeasures.CallerMeasures | null,
+    signal: AbortSignal,
+  ): AsyncGenerator<types.TokenFrame, undefined> {
+    using attachment = new Attachment(this.holders);
+    const { requestId } = position;
     let holders = located;
-    let offset = fromOffset;
+    let offset = position.fromOffset;
     let samplingAttempt: number | null = null;
     for (;;) {
-      const answer = await this.read({ requestId, accountName, fromOffset: offset }, holders);
+      attachment.follow(requestId);
+      const answer = await this.read({ ...position, fromOffset: offset }, holders, signal);
+      if (answer === null) return;
       holders = [];
       const isOther = samplingAttempt !== null && answer.samplingAttempt !== samplingAttempt;
-      if (answer.isSpliced || (isOther && offset > 0)) throw this.interrupted(offset);
+      if (answer.isSpliced || (isOther && offset > 0)) {
+        measures?.onEnded(false);
+        throw this.interrupted(offset);
+      }
       samplingAttempt = answer.samplingAttempt;
       const { attempt, tokens, finishReason } = answer;
+      if (tokens.length > 0) measures?.onTokens();
+      if (finishReason !== null) measures?.onEnded(true);
+      if (answer.failure !== null) measures?.onEnded(false);
       if (tokens.length > 0 || finishReason !== null) {
         yield { requestId, attempt, offset, tokens, finishReason };
       }
@@ -60,12 +104,13 @@
   private async read(
     position: ReadPosition,
     located: readonly locators.LocatedHolder[],
-  ): Promise<messages.ReadAnswer> {
+    signal: AbortSignal,
+  ): Promise<messages.ReadAnswer | null> {
     let holders = located;
-    for (;;) {
+    while (!signal.aborted) {
       const generation = this.holders.owner.find(position.requestId);
       if (generation?.isCurrentOwner === true) {
-        const answer = await this.readHere(generation, position.fromOffset, Infinity);
+        const answer = await this.readHere(generation, position.fromOffset, signal);
         if (answer.isOwner) return answer;
         continue;
       }
@@ -74,6 +119,7 @@
       if (answer !== null) return answer;
       holders = [];
     }
+    return null;
   }
 
   private async readElsewhere(
@@ -105,43 +151,29 @@
     }
   }
 
-  /** Waits for tokens after an offset, for a change of owner, or for the time to pass. */
+  /** Waits for tokens after an offset, for a change of owner, or for the signal. */
   private async readHere(
     generation: owneds.OwnedGeneration,
     fromOffset: number,
-    waitMs: number,
+    signal: AbortSignal,
   ): Promise<messages.ReadAnswer> {
     const { record } = generation;
-    generation.noteDelivered(0);
-    const timeout = new AbortController();
-    const timer =
-      waitMs === Infinity ? null : this.context.clock.schedule(waitMs, () => timeout.abort());
-    generation.attachedCount += 1;
-    try {
-      for (;;) {
-        if (!generation.isCurrentOwner) return notOwner();
-        const chunk = record.deliverable(fromOffset);
-        const isSpliced = generation.isSplicedAt(fromOffset);
-        const isNews = chunk !== null || record.failure !== null || isSpliced;
-        if (!isNews && !timeout.signal.aborted) {
-          await record.nextChange(timeout.signal);
-          continue;
-        }
-        const tokens = isSpliced ? [] : (chunk?.tokens ?? []);
-        generation.noteDelivered(fromOffset + tokens.length);
-        return {
-          isOwner: true,
-          isSpliced,
-          attempt: record.attempt,
-          samplingAttempt: record.samplingAttempt,
-          tokens: [...tokens],
-          finishReason: chunk?.finishReason ?? null,
-          failure: describeFailure(record.failure),
-        };
+    for (;;) {
+      if (!generation.isCurrentOwner) return notOwner();
+      const isSpliced = generation.deliveries.isSplicedAt(fromOffset);
+      const chunk = isSpliced ? null : record.deliverable(fromOffset);
+      const isNews = chunk !== null || record.failure !== null || isSpliced;
+      if (!isNews && !signal.aborted) {
+        await record.nextChange(signal);
+        continue;
       }
-    } finally {
-      generation.attachedCount -= 1;
-      timer?.[Symbol.dispose]();
+      const tokens = chunk?.tokens ?? [];
+      const finishReason = chunk?.finishReason ?? null;
+      generation.noteDelivered(fromOffset + tokens.length);
+      if (finishReason !== null) generation.deliveries.hasDeliveredEnd = true;
+      const { attempt, samplingAttempt } = record;
+      const failure = describeFailure(record.failure);
+      return { isOwner: true, isSpliced, attempt, samplingAttempt, tokens, finishReason, failure };
     }
   }
 
@@ -166,6 +198,28 @@
   }
 }
 
+/** A caller's hold on a generation that this VM owns, for as long as it owns it. */
+class Attachment implements Disposable {
+  private generation: owneds.OwnedGeneration | null = null;
+  private hold: Disposable | null = null;
+
+  constructor(private readonly holders: locators.Holders) {}
+
+  /** Attaches to the generation as it is owned here now, if it is. */
+  follow(requestId: string): void {
+    const generation = this.holders.owner.find(requestId);
+    if (generation === this.generation) return;
+    this[Symbol.dispose]();
+    this.generation = generation;
+    this.hold = generation?.attach() ?? null;
+  }
+
+  [Symbol.dispose](): void {
+    this.hold?.[Symbol.dispose]();
+    this.hold = null;
+  }
+}
+
 function describeFailure(error: stepError.StepError | null): messages.ReadAnswer["failure"] {
   if (error === null) return null;
   const { message, code, step } = error;
--- /dev/null
+++ b/src/generations/_lib/reader/test.ts
@@ -0,0 +1,61 @@
+import tap from "tap";
+
+import * as callers from "../../../../standins/vms/caller/index.js";
+import * as expectations from "../../../../standins/vms/expectations/index.js";
+import * as vms from "../../../../standins/vms/index.js";
+
+tap.test(
+  "a caller who is gone is given up after the entry's time, and its memory freed",
+  async (t) => {
+    await using group = new vms.VmGroup({
+      vms: vms.THREE_VMS,
+      engines: { e1: "dc1" },
+      engineOptions: { lengthOf: () => 900 },
+    });
+    const caller = await callers.startAt(group, "a", { abandonAfterMs: 1_000 });
+    caller.detach();
+    await group.clock.runForMs(2_000);
+    t.equal(group.engine("e1").counters.cancelledCount, 1);
+    t.equal(group.vm("a").service.describeHeld().unfinishedRequestIds.length, 0);
+  },
+);
+
+tap.test("work whose caller is gone but that may wait is finished and kept", async (t) => {
+  await using group = new vms.VmGroup({ vms: vms.THREE_VMS, engines: { e1: "dc1" } });
+  const caller = await callers.startAt(group, "a", { abandonAfterMs: null });
+  caller.detach();
+  await group.clock.runForMs(10_000);
+  void caller.attach("b");
+  await group.clock.runForMs(100);
+  expectations.expectWhole(t, caller);
+});
+
+tap.test("a slow caller holds back its own stream and no other", async (t) => {
+  await using group = new vms.VmGroup({
+    vms: vms.THREE_VMS,
+    engines: { e1: "dc1" },
+    engineOptions: { capacityTokens: 100_000, lengthOf: () => 9_000, stepBaseMs: 1 },
+  });
+  const slow = await callers.startAt(group, "a", { maxTokens: 10_000, abandonAfterMs: 120_000 });
+  const quick = new callers.Caller(group, group.vm("a").service.createRequestId());
+  void quick.submit("a", { maxTokens: 10_000 });
+  slow.isStopped = true;
+  await group.clock.runForMs(30_000);
+  expectations.expectWhole(t, quick, 9_000);
+  const held = [...group.vms.values()].flatMap((vm) => vm.service.describeEngines());
+  const run = held
+    .flatMap((engine) => engine.runs)
+    .find((item) => item.requestId === slow.requestId);
+  t.ok(run!.producedTokens < 6_000, `${run!.producedTokens} tokens read ahead of the caller`);
+  slow.resume();
+  await group.clock.runForMs(30_000);
+  expectations.expectWhole(t, slow, 9_000);
+});
+
+tap.test("a caller that re-attaches elsewhere while its entry lives gets the rest", async (t) => {
+  await using group = new vms.VmGroup({ vms: vms.THREE_VMS, engines: { e1: "dc1" } });
+  const caller = await callers.startAt(group, "a");
+  void caller.attach("b");
+  await group.clock.runForMs(5_000);
+  expectations.expectWhole(t, caller);
+});
--- a/src/generations/_lib/views/index.ts
+++ b/src/generations/_lib/views/index.ts
@@ -33,6 +33,7 @@
 /** What this VM knows about engines, from their homes' summaries. */
 export class EngineViews {
   private readonly views = new Map<string, HeldView>();
+  private readonly leavingEngines = new Set<string>();
 
   constructor(private readonly context: contexts.GenerationContext) {}
 
@@ -61,6 +62,11 @@
     held.sentCount += 1;
   }
 
+  /** Notes that an engine leaves; nothing is sent there from here on, whatever views still say. */
+  noteLeaving(engineName: string): void {
+    this.leavingEngines.add(engineName);
+  }
+
   /** All views, with their age. */
   list(): readonly engines.EngineView[] {
     const nowMs = this.context.clock.nowMs();
@@ -100,6 +106,7 @@
     const item = this.context.catalogue.current().items.get(`engine/${view.name}`)?.item;
     if (item?.kind !== catalogueTypes.ItemKind.Engine) return false;
     if (item.state === catalogueTypes.DesiredState.Draining) return false;
+    if (this.leavingEngines.has(view.name)) return false;
     return view.ageMs <= constants.VIEW_EXPIRY_MS;
   }
 
--- a/src/generations/generations/index.ts
+++ b/src/generations/generations/index.ts
@@ -15,8 +15,11 @@
 import * as fleetTypes from "../../fleet/types.js";
 import type * as peers from "../../peers/types.js";
 import type * as telemetry from "../../telemetry/types.js";
+import * as callerMeasures from "../_lib/callerMeasures/index.js";
 import type * as contexts from "../_lib/context/index.js";
+import * as drains from "../_lib/drain/index.js";
 import * as errors from "../_lib/errors/index.js";
+import * as descriptions from "../_lib/descriptions/index.js";
 import * as homeDesks from "../_lib/homeDesk/index.js";
 import * as keeperDesks from "../_lib/keeperDesk/index.js";
 import * as locators from "../_lib/locator/index.js";
@@ -40,6 +43,8 @@
   private readonly views: views.EngineViews;
   private readonly locator: locators.Locator;
   private readonly orphans: orphanWatches.OrphanWatch;
+  private readonly drainer: drains.Drain;
+  private isDraining = false;
   private readonly reader: readers.Reader;
   private readonly resources = new disposableStore.DisposableStore();
   private readonly stopping = new AbortController();
@@ -77,6 +82,7 @@
     this.holders = { owner, keeper, home };
     this.locator = new locators.Locator(this.context, this.holders);
     this.orphans = new orphanWatches.OrphanWatch(this.context, this.holders, this.locator);
+    this.drainer = new drains.Drain(this.context, this.holders, this.locator);
     this.reader = new readers.Reader(this.context, this.holders, this.locator);
   }
 
@@ -87,6 +93,7 @@
     this.holders.keeper.start();
     this.holders.home.start();
     this.locator.start();
+    this.drainer.start();
     this.reader.start();
     void this.repeat(constants.WATCH_INTERVAL_MS, () => this.watch());
     void this.repeat(constants.VIEW_INTERVAL_MS, () => this.spreadViews());
@@ -130,6 +137,36 @@
     return neverthrow.ok(this.createHandle(requestId, accountName, holders));
   }
 
+  /**
+   * Notes that an engine leaves, e.g. by the platform's list. The sign stays, whatever other
+   * sources still say; the engine gets no new work from this VM.
+   */
+  noteLeaving(engineName: string): void {
+    this.views.noteLeaving(engineName);
+    this.holders.home.noteLeaving(engineName);
+  }
+
+  /** Accepts nothing more, and resolves once everything held is finished or handed over. */
+  async drain(): Promise<void> {
+    this.isDraining = true;
+    await this.drainer.run(this.stopping.signal);
+  }
+
+  /** What would be lost if this VM stopped now. */
+  describeHeld(): types.HeldSummary {
+    return descriptions.describeHeld(this.holders);
+  }
+
+  /** What this VM, as the home of engines, holds on each. */
+  describeEngines(): readonly types.HeldEngine[] {
+    return descriptions.describeEngines(this.holders, this.context.clock.nowMs());
+  }
+
+  /** What waits at this VM, and why. */
+  describeQueue(): readonly types.WaitingGeneration[] {
+    return descriptions.describeQueue(this.holders, this.context.clock.nowMs());
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     this.stopping.abort();
     await this.resources[Symbol.asyncDispose]();
@@ -140,9 +177,20 @@
     accountName: string,
     located: readonly locators.LocatedHolder[] = [],
   ): types.GenerationHandle {
+    const generation = this.holders.owner.find(requestId);
+    const { clock, metrics } = this.context;
+    const measures =
+      generation &&
+      new callerMeasures.CallerMeasures(
+        clock,
+        metrics,
+        generation.record.request.entry.name,
+        generation.acceptedAtMs,
+      );
     return {
       requestId,
-      frames: (fromOffset) => this.reader.frames(requestId, accountName, fromOffset, located),
+      frames: (fromOffset) =>
+        this.reader.frames({ requestId, accountName, fromOffset }, located, measures),
     };
   }
 
@@ -177,6 +225,10 @@
       const message = `request ${request.requestId} is held already`;
       return errors.createRefusal(message, stepError.ErrorCode.Conflict, "generation.submit");
     }
+    if (this.isDraining) {
+      const code = stepError.ErrorCode.ShuttingDown;
+      return errors.createRefusal("this VM shuts down", code, "generation.submit", 0);
+    }
     if (request.deadlineAtWallMs <= this.context.clock.wallTimeMs()) {
       const message = "the deadline has passed";
       const code = stepError.ErrorCode.DeadlineExceeded;
--- a/standins/vms/caller/index.ts
+++ b/standins/vms/caller/index.ts
@@ -1,6 +1,6 @@
 import * as stepError from "../../../src/_lib/stepError/index.js";
 import type * as catalogue from "../../../src/catalogue/types.js";
-import type * as generations from "../../../src/generations/index.js";
+import * as generations from "../../../src/generations/index.js";
 import * as vms from "../index.js";
 
 /** What a caller saw and when. */
@@ -12,7 +12,11 @@
   refusal: stepError.StepError | null = null;
   /** Frames that did not begin where the one before them ended. */
   misplacedFramesCount = 0;
+  /** Set while the caller takes nothing from its connection. */
+  isStopped = false;
   private connection = 0;
+  private iterator: AsyncIterator<generations.TokenFrame> | null = null;
+  private goOn: () => void = () => undefined;
 
   constructor(
     private readonly group: vms.VmGroup,
@@ -49,18 +53,31 @@
     else await this.read(result.value);
   }
 
+  /** Takes from the connection again. */
+  resume(): void {
+    this.isStopped = false;
+    this.goOn();
+  }
+
   /** Stops reading. */
   detach(): void {
     this.connection += 1;
+    void this.iterator?.return?.();
+    this.iterator = null;
   }
 
   private async read(handle: generations.GenerationHandle): Promise<void> {
     this.connection += 1;
     const { connection } = this;
     try {
-      for await (const frame of handle.frames(this.tokens.length)) {
-        if (connection !== this.connection) return;
-        this.take(frame);
+      const frames = handle.frames(this.tokens.length);
+      const iterator = frames[Symbol.asyncIterator]();
+      this.iterator = iterator;
+      for (;;) {
+        const step = await iterator.next();
+        if (step.done === true || connection !== this.connection) return;
+        this.take(step.value);
+        if (this.isStopped) await new Promise<void>((resolve) => (this.goOn = resolve));
       }
     } catch (error) {
       if (connection !== this.connection) return;
@@ -84,3 +101,36 @@
   const mark = tokens[0]?.trim().split(".")[0];
   return tokens.every((token, offset) => token === ` ${mark}.${offset}`);
 }
+
+/** Starts a generation at a VM and lets it run until some tokens have been delivered. */
+export async function startAt(
+  group: vms.VmGroup,
+  vmName: string,
+  overrides: Partial<catalogue.GenerationEntry> = {},
+): Promise<Caller> {
+  await group.settle();
+  const caller = new Caller(group, group.vm(vmName).service.createRequestId());
+  void caller.submit(vmName, overrides);
+  await group.clock.runForMs(500);
+  return caller;
+}
+
+/** The longest time between two tokens. */
+export function longestGapMs(caller: Caller): number {
+  let longestMs = 0;
+  let previousMs = caller.arrivedAtMs[0] ?? 0;
+  for (const atMs of caller.arrivedAtMs) {
+    longestMs = Math.max(longestMs, atMs - previousMs);
+    previousMs = atMs;
+  }
+  return longestMs;
+}
+
+/** The home of an engine of the first data centre, and all other VMs. */
+export function homeAndOthers(group: vms.VmGroup, engineName: string): [string, ...string[]] {
+  const names = [...group.vms.keys()];
+  const members = group.vm(names[0] ?? "").fleet.members();
+  const home = generations.selectHome({ name: engineName, dataCentre: "dc1" }, members);
+  if (home === null) throw new Error(`engine ${engineName} has no home`);
+  return [home, ...names.filter((name) => name !== home)];
+}
--- a/standins/vms/index.ts
+++ b/standins/vms/index.ts
@@ -13,7 +13,9 @@
 import * as engineModels from "../engine/model/index.js";
 import type * as engineTypes from "../engine/types.js";
 import * as fleetViews from "../fleet/view/index.js";
+import * as metricsFakes from "../metrics/index.js";
 import * as hubs from "../peers/hub/index.js";
+import * as markings from "./marking/index.js";
 import * as pausables from "./pausable/index.js";
 
 /** Where the VMs and engines of a group stand. */
@@ -33,9 +35,12 @@
   readonly fleet: fleetViews.FakeFleetView;
   readonly process: pausables.PausableProcess;
   readonly tracer: MemoryTracer;
-  readonly metrics: CountingMetrics;
+  readonly metrics: metricsFakes.CountingMetrics;
 }
 
+/** Three VMs in one data centre. */
+export const THREE_VMS = { a: "dc1", b: "dc1", c: "dc1" };
+
 const LOADED: backends.LoadedModel = { model: "m", version: "1", adapters: ["a"] };
 
 const ENGINE_OPTIONS: engineTypes.EngineModelOptions = {
@@ -65,7 +70,8 @@
   readonly catalogue: catalogueViews.FakeCatalogueView;
   readonly engines = new Map<string, engineModels.EngineModel>();
   readonly vms = new Map<string, GroupedVm>();
-  private readonly clients: engineClients.ModelEngineClients;
+  private readonly clients: markings.MarkingEngineClients;
+  private readonly downVms = new Set<string>();
   private readonly resources = new disposableStore.DisposableStore();
   private readonly random: randoms.RandomSource;
 
@@ -74,7 +80,9 @@
     this.hub.latencyMs = 1;
     this.catalogue = new catalogueViews.FakeCatalogueView([createEntry(), ...this.engineItems()]);
     for (const name of Object.keys(options.engines)) this.addEngine(name);
-    this.clients = new engineClients.ModelEngineClients(this.engines, this.clock);
+    this.clients = new markings.MarkingEngineClients(
+      new engineClients.ModelEngineClients(this.engines, this.clock),
+    );
     const identities = Object.entries(options.vms).map(([name, dataCentre]) =>
       fleetViews.createVmIdentity(name, dataCentre),
     );
@@ -101,11 +109,21 @@
 
   /** Kills a VM's process; the others notice after a while. */
   killVm(name: string, noticedAfterMs = 2_000): void {
+    this.downVms.add(name);
     this.hub.kill(name);
     void this.vm(name).service[Symbol.asyncDispose]();
     this.clock.schedule(noticedAfterMs, () => this.markVm(name, fleetTypes.MemberState.Dead));
   }
 
+  isDown(name: string): boolean {
+    return this.downVms.has(name);
+  }
+
+  /** Names of the VMs that have not been killed. */
+  runningVms(): readonly string[] {
+    return [...this.vms.keys()].filter((name) => !this.downVms.has(name));
+  }
+
   /** Stops a VM's process and its messages; returns a function that lets it go on. */
   pauseVm(name: string): () => void {
     const resumeMessages = this.hub.pause(name);
@@ -135,9 +153,16 @@
     await this.resources[Symbol.asyncDispose]();
   }
 
+  /** Operators want no new work sent to an engine. */
+  drainEngine(name: string): void {
+    const engine = this.engineItems().find((item) => item.name === name);
+    if (engine === undefined) throw new Error(`no engine is called ${name}`);
+    this.catalogue.put({ ...engine, state: catalogue.DesiredState.Draining });
+  }
+
   private addVm(identity: fleet.VmIdentity, identities: readonly fleet.VmIdentity[]): void {
     const tracer = new MemoryTracer(identity.name, this.clock);
-    const metrics = new CountingMetrics();
+    const metrics = new metricsFakes.CountingMetrics();
     const view = new fleetViews.FakeFleetView(identity, identities);
     const process = new pausables.PausableProcess(this.clock, this.clients);
     const service = new generations.Generations(
@@ -216,25 +241,3 @@
     return this.events.get(requestId) ?? [];
   }
 }
-
-/** Counts in memory. */
-export class CountingMetrics implements telemetry.Metrics {
-  readonly counts = new Map<string, number>();
-  readonly observations: { measure: telemetry.Measure; value: number }[] = [];
-
-  increment(name: string, count = 1): void {
-    this.counts.set(name, (this.counts.get(name) ?? 0) + count);
-  }
-
-  gauge(name: string, value: number): void {
-    this.counts.set(name, value);
-  }
-
-  observe(measure: telemetry.Measure, _entryName: string, value: number): void {
-    this.observations.push({ measure, value });
-  }
-
-  completed(entryName: string, isWhole: boolean): void {
-    this.increment(`${entryName}.${isWhole ? "whole" : "cut"}`);
-  }
-}
