--- a/src/cli/fleetCommands/index.ts
+++ b/src/cli/fleetCommands/index.ts
@@ -86,7 +86,7 @@
     backend.dataCentre,
     backend.state,
     backend.home ?? "-",
-    formatRatio(backend.usedRatio),
+    formatRatio(backend.reservedRatio),
     backend.runningCount ?? "-",
     backend.detail,
   ]);
@@ -96,7 +96,7 @@
     "DATA CENTRE",
     "STATE",
     "HOME",
-    "MEMORY",
+    "RESERVED",
     "RUNNING",
     "DETAIL",
   ];
@@ -109,20 +109,18 @@
     item.requestId,
     item.vm,
     item.entryName,
-    item.class,
     item.accountName,
     output.formatDuration(item.waitedMs),
-    output.formatDuration(item.deadlineInMs),
+    item.producedTokens,
     item.reason,
   ]);
   const headings = [
     "REQUEST",
     "VM",
     "ENTRY",
-    "CLASS",
     "ACCOUNT",
     "WAITED",
-    "DEADLINE IN",
+    "PRODUCED",
     "WAITS FOR",
   ];
   return { ...queue, text: output.formatTable(headings, rows) };
--- a/src/daemon/daemon/index.ts
+++ b/src/daemon/daemon/index.ts
@@ -88,7 +88,13 @@
 
   /** What would be lost if this VM stopped now, in words; empty where it is nothing. */
   describeHeld(): string {
-    return this.generations.describeHeld();
+    const held = this.generations.describeHeld();
+    const counts = [
+      `${held.runningCount} running and ${held.waitingCount} waiting generations`,
+      `${held.engineRunsCount} runs on engines`,
+    ];
+    const isNothing = held.runningCount + held.waitingCount + held.engineRunsCount === 0;
+    return isNothing ? "" : counts.join(", ");
   }
 
   /**
@@ -103,7 +109,7 @@
     this.logger.info({ graceMs }, "leaving");
     await this.clock.sleep(balancerNoticeMs);
     this.membership.leave();
-    return this.generations.drain(graceMs);
+    return replication.isDoneWithin(this.clock, graceMs, this.generations.drain());
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
--- a/src/http/adminTypes.ts
+++ b/src/http/adminTypes.ts
@@ -40,18 +40,18 @@
   readonly dataCentre: string;
   readonly home: string | null;
   readonly state: string;
-  readonly usedRatio: number | null;
+  readonly reservedRatio: number | null;
   readonly runningCount: number | null;
   readonly detail: string;
 }
 
 /** A request that waits, and the VM at which it does. */
-export interface QueueDescription extends generations.WaitingDescription {
+export interface QueueDescription extends generations.WaitingGeneration {
   readonly vm: string;
 }
 
 /** What an engine holds and why it takes or refuses work. */
-export interface EngineExplanation extends generations.EngineDescription {
+export interface EngineExplanation extends generations.HeldEngine {
   readonly home: string;
 }
 
