Bind waiting work late

Work without room waits at its entry in the waiting queue of its class. Entries tell the homes that could run it what is most urgent; a home with room announces it to the entry with the most urgent work, and turns away whatever would overtake it.

--- a/src/generations/_lib/engineHome/index.ts
+++ b/src/generations/_lib/engineHome/index.ts
@@ -52,7 +52,7 @@
   }
 
   /** Runs the work, or says why not. */
-  dispatch(dispatch: messages.DispatchRequest): messages.DispatchAnswer {
+  dispatch(dispatch: messages.DispatchRequest, isOvertaking = false): messages.DispatchAnswer {
     const { snapshot } = dispatch;
     const existing = this.runs.get(snapshot.request.requestId);
     if (existing !== undefined && existing.attempt >= snapshot.attempt) {
@@ -64,6 +64,7 @@
     if (dispatch.resumeAttempt === null) {
       const refusal = this.checkAdmission(snapshot);
       if (refusal !== null) return refusal;
+      if (isOvertaking) return this.answer(messages.DispatchVerdict.Wait, "more urgent work waits");
     }
     return this.startRun(dispatch);
   }
@@ -72,6 +73,14 @@
     return { ...this.scheduler.view(nowMs), health: this.health() };
   }
 
+  /** Memory that new work may take now; none where the engine takes no work. */
+  freeTokens(nowMs: number): number {
+    const { health, capacityTokens, reservedTokens } = this.view(nowMs);
+    const isUsable =
+      health === engineTypes.EngineHealth.Live || health === engineTypes.EngineHealth.Suspect;
+    return isUsable ? Math.floor(capacityTokens - reservedTokens) : 0;
+  }
+
   get runningCount(): number {
     return [...this.runs.values()].filter((run) => !run.isEnded).length;
   }
--- a/src/generations/_lib/engineRequest/index.ts
+++ b/src/generations/_lib/engineRequest/index.ts
@@ -1,16 +1,9 @@
 import * as crypto from "node:crypto";
 
 import type * as backends from "../../../backends/types.js";
-import * as catalogueTypes from "../../../catalogue/types.js";
-import type * as engines from "../../../engines/types.js";
+import * as engines from "../../../engines/index.js";
 import type * as types from "../../types.js";
 
-const PRIORITIES: Readonly<Record<catalogueTypes.RequestClass, number>> = {
-  [catalogueTypes.RequestClass.Interactive]: 0,
-  [catalogueTypes.RequestClass.Streaming]: 1,
-  [catalogueTypes.RequestClass.Batch]: 2,
-};
-
 /** Keeps seeds within 31 bits, which every engine takes. */
 const SEED_MASK = 0x7fffffff;
 
@@ -29,7 +22,7 @@
     prompt: request.prompt,
     prefixTokens: [...prefixTokens],
     maxTokens: request.maxTokens,
-    priority: PRIORITIES[request.entry.class],
+    priority: engines.priorityOf(request.entry.class),
     seed: samplingSeed(request.requestId),
   };
 }
--- a/src/generations/_lib/homeDesk/index.ts
+++ b/src/generations/_lib/homeDesk/index.ts
@@ -1,6 +1,9 @@
+import * as zod from "zod";
+
 import * as disposableStore from "../../../_lib/disposableStore/index.js";
 import type * as catalogue from "../../../catalogue/types.js";
 import * as catalogueTypes from "../../../catalogue/types.js";
+import * as engines from "../../../engines/index.js";
 import type * as types from "../../types.js";
 import * as constants from "../../constants.js";
 import * as selectHomes from "../../selectHome/index.js";
@@ -9,14 +12,14 @@
 import type * as engineRuns from "../engineRun/index.js";
 import * as frameBatchers from "../frameBatcher/index.js";
 import * as messages from "../messages/index.js";
-
-/** Which entry VMs have work waiting for an engine. */
-type InterestedVms = Map<string, number>;
+import * as waitingBoards from "../waitingBoard/index.js";
 
 /** The engines whose home this VM is, and the messages of owners to it. */
 export class HomeDesk implements engineHomes.HomeObserver, AsyncDisposable {
   private readonly homes = new Map<string, engineHomes.EngineHome>();
-  private readonly interests = new Map<string, InterestedVms>();
+  private readonly board = new waitingBoards.WaitingBoard();
+  /** Until when the room of an engine is kept for the VM it was announced to. */
+  private readonly offeredUntilMs = new Map<string, number>();
   private readonly frames: frameBatchers.FrameBatcher;
   private readonly resources = new disposableStore.DisposableStore();
 
@@ -38,6 +41,10 @@
       const run = this.findRun(credit.requestId);
       if (run?.attempt === credit.attempt) run.grantCredit(credit.offset ?? Infinity);
     });
+    link.handle(messages.Method.Waiting, zod.array(messages.waitingItemSchema), (items, vm) => {
+      this.board.take(vm, items, this.context.clock.nowMs());
+      for (const home of this.homes.values()) this.onRoom(home);
+    });
     this.resources.add(this.context.catalogue.onChange(() => this.refresh()));
     this.resources.add(this.context.fleet.onChange(() => this.refresh()));
     this.refresh();
@@ -84,12 +91,19 @@
     });
   }
 
+  /** Announces room to the VM that has the most urgent work waiting for it. */
   onRoom(home: engineHomes.EngineHome): void {
-    const interested = this.interests.get(home.engine.name);
-    const vmName = mostUrgentVm(interested);
-    if (vmName === null) return;
-    interested?.delete(vmName);
-    this.context.link.notify(vmName, messages.Method.Room, { engineName: home.engine.name });
+    const nowMs = this.context.clock.nowMs();
+    const { name } = home.engine;
+    if (nowMs < (this.offeredUntilMs.get(name) ?? 0)) return;
+    const freeTokens = home.freeTokens(nowMs);
+    if (freeTokens <= 0) return;
+    const urgent = this.board.mostUrgent(home.view(nowMs).loadedModels, nowMs);
+    if (urgent === null) return;
+    this.board.remove(urgent.item.requestId);
+    this.offeredUntilMs.set(name, nowMs + constants.ROOM_OFFER_MS);
+    const room = { engineName: name, freeTokens };
+    this.context.link.notify(urgent.vmName, messages.Method.Room, room);
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
@@ -109,14 +123,25 @@
       };
     }
     this.dropElsewhere(dispatch);
-    const answer = home.dispatch(dispatch);
-    if (answer.verdict === messages.DispatchVerdict.Wait) {
-      const urgency = dispatch.snapshot.request.deadlineAtWallMs;
-      this.noteInterest(dispatch.engineName, fromVm, urgency);
+    if (dispatch.isOffered) this.offeredUntilMs.delete(dispatch.engineName);
+    const answer = home.dispatch(dispatch, this.isOvertaking(home, dispatch));
+    if (answer.verdict === messages.DispatchVerdict.Admitted) {
+      this.board.remove(dispatch.snapshot.request.requestId);
+      this.onRoom(home);
     }
     return answer;
   }
 
+  /** Whether work that was not called would go before more urgent work that waits. */
+  private isOvertaking(home: engineHomes.EngineHome, dispatch: messages.DispatchRequest): boolean {
+    if (dispatch.isOffered) return false;
+    const nowMs = this.context.clock.nowMs();
+    const urgent = this.board.mostUrgent(home.view(nowMs).loadedModels, nowMs);
+    const { request } = dispatch.snapshot;
+    if (urgent === null || urgent.item.requestId === request.requestId) return false;
+    return urgent.item.rank <= engines.priorityOf(request.entry.class);
+  }
+
   /** A newer attempt on another engine ends the older run here. */
   private dropElsewhere(dispatch: messages.DispatchRequest): void {
     const { requestId } = dispatch.snapshot.request;
@@ -137,12 +162,6 @@
     return { isRunning: !run.isEnded || run.finishReason !== null, tokensCount: run.tokens.length };
   }
 
-  private noteInterest(engineName: string, vmName: string, urgency: number): void {
-    const interested = this.interests.get(engineName) ?? new Map<string, number>();
-    this.interests.set(engineName, interested);
-    interested.set(vmName, Math.min(interested.get(vmName) ?? Infinity, urgency));
-  }
-
   /** An engine that this VM is not the home of is taken up all the same: its home may be cut off. */
   private homeFor(engineName: string): engineHomes.EngineHome | null {
     const known = this.homes.get(engineName);
@@ -180,8 +199,3 @@
     return home;
   }
 }
-
-function mostUrgentVm(interested: InterestedVms | undefined): string | null {
-  const sorted = [...(interested ?? [])].sort((left, right) => left[1] - right[1]);
-  return sorted[0]?.[0] ?? null;
-}
--- a/src/generations/_lib/messages/index.ts
+++ b/src/generations/_lib/messages/index.ts
@@ -21,6 +21,7 @@
   Claim = "generations/claim",
   Locate = "generations/locate",
   Read = "generations/read",
+  Waiting = "generations/waiting",
   Room = "generations/room",
   EngineViews = "generations/engine-views",
 }
@@ -92,6 +93,8 @@
   engineName: zod.string(),
   /** The engine's stream to take up, where there may still be one. */
   resumeAttempt: zod.number().nullable(),
+  /** Whether the home announced room for this work. */
+  isOffered: zod.boolean(),
 });
 
 /** What a home made of a dispatch. */
@@ -200,12 +203,24 @@
     .nullable(),
 });
 
-export const roomSchema = zod.object({ engineName: zod.string() });
+export const roomSchema = zod.object({ engineName: zod.string(), freeTokens: zod.number() });
+
+/** The most urgent request of one model that a VM has waiting. */
+export const waitingItemSchema = zod.object({
+  model: zod.string(),
+  version: zod.string(),
+  adapter: zod.string().nullable(),
+  requestId: zod.string(),
+  /** Class rank after ageing; lower is more urgent. */
+  rank: zod.number(),
+  deadlineInMs: zod.number(),
+});
 
 export type GenerationSnapshot = zod.infer<typeof snapshotSchema>;
 export type RunLocation = zod.infer<typeof runLocationSchema>;
 export type DispatchRequest = zod.infer<typeof dispatchSchema>;
 export type DispatchAnswer = zod.infer<typeof dispatchAnswerSchema>;
+export type WaitingItem = zod.infer<typeof waitingItemSchema>;
 export type RunEnded = zod.infer<typeof runEndedSchema>;
 export type HoldAnswer = zod.infer<typeof holdAnswerSchema>;
 export type ReadAnswer = zod.infer<typeof readAnswerSchema>;
--- a/src/generations/_lib/ownerDesk/index.ts
+++ b/src/generations/_lib/ownerDesk/index.ts
@@ -11,6 +11,7 @@
 import type * as records from "../record/index.js";
 import * as replicators from "../replicator/index.js";
 import type * as views from "../views/index.js";
+import * as waitingDesks from "../waitingDesk/index.js";
 
 const copiedSchema = zod.array(
   zod.object({ requestId: zod.string(), attempt: zod.number(), heldCount: zod.number() }),
@@ -20,6 +21,7 @@
 export class OwnerDesk implements AsyncDisposable {
   readonly avoidance: placements.Avoidance;
   readonly replicator: replicators.Replicator;
+  readonly waiting: waitingDesks.WaitingDesk;
   private readonly owned = new Map<string, owneds.OwnedGeneration>();
   private readonly resources = new disposableStore.DisposableStore();
 
@@ -27,6 +29,7 @@
     private readonly context: contexts.GenerationContext,
     private readonly views: views.EngineViews,
   ) {
+    this.waiting = new waitingDesks.WaitingDesk(context, views);
     this.avoidance = new placements.Avoidance(context.clock);
     this.replicator = new replicators.Replicator(
       context,
@@ -48,8 +51,9 @@
     link.handle(messages.Method.Copied, copiedSchema, (counts, fromVm) => {
       this.takeCopied(counts, fromVm);
     });
-    link.handle(messages.Method.Room, messages.roomSchema, ({ engineName }) => {
-      this.offerRoom(engineName);
+    link.handle(messages.Method.Room, messages.roomSchema, ({ engineName, freeTokens }) => {
+      const requestId = this.waiting.nextFor(engineName, freeTokens);
+      if (requestId !== null) this.owned.get(requestId)?.offerRoom(engineName);
     });
     link.onDisconnect((vmName) => this.onVmLost(vmName, "the connection broke"));
     this.resources.add(this.context.fleet.onChange(() => this.onFleetChange()));
@@ -69,9 +73,9 @@
 
   /** Starts to answer for a generation. */
   own(snapshot: messages.GenerationSnapshot): owneds.OwnedGeneration {
-    const { context, views, avoidance, replicator } = this;
+    const { context, views, avoidance, replicator, waiting } = this;
     const generation = new owneds.OwnedGeneration(
-      { context, views, avoidance, replicator },
+      { context, views, avoidance, replicator, waiting },
       snapshot,
     );
     this.owned.set(snapshot.request.requestId, generation);
@@ -97,15 +101,6 @@
     await this.resources[Symbol.asyncDispose]();
   }
 
-  /** The most urgent request that waits for the engine's model gets the room. */
-  private offerRoom(engineName: string): void {
-    const waiting = this.list().filter((generation) => generation.isWaiting);
-    waiting.sort(
-      (left, right) => left.record.request.deadlineAtWallMs - right.record.request.deadlineAtWallMs,
-    );
-    waiting[0]?.offerRoom(engineName);
-  }
-
   private takeCopied(counts: readonly keeperDesks.CopiedCount[], fromVm: string): void {
     for (const count of counts) {
       const record = this.findRecord(count.requestId);
--- a/src/generations/_lib/placement/index.ts
+++ b/src/generations/_lib/placement/index.ts
@@ -17,6 +17,8 @@
   readonly homeVm: string;
   /** The engine's stream to take up; null where a new one is to be started. */
   readonly resumeAttempt: number | null;
+  /** Whether the engine's home announced room for this generation. */
+  readonly isOffered: boolean;
 }
 
 interface PlacementServices {
@@ -71,7 +73,8 @@
     services.avoidance.isEngineAvoided(name),
   );
   const engine = engineName === null ? null : findEngine(services.context, engineName);
-  return engine && createTarget(services, engine, null);
+  const target = engine && createTarget(services, engine, null);
+  return target && { ...target, isOffered: engineName === preferredEngine };
 }
 
 /** Sends a generation to a home under a new attempt. */
@@ -85,6 +88,7 @@
     snapshot: record.snapshot(),
     engineName: target.engine.name,
     resumeAttempt: target.resumeAttempt,
+    isOffered: target.isOffered,
   };
   services.views.noteSent(target.engine.name, record.request.promptTokens);
   return services.context.link.call(
@@ -122,7 +126,7 @@
   const homeVm = selectHomes.selectHome(engine, members, (vmName) =>
     services.avoidance.isVmAvoided(vmName),
   );
-  return homeVm === null ? null : { engine, homeVm, resumeAttempt };
+  return homeVm === null ? null : { engine, homeVm, resumeAttempt, isOffered: false };
 }
 
 function findEngine(
--- a/src/generations/_lib/placer/index.ts
+++ b/src/generations/_lib/placer/index.ts
@@ -1,4 +1,5 @@
 import * as stepError from "../../../_lib/stepError/index.js";
+import type * as engines from "../../../engines/types.js";
 import * as constants from "../../constants.js";
 import type * as contexts from "../context/index.js";
 import * as errors from "../errors/index.js";
@@ -8,6 +9,8 @@
 import type * as records from "../record/index.js";
 import type * as replicators from "../replicator/index.js";
 import type * as views from "../views/index.js";
+import type * as waitingDesks from "../waitingDesk/index.js";
+import * as engineRequests from "../engineRequest/index.js";
 
 /** What an owned generation shares with the others of its VM. */
 export interface OwnerServices {
@@ -15,6 +18,7 @@
   readonly views: views.EngineViews;
   readonly avoidance: placements.Avoidance;
   readonly replicator: replicators.Replicator;
+  readonly waiting: waitingDesks.WaitingDesk;
 }
 
 /** Something that the task of an owned generation has to react to. */
@@ -29,6 +33,7 @@
 /** The generation that a placer works for. */
 export interface PlacedGeneration {
   readonly record: records.GenerationRecord;
+  readonly acceptedAtMs: number;
   readonly events: mailboxes.Mailbox<OwnerEvent>;
   readonly isActive: boolean;
   onPlaced(target: placements.Target): void;
@@ -76,21 +81,36 @@
   }
 
   private onAdmitted(target: placements.Target): boolean {
+    this.services.waiting.leave(this.generation.record.requestId);
     this.generation.onPlaced(target);
     return true;
   }
 
   private async waitForRoom(reason: string): Promise<boolean> {
     this.generation.onWaiting(reason);
+    this.services.waiting.enter(this.createNeed());
     const timer = this.services.context.clock.schedule(constants.WAITING_RETRY_MS, () =>
       this.generation.events.push({ kind: "retry" }),
     );
     const event = await this.generation.events.next();
     timer[Symbol.dispose]();
+    if (event.kind === "settled" || event.kind === "stepped-down") {
+      this.services.waiting.leave(this.generation.record.requestId);
+    }
     if (event.kind === "room") this.preferredEngine = event.engineName;
     return false;
   }
 
+  private createNeed(): engines.GenerationNeed {
+    const { record, acceptedAtMs } = this.generation;
+    const { clock } = this.services.context;
+    const leftMs = record.request.deadlineAtWallMs - clock.wallTimeMs();
+    return engineRequests.createNeed(record.request, record.tokens.length, {
+      acceptedAtMs,
+      deadlineAtMs: clock.nowMs() + leftMs,
+    });
+  }
+
   private onRefused(answer: messages.DispatchAnswer): boolean {
     const error = errors.createFailure(answer.reason, {
       code: stepError.ErrorCode.DeadlineUnreachable,
--- a/src/generations/_lib/views/index.ts
+++ b/src/generations/_lib/views/index.ts
@@ -67,6 +67,11 @@
     this.leavingEngines.add(engineName);
   }
 
+  /** What is known of one engine; null where nothing is. */
+  find(engineName: string): engines.EngineView | null {
+    return this.list().find((view) => view.name === engineName) ?? null;
+  }
+
   /** All views, with their age. */
   list(): readonly engines.EngineView[] {
     const nowMs = this.context.clock.nowMs();
--- a/src/generations/constants.ts
+++ b/src/generations/constants.ts
@@ -35,7 +35,16 @@
 export const STALLED_RESUMES_COUNT = 3;
 
 /** How long a waiting request goes without an announcement before it asks a home again. */
-export const WAITING_RETRY_MS = 250;
+export const WAITING_RETRY_MS = 1_000;
+
+/** Interval at which homes are told what waits. */
+export const TELL_WAITING_INTERVAL_MS = 250;
+
+/** Most homes that one VM tells what it has waiting. */
+export const MAX_TOLD_HOMES = 16;
+
+/** How long an announced room is kept for the VM it was announced to. */
+export const ROOM_OFFER_MS = 100;
 
 /** How long a VM that did not answer is passed over as a home. */
 export const AVOID_VM_MS = 3_000;
--- a/src/generations/generations/index.ts
+++ b/src/generations/generations/index.ts
@@ -96,6 +96,7 @@
     this.drainer.start();
     this.reader.start();
     void this.repeat(constants.WATCH_INTERVAL_MS, () => this.watch());
+    void this.repeat(constants.TELL_WAITING_INTERVAL_MS, () => this.holders.owner.waiting.tell());
     void this.repeat(constants.VIEW_INTERVAL_MS, () => this.spreadViews());
   }
 
