--- a/src/cli/fleetCommands/index.ts
+++ b/src/cli/fleetCommands/index.ts
@@ -114,15 +114,7 @@
     item.producedTokens,
     item.reason,
   ]);
-  const headings = [
-    "REQUEST",
-    "VM",
-    "ENTRY",
-    "ACCOUNT",
-    "WAITED",
-    "PRODUCED",
-    "WAITS FOR",
-  ];
+  const headings = ["REQUEST", "VM", "ENTRY", "ACCOUNT", "WAITED", "PRODUCED", "WAITS FOR"];
   return { ...queue, text: output.formatTable(headings, rows) };
 }
 
--- a/src/daemon/daemon/index.ts
+++ b/src/daemon/daemon/index.ts
@@ -11,6 +11,7 @@
 import * as generations from "../../generations/index.js";
 import * as http from "../../http/index.js";
 import * as peers from "../../peers/index.js";
+import * as replication from "../../replication/index.js";
 import type * as settings from "../../settings/index.js";
 import * as telemetry from "../../telemetry/index.js";
 import * as adminDesks from "../adminDesk/index.js";
@@ -109,7 +110,8 @@
     this.logger.info({ graceMs }, "leaving");
     await this.clock.sleep(balancerNoticeMs);
     this.membership.leave();
-    return replication.isDoneWithin(this.clock, graceMs, this.generations.drain());
+    await replication.waitAtMost(this.clock, graceMs, this.generations.drain());
+    return this.describeHeld() === "";
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
