Add leases through the log with fencing numbers

Cause: placement needs one holder at a time, without a coordination service. Change: acquire, renew and release records; the acquisition's offset is the fencing number; an acquisition names the record it follows, so the log's order decides and no reader's clock; candidates wait out term and margin from their own reading; the holder checks both its clocks before each order; every append is read back and comes out of the append budget. Tests: 24 assertions, with 60 random histories of pauses, outages, slow and lost answers.

--- /dev/null
+++ b/src/fleet/_lib/leaseLog/index.ts
@@ -0,0 +1,73 @@
+import * as neverthrow from "neverthrow";
+
+import type * as clocks from "../../../_lib/clock/index.js";
+import type * as stepError from "../../../_lib/stepError/index.js";
+import type * as telemetry from "../../../telemetry/types.js";
+import * as appendBudget from "../../../platform/appendBudget/index.js";
+import * as platform from "../../../platform/types.js";
+import * as leaseRecords from "../leaseRecords/index.js";
+import * as leaseTable from "../leaseTable/index.js";
+
+/** The stream of leases: what has been read of it, and appends within the log's budget. */
+export class LeaseLog {
+  readonly table = new leaseTable.LeaseTable();
+  private readonly awaitedIds = new Set<string>();
+  private readonly effectiveIds = new Set<string>();
+  private nextOffset = 0;
+
+  constructor(
+    private readonly log: platform.LogService,
+    private readonly budget: appendBudget.AppendBudget,
+    private readonly clock: clocks.Clock,
+    private readonly metrics: telemetry.Metrics,
+  ) {}
+
+  /** Reads all records that are there; several reads may be under way at once. */
+  async catchUp(): Promise<neverthrow.Result<void, stepError.StepError>> {
+    for (;;) {
+      const fromOffset = this.nextOffset;
+      const batch = await this.log.read(platform.LogStream.Leases, fromOffset);
+      if (batch.isErr()) return neverthrow.err(batch.error);
+      for (const record of batch.value.records) this.apply(record);
+      const isAtEnd = this.nextOffset >= batch.value.endOffset;
+      if (isAtEnd || this.nextOffset === fromOffset) return neverthrow.ok();
+    }
+  }
+
+  /** Whether an appended record has been read and took effect; true is told once. */
+  takeEffect(recordId: string): boolean {
+    return this.effectiveIds.delete(recordId);
+  }
+
+  /**
+   * Appends a record; after an error reading tells whether it took effect.
+   *
+   * @throws the signal's reason when aborted while the budget makes it wait
+   */
+  async append(
+    record: leaseRecords.LeaseRecord,
+    signal: AbortSignal,
+  ): Promise<neverthrow.Result<number, stepError.StepError>> {
+    await this.budget.take(appendBudget.AppendPriority.Control, signal);
+    this.metrics.increment("fleet.lease_appends");
+    this.awaitedIds.add(record.recordId);
+    const appended = await this.log.append(platform.LogStream.Leases, [record]);
+    if (appended.isErr() && appended.error.retryAfterMs !== undefined) {
+      this.budget.onRefused(appended.error.retryAfterMs);
+    }
+    return appended;
+  }
+
+  private apply(record: platform.LogRecord): void {
+    if (record.offset < this.nextOffset) return;
+    this.nextOffset = record.offset + 1;
+    const lease = leaseRecords.parseLeaseRecord(record.payload);
+    if (lease === undefined) {
+      this.metrics.increment("fleet.lease_records_skipped");
+      return;
+    }
+    const isEffective = this.table.apply(lease, record.offset, this.clock.nowMs());
+    const isAwaited = this.awaitedIds.delete(lease.recordId);
+    if (isEffective && isAwaited) this.effectiveIds.add(lease.recordId);
+  }
+}
--- a/src/fleet/constants.ts
+++ b/src/fleet/constants.ts
@@ -49,3 +49,11 @@
   joinTimeoutMs: 3_000,
   deadRetentionMs: 7_200_000,
 };
+
+/** Defaults of all lease options that have one. */
+export const DEFAULT_LEASE_OPTIONS: Omit<types.LeaseOptions, "vmName"> = {
+  termMs: 15_000,
+  renewIntervalMs: 5_000,
+  marginMs: 5_000,
+  retryIntervalMs: 500,
+};
--- a/src/fleet/index.ts
+++ b/src/fleet/index.ts
@@ -1,7 +1,9 @@
 export * from "./types.js";
 export { DEFAULT_MEMBERSHIP_OPTIONS } from "./constants.js";
+export { DEFAULT_LEASE_OPTIONS } from "./constants.js";
 export { FleetMembership } from "./fleetMembership/index.js";
 export { firstByRendezvous } from "./firstByRendezvous/index.js";
 export { homeOf } from "./homeOf/index.js";
+export { LeaseHolder } from "./leaseHolder/index.js";
 export { rankByRendezvous } from "./rankByRendezvous/index.js";
 export { UdpSocket } from "./udpSocket/index.js";
--- /dev/null
+++ b/src/fleet/leaseHolder/index.ts
@@ -0,0 +1,252 @@
+import "reflect-metadata";
+
+import * as neverthrow from "neverthrow";
+import * as tsyringe from "tsyringe";
+import * as uuid from "uuid";
+
+import type * as clocks from "../../_lib/clock/index.js";
+import type * as logging from "../../_lib/logger/index.js";
+import * as stepError from "../../_lib/stepError/index.js";
+import * as tokens from "../../_lib/tokens/index.js";
+import type * as appendBudget from "../../platform/appendBudget/index.js";
+import type * as platform from "../../platform/types.js";
+import type * as telemetry from "../../telemetry/types.js";
+import * as heldLease from "../_lib/heldLease/index.js";
+import * as leaseLog from "../_lib/leaseLog/index.js";
+import * as leaseRecords from "../_lib/leaseRecords/index.js";
+import type * as leaseTable from "../_lib/leaseTable/index.js";
+import * as types from "../types.js";
+
+const { TOKENS } = tokens;
+
+/** What a lease is held for. */
+interface LeaseKey {
+  readonly purpose: types.LeasePurpose;
+  readonly scope: string;
+}
+
+/**
+ * Holds leases through the platform's log. The offset of the record that acquired a lease is
+ * its fencing number. A candidate waits out the term and a margin after it has read the
+ * holder's last record; a holder checks the time left by its own clocks before each order.
+ */
+@tsyringe.injectable()
+export class LeaseHolder implements AsyncDisposable {
+  private readonly leases: leaseLog.LeaseLog;
+  private readonly instance = uuid.v4();
+  private readonly activeKeys = new Set<string>();
+  private readonly tasks = new Set<Promise<unknown>>();
+  private readonly stop = new AbortController();
+
+  constructor(
+    @tsyringe.inject(TOKENS.leaseOptions) private readonly options: types.LeaseOptions,
+    @tsyringe.inject(TOKENS.logService) log: platform.LogService,
+    @tsyringe.inject(TOKENS.appendBudget) budget: appendBudget.AppendBudget,
+    @tsyringe.inject(TOKENS.clock) private readonly clock: clocks.Clock,
+    @tsyringe.inject(TOKENS.logger) private readonly logger: logging.Logger,
+    @tsyringe.inject(TOKENS.metrics) private readonly metrics: telemetry.Metrics,
+  ) {
+    this.leases = new leaseLog.LeaseLog(log, budget, clock, metrics);
+  }
+
+  /**
+   * Acquires a lease, does the work while renewing it, and releases it.
+   *
+   * @param scope - what the lease is about, e.g. a data centre
+   * @param work - gets the fencing number and the check to make just before each order
+   * @returns the work's result, or an error where the lease was not acquired and the work not
+   * begun: a conflict names the holder and when to try again
+   */
+  async withLease<T>(
+    scope: string,
+    work: types.LeaseWork<T>,
+    options: types.LeaseRequestOptions = {},
+  ): Promise<neverthrow.Result<T, stepError.StepError>> {
+    const key = { purpose: options.purpose ?? types.LeasePurpose.Placement, scope };
+    const keyText = `${key.purpose}/${scope}`;
+    if (this.activeKeys.has(keyText)) return neverthrow.err(heldError(this.options.vmName));
+    this.activeKeys.add(keyText);
+    const task = this.acquireAndWork(key, work, options.waitMs ?? 0);
+    this.tasks.add(task);
+    try {
+      return await task;
+    } finally {
+      this.tasks.delete(task);
+      this.activeKeys.delete(keyText);
+    }
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    this.stop.abort(new Error("lease holder closed"));
+    await Promise.allSettled(this.tasks);
+  }
+
+  private async acquireAndWork<T>(
+    key: LeaseKey,
+    work: types.LeaseWork<T>,
+    waitMs: number,
+  ): Promise<neverthrow.Result<T, stepError.StepError>> {
+    const acquired = await this.acquire(key, waitMs);
+    if (acquired.isErr()) return neverthrow.err(acquired.error);
+    const lease = acquired.value;
+    const ended = new AbortController();
+    const lost = new AbortController();
+    const renewing = this.keepRenewed(key, lease, ended.signal, lost);
+    try {
+      const isStillHeld = (neededMs = 0): boolean => lease.isHeldFor(neededMs);
+      return neverthrow.ok(await work(lease.fencingNumber, isStillHeld, lost.signal));
+    } finally {
+      ended.abort();
+      await renewing;
+      await this.release(key, lease);
+    }
+  }
+
+  private async acquire(
+    key: LeaseKey,
+    waitMs: number,
+  ): Promise<neverthrow.Result<heldLease.HeldLease, stepError.StepError>> {
+    const deadlineAtMs = this.clock.nowMs() + waitMs;
+    for (;;) {
+      const attempt = await this.tryAcquire(key);
+      if (attempt.isOk()) return attempt;
+      const nowMs = this.clock.nowMs();
+      if (nowMs >= deadlineAtMs || this.stop.signal.aborted) return attempt;
+      const pauseMs = Math.max(this.options.retryIntervalMs, attempt.error.retryAfterMs ?? 0);
+      await this.sleep(Math.min(pauseMs, deadlineAtMs - nowMs), this.stop.signal);
+    }
+  }
+
+  private async tryAcquire(
+    key: LeaseKey,
+  ): Promise<neverthrow.Result<heldLease.HeldLease, stepError.StepError>> {
+    const read = await this.leases.catchUp();
+    if (read.isErr()) return neverthrow.err(read.error);
+    const known = this.leases.table.get(key.purpose, key.scope);
+    const waitMs = known === undefined ? 0 : this.waitOutMs(known);
+    if (known !== undefined && waitMs > 0) return neverthrow.err(heldError(known.holder, waitMs));
+    const termStart = heldLease.momentOf(this.clock);
+    const record: leaseRecords.AcquireRecord = {
+      ...this.commonFields(key),
+      action: leaseRecords.LeaseAction.Acquire,
+      termMs: this.options.termMs,
+      followsOffset: known?.lastOffset ?? null,
+    };
+    const lease = (fencingNumber: number): heldLease.HeldLease =>
+      new heldLease.HeldLease(fencingNumber, this.options.termMs, termStart, this.clock);
+    const isUseful = (): boolean => lease(0).isHeldFor(0);
+    const isEffective = await this.appendAndReadBack(record, isUseful);
+    const entry = this.leases.table.get(key.purpose, key.scope);
+    if (!isEffective || entry?.instance !== this.instance) {
+      return neverthrow.err(heldError(entry?.holder ?? "nobody", this.options.retryIntervalMs));
+    }
+    const { fencingNumber } = entry;
+    this.logger.info({ ...key, fencingNumber }, "lease acquired");
+    this.metrics.increment("fleet.lease_acquired");
+    return neverthrow.ok(lease(fencingNumber));
+  }
+
+  /** Milliseconds until a lease has lapsed for certain; 0 for one that was released. */
+  private waitOutMs(entry: leaseTable.LeaseEntry): number {
+    if (entry.isReleased || entry.instance === this.instance) return 0;
+    const lapsedAtMs = entry.readAtMs + entry.termMs + this.options.marginMs;
+    return Math.max(0, lapsedAtMs - this.clock.nowMs());
+  }
+
+  /**
+   * Appends a record and reads until it is seen, since an append whose answer was lost may have
+   * taken effect, and one that was answered may have come too late.
+   *
+   * @param isUseful - whether it is still worth the while to go on reading
+   * @returns whether it took effect, as far as could be read
+   */
+  private async appendAndReadBack(
+    record: leaseRecords.LeaseRecord,
+    isUseful: () => boolean,
+  ): Promise<boolean> {
+    const appended = await this.leases.append(record, this.stop.signal).catch(() => undefined);
+    const isSent = appended !== undefined && !isNotRun(appended);
+    while (isSent && isUseful()) {
+      const read = await this.leases.catchUp();
+      if (read.isOk()) break;
+      await this.sleep(this.options.retryIntervalMs, this.stop.signal);
+    }
+    return this.leases.takeEffect(record.recordId);
+  }
+
+  private async keepRenewed(
+    key: LeaseKey,
+    lease: heldLease.HeldLease,
+    ended: AbortSignal,
+    lost: AbortController,
+  ): Promise<void> {
+    const signal = AbortSignal.any([ended, this.stop.signal]);
+    let pauseMs = this.options.renewIntervalMs;
+    while (lease.isHeldFor(0)) {
+      await this.sleep(Math.min(pauseMs, lease.remainingMs()), signal);
+      if (signal.aborted) return;
+      if (!lease.isHeldFor(0)) break;
+      const isRenewed = await this.renew(key, lease);
+      pauseMs = isRenewed ? this.options.renewIntervalMs : this.options.retryIntervalMs;
+    }
+    this.logger.warn({ ...key, fencingNumber: lease.fencingNumber }, "lease lost");
+    this.metrics.increment("fleet.lease_lost");
+    lost.abort(new Error("lease lost"));
+  }
+
+  private async renew(key: LeaseKey, lease: heldLease.HeldLease): Promise<boolean> {
+    const termStart = heldLease.momentOf(this.clock);
+    const record: leaseRecords.RenewRecord = {
+      ...this.commonFields(key),
+      action: leaseRecords.LeaseAction.Renew,
+      termMs: this.options.termMs,
+      fencingNumber: lease.fencingNumber,
+    };
+    const isRenewed = await this.appendAndReadBack(record, () => lease.isHeldFor(0));
+    if (isRenewed) lease.renew(termStart);
+    const entry = this.leases.table.get(key.purpose, key.scope);
+    if (entry?.fencingNumber !== lease.fencingNumber) lease.lose();
+    return isRenewed;
+  }
+
+  /** Spares the successor the wait; a release that fails only makes it wait. */
+  private async release(key: LeaseKey, lease: heldLease.HeldLease): Promise<void> {
+    if (!lease.isHeldFor(0)) return;
+    lease.lose();
+    const record: leaseRecords.ReleaseRecord = {
+      ...this.commonFields(key),
+      action: leaseRecords.LeaseAction.Release,
+      fencingNumber: lease.fencingNumber,
+    };
+    await this.leases.append(record, this.stop.signal).catch(() => undefined);
+  }
+
+  private commonFields(
+    key: LeaseKey,
+  ): Pick<
+    leaseRecords.LeaseRecord,
+    "type" | "recordId" | "purpose" | "scope" | "holder" | "instance"
+  > {
+    const { vmName } = this.options;
+    const recordId = uuid.v4();
+    return { type: "lease", recordId, ...key, holder: vmName, instance: this.instance };
+  }
+
+  private async sleep(durationMs: number, signal: AbortSignal): Promise<void> {
+    await this.clock.sleep(Math.max(1, durationMs), signal).catch(() => undefined);
+  }
+}
+
+function heldError(holder: string, retryAfterMs?: number): stepError.StepError {
+  return new stepError.StepError(`the lease is held by ${holder}`, {
+    code: stepError.ErrorCode.Conflict,
+    step: "lease.acquire",
+    peer: holder,
+    execution: stepError.ExecutionState.NotRun,
+    ...(retryAfterMs === undefined ? {} : { retryAfterMs }),
+  });
+}
+
+function isNotRun(appended: neverthrow.Result<number, stepError.StepError>): boolean {
+  return appended.isErr() && appended.error.execution === stepError.ExecutionState.NotRun;
+}
--- /dev/null
+++ b/src/fleet/leaseHolder/test.ts
@@ -0,0 +1,244 @@
+import * as fc from "fast-check";
+import tap from "tap";
+
+import * as logModel from "../../../standins/log/model/index.js";
+import * as pausableClock from "../../../standins/pausableClock/index.js";
+import * as counters from "../../../standins/telemetry/counters/index.js";
+import * as logging from "../../_lib/logger/index.js";
+import * as stepError from "../../_lib/stepError/index.js";
+import * as virtualClock from "../../_lib/virtualClock/index.js";
+import * as appendBudget from "../../platform/appendBudget/index.js";
+import * as platform from "../../platform/types.js";
+import * as constants from "../constants.js";
+import type * as types from "../types.js";
+import * as leaseHolder from "./index.js";
+
+const SCOPE = "riga-a";
+const { termMs, marginMs } = constants.DEFAULT_LEASE_OPTIONS;
+
+interface Candidate {
+  readonly name: string;
+  readonly clock: pausableClock.PausableClock;
+  readonly holder: leaseHolder.LeaseHolder;
+  readonly counters: counters.CounterModel;
+  /** Checks of the leases that this candidate works under, with their fencing numbers. */
+  readonly holds: Map<number, types.IsStillHeld>;
+}
+
+class Contest {
+  readonly clock = new virtualClock.VirtualClock();
+  readonly log = new logModel.LogModel(this.clock);
+  readonly candidates: Candidate[] = [];
+
+  add(name: string): Candidate {
+    const clock = new pausableClock.PausableClock(this.clock);
+    const counting = new counters.CounterModel();
+    const holder = new leaseHolder.LeaseHolder(
+      { ...constants.DEFAULT_LEASE_OPTIONS, vmName: name },
+      this.log,
+      new appendBudget.AppendBudget(clock, () => 3),
+      clock,
+      logging.SILENT_LOGGER,
+      counting,
+    );
+    const candidate = { name, clock, holder, counters: counting, holds: new Map() };
+    this.candidates.push(candidate);
+    return candidate;
+  }
+
+  /** Holds the lease for a time, or until it is lost. */
+  hold(candidate: Candidate, durationMs: number, waitMs = 0) {
+    const work: types.LeaseWork<number> = async (fencingNumber, isStillHeld, signal) => {
+      candidate.holds.set(fencingNumber, isStillHeld);
+      await candidate.clock.sleep(durationMs, signal).catch(() => undefined);
+      candidate.holds.delete(fencingNumber);
+      return fencingNumber;
+    };
+    return candidate.holder.withLease(SCOPE, work, { waitMs });
+  }
+
+  /** Fencing numbers of all holds that pass the check now. */
+  passing(): number[] {
+    return this.candidates.flatMap((candidate) =>
+      [...candidate.holds].filter(([, isStillHeld]) => isStillHeld()).map(([number]) => number),
+    );
+  }
+}
+
+tap.test("a lease is acquired, renewed past its term, and released", async (t) => {
+  const contest = new Contest();
+  const a = contest.add("a");
+  const held = contest.hold(a, 3 * termMs);
+  await contest.clock.runForMs(2 * termMs);
+  t.same(contest.passing(), [0], "the offset of the record is the fencing number");
+  await contest.clock.runForMs(2 * termMs);
+  t.equal((await held)._unsafeUnwrap(), 0);
+  const b = contest.add("b");
+  const next = contest.hold(b, 10);
+  await contest.clock.runForMs(100);
+  t.ok((await next)._unsafeUnwrap() > 0, "after a release nobody has to wait");
+});
+
+tap.test("a lease held by another is a conflict that names the holder and a time", async (t) => {
+  const contest = new Contest();
+  void contest.hold(contest.add("a"), termMs);
+  await contest.clock.runForMs(100);
+  const refused = contest.hold(contest.add("b"), 10);
+  await contest.clock.runForMs(100);
+  const error = (await refused)._unsafeUnwrapErr();
+  t.equal(error.code, stepError.ErrorCode.Conflict);
+  t.equal(error.peer, "a");
+  t.ok((error.retryAfterMs ?? 0) > termMs);
+});
+
+tap.test("of two candidates at once the log's order picks one", async (t) => {
+  const contest = new Contest();
+  const results = [contest.hold(contest.add("a"), 1_000), contest.hold(contest.add("b"), 1_000)];
+  await contest.clock.runForMs(500);
+  t.equal(contest.passing().length, 1);
+  await contest.clock.runForMs(2_000);
+  const settled = await Promise.all(results);
+  t.equal(settled.filter((result) => result.isOk()).length, 1);
+});
+
+tap.test("a holder paused past its lease fails its check when it goes on", async (t) => {
+  const contest = new Contest();
+  const a = contest.add("a");
+  const b = contest.add("b");
+  void contest.hold(a, 10 * termMs);
+  await contest.clock.runForMs(1_000);
+  a.clock.pause();
+  void contest.hold(b, 10 * termMs, 10 * termMs);
+  await contest.clock.runForMs(termMs + marginMs - 500);
+  t.same(b.holds.size, 0, "the successor waits out the term and the margin");
+  await contest.clock.runForMs(2_000 + constants.DEFAULT_LEASE_OPTIONS.renewIntervalMs);
+  t.same(b.holds.size, 1);
+  const [stale] = [...a.holds.values()];
+  t.equal(stale!(), false, "before any timer of the paused holder has run");
+  a.clock.resume();
+  await contest.clock.runForMs(1_000);
+  t.equal(a.counters.countOf("fleet.lease_lost"), 1);
+  const [numberOfB] = contest.passing();
+  t.ok(numberOfB! > 0, "the successor's fencing number is higher");
+});
+
+tap.test(
+  "while the log is down a lease lasts until the end of its term, and no longer",
+  async (t) => {
+    const contest = new Contest();
+    const a = contest.add("a");
+    const held = contest.hold(a, 10 * termMs);
+    await contest.clock.runForMs(100);
+    contest.log.inject(logModel.LogFault.Down);
+    await contest.clock.runForMs(termMs - 1_000);
+    t.equal(contest.passing().length, 1);
+    await contest.clock.runForMs(2_000);
+    t.equal(contest.passing().length, 0);
+    await held;
+    contest.log.heal(logModel.LogFault.Down);
+    const again = contest.hold(a, 10);
+    await contest.clock.runForMs(1_000);
+    t.ok((await again).isOk(), "its own lapsed lease does not make it wait");
+  },
+);
+
+tap.test("an acquisition whose answer was lost is settled by reading", async (t) => {
+  const contest = new Contest();
+  contest.log.inject(logModel.LogFault.LostAnswer);
+  const held = contest.hold(contest.add("a"), 3 * termMs);
+  await contest.clock.runForMs(2 * termMs);
+  t.same(contest.passing(), [0]);
+  await contest.clock.runForMs(2 * termMs);
+  t.ok((await held).isOk());
+});
+
+tap.test("a check for an order that takes longer than what is left fails", async (t) => {
+  const contest = new Contest();
+  const a = contest.add("a");
+  void contest.hold(a, termMs);
+  await contest.clock.runForMs(1_000);
+  const [isStillHeld] = [...a.holds.values()];
+  t.ok(isStillHeld!(termMs - 2_000));
+  t.notOk(isStillHeld!(termMs));
+});
+
+tap.test("records that are not leases are skipped", async (t) => {
+  const contest = new Contest();
+  void contest.log.append(platform.LogStream.Leases, [null, { type: "lease" }, "text", 5]);
+  await contest.clock.runForMs(10);
+  const a = contest.add("a");
+  const held = contest.hold(a, 10);
+  await contest.clock.runForMs(100);
+  t.equal((await held)._unsafeUnwrap(), 4);
+  t.equal(a.counters.countOf("fleet.lease_records_skipped"), 4);
+});
+
+tap.test("a lease at rest costs one append per renewal interval", async (t) => {
+  const contest = new Contest();
+  const a = contest.add("a");
+  void contest.hold(a, 1_000_000);
+  await contest.clock.runForMs(300_000);
+  const expected = 300_000 / constants.DEFAULT_LEASE_OPTIONS.renewIntervalMs;
+  const { appendsCount } = contest.log;
+  t.ok(appendsCount <= expected + 1, `${appendsCount} appends in 300 s`);
+});
+
+enum Event {
+  Hold = "hold",
+  Pause = "pause",
+  Resume = "resume",
+  LogDown = "log-down",
+  LoseAnswers = "lose-answers",
+  LogUp = "log-up",
+  SlowLog = "slow-log",
+}
+
+const HANDLERS: Readonly<Record<Event, (contest: Contest, candidate: Candidate) => void>> = {
+  [Event.Hold]: (contest, candidate) => void contest.hold(candidate, 40_000, 60_000),
+  [Event.Pause]: (_contest, candidate) => candidate.clock.pause(),
+  [Event.Resume]: (_contest, candidate) => candidate.clock.resume(),
+  [Event.LogDown]: (contest) => contest.log.inject(logModel.LogFault.Down),
+  [Event.LoseAnswers]: (contest) => contest.log.inject(logModel.LogFault.LostAnswer),
+  [Event.LogUp]: (contest) => {
+    contest.log.heal(logModel.LogFault.Down);
+    contest.log.heal(logModel.LogFault.LostAnswer);
+    contest.log.extraLatencyMs = 0;
+  },
+  [Event.SlowLog]: (contest) => (contest.log.extraLatencyMs = 4_000),
+};
+
+tap.test(
+  "whatever pauses and faults come, never do two holders pass the check at once",
+  async (t) => {
+    const event = fc.record({
+      kind: fc.constantFrom(...Object.values(Event)),
+      candidate: fc.nat(2),
+      afterMs: fc.nat(12_000),
+    });
+    let acquiredCount = 0;
+    const property = fc.asyncProperty(
+      fc.array(event, { minLength: 10, maxLength: 25 }),
+      async (events) => {
+        const contest = new Contest();
+        for (const name of ["a", "b", "c"]) void contest.hold(contest.add(name), 40_000, 60_000);
+        let highest = -1;
+        for (const { kind, candidate, afterMs } of events) {
+          for (let passedMs = 0; passedMs < afterMs; passedMs += 250) {
+            await contest.clock.runForMs(250);
+            const passing = contest.passing();
+            if (passing.length > 1) return false;
+            if ((passing[0] ?? highest) < highest) return false;
+            highest = passing[0] ?? highest;
+          }
+          HANDLERS[kind](contest, contest.candidates[candidate]!);
+        }
+        for (const candidate of contest.candidates) {
+          acquiredCount += candidate.counters.countOf("fleet.lease_acquired");
+        }
+        return true;
+      },
+    );
+    await fc.assert(property, { seed: 67, numRuns: 60 });
+    t.ok(acquiredCount > 60, `${acquiredCount} leases were acquired on the way`);
+  },
+);
--- a/src/fleet/types.ts
+++ b/src/fleet/types.ts
@@ -79,3 +79,35 @@
   /** How long dead members are remembered. */
   readonly deadRetentionMs: number;
 }
+
+/** How leases are held. */
+export interface LeaseOptions {
+  readonly vmName: string;
+  /** How long a lease lasts without being renewed, counted by its holder's own clocks. */
+  readonly termMs: number;
+  readonly renewIntervalMs: number;
+  /**
+   * What a successor waits beyond the term: the difference in speed of two clocks over a term,
+   * and the time that an order may be on its way to a server that does not check its number.
+   */
+  readonly marginMs: number;
+  /** Interval at which a candidate or a holder without an answer reads the log again. */
+  readonly retryIntervalMs: number;
+}
+
+/** Whether a lease is still held and will be for a time to come, by this VM's own clocks. */
+export type IsStillHeld = (neededMs?: number) => boolean;
+
+/** Work done while a lease is held; the signal is aborted when the lease is lost. */
+export type LeaseWork<T> = (
+  fencingNumber: number,
+  isStillHeld: IsStillHeld,
+  signal: AbortSignal,
+) => Promise<T>;
+
+/** How a lease is asked for. */
+export interface LeaseRequestOptions {
+  readonly purpose?: LeasePurpose;
+  /** How long to wait for another holder's lease to end; 0 does not wait. */
+  readonly waitMs?: number;
+}
