--- /dev/null
+++ b/src/calls/applyCallRecord/test.ts
@@ -0,0 +1,108 @@
+import * as fc from "fast-check";
+import tap from "tap";
+
+import * as constants from "../constants.js";
+import * as createCallsState from "../createCallsState/index.js";
+import * as types from "../types.js";
+import * as applyCallRecord from "./index.js";
+
+function applyAll(
+  payloads: readonly unknown[],
+  wallMs = (index: number) => index,
+): types.CallsState {
+  return payloads.reduce<types.CallsState>(
+    (state, payload, index) =>
+      applyCallRecord.applyCallRecord(state, {
+        offset: index,
+        appendedAtWallMs: wallMs(index),
+        payload,
+      }),
+    createCallsState.createCallsState(),
+  );
+}
+
+function intent(attempt: string, keyTimeMs: number | null = null): types.IntentRecord {
+  const retentionMs = 1_000;
+  return { type: "intent", keyId: "k", attempt, bodyHash: "h", vm: "vm", keyTimeMs, retentionMs };
+}
+
+function released(attempt: string): types.ReleasedRecord {
+  return { type: "released", keyId: "k", attempt };
+}
+
+const ANSWER = { statusCode: 201, contentType: "text/plain", body: "" };
+
+function outcome(attempt: string): types.OutcomeRecord {
+  return { type: "outcome", keyId: "k", attempt, answer: ANSWER };
+}
+
+function keyAfter(
+  payloads: readonly unknown[],
+  wallMs?: (index: number) => number,
+): types.KeyState {
+  return applyCallRecord.findKeyState(applyAll(payloads, wallMs), "k");
+}
+
+tap.test("only the first intent is live", async (t) => {
+  t.match(keyAfter([intent("a"), intent("b")]), { phase: "held", attempt: "a" });
+});
+
+tap.test("a release frees the key for a later intent, not for an earlier one", async (t) => {
+  t.match(keyAfter([intent("a"), intent("b"), released("a")]), { phase: "free" });
+  t.match(keyAfter([intent("a"), released("a"), intent("b")]), { phase: "held", attempt: "b" });
+});
+
+tap.test("an intent that comes after its own release has no effect", async (t) => {
+  t.match(keyAfter([released("a"), intent("a")]), { phase: "free" });
+  t.match(keyAfter([intent("a"), released("a"), intent("a")]), { phase: "free" });
+});
+
+tap.test("a release or outcome of another attempt does not touch the live one", async (t) => {
+  const records = [intent("a"), released("b"), outcome("b")];
+  t.match(keyAfter(records), { phase: "held", attempt: "a" });
+});
+
+tap.test("an outcome after `unknown` settles the key, and a release does not", async (t) => {
+  const open = { type: "unknown", keyId: "k", attempt: "a" };
+  t.match(keyAfter([intent("a"), open, outcome("a")]), { phase: "done", answer: ANSWER });
+  t.match(keyAfter([intent("a"), open, released("a")]), { phase: "unknown" });
+});
+
+tap.test("an answer past its retention is dropped, and the key stays refused", async (t) => {
+  const records = [intent("a"), outcome("a"), intent("b")];
+  t.match(
+    keyAfter(records, (index) => index * 2_000),
+    { phase: "spent", answer: null },
+  );
+});
+
+tap.test(
+  "a key without a time is never forgotten; one with a time is refused when old",
+  async (t) => {
+    const yearMs = 365 * 86_400_000;
+    const others = Array.from({ length: 5_000 }, () => ({ type: "noise" }));
+    const late = (index: number): number => (index < 2 ? index : yearMs);
+    const untimed = keyAfter([intent("a"), outcome("a"), ...others, intent("b")], late);
+    t.match(untimed, { phase: "spent", attempt: "a" });
+    const state = applyAll([intent("a", 5), outcome("a"), ...others, intent("b", 5)], late);
+    t.equal(state.keys.size, 0);
+    t.ok(applyCallRecord.isKeyTooOld(state, 5));
+    t.notOk(applyCallRecord.isKeyTooOld(state, yearMs - constants.TIMED_KEY_WINDOW_MS));
+  },
+);
+
+tap.test("no payload breaks the decoder, and the offset always advances", async (t) => {
+  const near = fc.record({
+    type: fc.constantFrom("intent", "released", "outcome", "unknown"),
+    keyId: fc.anything(),
+    attempt: fc.anything(),
+    answer: fc.anything(),
+  });
+  fc.assert(
+    fc.property(fc.array(fc.oneof(near, fc.anything()), { maxLength: 5 }), (payloads) => {
+      return applyAll(payloads).appliedOffset === payloads.length - 1;
+    }),
+    { seed: 11, numRuns: 500 },
+  );
+  t.pass();
+});
--- a/src/calls/calls/test.ts
+++ b/src/calls/calls/test.ts
@@ -4,7 +4,6 @@
 import * as logModel from "../../../standins/log/model/index.js";
 import * as serviceClients from "../../../standins/service/clients/index.js";
 import * as catalogue from "../../catalogue/index.js";
-import * as fleet from "../../fleet/types.js";
 
 const { summarise } = callsFleet;
 const { ServiceFault } = serviceClients;
@@ -83,12 +82,12 @@
   rig.service.fault = ServiceFault.Silent;
   void rig.vms[0]!.calls.call(rig.request("key-1", "body", {}, 600_000));
   await rig.clock.runForMs(500);
-  rig.hub.kill("vm-0");
-  rig.fleet.setState("vm-0", fleet.MemberState.Dead);
+  const [left, right] = rig.vms;
+  rig.kill(left!);
   rig.service.fault = ServiceFault.None;
-  const plain = await rig.settle(rig.vms[1]!.calls.call(rig.request("key-1")));
+  const plain = await rig.settle(right!.calls.call(rig.request("key-1")));
   const looked = rig.request("key-1", "body", { statusPath: "/status/{key}" });
-  const settled = await rig.settle(rig.vms[1]!.calls.call(looked));
+  const settled = await rig.settle(right!.calls.call(looked));
   t.equal(summarise(plain), "unknown");
   t.equal(summarise(settled), "execution key-1");
   t.equal(rig.service.executionsByKey.get("key-1"), 1);
@@ -99,16 +98,16 @@
   async (t) => {
     const rig = await startFleet("dc-a", "dc-b");
     const [left, right] = rig.vms;
-    let resume: () => void = () => undefined;
-    const paused = new Promise<void>((resolve) => (resume = resolve));
-    left!.log.beforeAppend = () => paused;
     const late = left!.calls.call(rig.request("key-1", "body", {}, 1_000));
+    await rig.clock.runForMs(1);
+    left!.gate.pause();
     await rig.clock.runForMs(30_000);
-    const other = await rig.settle(right!.calls.call(rig.request("key-1")));
-    resume();
-    left!.log.beforeAppend = () => Promise.resolve();
+    const other = rig.settle(right!.calls.call(rig.request("key-1")));
+    t.equal(summarise(await other), "unknown", "the paused VM's intent is live");
+    left!.gate.resume();
     t.equal(summarise(await rig.settle(late)), "not-run");
-    t.equal(summarise(other), "execution key-1");
+    const next = await rig.settle(right!.calls.call(rig.request("key-1")));
+    t.equal(summarise(next), "execution key-1", "the paused VM has released its attempt");
     t.equal(rig.service.executionsByKey.get("key-1"), 1);
     await rig[Symbol.asyncDispose]();
   },
--- a/standins/calls/index.ts
+++ b/standins/calls/index.ts
@@ -4,6 +4,7 @@
 import type * as backends from "../../src/backends/types.js";
 import * as calls from "../../src/calls/index.js";
 import * as catalogue from "../../src/catalogue/index.js";
+import * as fleetTypes from "../../src/fleet/types.js";
 import * as appendBudgets from "../../src/platform/appendBudget/index.js";
 import type * as platform from "../../src/platform/types.js";
 import * as replication from "../../src/replication/index.js";
@@ -13,32 +14,59 @@
 import * as hub from "../peers/hub/index.js";
 import * as serviceClients from "../service/clients/index.js";
 import * as counters from "../telemetry/counters/index.js";
+import * as gate from "./gate/index.js";
 
-/** A VM's log: the shared one, through a link that can be cut or slowed for this VM alone. */
+/** A VM's log: the shared one, through a link that can be cut for this VM alone. */
 export class LogLink implements platform.LogService {
   isCut = false;
-  /** Called before each append, to pause the VM there. */
-  beforeAppend: () => Promise<void> = () => Promise.resolve();
 
   constructor(
     private readonly log: logModel.LogModel,
     private readonly downLog: logModel.LogModel,
+    private readonly vmGate: gate.Gate,
   ) {}
 
   async append(
     stream: platform.LogStream,
     payloads: readonly unknown[],
   ): ReturnType<platform.LogService["append"]> {
-    await this.beforeAppend();
-    return (this.isCut ? this.downLog : this.log).append(stream, payloads);
+    await this.vmGate.pass();
+    const result = await (this.isCut ? this.downLog : this.log).append(stream, payloads);
+    await this.vmGate.pass();
+    return result;
   }
 
-  read(
+  async read(
     stream: platform.LogStream,
     fromOffset: number,
     options?: platform.LogReadOptions,
   ): ReturnType<platform.LogService["read"]> {
-    return (this.isCut ? this.downLog : this.log).read(stream, fromOffset, options);
+    await this.vmGate.pass();
+    const log = this.isCut ? this.downLog : this.log;
+    const result = await log.read(stream, fromOffset, options);
+    await this.vmGate.pass();
+    return result;
+  }
+}
+
+/** The service's clients as one VM has them: a paused VM sends nothing and hears nothing. */
+class GatedServiceClients implements backends.ServiceClients {
+  constructor(
+    private readonly clients: backends.ServiceClients,
+    private readonly vmGate: gate.Gate,
+  ) {}
+
+  clientFor(backend: catalogue.ServiceBackend): backends.ServiceClient {
+    const client = this.clients.clientFor(backend);
+    return {
+      name: client.name,
+      call: async (request) => {
+        await this.vmGate.pass();
+        const result = await client.call(request);
+        await this.vmGate.pass();
+        return result;
+      },
+    };
   }
 }
 
@@ -47,6 +75,7 @@
   readonly name: string;
   readonly calls: calls.Calls;
   readonly log: LogLink;
+  readonly gate: gate.Gate;
 }
 
 const SERVERS = [
@@ -78,9 +107,11 @@
     options: Partial<replication.FollowerOptions> = {},
   ): CallsVm {
     this.fleet.add(name, dataCentre);
-    const log = new LogLink(this.log, this.downLog);
+    const vmGate = new gate.Gate();
+    const log = new LogLink(this.log, this.downLog, vmGate);
+    const clock = new gate.GatedClock(this.clock, vmGate);
     const service = new calls.Calls(
-      this.clock,
+      clock,
       random.createRandom(this.seed),
       logger.SILENT_LOGGER,
       this.counters,
@@ -89,12 +120,12 @@
       this.hub.join(name),
       this.fleet.viewOf(name),
       this.catalogue,
-      this.service,
-      new appendBudgets.AppendBudget(this.clock, () => Math.max(1, this.vms.length)),
+      new GatedServiceClients(this.service, vmGate),
+      new appendBudgets.AppendBudget(clock, () => Math.max(1, this.vms.length)),
       { ...replication.DEFAULT_FOLLOWER_OPTIONS, ...options },
     );
     service.start();
-    const vm = { name, calls: service, log };
+    const vm = { name, calls: service, log, gate: vmGate };
     this.vms.push(vm);
     return vm;
   }
@@ -129,6 +160,14 @@
     return work;
   }
 
+  /** Ends a VM without a trace: it sends and hears nothing more, and others learn of its death. */
+  kill(vm: CallsVm): void {
+    vm.gate.pause();
+    this.hub.kill(vm.name);
+    this.fleet.setState(vm.name, fleetTypes.MemberState.Dead);
+    this.vms.splice(this.vms.indexOf(vm), 1);
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     await this.settle(Promise.all(this.vms.map((vm) => vm.calls[Symbol.asyncDispose]())));
   }
