--- a/src/replication/streamFollower/index.ts
+++ b/src/replication/streamFollower/index.ts
@@ -205,8 +205,9 @@
     }
     const targetOffset = Math.max(logOffset ?? -1, peersOffset ?? -1);
     if (this.appliedOffset < targetOffset) {
-      const stands = `applied up to ${this.appliedOffset} of ${targetOffset}`;
-      this.applied.reason = `${this.applied.reason}; ${stands}`;
+      if (this.applied.phase === types.FollowerPhase.Bootstrapping) {
+        this.applied.reason = `applied up to ${this.appliedOffset} of ${targetOffset}`;
+      }
       return false;
     }
     this.applied.setPhase(types.FollowerPhase.Following, "");
@@ -242,13 +243,18 @@
       return true;
     }
     const beforeOffset = this.appliedOffset;
-    const peersOffset = await this.loader.loadFromPeers();
+    if (isMissing) await this.loader.loadFromPeers();
     const isBehind = this.applied.knownOffset > this.appliedOffset;
-    const fromLog = isBehind || peersOffset === null ? await this.catchUpToEnd() : null;
-    if (peersOffset !== null || fromLog?.isOk() === true) this.lastHeardMs = clock.nowMs();
+    if ((isBehind || !isMissing) && (await this.readSilently())) this.lastHeardMs = clock.nowMs();
     return this.appliedOffset > beforeOffset;
   }
 
+  /** Other followers of a silent reader know no more than this one, so the log goes first. */
+  private async readSilently(): Promise<boolean> {
+    const fromLog = await this.loader.catchUpToEnd();
+    return fromLog.isOk() || (await this.loader.loadFromPeers()) !== null;
+  }
+
   private takeBatch(batch: types.RecordBatch): void {
     this.lastHeardMs = this.dependencies.clock.nowMs();
     this.applied.knownOffset = Math.max(this.applied.knownOffset, batch.knownOffset);
--- a/standins/calls/index.ts
+++ b/standins/calls/index.ts
@@ -6,48 +6,15 @@
 import * as catalogue from "../../src/catalogue/index.js";
 import * as fleetTypes from "../../src/fleet/types.js";
 import * as appendBudgets from "../../src/platform/appendBudget/index.js";
-import type * as platform from "../../src/platform/types.js";
 import * as replication from "../../src/replication/index.js";
 import * as catalogueView from "../catalogue/view/index.js";
 import * as fleetModel from "../fleet/model/index.js";
+import * as logLink from "../log/link/index.js";
 import * as logModel from "../log/model/index.js";
 import * as hub from "../peers/hub/index.js";
 import * as serviceClients from "../service/clients/index.js";
 import * as counters from "../telemetry/counters/index.js";
-import * as gate from "./gate/index.js";
-
-/** A VM's log: the shared one, through a link that can be cut for this VM alone. */
-export class LogLink implements platform.LogService {
-  isCut = false;
-
-  constructor(
-    private readonly log: logModel.LogModel,
-    private readonly downLog: logModel.LogModel,
-    private readonly vmGate: gate.Gate,
-  ) {}
-
-  async append(
-    stream: platform.LogStream,
-    payloads: readonly unknown[],
-  ): ReturnType<platform.LogService["append"]> {
-    await this.vmGate.pass();
-    const result = await (this.isCut ? this.downLog : this.log).append(stream, payloads);
-    await this.vmGate.pass();
-    return result;
-  }
-
-  async read(
-    stream: platform.LogStream,
-    fromOffset: number,
-    options?: platform.LogReadOptions,
-  ): ReturnType<platform.LogService["read"]> {
-    await this.vmGate.pass();
-    const log = this.isCut ? this.downLog : this.log;
-    const result = await log.read(stream, fromOffset, options);
-    await this.vmGate.pass();
-    return result;
-  }
-}
+import * as gate from "../vmGate/index.js";
 
 /** The service's clients as one VM has them: a paused VM sends nothing and hears nothing. */
 class GatedServiceClients implements backends.ServiceClients {
@@ -74,7 +41,7 @@
 export interface CallsVm {
   readonly name: string;
   readonly calls: calls.Calls;
-  readonly log: LogLink;
+  readonly log: logLink.LogLink;
   readonly gate: gate.Gate;
 }
 
@@ -108,7 +75,7 @@
   ): CallsVm {
     this.fleet.add(name, dataCentre);
     const vmGate = new gate.Gate();
-    const log = new LogLink(this.log, this.downLog, vmGate);
+    const log = new logLink.LogLink(this.log, this.downLog, vmGate);
     const clock = new gate.GatedClock(this.clock, vmGate);
     const service = new calls.Calls(
       clock,
--- a/standins/calls/gate/index.ts
+++ b/standins/vmGate/index.ts
@@ -1,4 +1,4 @@
-import type * as clocks from "../../../src/_lib/clock/index.js";
+import type * as clocks from "../../src/_lib/clock/index.js";
 
 /** Holds a VM's process still: whatever passes through it waits until the VM goes on. */
 export class Gate {
