--- /dev/null
+++ b/src/engines/_lib/desiredCounts/index.ts
@@ -0,0 +1,53 @@
+/** What is wanted of one model. */
+interface WantedModel {
+  readonly model: string;
+  readonly version: string;
+  readonly minLoadedEngines: number;
+  readonly demand: number;
+}
+
+/**
+ * Shares engines among models: the stated minimum first, the rest by demand.
+ *
+ * @param enginesCount - engines that stay; no model is loaded twice on one
+ * @param slotsCount - models that all engines together can hold
+ * @returns engines that should have the model loaded, by `model/version`
+ */
+export function desiredCounts(
+  models: readonly WantedModel[],
+  enginesCount: number,
+  slotsCount: number,
+): ReadonlyMap<string, number> {
+  const counts = new Map<string, number>();
+  let slotsLeft = slotsCount;
+  for (const model of models) {
+    const count = Math.min(model.minLoadedEngines, enginesCount, slotsLeft);
+    counts.set(`${model.model}/${model.version}`, count);
+    slotsLeft -= count;
+  }
+  for (; slotsLeft > 0; slotsLeft -= 1) {
+    const model = mostWanting(models, counts, enginesCount);
+    if (model === null) return counts;
+    const key = `${model.model}/${model.version}`;
+    counts.set(key, (counts.get(key) ?? 0) + 1);
+  }
+  return counts;
+}
+
+/** The model with the most demand for each engine that it has (the highest averages method). */
+function mostWanting(
+  models: readonly WantedModel[],
+  counts: ReadonlyMap<string, number>,
+  enginesCount: number,
+): WantedModel | null {
+  let best: WantedModel | null = null;
+  let bestAverage = 0;
+  for (const model of models) {
+    const count = counts.get(`${model.model}/${model.version}`) ?? 0;
+    const average = model.demand / (count + 1);
+    if (count >= enginesCount || average <= bestAverage) continue;
+    best = model;
+    bestAverage = average;
+  }
+  return best;
+}
--- a/src/engines/constants.ts
+++ b/src/engines/constants.ts
@@ -94,3 +94,12 @@
 
 /** A load report may be this old; what ended since then still counts as our own work. */
 export const REPORT_LAG_LIMIT_MS = 10_000;
+
+/** Prefixes remembered of one engine's cache. */
+export const MAX_PREFIXES_PER_ENGINE = 2_048;
+
+/** Time after which a prefix is as likely evicted as not, without any event about it. */
+export const PREFIX_HALF_LIFE_MS = 60_000;
+
+/** Weight of one event in the moving share of lost events. */
+export const EVENT_LOSS_WEIGHT = 0.02;
--- a/src/engines/index.ts
+++ b/src/engines/index.ts
@@ -12,3 +12,12 @@
 } from "./selectEngine/index.js";
 export { selectVictims } from "./selectVictims/index.js";
 export { WaitingQueue, type WaitingQueueOptions } from "./waitingQueue/index.js";
+export { PrefixIndex } from "./prefixIndex/index.js";
+export {
+  modelKeyOf,
+  planPlacement,
+  type ModelDemand,
+  type PlacementEngine,
+  type PlacementOrder,
+  type PlanPlacementOptions,
+} from "./planPlacement/index.js";
