--- /dev/null
+++ b/experiments/local/demo.ts
@@ -0,0 +1,81 @@
+import * as scenarios from "../../scenarios/index.js";
+import * as localScenario from "./_lib/localScenario.js";
+
+const DRAFT_TOKENS = 2_400;
+
+/** How far the draft is when its engine is killed. */
+const KILL_AT_TOKENS = 1_200;
+
+const PERMIT_KEY = "permit-2026-17";
+
+const PERMIT = '{"park":"north","walkers":4}';
+
+const filing = (as: string, at: string): object => ({
+  do: "call",
+  as,
+  at,
+  entry: "file-permit",
+  account: "walkers",
+  key: PERMIT_KEY,
+  body: PERMIT,
+});
+
+/** What the demo does, and what has to hold at its end. */
+const STEPS: readonly (readonly [string, object])[] = [
+  [
+    `a walker asks riga-a-1 for a draft of ${DRAFT_TOKENS} tokens`,
+    {
+      do: "generate",
+      as: "draft",
+      at: "riga-a-1",
+      entry: "route-justification",
+      account: "walkers",
+      tokens: DRAFT_TOKENS,
+    },
+  ],
+  [
+    `${KILL_AT_TOKENS} tokens have arrived`,
+    { do: "wait", request: "draft", tokens: KILL_AT_TOKENS, timeoutMs: 60_000 },
+  ],
+  ["the engine that runs the draft is killed", { do: "kill", target: "engine-of:draft" }],
+  ["a permit is filed at riga-a-1", filing("first", "riga-a-1")],
+  ["the same permit is filed at riga-a-2 at the same time", filing("second", "riga-a-2")],
+  ["the first filing is answered", { do: "wait", request: "first", timeoutMs: 30_000 }],
+  ["the second filing is answered", { do: "wait", request: "second", timeoutMs: 30_000 }],
+  ["the draft ends", { do: "wait", request: "draft", timeoutMs: 90_000 }],
+  [
+    `every token has arrived once, in order, from a single sampling`,
+    { do: "expect-request", as: "draft", status: 200, tokens: DRAFT_TOKENS, finish: "stop" },
+  ],
+  ["the first filing has succeeded", { do: "expect-request", as: "first", status: 200 }],
+  [
+    "the second filing has the same answer",
+    { do: "expect-request", as: "second", status: 200, sameAnswerAs: "first" },
+  ],
+  [
+    "the permit service has filed it once",
+    { do: "expect-service", service: "permits", key: PERMIT_KEY, runs: 1 },
+  ],
+];
+
+/** Two daemons and two engines; an engine dies in the middle of a draft, a permit is filed twice. */
+async function main(): Promise<boolean> {
+  const scenario = localScenario.createLocalScenario(
+    ["riga-a-1", "riga-a-2"],
+    STEPS.map(([, step]) => step),
+  );
+  const firstDemoStep = scenario.steps.length - STEPS.length;
+  print("two daemons and two engines start");
+  const report = await scenarios.runScenario(scenario, ({ number, failure }) => {
+    const [text = "the catalogue is published"] = STEPS[number - 1 - firstDemoStep] ?? [];
+    print(failure === null ? `ok      ${text}` : `FAILED  ${text}: ${failure}`);
+  });
+  print(`\nWhat every party saw:\n\n${report.session}`);
+  return report.steps.every((step) => step.failure === null);
+}
+
+function print(text: string): void {
+  process.stdout.write(`${text}\n`);
+}
+
+process.exitCode = (await main()) ? 0 : 1;
--- a/scenarios/_lib/steps/waitSteps.ts
+++ b/scenarios/_lib/steps/waitSteps.ts
@@ -33,11 +33,11 @@
 async function waitForRequest(run: scenarioRuns.ScenarioRun, step: WaitStep): Promise<void> {
   const caller = run.caller(step.request ?? "");
   const { tokens } = step;
-  await waitUntil.waitUntil(
-    () => (tokens === undefined ? caller.isEnded : caller.tokens.length >= tokens),
-    step.timeoutMs,
-    () => `${caller.name} has ${caller.tokens.length} tokens; ${caller.describe()}`,
-  );
+  const describe = (): string =>
+    `${caller.name} has ${caller.tokens.length} tokens; ${caller.describe()}`;
+  const isReached = (): boolean => tokens !== undefined && caller.tokens.length >= tokens;
+  await waitUntil.waitUntil(() => caller.isEnded || isReached(), step.timeoutMs, describe);
+  if (tokens !== undefined && !isReached()) throw new Error(`ended early: ${describe()}`);
 }
 
 async function waitForLeft(run: scenarioRuns.ScenarioRun, step: WaitStep): Promise<void> {
