--- a/src/daemon/_lib/describeBackends.ts
+++ b/src/daemon/_lib/describeBackends.ts
@@ -9,17 +9,17 @@
 /** Engines as their home sees them. */
 export function describeEngineBackends(
   homeVm: string,
-  engines: readonly generations.EngineDescription[],
+  engines: readonly generations.HeldEngine[],
 ): readonly http.BackendDescription[] {
-  return engines.map((engine) => ({
-    name: engine.name,
+  return engines.map(({ view, runs, refusalReason }) => ({
+    name: view.name,
     kind: "engine",
-    dataCentre: engine.dataCentre,
+    dataCentre: view.dataCentre,
     home: homeVm,
-    state: engine.health,
-    usedRatio: engine.usedTokens / engine.capacityTokens,
-    runningCount: engine.running.length,
-    detail: engine.reason,
+    state: view.health,
+    reservedRatio: view.reservedTokens / view.capacityTokens,
+    runningCount: runs.length,
+    detail: refusalReason ?? "takes work",
   }));
 }
 
@@ -34,7 +34,7 @@
     dataCentre: server.dataCentre,
     home: null,
     state: server.health,
-    usedRatio: null,
+    reservedRatio: null,
     runningCount: server.inFlightCount,
     detail: `${server.failuresCount} failures in a row at ${vm}`,
   }));
@@ -99,7 +99,7 @@
       dataCentre: item.dataCentre,
       home: null,
       state: item.state,
-      usedRatio: null,
+      reservedRatio: null,
       runningCount: null,
       detail: isEngine ? "no VM is its home" : "not used yet",
     },
--- a/src/daemon/adminDesk/index.ts
+++ b/src/daemon/adminDesk/index.ts
@@ -165,7 +165,7 @@
     const selfName = this.parts.fleetView.self.name;
     return this.parts.generations
       .describeEngines()
-      .filter((engine) => engine.name === name)
+      .filter((engine) => engine.view.name === name)
       .map((engine) => ({ ...engine, home: selfName }));
   }
 }
--- a/src/daemon/daemon/index.ts
+++ b/src/daemon/daemon/index.ts
@@ -11,6 +11,7 @@
 import * as generations from "../../generations/index.js";
 import * as http from "../../http/index.js";
 import * as peers from "../../peers/index.js";
+import * as replication from "../../replication/index.js";
 import type * as settings from "../../settings/index.js";
 import * as telemetry from "../../telemetry/index.js";
 import * as adminDesks from "../adminDesk/index.js";
@@ -88,7 +89,13 @@
 
   /** What would be lost if this VM stopped now, in words; empty where it is nothing. */
   describeHeld(): string {
-    return this.generations.describeHeld();
+    const held = this.generations.describeHeld();
+    const counts = [
+      `${held.runningCount} running and ${held.waitingCount} waiting generations`,
+      `${held.engineRunsCount} runs on engines`,
+    ];
+    const isNothing = held.runningCount + held.waitingCount + held.engineRunsCount === 0;
+    return isNothing ? "" : counts.join(", ");
   }
 
   /**
@@ -103,7 +110,8 @@
     this.logger.info({ graceMs }, "leaving");
     await this.clock.sleep(balancerNoticeMs);
     this.membership.leave();
-    return this.generations.drain(graceMs);
+    await replication.waitAtMost(this.clock, graceMs, this.generations.drain());
+    return this.describeHeld() === "";
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
--- a/src/generations/_lib/placement/index.ts
+++ b/src/generations/_lib/placement/index.ts
@@ -17,6 +17,8 @@
   readonly homeVm: string;
   /** The engine's stream to take up; null where a new one is to be started. */
   readonly resumeAttempt: number | null;
+  /** Whether the engine's home announced room for this generation. */
+  readonly isOffered: boolean;
 }
 
 interface PlacementServices {
@@ -27,6 +29,7 @@
 
 /** VMs and engines that failed lately and are passed over for a while. */
 export class Avoidance {
+  private readonly excludedVms = new Set<string>();
   private readonly vmsUntilMs = new Map<string, number>();
   private readonly enginesUntilMs = new Map<string, number>();
 
@@ -36,11 +39,17 @@
     this.vmsUntilMs.set(vmName, this.clock.nowMs() + constants.AVOID_VM_MS);
   }
 
+  /** Passes a VM over for good, such as this one once it shuts down. */
+  excludeVm(vmName: string): void {
+    this.excludedVms.add(vmName);
+  }
+
   avoidEngine(engineName: string): void {
     this.enginesUntilMs.set(engineName, this.clock.nowMs() + constants.AVOID_ENGINE_MS);
   }
 
   isVmAvoided(vmName: string): boolean {
+    if (this.excludedVms.has(vmName)) return true;
     return (this.vmsUntilMs.get(vmName) ?? 0) > this.clock.nowMs();
   }
 
@@ -64,7 +73,8 @@
     services.avoidance.isEngineAvoided(name),
   );
   const engine = engineName === null ? null : findEngine(services.context, engineName);
-  return engine && createTarget(services, engine, null);
+  const target = engine && createTarget(services, engine, null);
+  return target && { ...target, isOffered: engineName === preferredEngine };
 }
 
 /** Sends a generation to a home under a new attempt. */
@@ -78,6 +88,7 @@
     snapshot: record.snapshot(),
     engineName: target.engine.name,
     resumeAttempt: target.resumeAttempt,
+    isOffered: target.isOffered,
   };
   services.views.noteSent(target.engine.name, record.request.promptTokens);
   return services.context.link.call(
@@ -115,7 +126,7 @@
   const homeVm = selectHomes.selectHome(engine, members, (vmName) =>
     services.avoidance.isVmAvoided(vmName),
   );
-  return homeVm === null ? null : { engine, homeVm, resumeAttempt };
+  return homeVm === null ? null : { engine, homeVm, resumeAttempt, isOffered: false };
 }
 
 function findEngine(
--- a/src/generations/types.ts
+++ b/src/generations/types.ts
@@ -37,48 +37,58 @@
   frames(fromOffset: number, signal?: AbortSignal): AsyncIterable<TokenFrame>;
 }
 
-/** Generations as the HTTP port uses them. */
-export interface GenerationService {
-  /** Accepts a request, or refuses it without having run anything. */
-  submit(
-    request: GenerationRequest,
-  ): Promise<neverthrow.Result<GenerationHandle, stepError.StepError>>;
-  /** Re-attaches a caller to a generation that any VM holds. */
-  attach(
-    requestId: string,
-    accountName: string,
-  ): Promise<neverthrow.Result<GenerationHandle, stepError.StepError>>;
+/** What would be lost if a VM stopped now. */
+export interface HeldSummary {
+  /** Generations that this VM answers for, by what they do. */
+  readonly runningCount: number;
+  readonly waitingCount: number;
+  readonly keptFinishedCount: number;
+  /** Runs on engines whose home this VM is. */
+  readonly engineRunsCount: number;
+  /** Second copies for other VMs. */
+  readonly copiesCount: number;
+  /** Ids of requests that are not finished. */
+  readonly unfinishedRequestIds: readonly string[];
 }
 
-/** One generation on an engine, as its home sees it. */
-export interface EngineRunDescription {
-  readonly requestId: string;
-  readonly entryName: string;
-  readonly contextTokens: number;
-  readonly producedTokens: number;
+/** One engine as its home holds it. */
+export interface HeldEngine {
+  readonly view: engines.EngineView;
+  /** Why the engine takes no work; null where it does. */
+  readonly refusalReason: string | null;
+  readonly runs: readonly HeldRun[];
 }
 
-/** What a home holds on one engine, and why the engine takes or refuses work. */
-export interface EngineDescription {
-  readonly name: string;
-  readonly dataCentre: string;
-  readonly health: engines.EngineHealth;
-  readonly takesWork: boolean;
-  readonly reason: string;
-  readonly capacityTokens: number;
-  readonly usedTokens: number;
-  readonly reservedTokens: number;
-  readonly stepTimeMs: number;
-  readonly running: readonly EngineRunDescription[];
+/** One run of an engine. */
+export interface HeldRun {
+  readonly requestId: string;
+  readonly attempt: number;
+  readonly ownerVm: string;
+  readonly producedTokens: number;
+  readonly isPreempted: boolean;
+  /** Time since its last token. */
+  readonly silentMs: number;
 }
 
-/** One request that waits at this VM, and what for. */
-export interface WaitingDescription {
+/** A generation that waits at this VM. */
+export interface WaitingGeneration {
   readonly requestId: string;
   readonly entryName: string;
-  readonly class: catalogue.RequestClass;
   readonly accountName: string;
   readonly waitedMs: number;
-  readonly deadlineInMs: number;
+  readonly producedTokens: number;
   readonly reason: string;
 }
+
+/** Generations as the HTTP port uses them. */
+export interface GenerationService {
+  /** Accepts a request, or refuses it without having run anything. */
+  submit(
+    request: GenerationRequest,
+  ): Promise<neverthrow.Result<GenerationHandle, stepError.StepError>>;
+  /** Re-attaches a caller to a generation that any VM holds. */
+  attach(
+    requestId: string,
+    accountName: string,
+  ): Promise<neverthrow.Result<GenerationHandle, stepError.StepError>>;
+}
