--- a/standins/telemetry/counters/index.ts
+++ b/standins/telemetry/counters/index.ts
@@ -18,12 +18,12 @@
     this.counts.set(name, value);
   }
 
-  observe(): void {
-    this.increment("observed");
+  observe(measure: telemetry.Measure, entryName: string, value: number): void {
+    this.counts.set(`${measure}/${entryName}`, value);
   }
 
-  completed(): void {
-    this.increment("completed");
+  completed(entryName: string, isWhole: boolean): void {
+    this.increment(`completed/${entryName}/${isWhole}`);
   }
 
   record(requestId: string, event: Omit<telemetry.TraceEvent, "atWallMs" | "vm">): void {
--- a/standins/vms/index.ts
+++ b/standins/vms/index.ts
@@ -13,7 +13,7 @@
 import * as engineModels from "../engine/model/index.js";
 import type * as engineTypes from "../engine/types.js";
 import * as fleetViews from "../fleet/view/index.js";
-import * as metricsFakes from "../metrics/index.js";
+import * as counterModels from "../telemetry/counters/index.js";
 import * as hubs from "../peers/hub/index.js";
 import * as markings from "./marking/index.js";
 import * as pausables from "./pausable/index.js";
@@ -35,7 +35,7 @@
   readonly fleet: fleetViews.FakeFleetView;
   readonly process: pausables.PausableProcess;
   readonly tracer: MemoryTracer;
-  readonly metrics: metricsFakes.CountingMetrics;
+  readonly metrics: counterModels.CounterModel;
 }
 
 /** Three VMs in one data centre. */
@@ -162,7 +162,7 @@
 
   private addVm(identity: fleet.VmIdentity, identities: readonly fleet.VmIdentity[]): void {
     const tracer = new MemoryTracer(identity.name, this.clock);
-    const metrics = new metricsFakes.CountingMetrics();
+    const metrics = new counterModels.CounterModel();
     const view = new fleetViews.FakeFleetView(identity, identities);
     const process = new pausables.PausableProcess(this.clock, this.clients);
     const service = new generations.Generations(
