Heed what the platform's list says about backend servers

Cause: the list's word on a leaving VM reached the fleet, but not the choice of engines and servers. Change: each list read marks the backend servers on leaving VMs, by name or address; the mark stays although the list says live again.

--- a/src/daemon/daemon/index.ts
+++ b/src/daemon/daemon/index.ts
@@ -14,7 +14,10 @@
 import * as replication from "../../replication/index.js";
 import type * as settings from "../../settings/index.js";
 import * as telemetry from "../../telemetry/index.js";
+import type * as platform from "../../platform/types.js";
 import * as adminDesks from "../adminDesk/index.js";
+import * as findLeavingBackends from "../findLeavingBackends/index.js";
+import * as seededVmLists from "../seededVmList/index.js";
 import * as listeners from "../_lib/openListeners.js";
 import * as renewal from "../_lib/renewCertificates.js";
 
@@ -49,6 +52,9 @@
     this.calls = store.add(container.resolve(calls.Calls));
     this.generations = store.add(container.resolve(generations.Generations));
     this.desk = store.add(this.createDesk());
+    container
+      .resolve(seededVmLists.SeededVmList)
+      .onListed((listed) => this.noteLeavingBackends(listed));
   }
 
   /** Where callers reach this VM. */
@@ -135,6 +141,15 @@
     return item?.kind === catalogue.ItemKind.Vm && item.state === catalogue.DesiredState.Draining;
   }
 
+  /** The list lags and says live again at times; the first sign of leaving stays in force. */
+  private noteLeavingBackends(listed: readonly platform.ListedVm[]): void {
+    const state = this.catalogue.current();
+    for (const backend of findLeavingBackends.findLeavingBackends(state, listed)) {
+      if (backend.kind === catalogue.ItemKind.Engine) this.generations.noteLeaving(backend.name);
+      else this.calls.markLeaving(backend.name);
+    }
+  }
+
   private callerParts(): http.CallerServerParts {
     return {
       clock: this.clock,
