--- /dev/null
+++ b/experiments/bench/main.ts
@@ -0,0 +1,14 @@
+import * as decisions from "./decisions/index.js";
+
+type Bench = () => void;
+
+const BENCHES: Readonly<Record<string, Bench>> = {
+  decisions: decisions.benchDecisions,
+};
+
+const name = process.argv[2] ?? "decisions";
+const bench = BENCHES[name];
+if (bench === undefined) {
+  process.stderr.write(`no bench ${name}; one of: ${Object.keys(BENCHES).join(", ")}\n`);
+  process.exitCode = 1;
+} else bench();
--- a/src/engines/_lib/memoryForecast/index.ts
+++ b/src/engines/_lib/memoryForecast/index.ts
@@ -5,15 +5,15 @@
 
 /** Memory that one generation is expected to take at each horizon. */
 export interface MemoryShare {
-  readonly meansTokens: Float64Array;
-  readonly variances: Float64Array;
+  readonly meansTokens: Float32Array;
+  readonly variances: Float32Array;
 }
 
 /** A share that is still empty. */
 export function createMemoryShare(): MemoryShare {
   return {
-    meansTokens: new Float64Array(HORIZONS.length),
-    variances: new Float64Array(HORIZONS.length),
+    meansTokens: new Float32Array(HORIZONS.length),
+    variances: new Float32Array(HORIZONS.length),
   };
 }
 
@@ -67,6 +67,12 @@
     }
   }
 
+  /** Starts again from nothing, which also ends what rounding has left over. */
+  clear(): void {
+    this.meansTokens.fill(0);
+    this.variances.fill(0);
+  }
+
   remove(share: MemoryShare): void {
     for (let index = 0; index < HORIZONS.length; index += 1) {
       this.meansTokens[index] = (this.meansTokens[index] ?? 0) - (share.meansTokens[index] ?? 0);
--- a/src/engines/_lib/runningTable/index.ts
+++ b/src/engines/_lib/runningTable/index.ts
@@ -22,8 +22,13 @@
   watchedCount = 0;
   pendingPrefillTokens = 0;
   private readonly records = new Map<string, RunningRecord>();
+  /** How many running generations state each bound between tokens. */
+  private readonly boundCounts = new Map<number, number>();
 
-  constructor(private readonly lengths: types.LengthEstimator) {}
+  constructor(
+    private readonly lengths: types.LengthEstimator,
+    private readonly interTokenBoundMsOf: (entryName: string) => number | null,
+  ) {}
 
   get count(): number {
     return this.records.size;
@@ -33,6 +38,13 @@
     return this.records.has(requestId);
   }
 
+  /** The tightest bound between tokens among all that runs, in milliseconds. */
+  get lowestBoundMs(): number {
+    let lowestMs = Infinity;
+    for (const boundMs of this.boundCounts.keys()) lowestMs = Math.min(lowestMs, boundMs);
+    return lowestMs;
+  }
+
   list(): readonly RunningRecord[] {
     return [...this.records.values()];
   }
@@ -54,6 +66,7 @@
     this.contextTokens += record.contextTokens;
     this.pendingPrefillTokens += record.pendingPrefillTokens;
     if (isWatched(need)) this.watchedCount += 1;
+    this.countBound(need, 1);
     this.fill(record);
     this.forecast.add(record.share);
   }
@@ -80,10 +93,20 @@
     this.contextTokens -= record.contextTokens;
     this.pendingPrefillTokens -= record.pendingPrefillTokens;
     if (isWatched(record.need)) this.watchedCount -= 1;
+    this.countBound(record.need, -1);
     this.forecast.remove(record.share);
+    if (this.records.size === 0) this.forecast.clear();
     return record;
   }
 
+  private countBound(need: types.GenerationNeed, change: number): void {
+    const boundMs = this.interTokenBoundMsOf(need.entryName);
+    if (boundMs === null) return;
+    const count = (this.boundCounts.get(boundMs) ?? 0) + change;
+    if (count > 0) this.boundCounts.set(boundMs, count);
+    else this.boundCounts.delete(boundMs);
+  }
+
   private renew(record: RunningRecord): void {
     this.forecast.remove(record.share);
     this.fill(record);
--- a/src/engines/engineScheduler/index.ts
+++ b/src/engines/engineScheduler/index.ts
@@ -39,7 +39,7 @@
   private waitedAtMs = -Infinity;
 
   constructor(private readonly options: EngineSchedulerOptions) {
-    this.table = new runningTables.RunningTable(options.lengths);
+    this.table = new runningTables.RunningTable(options.lengths, options.interTokenBoundMsOf);
   }
 
   /** The safety margin in use, in standard deviations. */
@@ -179,20 +179,10 @@
   }
 
   private keepsInterTokenBound(need: types.GenerationNeed): boolean {
-    const boundMs = this.options.interTokenBoundMsOf(need.entryName);
-    const isWatchedAlready = this.table.watchedCount > 0;
-    if (boundMs === null && !isWatchedAlready) return true;
-    const limitMs = boundMs ?? this.lowestBoundMs();
-    return this.steps.stepTimeWithMs(this.table.count + 1) <= limitMs;
-  }
-
-  private lowestBoundMs(): number {
-    let lowestMs = Infinity;
-    for (const record of this.table.list()) {
-      const boundMs = this.options.interTokenBoundMsOf(record.need.entryName);
-      if (boundMs !== null) lowestMs = Math.min(lowestMs, boundMs);
-    }
-    return lowestMs;
+    const ownBoundMs = this.options.interTokenBoundMsOf(need.entryName) ?? Infinity;
+    const boundMs = Math.min(ownBoundMs, this.table.lowestBoundMs);
+    if (boundMs === Infinity) return true;
+    return this.steps.stepTimeWithMs(this.table.count + 1) <= boundMs;
   }
 
   private hasPrefillRoom(need: types.GenerationNeed): boolean {
--- a/src/engines/lengthLearner/index.ts
+++ b/src/engines/lengthLearner/index.ts
@@ -22,7 +22,8 @@
  */
 export class LengthLearner implements types.LengthEstimator {
   private readonly shared = new Map<string, LearnedLengths>();
-  private readonly accounts = new Map<string, LearnedLengths>();
+  /** By account, entry and model; nested, so that a look-up builds no key. */
+  private readonly accounts = new Map<string, Map<string, Map<string, LearnedLengths>>>();
   /** Observations that other VMs were not told of yet. */
   private untold = new Map<string, histograms.LengthHistogram>();
 
@@ -65,19 +66,22 @@
   }
 
   private accountLengths(need: types.GenerationNeed): LearnedLengths {
-    const entryKey = entryKeyOf(need);
-    const key = `${entryKey}${need.accountName}`;
-    const known = this.accounts.get(key);
+    const known = this.accounts.get(need.accountName)?.get(need.entryName)?.get(need.model);
     if (known !== undefined) return known;
-    const created = createLengths(this.sharedLengths(entryKey, JSON.stringify([need.model])));
-    this.accounts.set(key, created);
-    if (this.accounts.size > constants.MAX_ACCOUNT_HISTOGRAMS) {
-      const oldest = this.accounts.keys().next();
-      if (oldest.done !== true) this.accounts.delete(oldest.value);
-    }
+    const parent = this.sharedLengths(entryKeyOf(need), JSON.stringify([need.model]));
+    const created = createLengths(parent);
+    const entries = childOf(this.accounts, need.accountName);
+    childOf(entries, need.entryName).set(need.model, created);
+    this.forgetOldestAccount();
     return created;
   }
 
+  private forgetOldestAccount(): void {
+    if (this.accounts.size <= constants.MAX_ACCOUNT_HISTOGRAMS) return;
+    const oldest = this.accounts.keys().next();
+    if (oldest.done !== true) this.accounts.delete(oldest.value);
+  }
+
   private untoldLengths(key: string): histograms.LengthHistogram {
     const known = this.untold.get(key);
     if (known !== undefined) return known;
@@ -96,6 +100,14 @@
   }
 }
 
+function childOf<T>(parents: Map<string, Map<string, T>>, name: string): Map<string, T> {
+  const known = parents.get(name);
+  if (known !== undefined) return known;
+  const created = new Map<string, T>();
+  parents.set(name, created);
+  return created;
+}
+
 function entryKeyOf(need: types.GenerationNeed): string {
   return JSON.stringify([need.model, need.entryName]);
 }
