--- a/src/engines/_lib/safetyMargin/index.ts
+++ b/src/engines/_lib/safetyMargin/index.ts
@@ -16,8 +16,10 @@
     this.current = Math.min(constants.MAX_MARGIN_DEVIATIONS, raised);
   }
 
-  onEndedWhileWorkWaited(): void {
-    const relaxed = this.current - constants.MARGIN_RELAX_DEVIATIONS;
+  /** @param idleRatio - share of the engine's memory that was not in use */
+  onEndedWhileWorkWaited(idleRatio: number): void {
+    const excessRatio = Math.max(0, idleRatio - constants.ACCEPTED_IDLE_RATIO);
+    const relaxed = this.current - constants.MARGIN_RELAX_DEVIATIONS * excessRatio;
     this.current = Math.max(constants.MIN_MARGIN_DEVIATIONS, relaxed);
   }
 }
--- a/src/engines/constants.ts
+++ b/src/engines/constants.ts
@@ -33,13 +33,15 @@
 export const REFORECAST_TOKENS = 16;
 
 /** Bounds and steps of the safety margin, in standard deviations. */
-export const MIN_MARGIN_DEVIATIONS = 0.5;
-export const MAX_MARGIN_DEVIATIONS = 4;
-export const INITIAL_MARGIN_DEVIATIONS = 2;
+export const MIN_MARGIN_DEVIATIONS = 1;
+export const MAX_MARGIN_DEVIATIONS = 5;
+export const INITIAL_MARGIN_DEVIATIONS = 3;
 /** Added for every generation that lost its place. */
-export const MARGIN_RAISE_DEVIATIONS = 0.25;
-/** Taken off for every generation that ended whole while work waited. */
-export const MARGIN_RELAX_DEVIATIONS = 0.0005;
+export const MARGIN_RAISE_DEVIATIONS = 0.5;
+/** Taken off, per generation that ended while work waited, for each share of memory left idle. */
+export const MARGIN_RELAX_DEVIATIONS = 0.02;
+/** Share of memory that may stay idle while work waits. */
+export const ACCEPTED_IDLE_RATIO = 0.08;
 
 /** Share of memory that only interactive work may fill. */
 export const INTERACTIVE_HEADROOM_RATIO = 0.03;
--- a/src/engines/engineScheduler/index.ts
+++ b/src/engines/engineScheduler/index.ts
@@ -68,7 +68,8 @@
     if (record === undefined || !isWhole) return;
     this.options.lengths.observe(record.need, record.producedTokens);
     const hasWorkWaited = nowMs - this.waitedAtMs < constants.WAITING_MEMORY_MS;
-    if (hasWorkWaited) this.margin.onEndedWhileWorkWaited();
+    const idleRatio = 1 - this.usedTokens() / this.options.capacityTokens;
+    if (hasWorkWaited) this.margin.onEndedWhileWorkWaited(idleRatio);
   }
 
   onLoadReport(report: backends.EngineLoadReport, nowMs: number): void {
