--- a/src/generations/_lib/views/index.ts
+++ b/src/generations/_lib/views/index.ts
@@ -1,30 +1,17 @@
-import * as zod from "zod";
-
 import * as catalogueTypes from "../../../catalogue/types.js";
 import * as engines from "../../../engines/index.js";
 import * as constants from "../../constants.js";
 import type * as contexts from "../context/index.js";
-import type * as engineHomes from "../engineHome/index.js";
 import * as engineRequests from "../engineRequest/index.js";
 import * as messages from "../messages/index.js";
 import type * as records from "../record/index.js";
+import * as summaries from "../viewSummary/index.js";
 
-const viewSchema = zod.object({
-  name: zod.string(),
-  dataCentre: zod.string(),
-  health: zod.enum(engines.EngineHealth),
-  capacityTokens: zod.number(),
-  reservedTokens: zod.number(),
-  runningCount: zod.number(),
-  waitingCount: zod.number(),
-  stepTimeMs: zod.number(),
-  loadedModels: zod.array(
-    zod.object({ model: zod.string(), version: zod.string(), adapters: zod.array(zod.string()) }),
-  ),
-});
-
+/** An engine as last told, and what was sent there since. */
 interface HeldView {
-  readonly view: zod.infer<typeof viewSchema>;
+  readonly view: engines.EngineView;
+  readonly change: summaries.EngineChange;
+  readonly fromVm: string;
   readonly receivedAtMs: number;
   sentTokens: number;
   sentCount: number;
@@ -33,27 +20,18 @@
 /** What this VM knows about engines, from their homes' summaries. */
 export class EngineViews {
   private readonly views = new Map<string, HeldView>();
+  private readonly profiles = new Map<number, summaries.EngineProfile>();
   private readonly leavingEngines = new Set<string>();
 
   constructor(private readonly context: contexts.GenerationContext) {}
 
   start(): void {
-    const schema = zod.array(viewSchema);
-    this.context.link.handle(messages.Method.EngineViews, schema, (received) => {
-      for (const view of received) this.take(view);
+    const schema = summaries.viewUpdateSchema;
+    this.context.link.handle(messages.Method.EngineViews, schema, (update, fromVm) => {
+      this.take(update, fromVm);
     });
   }
 
-  /** Sends the views of this VM's engines to the others. */
-  spread(homes: readonly engineHomes.EngineHome[]): void {
-    if (homes.length === 0) return;
-    const nowMs = this.context.clock.nowMs();
-    const summaries = homes.map((home) => viewSchema.parse(home.view(nowMs)));
-    for (const member of this.context.fleet.members()) {
-      this.context.link.notify(member.name, messages.Method.EngineViews, summaries);
-    }
-  }
-
   /** Notes work sent to an engine, which its next summary will show. */
   noteSent(engineName: string, tokens: number): void {
     const held = this.views.get(engineName);
@@ -115,8 +93,30 @@
     return view.ageMs <= constants.VIEW_EXPIRY_MS;
   }
 
-  private take(view: zod.infer<typeof viewSchema>): void {
+  private take(update: summaries.ViewUpdate, fromVm: string): void {
+    const receivedAtMs = this.context.clock.nowMs();
+    for (const [name, held] of this.views) {
+      if (held.fromVm !== fromVm) continue;
+      this.views.set(name, { ...held, receivedAtMs, sentTokens: 0, sentCount: 0 });
+    }
+    for (const profile of update.profiles) {
+      this.profiles.set(profile.id, profile);
+      const held = this.views.get(profile.name);
+      if (held !== undefined) this.hold(profile, held.change, fromVm);
+    }
+    for (const change of update.changes) {
+      const profile = this.profiles.get(change[0]);
+      if (profile !== undefined) this.hold(profile, change, fromVm);
+    }
+  }
+
+  private hold(
+    profile: summaries.EngineProfile,
+    change: summaries.EngineChange,
+    fromVm: string,
+  ): void {
+    const view = summaries.readView(profile, change);
     const receivedAtMs = this.context.clock.nowMs();
-    this.views.set(view.name, { view, receivedAtMs, sentTokens: 0, sentCount: 0 });
+    this.views.set(view.name, { view, change, fromVm, receivedAtMs, sentTokens: 0, sentCount: 0 });
   }
 }
--- a/src/generations/constants.ts
+++ b/src/generations/constants.ts
@@ -67,8 +67,29 @@
 /** Longest time that a read of another VM's generation waits for tokens. */
 export const READ_WAIT_MS = 1_000;
 
-/** Interval of engine views towards other VMs. */
-export const VIEW_INTERVAL_MS = 500;
+/** Interval at which changed engine views are told to other VMs. */
+export const VIEW_INTERVAL_MS = 1_000;
+
+/** Added to the interval of engine views for each VM told, so that a round costs the same. */
+export const VIEW_INTERVAL_PER_VM_MS = 100;
+
+/** Engine changes told in one round, all recipients together; the largest changes go first. */
+export const VIEW_CHANGES_PER_ROUND = 240;
+
+/** Longest time without a word about unchanged engines. */
+export const VIEW_KEEPALIVE_MS = 4_000;
+
+/** Interval at which engine views are told whole, changed or not. */
+export const VIEW_REFRESH_MS = 300_000;
+
+/** Interval at which other data centres are told of the engines with most room. */
+export const RELAY_INTERVAL_MS = 8_000;
+
+/** Engines of one home that other data centres are told of. */
+export const RELAYED_ENGINES_PER_HOME = 4;
+
+/** Engines per model of other data centres that a relay passes on. */
+export const RELAYED_ENGINES_PER_MODEL = 2;
 
 /** Age after which an engine's view is no longer believed. */
 export const VIEW_EXPIRY_MS = 10_000;
--- a/src/generations/generations/index.ts
+++ b/src/generations/generations/index.ts
@@ -29,6 +29,7 @@
 import * as peerLinks from "../_lib/peerLink/index.js";
 import * as readers from "../_lib/reader/index.js";
 import * as schedulers from "../_lib/createScheduler/index.js";
+import * as viewSpreads from "../_lib/viewSpread/index.js";
 import * as views from "../_lib/views/index.js";
 import * as constants from "../constants.js";
 import * as requestIds from "../createRequestId/index.js";
@@ -41,6 +42,7 @@
   private readonly context: contexts.GenerationContext;
   private readonly holders: locators.Holders;
   private readonly views: views.EngineViews;
+  private readonly spread: viewSpreads.ViewSpread;
   private readonly locator: locators.Locator;
   private readonly orphans: orphanWatches.OrphanWatch;
   private readonly drainer: drains.Drain;
@@ -74,6 +76,7 @@
       createScheduler: schedulers.createSchedulerFactory(catalogueView),
     };
     this.views = new views.EngineViews(this.context);
+    this.spread = new viewSpreads.ViewSpread(this.context);
     const owner = this.resources.add(new ownerDesks.OwnerDesk(this.context, this.views));
     const keeper = new keeperDesks.KeeperDesk(this.context, (requestId) =>
       owner.findRecord(requestId),
@@ -252,7 +255,9 @@
   }
 
   private spreadViews(): void {
-    this.views.spread(this.holders.home.list());
+    const nowMs = this.context.clock.nowMs();
+    const own = this.holders.home.list().map((home) => home.view(nowMs));
+    this.spread.spread(own, this.views.list());
   }
 
   private async repeat(intervalMs: number, action: () => void): Promise<void> {
