--- /dev/null
+++ b/src/accounts/accountLimits/histories/test.ts
@@ -0,0 +1,153 @@
+import * as fc from "fast-check";
+import tap from "tap";
+
+import * as limitsFleet from "../../../../standins/fleet/limitsFleet/index.js";
+import * as accountShare from "../../_lib/accountShare/index.js";
+import * as fleet from "../../../fleet/types.js";
+
+const LIMITS = { requestsPerSecond: 80, concurrentRequests: 16, tokensPerSecond: 8_000 };
+const ACCOUNT = limitsFleet.accountOf("library", LIMITS);
+const NAMES = ["vm-1", "vm-2", "vm-3", "vm-4", "vm-5"];
+const ROUNDING = 1e-6;
+
+enum Event {
+  Load = "load",
+  Permits = "permits",
+  Latency = "latency",
+  Silence = "silence",
+  Unsilence = "unsilence",
+  Suspect = "suspect",
+  Trust = "trust",
+  Part = "part",
+  Heal = "heal",
+}
+
+type Handler = (limits: limitsFleet.LimitsFleet, name: string, other: string) => void;
+
+const HANDLERS: Readonly<Record<Event, Handler>> = {
+  [Event.Load]: (limits, name) => void limits.load(name, 150, 8_000),
+  [Event.Permits]: (limits, name) => {
+    for (let count = 0; count < 20; count += 1) {
+      const permit = limits.vm(name).limits.admit(ACCOUNT);
+      if (permit.isErr()) continue;
+      permit.value.spendTokens(500);
+      limits.clock.schedule(6_000, () => permit.value[Symbol.dispose]());
+    }
+  },
+  [Event.Latency]: (limits, name) => (limits.hub.latencyMs = name === "vm-1" ? 300 : 2),
+  [Event.Silence]: (limits, name, other) => limits.hub.silence(name, other),
+  [Event.Unsilence]: (limits) => {
+    for (const left of NAMES) for (const right of NAMES) limits.hub.heal(left, right);
+  },
+  [Event.Suspect]: (limits, name) => believe(limits, name, fleet.MemberState.Suspect),
+  [Event.Trust]: (limits, name) => believe(limits, name, fleet.MemberState.Live),
+  [Event.Part]: (limits, name, other) => {
+    const group = [...new Set([name, other])];
+    limits.part([group, NAMES.filter((each) => !group.includes(each))]);
+  },
+  [Event.Heal]: (limits) => limits.heal(),
+};
+
+/** All VMs change their belief about one of them together, itself included. */
+function believe(limits: limitsFleet.LimitsFleet, name: string, state: fleet.MemberState): void {
+  for (const vm of limits.vms.values()) vm.view.setState(name, state);
+}
+
+function historyOf(kinds: readonly Event[]) {
+  return fc.array(
+    fc.record({
+      kind: fc.constantFrom(...kinds),
+      name: fc.constantFrom(...NAMES),
+      other: fc.constantFrom(...NAMES),
+      afterMs: fc.nat(4_000),
+    }),
+    { minLength: 10, maxLength: 30 },
+  );
+}
+
+const SEED = 71;
+const STEP_MS = 200;
+const USE = [Event.Load, Event.Permits, Event.Latency];
+
+type History = readonly { kind: Event; name: string; other: string; afterMs: number }[];
+
+/** Plays a history; returns the largest sum of shares at any time, as a multiple of the limit. */
+async function play(limits: limitsFleet.LimitsFleet, events: History): Promise<number> {
+  let largestRatio = 0;
+  for (const { kind, name, other, afterMs } of events) {
+    HANDLERS[kind](limits, name, other);
+    for (let passedMs = 0; passedMs < afterMs; passedMs += STEP_MS) {
+      await limits.clock.runForMs(STEP_MS);
+      largestRatio = Math.max(largestRatio, ratioNow(limits));
+    }
+  }
+  return largestRatio;
+}
+
+function ratioNow(limits: limitsFleet.LimitsFleet): number {
+  return Math.max(...accountShare.SHARE_FIELDS.map((field) => limits.sum(field) / LIMITS[field]));
+}
+
+async function startedFleet(): Promise<limitsFleet.LimitsFleet> {
+  const limits = new limitsFleet.LimitsFleet(NAMES.length, ACCOUNT);
+  await limits.clock.runForMs(5_000);
+  return limits;
+}
+
+async function largestRatioOver(kinds: readonly Event[], numRuns: number): Promise<number> {
+  let largestRatio = 0;
+  const property = fc.asyncProperty(historyOf(kinds), async (events) => {
+    await using limits = await startedFleet();
+    largestRatio = Math.max(largestRatio, await play(limits, events));
+  });
+  await fc.assert(property, { seed: SEED, numRuns });
+  return largestRatio;
+}
+
+tap.test(
+  "shares sum up to the limit at most, however slow messages are and whoever asks",
+  async (t) => {
+    const ratio = await largestRatioOver(USE, 12);
+    t.ok(ratio > 0.9 && ratio <= 1 + ROUNDING, `${ratio} of the limit`);
+  },
+);
+
+tap.test("nor does a home that moves away and back give out more than the limit", async (t) => {
+  const kinds = [Event.Load, Event.Permits, Event.Suspect, Event.Trust];
+  const ratio = await largestRatioOver(kinds, 12);
+  t.ok(ratio > 0.9 && ratio <= 1 + ROUNDING, `${ratio} of the limit`);
+});
+
+tap.test("in two parts, shares sum up to twice the limit at most", async (t) => {
+  let largestRatio = 0;
+  const property = fc.asyncProperty(
+    historyOf(USE),
+    historyOf(USE),
+    fc.subarray(NAMES, { minLength: 1, maxLength: 4 }),
+    async (before, during, group) => {
+      await using limits = await startedFleet();
+      await play(limits, before);
+      limits.part([group, NAMES.filter((name) => !group.includes(name))]);
+      largestRatio = Math.max(largestRatio, await play(limits, during));
+    },
+  );
+  await fc.assert(property, { seed: SEED, numRuns: 15 });
+  t.ok(largestRatio > 0.9 && largestRatio <= 2 + ROUNDING, `${largestRatio} of the limit`);
+});
+
+tap.test("after any history, the sum returns within the limit once all is healed", async (t) => {
+  let partedRatio = 0;
+  let healedRatio = 0;
+  const property = fc.asyncProperty(historyOf(Object.values(Event)), async (events) => {
+    await using limits = await startedFleet();
+    partedRatio = Math.max(partedRatio, await play(limits, events));
+    limits.heal();
+    limits.hub.latencyMs = 2;
+    for (const name of NAMES) void limits.load(name, 150, 30_000);
+    await limits.clock.runForMs(20_000);
+    healedRatio = Math.max(healedRatio, ratioNow(limits));
+  });
+  await fc.assert(property, { seed: SEED, numRuns: 12 });
+  t.ok(partedRatio > 1, `${partedRatio} of the limit on the way`);
+  t.ok(healedRatio > 0.9 && healedRatio <= 1 + ROUNDING, `${healedRatio} once healed`);
+});
