--- a/src/peers/_lib/inboundConnections/index.ts
+++ b/src/peers/_lib/inboundConnections/index.ts
@@ -111,7 +111,9 @@
     const closed = new AbortController();
     socket.once("close", () => queue.wake());
     const writer = writeFrames
-      .writeFrames(socket, queue, closed.signal, () => undefined)
+      .writeFrames(socket, queue, closed.signal, (bytes) =>
+        this.context.metrics.increment("peers.sent_bytes", bytes),
+      )
       .catch(() => socket.destroy());
     try {
       await this.readRequests(connection, source);
--- a/src/peers/_lib/peerLink/index.ts
+++ b/src/peers/_lib/peerLink/index.ts
@@ -163,7 +163,7 @@
     this.connection = connection;
     const destroy = (): unknown => socket.destroy();
     const writer = writeFrames
-      .writeFrames(socket, this.queue, closed.signal, () => this.onWritten(connection))
+      .writeFrames(socket, this.queue, closed.signal, (bytes) => this.onWritten(connection, bytes))
       .catch(destroy);
     await this.readAnswers(connection).catch(destroy);
     this.connection = undefined;
@@ -194,7 +194,8 @@
     this.client.receive(message.value);
   }
 
-  private onWritten(connection: openPeerConnection.OpenConnection): void {
+  private onWritten(connection: openPeerConnection.OpenConnection, writtenBytes: number): void {
+    this.context.metrics.increment("peers.sent_bytes", writtenBytes);
     const nowMs = this.context.clock.nowMs();
     connection.lastUsedAtMs = nowMs;
     connection.awaitingSinceMs ??= nowMs;
--- a/src/peers/_lib/writeFrames/index.ts
+++ b/src/peers/_lib/writeFrames/index.ts
@@ -8,14 +8,14 @@
  * Writes a queue's frames to a socket until the signal is aborted. Frames of one turn of the
  * event loop leave in one write.
  *
- * @param onWritten - called after each write
+ * @param onWritten - called after each write with the bytes written
  * @throws the socket's error
  */
 export async function writeFrames(
   socket: net.Socket,
   queue: frameQueue.FrameQueue,
   signal: AbortSignal,
-  onWritten: () => void,
+  onWritten: (bytes: number) => void,
 ): Promise<void> {
   const wake = (): void => queue.wake();
   signal.addEventListener("abort", wake, { once: true });
@@ -24,8 +24,9 @@
       await queue.waitForFrame();
       await timers.setImmediate();
       if (queue.isEmpty || hasEnded(signal)) continue;
-      const hasRoom = socket.write(queue.takeBatch());
-      onWritten();
+      const batch = queue.takeBatch();
+      const hasRoom = socket.write(batch);
+      onWritten(batch.length);
       if (!hasRoom) await events.EventEmitter.once(socket, "drain", { signal });
     }
   } finally {
