--- a/src/cli/explainCommand/index.ts
+++ b/src/cli/explainCommand/index.ts
@@ -46,20 +46,21 @@
   output.writeResult(context, options, engine, () => formatEngine(engine));
 }
 
-function formatEngine(engine: http.EngineExplanation): string {
-  const verdict = engine.takesWork ? "takes work" : "takes no work";
+function formatEngine({ view, home, refusalReason, runs }: http.EngineExplanation): string {
+  const verdict = refusalReason === null ? "takes work" : `takes no work: ${refusalReason}`;
+  const reservedTokens = Math.round(view.reservedTokens);
   const lines = [
-    `${engine.name} (home ${engine.home}, ${engine.health}): ${verdict}, ${engine.reason}`,
-    `memory: ${engine.usedTokens} used, ${engine.reservedTokens} reserved of ${engine.capacityTokens} tokens`,
-    `step time: ${engine.stepTimeMs.toFixed(1)} ms; safety factor: ${engine.safetyFactor?.toFixed(2) ?? "-"}`,
+    `${view.name} (home ${home}, ${view.health}): ${verdict}`,
+    `memory: ${reservedTokens} reserved of ${view.capacityTokens} tokens`,
+    `step time: ${view.stepTimeMs.toFixed(1)} ms`,
   ];
-  const rows = engine.running.map((run) => [
+  const rows = runs.map((run) => [
     run.requestId,
-    run.entryName,
-    run.contextTokens,
+    run.ownerVm,
     run.producedTokens,
-    run.expectedRemainingTokens ?? "-",
+    output.formatDuration(run.silentMs),
+    run.isPreempted ? "preempted" : "runs",
   ]);
-  const table = output.formatTable(["REQUEST", "ENTRY", "CONTEXT", "PRODUCED", "EXPECTED"], rows);
-  return `${lines.join("\n")}\n${table}`;
+  const headings = ["REQUEST", "ENTRY VM", "PRODUCED", "SILENT FOR", "STATE"];
+  return `${lines.join("\n")}\n${output.formatTable(headings, rows)}`;
 }
--- a/src/engines/engineScheduler/index.ts
+++ b/src/engines/engineScheduler/index.ts
@@ -31,9 +31,10 @@
   private readonly margin = new safetyMargins.SafetyMargin();
   private readonly steps = new stepTimes.StepTimes();
   private readonly candidate = forecasts.createMemoryShare();
-  private readonly suspensionCounts = new Map<string, number>();
   private report: backends.EngineLoadReport | null = null;
   private foreignTokens = 0;
+  /** When generations ended here; lagging reports still list them. */
+  private readonly endedAtMs = new Map<string, number>();
   private reportedAtMs = 0;
   private waitedAtMs = -Infinity;
 
@@ -54,7 +55,7 @@
   }
 
   onStarted(need: types.GenerationNeed, nowMs: number): void {
-    this.table.add(need, nowMs, this.suspensionCounts.get(need.requestId) ?? 0);
+    this.table.add(need, nowMs);
   }
 
   onProgress(requestId: string, producedTokens: number, nowMs: number): void {
@@ -63,8 +64,8 @@
 
   onEnded(requestId: string, nowMs: number, isWhole: boolean): void {
     const record = this.table.remove(requestId);
+    this.endedAtMs.set(requestId, nowMs);
     if (record === undefined || !isWhole) return;
-    this.suspensionCounts.delete(requestId);
     this.options.lengths.observe(record.need, record.producedTokens);
     const hasWorkWaited = nowMs - this.waitedAtMs < constants.WAITING_MEMORY_MS;
     if (hasWorkWaited) this.margin.onEndedWhileWorkWaited();
@@ -77,6 +78,7 @@
     this.report = report;
     this.reportedAtMs = nowMs;
     this.steps.observe(report.stepTimeMs, report.runningCount);
+    this.forgetEndedBefore(nowMs - constants.REPORT_LAG_LIMIT_MS);
     this.foreignTokens = this.foreignTokensIn(report);
   }
 
@@ -86,7 +88,6 @@
     const excessTokens = this.usedTokens() + growthTokens - limitTokens;
     if (excessTokens <= 0) return [];
     const chosen = victims.selectVictims(this.table.list(), excessTokens);
-    for (const requestId of chosen) this.countSuspension(requestId);
     this.margin.onInterruptions(chosen.length);
     this.waitedAtMs = nowMs;
     return chosen;
@@ -149,7 +150,8 @@
       this.limitTokensFor(need),
     );
     if (steps === null) return constants.MAX_ESTIMATED_WAIT_MS;
-    return Math.min(constants.MAX_ESTIMATED_WAIT_MS, (steps + 1) * this.steps.stepTimeMs);
+    const waitMs = Math.max(steps, constants.NEXT_END_STEPS) * this.steps.stepTimeMs;
+    return Math.min(constants.MAX_ESTIMATED_WAIT_MS, waitMs);
   }
 
   /** Time that the generation needs even if its output turns out short. */
@@ -172,7 +174,8 @@
   private limitTokensFor(need: types.GenerationNeed): number {
     const isInteractive = need.class === catalogue.RequestClass.Interactive;
     const headroomRatio = isInteractive ? 0 : constants.INTERACTIVE_HEADROOM_RATIO;
-    return this.options.capacityTokens * (1 - headroomRatio) - this.foreignTokens;
+    const plannedRatio = 1 - constants.UNPLANNED_RATIO - headroomRatio;
+    return this.options.capacityTokens * plannedRatio - this.foreignTokens;
   }
 
   private keepsInterTokenBound(need: types.GenerationNeed): boolean {
@@ -208,13 +211,17 @@
   private foreignTokensIn(report: backends.EngineLoadReport): number {
     let tokens = 0;
     for (const run of report.running) {
-      if (this.table.get(run.requestId) === undefined) tokens += run.contextTokens;
+      const isOwn = this.table.has(run.requestId) || this.endedAtMs.has(run.requestId);
+      if (!isOwn) tokens += run.contextTokens;
     }
     return tokens;
   }
 
-  private countSuspension(requestId: string): void {
-    this.suspensionCounts.set(requestId, (this.suspensionCounts.get(requestId) ?? 0) + 1);
+  private forgetEndedBefore(limitMs: number): void {
+    for (const [requestId, endedAtMs] of this.endedAtMs) {
+      if (endedAtMs >= limitMs) return;
+      this.endedAtMs.delete(requestId);
+    }
   }
 
   private health(): types.EngineHealth {
--- a/src/generations/generations/index.ts
+++ b/src/generations/generations/index.ts
@@ -15,12 +15,16 @@
 import * as fleetTypes from "../../fleet/types.js";
 import type * as peers from "../../peers/types.js";
 import type * as telemetry from "../../telemetry/types.js";
+import * as callerMeasures from "../_lib/callerMeasures/index.js";
 import type * as contexts from "../_lib/context/index.js";
+import * as drains from "../_lib/drain/index.js";
 import * as errors from "../_lib/errors/index.js";
+import * as descriptions from "../_lib/descriptions/index.js";
 import * as homeDesks from "../_lib/homeDesk/index.js";
 import * as keeperDesks from "../_lib/keeperDesk/index.js";
 import * as locators from "../_lib/locator/index.js";
 import type * as messages from "../_lib/messages/index.js";
+import * as orphanWatches from "../_lib/orphans/index.js";
 import * as ownerDesks from "../_lib/ownerDesk/index.js";
 import * as peerLinks from "../_lib/peerLink/index.js";
 import * as readers from "../_lib/reader/index.js";
@@ -38,6 +42,9 @@
   private readonly holders: locators.Holders;
   private readonly views: views.EngineViews;
   private readonly locator: locators.Locator;
+  private readonly orphans: orphanWatches.OrphanWatch;
+  private readonly drainer: drains.Drain;
+  private isDraining = false;
   private readonly reader: readers.Reader;
   private readonly resources = new disposableStore.DisposableStore();
   private readonly stopping = new AbortController();
@@ -74,6 +81,8 @@
     const home = this.resources.add(new homeDesks.HomeDesk(this.context));
     this.holders = { owner, keeper, home };
     this.locator = new locators.Locator(this.context, this.holders);
+    this.orphans = new orphanWatches.OrphanWatch(this.context, this.holders, this.locator);
+    this.drainer = new drains.Drain(this.context, this.holders, this.locator);
     this.reader = new readers.Reader(this.context, this.holders, this.locator);
   }
 
@@ -84,8 +93,10 @@
     this.holders.keeper.start();
     this.holders.home.start();
     this.locator.start();
+    this.drainer.start();
     this.reader.start();
     void this.repeat(constants.WATCH_INTERVAL_MS, () => this.watch());
+    void this.repeat(constants.TELL_WAITING_INTERVAL_MS, () => this.holders.owner.waiting.tell());
     void this.repeat(constants.VIEW_INTERVAL_MS, () => this.spreadViews());
   }
 
@@ -124,7 +135,37 @@
     const holders = record === null ? await this.locator.locate(requestId) : [];
     const heldFor = record?.request.accountName ?? holders[0]?.answer.accountName;
     if (heldFor !== accountName) return neverthrow.err(errors.createNotFound(requestId));
-    return neverthrow.ok(this.createHandle(requestId, accountName));
+    return neverthrow.ok(this.createHandle(requestId, accountName, holders));
+  }
+
+  /**
+   * Notes that an engine leaves, e.g. by the platform's list. The sign stays, whatever other
+   * sources still say; the engine gets no new work from this VM.
+   */
+  noteLeaving(engineName: string): void {
+    this.views.noteLeaving(engineName);
+    this.holders.home.noteLeaving(engineName);
+  }
+
+  /** Accepts nothing more, and resolves once everything held is finished or handed over. */
+  async drain(): Promise<void> {
+    this.isDraining = true;
+    await this.drainer.run(this.stopping.signal);
+  }
+
+  /** What would be lost if this VM stopped now. */
+  describeHeld(): types.HeldSummary {
+    return descriptions.describeHeld(this.holders);
+  }
+
+  /** What this VM, as the home of engines, holds on each. */
+  describeEngines(): readonly types.HeldEngine[] {
+    return descriptions.describeEngines(this.holders, this.context.clock.nowMs());
+  }
+
+  /** What waits at this VM, and why. */
+  describeQueue(): readonly types.WaitingGeneration[] {
+    return descriptions.describeQueue(this.holders, this.context.clock.nowMs());
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
@@ -132,10 +173,25 @@
     await this.resources[Symbol.asyncDispose]();
   }
 
-  private createHandle(requestId: string, accountName: string): types.GenerationHandle {
+  private createHandle(
+    requestId: string,
+    accountName: string,
+    located: readonly locators.LocatedHolder[] = [],
+  ): types.GenerationHandle {
+    const generation = this.holders.owner.find(requestId);
+    const { clock, metrics } = this.context;
+    const measures =
+      generation &&
+      new callerMeasures.CallerMeasures(
+        clock,
+        metrics,
+        generation.record.request.entry.name,
+        generation.acceptedAtMs,
+      );
     return {
       requestId,
-      frames: (fromOffset) => this.reader.frames(requestId, accountName, fromOffset),
+      frames: (fromOffset) =>
+        this.reader.frames({ requestId, accountName, fromOffset }, located, measures),
     };
   }
 
@@ -170,6 +226,10 @@
       const message = `request ${request.requestId} is held already`;
       return errors.createRefusal(message, stepError.ErrorCode.Conflict, "generation.submit");
     }
+    if (this.isDraining) {
+      const code = stepError.ErrorCode.ShuttingDown;
+      return errors.createRefusal("this VM shuts down", code, "generation.submit", 0);
+    }
     if (request.deadlineAtWallMs <= this.context.clock.wallTimeMs()) {
       const message = "the deadline has passed";
       const code = stepError.ErrorCode.DeadlineExceeded;
@@ -188,6 +248,7 @@
     this.holders.owner.watch(nowMs);
     this.holders.home.watch(nowMs);
     this.holders.keeper.expire(nowMs);
+    this.orphans.watch(nowMs);
   }
 
   private spreadViews(): void {
--- a/standins/engine/model/index.ts
+++ b/standins/engine/model/index.ts
@@ -30,7 +30,7 @@
   };
   readonly cache: prefixCaches.PrefixCache;
   readonly orders: orderDesks.OrderDesk;
-  private readonly batch: batches.Batch;
+  readonly batch: batches.Batch;
   private readonly streams = new Map<string, batches.EngineStream>();
   private readonly faults = new Set<types.EngineFault>();
   private readonly reports: reportLogs.ReportLog;
@@ -243,8 +243,8 @@
   }
 
   private hashesOf(request: backends.EngineRequest, producedTokens: number): readonly string[] {
-    const mark = tokenTexts.samplingMark(request);
     const words = request.prompt.split(" ");
+    const mark = producedTokens > 0 ? tokenTexts.samplingMark(request) : "";
     for (let offset = 0; offset < producedTokens; offset += 1) {
       words.push(tokenTexts.tokenText(mark, offset));
     }
