--- a/experiments/fuzz/main.ts
+++ b/experiments/fuzz/main.ts
@@ -1,6 +1,7 @@
 import * as commander from "commander";
 
 import * as onceOnly from "./onceOnly/index.js";
+import * as streamFollower from "./streamFollower/index.js";
 
 /** Runs random cases by a seed; returns what broke, or null. */
 type FuzzTarget = (runsCount: number, seed: number) => Promise<string | null>;
@@ -8,6 +9,7 @@
 /** What can be fuzzed, by the name on the command line. */
 const TARGETS: Readonly<Record<string, FuzzTarget>> = {
   "once-only": onceOnly.fuzzOnceOnly,
+  "stream-follower": streamFollower.fuzzStreamFollower,
 };
 
 const DEFAULT_RUNS = "100";
--- a/src/replication/_lib/appliedState/index.ts
+++ b/src/replication/_lib/appliedState/index.ts
@@ -79,6 +79,12 @@
     return true;
   }
 
+  /** Takes back an offset that was heard of before a read of the log, and that the log disproves. */
+  correctKnownOffset(heardOffset: number, lastLogOffset: number): void {
+    if (this.knownOffset !== heardOffset || heardOffset <= lastLogOffset) return;
+    this.knownOffset = Math.max(this.appliedOffset, lastLogOffset);
+  }
+
   /** Notes where the follower stands; logs it where that is a change. */
   setPhase(phase: types.FollowerPhase, reason: string): void {
     const isChange = phase !== this.phase;
--- a/src/replication/_lib/stateLoader/index.ts
+++ b/src/replication/_lib/stateLoader/index.ts
@@ -60,9 +60,11 @@
     const { applied, log } = this.parts;
     for (;;) {
       const fromOffset = applied.appliedOffset + 1;
+      const heardOffset = applied.knownOffset;
       const read = await log.read(fromOffset);
       if (read.isErr()) return neverthrow.err(read.error);
       this.takeLogBatch(read.value);
+      applied.correctKnownOffset(heardOffset, read.value.endOffset - 1);
       const { endOffset } = read.value;
       const hasMoved = applied.appliedOffset >= fromOffset;
       if (applied.appliedOffset + 1 >= endOffset || !hasMoved) return neverthrow.ok(endOffset);
--- a/src/replication/streamFollower/test.ts
+++ b/src/replication/streamFollower/test.ts
@@ -2,6 +2,7 @@
 
 import * as logModel from "../../../standins/log/model/index.js";
 import * as followers from "../../../standins/replication/index.js";
+import * as platform from "../../platform/types.js";
 
 function offsetsOf(rig: followers.FollowerFleet): number[] {
   return rig.vms.map((vm) => vm.follower.appliedOffset);
@@ -146,3 +147,46 @@
   t.same(new Set(others.map((vm) => vm.follower.appliedOffset)), new Set([4]));
   for (const reader of readers) reader.gate.resume();
 });
+
+tap.test("a peer's state that arrives late does not move the offset back", async (t) => {
+  const rig = new followers.FollowerFleet();
+  rig.start("vm-0", "dc-a");
+  for (let round = 0; round < 100; round += 1) await rig.append(100);
+  await rig.clock.runForMs(5_000);
+  const late = rig.start("vm-1", "dc-b", {}, true);
+  rig.hub.latencyMs = 300;
+  await rig.clock.runForMs(1_500);
+  t.equal(late.follower.appliedOffset, -1, "the state is on its way");
+  await rig.append(100);
+  late.log.isCut = false;
+  await rig.settle(late.follower.catchUpToEnd());
+  t.equal(late.follower.appliedOffset, 10_099);
+  await rig.clock.runForMs(10_000);
+  t.same(
+    late.seenOffsets,
+    [...late.seenOffsets].sort((left, right) => left - right),
+  );
+  await rig[Symbol.asyncDispose]();
+});
+
+tap.test("a stale snapshot of a paused VM is passed over for a usable one", async (t) => {
+  const rig = new followers.FollowerFleet();
+  const writer = rig.start("vm-0", "dc-a", { areSnapshotsWritten: true, snapshotEveryRecords: 60 });
+  await rig.append(60);
+  await rig.clock.runForMs(10_000);
+  const early = await rig.settle(rig.log.read(platform.LogStream.Catalogue, 60));
+  const stale = early._unsafeUnwrap().records.map(({ payload }) => {
+    return { ...(payload as object), snapshotId: "stale" };
+  });
+  await rig.append(100);
+  await rig.clock.runForMs(10_000);
+  await rig.appendPayloads(stale);
+  rig.truncateBefore(writer.follower.status().snapshotOffset - 20);
+  rig.hub.cut("vm-0", "vm-1");
+  const fresh = rig.start("vm-1", "dc-b");
+  await rig.clock.runForMs(5_000);
+  t.ok(fresh.follower.isReady);
+  t.equal(fresh.follower.current.hash, writer.follower.current.hash);
+  t.equal(rig.counters.countOf("replication.phase_gap"), 0);
+  await rig[Symbol.asyncDispose]();
+});
--- a/standins/replication/index.ts
+++ b/standins/replication/index.ts
@@ -2,6 +2,7 @@
 
 import * as logger from "../../src/_lib/logger/index.js";
 import * as virtualClock from "../../src/_lib/virtualClock/index.js";
+import * as fleetTypes from "../../src/fleet/types.js";
 import * as appendBudgets from "../../src/platform/appendBudget/index.js";
 import * as platform from "../../src/platform/types.js";
 import * as replication from "../../src/replication/index.js";
@@ -116,10 +117,12 @@
     return work;
   }
 
-  async stop(vm: FollowerVm): Promise<void> {
+  /** Ends a VM without a trace. */
+  kill(vm: FollowerVm): void {
+    vm.gate.pause();
     this.hub.kill(vm.name);
+    this.fleet.setState(vm.name, fleetTypes.MemberState.Dead);
     this.vms.splice(this.vms.indexOf(vm), 1);
-    await this.settle(vm.follower[Symbol.asyncDispose]());
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
