Hedge and retry idempotent calls beside the first attempt

A second attempt runs beside a slow or silent first one instead of cutting it off, at a sound server only, and is paid for by the hedge or the retry budget. Found by the tests: hedges went to ejected servers, and attempts cut short at ten times the learned percentile failed calls that had time left.

--- a/src/calls/_lib/idempotentCaller/index.ts
+++ b/src/calls/_lib/idempotentCaller/index.ts
@@ -38,6 +38,13 @@
   mayHaveRun: boolean;
 }
 
+/** When a second attempt is made beside the first, and what pays for it. */
+interface SecondAttempt {
+  readonly afterMs: number;
+  readonly budget: retryBudget.RetryBudget;
+  readonly counter: string;
+}
+
 /** Calls that may run more than once: retried, hedged, and never into a storm. */
 export class IdempotentCaller {
   private readonly services = new Map<string, ServiceRecord>();
@@ -84,50 +91,71 @@
     return Math.min(constants.MAX_BACKOFF_MS, drawnMs);
   }
 
-  /** One attempt, hedged by a second one where the first is slower than most. */
+  /** One attempt, with a second one beside it where the first is slower than most, or silent. */
   private async attempt(session: Session): Promise<callErrors.CallResult> {
-    const first = this.send(session);
-    const hedgeAfterMs = session.service.latencies.hedgeAfterMs();
-    if (hedgeAfterMs === null) return first;
-    const { clock, metrics } = this.dependencies;
-    const settled = { isDone: false };
-    const tracked = first.finally(() => (settled.isDone = true));
-    await replication.waitAtMost(clock, hedgeAfterMs, tracked);
-    if (settled.isDone || session.retriesLeft < 1 || !session.service.hedges.tryTake())
-      return first;
-    const second = this.send(session);
-    this.trace(session, "call.hedged", `no answer for ${hedgeAfterMs} ms`);
-    metrics.increment("calls.hedges", 1, { service: session.request.entry.service });
-    return firstAnswer(first, second);
+    const { pool } = this.dependencies;
+    const { service } = session.request.entry;
+    const server = pool.take(service, session.triedNames) ?? pool.take(service, NONE);
+    if (server === null) return callErrors.refuseWithoutBackend(service);
+    const first = this.send(session, server);
+    const { hedges, retries, latencies } = session.service;
+    const hedgeAfterMs = (latencies.hedgeAfterMs() ?? Infinity) + 1;
+    const hedge = { afterMs: hedgeAfterMs, budget: hedges, counter: "calls.hedges" };
+    const retry = { afterMs: this.silenceMs(session), budget: retries, counter: "calls.retries" };
+    const second =
+      (await this.double(session, first, hedge)) ?? (await this.double(session, first, retry));
+    return second === null ? first : firstAnswer(first, second.result);
   }
 
-  private async send(session: Session): Promise<callErrors.CallResult> {
+  /** Starts a second attempt at a sound server if the first has not ended within the time. */
+  private async double(
+    session: Session,
+    first: Promise<callErrors.CallResult>,
+    { afterMs, budget, counter }: SecondAttempt,
+  ): Promise<{ readonly result: Promise<callErrors.CallResult> } | null> {
     const { clock, metrics, pool } = this.dependencies;
+    if (afterMs === Infinity) return null;
+    const progress = { isDone: false };
+    const tracked = first.finally(() => (progress.isDone = true));
+    await replication.waitAtMost(clock, afterMs, tracked);
+    if (progress.isDone || session.retriesLeft < 1 || budget.tokens < 1) return null;
+    const { service } = session.request.entry;
+    const server = pool.take(service, session.triedNames, { isSpare: true });
+    if (server === null || !budget.tryTake()) return null;
+    session.retriesLeft -= 1;
+    this.trace(session, "call.hedged", `no answer for ${Math.round(afterMs)} ms`);
+    metrics.increment(counter, 1, { service });
+    return { result: this.send(session, server) };
+  }
+
+  private async send(
+    session: Session,
+    server: serverPool.TakenServer,
+  ): Promise<callErrors.CallResult> {
+    const { clock, metrics } = this.dependencies;
     const { entry } = session.request;
-    const server = pool.take(entry.service, session.triedNames) ?? pool.take(entry.service, NONE);
-    const remainingMs = session.deadlineAtMs - clock.nowMs();
-    if (server === null) return callErrors.refuseWithoutBackend(entry.service);
+    const limitMs = session.deadlineAtMs - clock.nowMs();
     session.triedNames.add(server.backend.name);
     metrics.increment("calls.attempts", 1, { service: entry.service });
-    const limitMs = this.attemptLimitMs(session.service, remainingMs);
     const startedAtMs = clock.nowMs();
+    const silence = clock.schedule(this.silenceMs(session), () => server.report(false));
     const work = server.client.call(toServiceRequest(session.request, limitMs));
     const place = { step: "call.idempotent", peer: server.backend.name };
     const result = await replication.limitTime(clock, limitMs, work, place);
+    silence[Symbol.dispose]();
     server.report(isAnswer(result));
     session.mayHaveRun ||= result.isOk() || isOpen(result.error);
     if (isAnswer(result)) session.service.latencies.record(clock.nowMs() - startedAtMs);
     return result;
   }
 
-  /** A silent server is given up while there is time for another. */
-  private attemptLimitMs(service: ServiceRecord, remainingMs: number): number {
-    const learnedMs = service.latencies.hedgeAfterMs();
-    const limitMs =
-      learnedMs === null
-        ? remainingMs * constants.UNLEARNED_ATTEMPT_SHARE
-        : learnedMs * constants.ATTEMPT_LIMIT_FACTOR;
-    return Math.min(remainingMs, Math.max(constants.MIN_ATTEMPT_LIMIT_MS, limitMs));
+  /** After this time without an answer a server counts as silent; the attempt itself goes on. */
+  private silenceMs(session: Session): number {
+    const learnedMs = session.service.latencies.hedgeAfterMs();
+    const remainingMs = session.deadlineAtMs - this.dependencies.clock.nowMs();
+    return learnedMs === null
+      ? remainingMs * constants.UNLEARNED_SILENCE_SHARE
+      : Math.max(constants.MIN_SILENCE_MS, learnedMs * constants.SILENCE_FACTOR);
   }
 
   private serviceOf(name: string): ServiceRecord {
--- a/src/calls/_lib/serverPool/index.ts
+++ b/src/calls/_lib/serverPool/index.ts
@@ -19,7 +19,7 @@
   readonly serviceClients: backends.ServiceClients;
 }
 
-/** A server taken for one attempt; report its end once. */
+/** A server taken for one attempt; its first report counts. */
 export interface TakenServer {
   readonly backend: catalogue.ServiceBackend;
   readonly client: backends.ServiceClient;
@@ -50,20 +50,30 @@
    * only as a probe, or where no other is left.
    *
    * @param triedNames - servers that the request has been sent to before
+   * @param options - `isSpare` for a second attempt beside a running one: no ejected server then
    */
-  take(service: string, triedNames: ReadonlySet<string>): TakenServer | null {
+  take(
+    service: string,
+    triedNames: ReadonlySet<string>,
+    options: { readonly isSpare?: boolean } = {},
+  ): TakenServer | null {
     const active = this.activeServers(service).filter(({ name }) => !triedNames.has(name));
     const usable = active.filter((server) => this.isUsable(server.name));
-    const chosen = this.selectBest(usable.length > 0 ? usable : active);
+    const isStrict = usable.length > 0 || options.isSpare === true;
+    const chosen = this.selectBest(isStrict ? usable : active);
     if (chosen === null) return null;
     const health = this.healthOf(chosen.name);
     const isProbe = health.ejectionsCount > 0 && usable.length > 0;
     if (isProbe) health.isProbing = true;
     health.inFlightCount += 1;
+    const reported = { isDone: false };
     return {
       backend: chosen,
       client: this.dependencies.serviceClients.clientFor(chosen),
-      report: (hasAnswered) => this.report(chosen.name, hasAnswered, isProbe),
+      report: (hasAnswered) => {
+        if (!reported.isDone) this.report(chosen.name, hasAnswered, isProbe);
+        reported.isDone = true;
+      },
     };
   }
 
--- a/src/calls/constants.ts
+++ b/src/calls/constants.ts
@@ -104,14 +104,14 @@
 /** Longest latency that is recorded. */
 export const MAX_LATENCY_MS = 600_000;
 
-/** An attempt is given up after this multiple of the learned percentile. */
-export const ATTEMPT_LIMIT_FACTOR = 10;
+/** A server counts as silent after this multiple of the learned percentile. */
+export const SILENCE_FACTOR = 10;
 
-/** Shortest limit of one attempt. */
-export const MIN_ATTEMPT_LIMIT_MS = 250;
+/** Shortest time after which a server counts as silent. */
+export const MIN_SILENCE_MS = 250;
 
-/** Share of the remaining time that one attempt may take while no latency is known. */
-export const UNLEARNED_ATTEMPT_SHARE = 0.5;
+/** Share of the remaining time after which a server counts as silent while no latency is known. */
+export const UNLEARNED_SILENCE_SHARE = 0.5;
 
 /** How long shutdown waits for records that have to reach the log. */
 export const FLUSH_LIMIT_MS = 5_000;
