--- a/experiments/fuzz/main.ts
+++ b/experiments/fuzz/main.ts
@@ -2,6 +2,7 @@
 
 import * as generation from "./generation/index.js";
 import * as onceOnly from "./onceOnly/index.js";
+import * as streamFollower from "./streamFollower/index.js";
 
 /** Runs random cases by a seed; returns what broke, or null. */
 type FuzzTarget = (runsCount: number, seed: number) => Promise<string | null>;
@@ -10,6 +11,7 @@
 const TARGETS: Readonly<Record<string, FuzzTarget>> = {
   generation: generation.fuzzGeneration,
   "once-only": onceOnly.fuzzOnceOnly,
+  "stream-follower": streamFollower.fuzzStreamFollower,
 };
 
 const DEFAULT_RUNS = "100";
