Admit an account's first request at a further VM

Cause: found by the demo: the home granted everything that nobody wanted to the VMs that had asked, so that the first request at another VM was refused as too many at once, with one of a thousand places in use. Change: what nobody wants is divided among all reachable VMs, those that have not asked included; a VM without a usable share asks for one place; prepare() waits for a share that has room. Conclusion: fixed for accounts below their limits; while a new home warms up, VMs without a share still refuse.

--- a/src/accounts/_lib/accountUsage/index.ts
+++ b/src/accounts/_lib/accountUsage/index.ts
@@ -46,6 +46,11 @@
     return this.share !== null;
   }
 
+  /** Whether the share has room for any request at all. */
+  hasUsableShare(): boolean {
+    return (this.share?.concurrentRequests ?? 0) >= ONE_REQUEST;
+  }
+
   /** What the VM uses until its share changes; running requests count though the share shrinks. */
   held(): types.AccountShare {
     const share = this.share ?? accountShare.EMPTY_SHARE;
@@ -99,9 +104,12 @@
   /** Closes the interval since the last call and returns the smoothed demand. */
   sampleDemand(nowMs: number): types.AccountShare {
     const elapsedSeconds = Math.max(1, nowMs - this.sampledAtMs) / MS_PER_SECOND;
+    // A VM without a usable share asks because a request waits for one.
+    const waitingCount = this.hasUsableShare() ? 0 : ONE_REQUEST;
+    const attemptsCount = Math.max(waitingCount, this.attemptsCount);
     const current: types.AccountShare = {
-      requestsPerSecond: this.attemptsCount / Math.max(1, elapsedSeconds),
-      concurrentRequests: this.peakCount + this.refusedCount,
+      requestsPerSecond: attemptsCount / Math.max(1, elapsedSeconds),
+      concurrentRequests: Math.max(waitingCount, this.peakCount + this.refusedCount),
       tokensPerSecond: this.spentTokens / Math.max(1, elapsedSeconds),
     };
     this.wanted = accountShare.shareOf((field) => smooth(this.wanted[field], current[field]));
--- a/src/accounts/_lib/shareLedger/index.ts
+++ b/src/accounts/_lib/shareLedger/index.ts
@@ -115,6 +115,10 @@
       .filter(([name]) => name === vmName || context.reachableVms.has(name))
       .sort(([left], [right]) => (left < right ? -1 : 1));
     const demands = reachable.map(([, holder]) => holder.demand.wanted[field]);
+    // What nobody wants stays free in part for VMs that have not asked yet, so that the account's
+    // first request there need not wait until others have given something back.
+    const absentCount = Math.max(0, context.reachableVms.size - reachable.length);
+    for (let count = 0; count < absentCount; count += 1) demands.push(0);
     const position = reachable.findIndex(([name]) => name === vmName);
     return DIVIDERS[field](total, demands)[position] ?? 0;
   }
--- a/src/accounts/accountLimits/index.ts
+++ b/src/accounts/accountLimits/index.ts
@@ -66,10 +66,10 @@
   async prepare(account: catalogue.ClientAccount): Promise<void> {
     const usage = this.usageOf(account.name);
     const deadlineAtMs = this.clock.nowMs() + this.options.maxPrepareMs;
-    while (!usage.hasShare() && this.clock.nowMs() < deadlineAtMs) {
+    while (!usage.hasUsableShare() && this.clock.nowMs() < deadlineAtMs) {
       await this.refresh([account.name]);
       this.fallBackIfParted(account, usage);
-      if (!usage.hasShare()) await this.sleep(constants.MIN_RETRY_AFTER_MS);
+      if (!usage.hasUsableShare()) await this.sleep(constants.MIN_RETRY_AFTER_MS);
     }
   }
 
--- a/src/accounts/accountLimits/test.ts
+++ b/src/accounts/accountLimits/test.ts
@@ -74,6 +74,17 @@
   },
 );
 
+tap.test(
+  "the first request on a further VM of an account far below its limits is admitted",
+  async (t) => {
+    await using warm = await warmFleet(4);
+    await runWhile(warm, warm.load("vm-1", 2, 5_000));
+    const { limits } = warm.vm("vm-2");
+    await runWhile(warm, limits.prepare(ACCOUNT));
+    t.ok(limits.admit(ACCOUNT).isOk());
+  },
+);
+
 tap.test("VMs with demand borrow the shares of those without, and give them back", async (t) => {
   await using warm = await warmFleet(4);
   const busy = await runWhile(warm, warm.load("vm-1", 100, 10_000));
