--- a/scenarios/_lib/schema/index.ts
+++ b/scenarios/_lib/schema/index.ts
@@ -28,6 +28,8 @@
 const start = zod.strictObject({
   do: zod.literal("start"),
   vms: zod.array(name).optional(),
+  /** Waits until VMs that start together have divided the accounts' limits. */
+  settle: zod.boolean().default(true),
   timeoutMs,
 });
 
--- a/scenarios/_lib/steps/vmSteps.ts
+++ b/scenarios/_lib/steps/vmSteps.ts
@@ -1,3 +1,5 @@
+import * as timers from "node:timers/promises";
+
 import type * as catalogue from "../../../src/catalogue/types.js";
 import * as faults from "../../../standins/faults/index.js";
 import type * as types from "../../types.js";
@@ -7,6 +9,9 @@
 import * as catalogueSteps from "./catalogueSteps.js";
 import * as targets from "./targets.js";
 
+/** Time after which VMs that started together grant shares of the accounts' limits. */
+const SETTLE_MS = 2_500;
+
 /**
  * Starts VMs and waits until they are ready. The first start also publishes the back ends and
  * accounts that the scenario declares.
@@ -22,6 +27,7 @@
   if (!isFirst) return;
   for (const item of baseItems.baseItems(run.scenario, run.world)) await publish(run, item);
   await catalogueSteps.waitForForce(run, step.timeoutMs);
+  if (step.settle && names.length > 1) await timers.setTimeout(SETTLE_MS);
 }
 
 /** Starts a killed VM again under its name, or brings a stand-in back. */
