--- a/experiments/fuzz/generation/index.ts
+++ b/experiments/fuzz/generation/index.ts
@@ -47,6 +47,16 @@
   faults: faults.arbitraryFaults(Object.keys(VMS), Object.keys(ENGINES), FAULTS_WITHIN_MS),
 });
 
+/** Plays random runs by a seed; returns what broke, or null. */
+export async function fuzzGeneration(runsCount: number, seed: number): Promise<string | null> {
+  const property = fastCheck.asyncProperty(runs, async (run) => {
+    const problems = await play(run);
+    if (problems.length > 0) throw new Error(problems.join("; "));
+  });
+  const details = await fastCheck.check(property, { numRuns: runsCount, seed });
+  return details.failed ? (fastCheck.defaultReportMessage(details) ?? "failed") : null;
+}
+
 /**
  * Plays a run and checks what its callers saw.
  *
--- a/experiments/fuzz/main.ts
+++ b/experiments/fuzz/main.ts
@@ -1,56 +1,49 @@
 import * as commander from "commander";
-import * as fastCheck from "fast-check";
 
 import * as generation from "./generation/index.js";
+import * as onceOnly from "./onceOnly/index.js";
 
-/** Plays random runs of a target; throws with the seed and the smallest failing run. */
-type FuzzTarget = (parameters: fastCheck.Parameters<unknown>) => Promise<void>;
+/** Runs random cases by a seed; returns what broke, or null. */
+type FuzzTarget = (runsCount: number, seed: number) => Promise<string | null>;
 
+/** What can be fuzzed, by the name on the command line. */
 const TARGETS: Readonly<Record<string, FuzzTarget>> = {
-  generation: (parameters) =>
-    fastCheck.assert(
-      fastCheck.asyncProperty(generation.runs, async (run) => {
-        const problems = await generation.play(run);
-        if (problems.length > 0) throw new Error(problems.join("\n"));
-      }),
-      parameters as fastCheck.Parameters<[generation.FuzzedRun]>,
-    ),
+  generation: generation.fuzzGeneration,
+  "once-only": onceOnly.fuzzOnceOnly,
 };
 
-interface FuzzOptions {
-  readonly target: string;
+const DEFAULT_RUNS = "100";
+
+interface FuzzArguments {
+  readonly target?: string;
   readonly runs: string;
-  readonly seed: string;
+  readonly seed?: string;
 }
 
 async function main(): Promise<void> {
-  const command = new commander.Command("fuzz")
-    .description("Plays random orders of faults and checks the promises to callers")
-    .addOption(
-      new commander.Option("--target <name>", "what to play")
-        .choices(Object.keys(TARGETS))
-        .default("generation"),
-    )
-    .option("--runs <count>", "how many runs", "100")
-    .option("--seed <number>", "seed of the first run", String(Date.now() % 2 ** 31))
-    .parse();
-  const { target, runs, seed } = command.opts<FuzzOptions>();
-  const parameters = { numRuns: Number(runs), seed: Number(seed) };
-  process.stdout.write(`target ${target}, ${runs} runs, seed ${seed}\n`);
-  try {
-    await TARGETS[target]?.(parameters);
-    process.stdout.write("all promises held\n");
-  } catch (error) {
-    process.stdout.write(`${describeError(error)}\n`);
-    process.exitCode = 1;
+  const { target, runs, seed: givenSeed } = parseArguments();
+  const names = target === undefined ? Object.keys(TARGETS) : [target];
+  const seed = givenSeed === undefined ? Date.now() % 2 ** 31 : Number(givenSeed);
+  for (const name of names) {
+    const fuzz = TARGETS[name];
+    if (fuzz === undefined) throw new Error(`no target ${name}; there are: ${listTargets()}`);
+    const broken = await fuzz(Number(runs), seed);
+    process.stdout.write(`${name}: ${runs} runs, seed ${seed}: ${broken ?? "all held"}\n`);
+    if (broken !== null) process.exitCode = 1;
   }
 }
 
-function describeError(error: unknown): string {
-  if (!(error instanceof Error)) return String(error);
-  return error.cause === undefined
-    ? error.message
-    : `${error.message}\n${describeError(error.cause)}`;
+function parseArguments(): FuzzArguments {
+  return new commander.Command("fuzz")
+    .option("--target <name>", `one of ${listTargets()}; all when left out`)
+    .option("--runs <count>", "random cases of each target", DEFAULT_RUNS)
+    .option("--seed <number>", "seed that repeats a run; drawn when left out")
+    .parse()
+    .opts<FuzzArguments>();
+}
+
+function listTargets(): string {
+  return Object.keys(TARGETS).join(", ");
 }
 
 await main();
