--- a/experiments/capacity/measureCatalogue/index.ts
+++ b/experiments/capacity/measureCatalogue/index.ts
@@ -1,6 +1,7 @@
 import * as disposableStore from "../../../src/_lib/disposableStore/index.js";
 import * as logging from "../../../src/_lib/logger/index.js";
 import * as catalogue from "../../../src/catalogue/index.js";
+import * as appendBudget from "../../../src/platform/appendBudget/index.js";
 import * as types from "../../../src/catalogue/types.js";
 import * as logModel from "../../../standins/log/model/index.js";
 import type * as formatTable from "../_lib/formatTable/index.js";
@@ -36,6 +37,7 @@
       log,
       vm.network,
       vm.membership,
+      new appendBudget.AppendBudget(fleet.clock, () => fleet.vms.length),
       {
         retentionMs: logModel.DEFAULT_LOG_OPTIONS.retentionMs,
         snapshotEveryRecords: 5_000,
--- a/src/daemon/_lib/createContainer.ts
+++ b/src/daemon/_lib/createContainer.ts
@@ -66,7 +66,8 @@
   const container = tsyringe.container.createChildContainer();
   const source: ContainerSource = { container, settings: options, store, overrides };
   const seed = overrides.randomSeed ?? crypto.randomInt(MAX_SEED);
-  container.registerInstance(TOKENS.clock, overrides.clock ?? new clocks.SystemClock());
+  const clock: clocks.Clock = overrides.clock ?? new clocks.SystemClock();
+  container.registerInstance(TOKENS.clock, clock);
   container.registerInstance(TOKENS.random, randoms.createRandom(seed));
   container.registerInstance(TOKENS.settings, options);
   registerTelemetry(source);
@@ -126,6 +127,7 @@
   const { wrappers } = overrides;
   const listed = store.add(container.resolve(platform.HttpVmList));
   const vmList = new seededVmLists.SeededVmList(options.fleet.seedPeers, listed);
+  container.registerInstance(seededVmLists.SeededVmList, vmList);
   const logService = store.add(container.resolve(platform.HttpLogService));
   const engineClients = store.add(container.resolve(backends.HttpEngineClients));
   const serviceClients = store.add(container.resolve(backends.HttpServiceClients));
