--- a/src/engines/constants.ts
+++ b/src/engines/constants.ts
@@ -55,6 +55,9 @@
 /** Steps ahead that suspension looks, to act before the engine does. */
 export const SUSPEND_LOOKAHEAD_STEPS = 4;
 
+/** Steps of growth for which a suspension frees memory, so that another one does not follow at once. */
+export const SUSPEND_RELIEF_STEPS = 64;
+
 /** Weight of the newest value in moving averages of the step time. */
 export const STEP_TIME_WEIGHT = 0.1;
 
--- a/src/engines/engineScheduler/index.ts
+++ b/src/engines/engineScheduler/index.ts
@@ -88,7 +88,8 @@
     const limitTokens = this.options.capacityTokens * constants.SUSPEND_AT_RATIO;
     const excessTokens = this.usedTokens() + growthTokens - limitTokens;
     if (excessTokens <= 0) return [];
-    const chosen = victims.selectVictims(this.table.list(), excessTokens);
+    const tokensToFree = excessTokens + this.table.count * constants.SUSPEND_RELIEF_STEPS;
+    const chosen = victims.selectVictims(this.table.list(), tokensToFree);
     this.margin.onInterruptions(chosen.length);
     this.waitedAtMs = nowMs;
     return chosen;
--- /dev/null
+++ b/src/engines/selectVictims/test.ts
@@ -0,0 +1,64 @@
+import * as fc from "fast-check";
+import tap from "tap";
+
+import * as catalogue from "../../catalogue/types.js";
+import type * as types from "../types.js";
+import * as victims from "./index.js";
+
+function running(
+  requestId: string,
+  contextTokens: number,
+  overrides: Partial<types.RunningGeneration> = {},
+  requestClass = catalogue.RequestClass.Batch,
+): types.RunningGeneration {
+  const need = { requestId, class: requestClass } as types.GenerationNeed;
+  return {
+    need,
+    startedAtMs: 0,
+    contextTokens,
+    producedTokens: contextTokens,
+    lastTokenAtMs: 0,
+    suspensionsCount: 0,
+    ...overrides,
+  };
+}
+
+tap.test("the smallest generation that frees enough is suspended, alone", (t) => {
+  const all = [running("small", 100), running("fit", 600), running("large", 4_000)];
+  t.same(victims.selectVictims(all, 500), ["fit"]);
+  t.same(victims.selectVictims(all, 5_000), ["large", "fit"]);
+  t.end();
+});
+
+tap.test("work that may wait goes before work that someone watches", (t) => {
+  const watched = running("watched", 1_000, {}, catalogue.RequestClass.Streaming);
+  t.same(victims.selectVictims([watched, running("report", 9_000)], 10), ["report"]);
+  t.end();
+});
+
+tap.test("nothing is suspended without need, and one generation always goes on", (t) => {
+  t.same(victims.selectVictims([running("a", 100), running("b", 100)], 0), []);
+  t.equal(victims.selectVictims([running("a", 100), running("b", 100)], 1_000).length, 1);
+  t.end();
+});
+
+tap.test("nothing is suspended a second time while something else never was", (t) => {
+  const generation = fc.record({
+    contextTokens: fc.integer({ min: 1, max: 5_000 }),
+    suspensionsCount: fc.integer({ min: 0, max: 3 }),
+  });
+  const property = fc.property(
+    fc.array(generation, { maxLength: 30 }),
+    fc.integer({ min: 1, max: 20_000 }),
+    (drawn, tokensToFree) => {
+      const all = drawn.map((item, index) => running(`r${index}`, item.contextTokens, item));
+      const chosen = new Set(victims.selectVictims(all, tokensToFree));
+      const suspended = all.filter((item) => chosen.has(item.need.requestId));
+      const spared = all.filter((item) => !chosen.has(item.need.requestId));
+      const most = Math.max(0, ...suspended.map((item) => item.suspensionsCount));
+      return spared.every((item) => item.suspensionsCount >= most) || spared.length === 0;
+    },
+  );
+  fc.assert(property, { seed: 1, numRuns: 300 });
+  t.end();
+});
