--- /dev/null
+++ b/experiments/bench/relay/_lib/interToken/index.ts
@@ -0,0 +1,101 @@
+import * as hdr from "hdr-histogram-js";
+
+import * as engineClients from "../../../../../standins/engine/client/index.js";
+import * as engineModels from "../../../../../standins/engine/model/index.js";
+import * as clocks from "../../../../../src/_lib/clock/index.js";
+import * as randoms from "../../../../../src/_lib/random/index.js";
+import type * as backends from "../../../../../src/backends/types.js";
+import * as liveVms from "../liveVms/index.js";
+import * as rates from "../rates/index.js";
+
+const STREAMS_COUNT = 32;
+const TOKENS_PER_STREAM = 300;
+const STEP_MS = 15;
+const MICROSECONDS_PER_MS = 1_000;
+
+/** Time between tokens on one path. */
+export interface InterTokenTimes {
+  readonly path: string;
+  readonly p50Ms: number;
+  readonly p99Ms: number;
+}
+
+/** Times between tokens through no, one and two daemons, the same engine before each. */
+export async function measureInterToken(): Promise<readonly InterTokenTimes[]> {
+  return [
+    await measure("direct", ["a"], null),
+    await measure("one daemon", ["a"], "home"),
+    await measure("one daemon, copies to a second", ["a", "b"], "home"),
+    await measure("two daemons, entry and home", ["a", "b"], "other"),
+  ];
+}
+
+async function measure(
+  path: string,
+  vmNames: readonly string[],
+  role: "home" | "other" | null,
+): Promise<InterTokenTimes> {
+  const engine = createEngine();
+  await using group = new liveVms.LiveVms(vmNames, engine);
+  await group.start();
+  const histogram = hdr.build();
+  const streams = Array.from({ length: STREAMS_COUNT }, async (_, index) => {
+    const frames =
+      role === null
+        ? engine.start(
+            rates.engineRequest(`r${index}`, TOKENS_PER_STREAM),
+            new AbortController().signal,
+          )
+        : (await group.submit(group.roles()[role], TOKENS_PER_STREAM)).frames(0);
+    await recordGaps(frames, histogram);
+  });
+  await Promise.all(streams);
+  return {
+    path,
+    p50Ms: histogram.getValueAtPercentile(50) / MICROSECONDS_PER_MS,
+    p99Ms: histogram.getValueAtPercentile(99) / MICROSECONDS_PER_MS,
+  };
+}
+
+async function recordGaps(
+  frames: AsyncIterable<{ readonly tokens: readonly string[] }>,
+  histogram: hdr.Histogram,
+): Promise<void> {
+  let lastAtMs: number | null = null;
+  for await (const frame of frames) {
+    const nowMs = performance.now();
+    if (lastAtMs !== null) {
+      histogram.recordValue(Math.round((nowMs - lastAtMs) * MICROSECONDS_PER_MS));
+    }
+    for (let extra = 1; extra < frame.tokens.length; extra += 1) histogram.recordValue(0);
+    lastAtMs = nowMs;
+  }
+}
+
+function createEngine(): backends.EngineClient {
+  const clock = new clocks.SystemClock();
+  const model = new engineModels.EngineModel(
+    {
+      name: "e1",
+      capacityTokens: 1_000_000,
+      maxRunningCount: STREAMS_COUNT,
+      stepBaseMs: STEP_MS,
+      stepPerSequenceMs: 0,
+      stepPerContextTokenMs: 0,
+      stepPerPrefillTokenMs: 0,
+      maxPrefillTokensPerStep: 4_096,
+      cacheBlockTokens: 16,
+      loadReportLagMs: 100,
+      cacheEventLagMs: 100,
+      cacheEventLossRatio: 0,
+      checksFencing: true,
+      modelLoadMs: 100,
+      loadedModels: [{ model: "m", version: "1", adapters: [] }],
+      lengthOf: () => TOKENS_PER_STREAM,
+      promptTokensOf: () => 20,
+    },
+    clock,
+    randoms.createRandom(1),
+  );
+  return new engineClients.ModelEngineClient("e1", model, clock);
+}
--- /dev/null
+++ b/experiments/bench/relay/_lib/liveVms/index.ts
@@ -0,0 +1,103 @@
+import * as catalogueViews from "../../../../../standins/catalogue/view/index.js";
+import * as fleetViews from "../../../../../standins/fleet/view/index.js";
+import * as metrics from "../../../../../standins/metrics/index.js";
+import * as tcpFleets from "../../../../../standins/peers/tcpFleet/index.js";
+import * as vms from "../../../../../standins/vms/index.js";
+import * as clocks from "../../../../../src/_lib/clock/index.js";
+import * as disposableStore from "../../../../../src/_lib/disposableStore/index.js";
+import * as loggers from "../../../../../src/_lib/logger/index.js";
+import * as randoms from "../../../../../src/_lib/random/index.js";
+import type * as backends from "../../../../../src/backends/types.js";
+import * as catalogue from "../../../../../src/catalogue/types.js";
+import * as generations from "../../../../../src/generations/index.js";
+import * as telemetry from "../../../../../src/telemetry/index.js";
+
+/** Time until homes have told the others about their engines. */
+const SETTLE_MS = 2_500;
+
+const MEMORY_TOKENS = 1_000_000_000;
+const PROMPT_TOKENS = 20;
+const DEADLINE_MS = 600_000;
+
+/** VMs in this process that talk over TCP on loopback, before one engine. */
+export class LiveVms implements AsyncDisposable {
+  readonly clock = new clocks.SystemClock();
+  private readonly services = new Map<string, generations.Generations>();
+  private readonly resources = new disposableStore.DisposableStore();
+  private requestsCount = 0;
+
+  constructor(
+    private readonly vmNames: readonly string[],
+    private readonly engine: backends.EngineClient,
+  ) {}
+
+  async start(): Promise<void> {
+    const fleet = this.resources.add(new tcpFleets.TcpFleet());
+    const identities = this.vmNames.map((name) => fleetViews.createVmIdentity(name, "dc1"));
+    const view = new catalogueViews.FakeCatalogueView([vms.createEntry(), this.engineItem()]);
+    for (const identity of identities) {
+      const service = new generations.Generations(
+        this.clock,
+        randoms.createRandom(7),
+        loggers.SILENT_LOGGER,
+        new metrics.CountingMetrics(),
+        telemetry.NO_TRACER,
+        await fleet.start(identity.name),
+        new fleetViews.FakeFleetView(identity, identities),
+        view,
+        { clientFor: () => this.engine },
+      );
+      service.start();
+      this.resources.add(service);
+      this.services.set(identity.name, service);
+    }
+    await this.clock.sleep(SETTLE_MS);
+  }
+
+  /** The engine's home, and another VM where there is one. */
+  roles(): { readonly home: string; readonly other: string } {
+    const members = this.vmNames.map((name) => ({
+      ...fleetViews.createVmIdentity(name, "dc1"),
+      state: "live" as never,
+      incarnation: 1,
+    }));
+    const home = generations.selectHome({ name: this.engine.name, dataCentre: "dc1" }, members);
+    if (home === null) throw new Error("the engine has no home");
+    return { home, other: this.vmNames.find((name) => name !== home) ?? home };
+  }
+
+  /** Submits a generation at a VM. */
+  async submit(vmName: string, maxTokens: number): Promise<generations.GenerationHandle> {
+    const service = this.services.get(vmName);
+    if (service === undefined) throw new Error(`no VM is called ${vmName}`);
+    this.requestsCount += 1;
+    const result = await service.submit({
+      requestId: service.createRequestId(),
+      entry: vms.createEntry({ maxTokens }),
+      accountName: "bench",
+      prompt: `prompt ${this.requestsCount}`,
+      promptTokens: PROMPT_TOKENS,
+      maxTokens,
+      isStreamed: true,
+      deadlineAtWallMs: this.clock.wallTimeMs() + DEADLINE_MS,
+    });
+    if (result.isErr()) throw result.error;
+    return result.value;
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await this.resources[Symbol.asyncDispose]();
+  }
+
+  private engineItem(): catalogue.EngineBackend {
+    return {
+      kind: catalogue.ItemKind.Engine,
+      name: this.engine.name,
+      dataCentre: "dc1",
+      url: "http://127.0.0.1/",
+      memoryTokens: MEMORY_TOKENS,
+      checksFencing: true,
+      state: catalogue.DesiredState.Active,
+    };
+  }
+}
--- /dev/null
+++ b/experiments/bench/relay/index.ts
@@ -0,0 +1,25 @@
+import * as interToken from "./_lib/interToken/index.js";
+import * as rates from "./_lib/rates/index.js";
+import * as recovery from "./_lib/recovery/index.js";
+
+/** Prints what relaying costs, and how long recovery takes after each kind of death. */
+export async function benchRelay(): Promise<void> {
+  const print = (line: string): void => {
+    process.stdout.write(`${line}\n`);
+  };
+  print("time between tokens (32 streams, steps of 15 ms, peers over TCP on loopback)");
+  const times = await interToken.measureInterToken();
+  const [direct] = times;
+  for (const { path, p50Ms, p99Ms } of times) {
+    const ratio = (p99Ms / (direct?.p99Ms ?? p99Ms)).toFixed(3);
+    print(`  ${path}: p50 ${p50Ms.toFixed(2)} ms, p99 ${p99Ms.toFixed(2)} ms, p99 ratio ${ratio}`);
+  }
+  print("tokens per second of processor time, all daemons in one process (200 streams)");
+  for (const { path, tokensPerCpuSecond } of await rates.measureRates()) {
+    print(`  ${path}: ${tokensPerCpuSecond}`);
+  }
+  print("recovery, last token before a death to first after it (virtual clock, links of 1 ms)");
+  for (const { death, medianMs, maxMs, wholeCount } of await recovery.measureRecovery()) {
+    print(`  ${death}: median ${medianMs} ms, longest ${maxMs} ms, ${wholeCount} of 20 whole`);
+  }
+}
--- a/experiments/fuzz/_lib/faults/index.ts
+++ b/experiments/fuzz/_lib/faults/index.ts
@@ -26,6 +26,18 @@
   readonly durationMs: number;
 }
 
+/** Whether a fault takes away a VM, or some of what other VMs can reach. */
+export function isVmFault(kind: FaultKind): boolean {
+  return VM_FAULTS.has(kind);
+}
+
+const VM_FAULTS: ReadonlySet<FaultKind> = new Set([
+  FaultKind.KillVm,
+  FaultKind.PauseVm,
+  FaultKind.CutLink,
+  FaultKind.SilenceLink,
+]);
+
 /** Time after which other VMs call a VM that says nothing dead. */
 const NOTICED_AFTER_MS = 1_000;
 
--- a/experiments/fuzz/generation/index.ts
+++ b/experiments/fuzz/generation/index.ts
@@ -17,6 +17,12 @@
 const VMS = { a: "dc1", b: "dc1", c: "dc2", d: "dc2" };
 const ENGINES = { e1: "dc1", e2: "dc1", e3: "dc2" };
 
+/** Errors that say that holders of a generation were lost. */
+const LOSS_CODES: ReadonlySet<stepError.ErrorCode> = new Set([
+  stepError.ErrorCode.Interrupted,
+  stepError.ErrorCode.NotFound,
+]);
+
 /** One request of a run. */
 interface FuzzedRequest {
   readonly vm: string;
@@ -68,7 +74,8 @@
   for (const fault of run.faults) faults.planFault(group, fault);
   for (const asked of asking) asked.plan();
   await group.clock.runForMs(FAULTS_WITHIN_MS + ANSWERED_WITHIN_MS);
-  return asking.flatMap((asked) => asked.problems());
+  const vmFaultsCount = run.faults.filter((fault) => faults.isVmFault(fault.kind)).length;
+  return asking.flatMap((asked) => asked.problems(vmFaultsCount));
 }
 
 function idOf(index: number): string {
@@ -99,7 +106,7 @@
     });
   }
 
-  problems(): readonly string[] {
+  problems(vmFaultsCount: number): readonly string[] {
     const { caller } = this;
     const problems: string[] = [];
     const seen = caller.tokens.length;
@@ -113,6 +120,9 @@
     if (caller.finishReason !== null) check(isWhole, `cut short without a word at ${seen}`);
     const stated = caller.error?.deliveredTokens;
     if (stated !== undefined) check(stated === seen, `stated ${stated} tokens, delivered ${seen}`);
+    const isTokenLoss = LOSS_CODES.has(caller.error?.code ?? stepError.ErrorCode.Internal);
+    if (caller.isAccepted && vmFaultsCount <= 1)
+      check(!isTokenLoss, "one failure of a VM or link lost the generation");
     const wasRun =
       caller.refusal !== null && caller.refusal.execution !== stepError.ExecutionState.NotRun;
     check(!wasRun, "a refusal that does not say not-run");
--- a/src/generations/_lib/locator/index.ts
+++ b/src/generations/_lib/locator/index.ts
@@ -9,6 +9,9 @@
 import type * as ownerDesks from "../ownerDesk/index.js";
 import * as takeOvers from "../takeOver/index.js";
 
+/** Up to this size of fleet everyone is asked for a generation that is not where it should be. */
+const MAX_ASKED_COUNT = 32;
+
 /** What a holder knows about where a generation is. */
 export interface LocatedHolder {
   readonly vmName: string;
@@ -51,8 +54,11 @@
       if (located?.answer.ownerVm) ask(located.answer.ownerVm);
       if (located?.answer.homeVm) ask(located.answer.homeVm);
     }
-    const answers = await Promise.all(asked.values());
-    return answers.filter((located) => located !== null);
+    const answers = (await Promise.all(asked.values())).filter((located) => located !== null);
+    const members = this.context.fleet.members();
+    if (answers.length > 0 || members.length > MAX_ASKED_COUNT) return answers;
+    for (const member of members) ask(member.name);
+    return (await Promise.all(asked.values())).filter((located) => located !== null);
   }
 
   /** Becomes the owner of a generation, with what its reachable holders have of it. */
@@ -134,8 +140,7 @@
       const hint = requestIds.vmHint(member.name);
       if (hint === hints?.ownerHint || hint === hints?.keeperHint) names.add(member.name);
     }
-    const keeperVm = selectKeepers.selectKeeper(requestId, this.context.fleet.self, members);
-    if (keeperVm !== null) names.add(keeperVm);
+    for (const vmName of selectKeepers.listLikelyKeepers(requestId, members)) names.add(vmName);
     return names;
   }
 }
--- a/src/generations/selectKeeper/index.ts
+++ b/src/generations/selectKeeper/index.ts
@@ -27,6 +27,32 @@
   const sameRegion = others.filter((member) => member.region === self.region);
   const apart = sameRegion.filter((member) => member.dataCentre !== self.dataCentre);
   const candidates = [apart, sameRegion, others].find((group) => group.length > 0) ?? [];
-  const names = candidates.map((member) => member.name);
-  return rendezvous.rankByRendezvous(requestId, names)[0] ?? null;
+  return rankMembers(requestId, candidates)[0]?.name ?? null;
+}
+
+/**
+ * VMs that `selectKeeper` may have chosen for a request, whichever VM accepted it.
+ *
+ * @param requestId - the request
+ * @param members - the fleet as this VM sees it
+ * @returns at most three names
+ */
+export function listLikelyKeepers(
+  requestId: string,
+  members: readonly fleet.VmMember[],
+): readonly string[] {
+  const live = members.filter((member) => member.state === fleetTypes.MemberState.Live);
+  const [first, second, ...others] = rankMembers(requestId, live);
+  if (first === undefined || second === undefined) return first === undefined ? [] : [first.name];
+  const apart = [second, ...others].find((member) => member.dataCentre !== first.dataCentre);
+  return [...new Set([first.name, second.name, apart?.name ?? first.name])];
+}
+
+function rankMembers(
+  requestId: string,
+  members: readonly fleet.VmMember[],
+): readonly fleet.VmMember[] {
+  const names = members.map((member) => member.name);
+  const ranked = rendezvous.rankByRendezvous(requestId, names);
+  return ranked.flatMap((name) => members.filter((member) => member.name === name));
 }
--- a/standins/vms/caller/index.ts
+++ b/standins/vms/caller/index.ts
@@ -10,6 +10,8 @@
   finishReason: string | null = null;
   error: stepError.StepError | null = null;
   refusal: stepError.StepError | null = null;
+  /** Whether the request was accepted, as far as the caller was told. */
+  isAccepted = false;
   /** Frames that did not begin where the one before them ended. */
   misplacedFramesCount = 0;
   /** Set while the caller takes nothing from its connection. */
@@ -40,8 +42,13 @@
       isStreamed: true,
       deadlineAtWallMs: this.group.clock.wallTimeMs() + entry.deadlineMs,
     });
-    if (result.isErr()) this.refusal = result.error;
-    else await this.read(result.value);
+    if (this.group.isDown(vmName)) return;
+    if (result.isErr()) {
+      this.refusal = result.error;
+      return;
+    }
+    this.isAccepted = true;
+    await this.read(result.value, vmName);
   }
 
   /** Leaves whatever connection there is and comes back at a VM, from the last token seen. */
@@ -49,8 +56,9 @@
     this.detach();
     this.error = null;
     const result = await this.group.vm(vmName).service.attach(this.requestId, "account");
+    if (this.group.isDown(vmName)) return;
     if (result.isErr()) this.error = result.error;
-    else await this.read(result.value);
+    else await this.read(result.value, vmName);
   }
 
   /** Takes from the connection again. */
@@ -66,7 +74,7 @@
     this.iterator = null;
   }
 
-  private async read(handle: generations.GenerationHandle): Promise<void> {
+  private async read(handle: generations.GenerationHandle, vmName: string): Promise<void> {
     this.connection += 1;
     const { connection } = this;
     try {
@@ -76,11 +84,12 @@
       for (;;) {
         const step = await iterator.next();
         if (step.done === true || connection !== this.connection) return;
+        if (this.group.isDown(vmName)) return;
         this.take(step.value);
         if (this.isStopped) await new Promise<void>((resolve) => (this.goOn = resolve));
       }
     } catch (error) {
-      if (connection !== this.connection) return;
+      if (connection !== this.connection || this.group.isDown(vmName)) return;
       if (!(error instanceof stepError.StepError)) throw error;
       this.error = error;
     }
