--- /dev/null
+++ b/standins/calls/index.ts
@@ -0,0 +1,176 @@
+import * as logger from "../../src/_lib/logger/index.js";
+import * as random from "../../src/_lib/random/index.js";
+import * as virtualClock from "../../src/_lib/virtualClock/index.js";
+import type * as backends from "../../src/backends/types.js";
+import * as calls from "../../src/calls/index.js";
+import * as catalogue from "../../src/catalogue/index.js";
+import * as fleetTypes from "../../src/fleet/types.js";
+import * as appendBudgets from "../../src/platform/appendBudget/index.js";
+import * as replication from "../../src/replication/index.js";
+import * as catalogueView from "../catalogue/view/index.js";
+import * as fleetModel from "../fleet/model/index.js";
+import * as logLink from "../log/link/index.js";
+import * as logModel from "../log/model/index.js";
+import * as hub from "../peers/hub/index.js";
+import * as serviceClients from "../service/clients/index.js";
+import * as counters from "../telemetry/counters/index.js";
+import * as gate from "../vmGate/index.js";
+
+/** The service's clients as one VM has them: a paused VM sends nothing and hears nothing. */
+class GatedServiceClients implements backends.ServiceClients {
+  constructor(
+    private readonly clients: backends.ServiceClients,
+    private readonly vmGate: gate.Gate,
+  ) {}
+
+  clientFor(backend: catalogue.ServiceBackend): backends.ServiceClient {
+    const client = this.clients.clientFor(backend);
+    return {
+      name: client.name,
+      call: async (request) => {
+        await this.vmGate.pass();
+        const result = await client.call(request);
+        await this.vmGate.pass();
+        return result;
+      },
+    };
+  }
+}
+
+/** One VM that serves calls. */
+export interface CallsVm {
+  readonly name: string;
+  readonly calls: calls.Calls;
+  readonly log: logLink.LogLink;
+  readonly gate: gate.Gate;
+}
+
+const SERVERS = [
+  ["ledger-a", "dc-a"],
+  ["ledger-b", "dc-b"],
+] as const;
+
+/** Several VMs that serve calls, over one log, one hub and one service, on a virtual clock. */
+export class CallsFleet {
+  readonly clock = new virtualClock.VirtualClock();
+  readonly log = new logModel.LogModel(this.clock, LOG_OPTIONS);
+  readonly hub = new hub.PeerHub(this.clock);
+  readonly fleet = new fleetModel.FleetModel();
+  readonly service = new serviceClients.ServiceClientsModel(this.clock);
+  readonly counters = new counters.CounterModel();
+  readonly catalogue = new catalogueView.FakeCatalogueView(SERVERS.map(serverItem));
+  readonly vms: CallsVm[] = [];
+  private requestsCount = 0;
+  private readonly downLog = new logModel.LogModel(this.clock, LOG_OPTIONS);
+
+  constructor(private readonly seed = 1) {
+    this.downLog.inject(logModel.LogFault.Down);
+  }
+
+  /** Starts a VM. */
+  start(
+    name: string,
+    dataCentre = "dc-a",
+    options: Partial<replication.FollowerOptions> = {},
+  ): CallsVm {
+    this.fleet.add(name, dataCentre);
+    const vmGate = new gate.Gate();
+    const log = new logLink.LogLink(this.log, this.downLog, vmGate);
+    const clock = new gate.GatedClock(this.clock, vmGate);
+    const service = new calls.Calls(
+      clock,
+      random.createRandom(this.seed),
+      logger.SILENT_LOGGER,
+      this.counters,
+      this.counters,
+      log,
+      this.hub.join(name),
+      this.fleet.viewOf(name),
+      this.catalogue,
+      new GatedServiceClients(this.service, vmGate),
+      new appendBudgets.AppendBudget(clock, () => Math.max(1, this.vms.length)),
+      { ...replication.DEFAULT_FOLLOWER_OPTIONS, ...options },
+    );
+    service.start();
+    const vm = { name, calls: service, log, gate: vmGate };
+    this.vms.push(vm);
+    return vm;
+  }
+
+  /** A once-only request; an entry's other fields may be given. */
+  request(
+    key: string | null,
+    body = "body",
+    entry: Partial<catalogue.CallEntry> = {},
+    deadlineMs = 10_000,
+  ): calls.CallRequest {
+    this.requestsCount += 1;
+    return {
+      requestId: `request-${this.requestsCount}`,
+      entry: { ...ENTRY, ...entry },
+      accountName: "account",
+      idempotencyKey: key,
+      contentType: "application/json",
+      body: new TextEncoder().encode(body),
+      deadlineAtWallMs: this.clock.wallTimeMs() + deadlineMs,
+    };
+  }
+
+  /** Runs the clock until the work is done. */
+  async settle<T>(work: Promise<T>, limitMs = 120_000): Promise<T> {
+    const progress = { isDone: false };
+    void work.finally(() => (progress.isDone = true)).catch(() => undefined);
+    for (let ms = 0; ms < limitMs && !progress.isDone; ms += STEP_MS) {
+      await this.clock.runForMs(STEP_MS);
+    }
+    if (!progress.isDone) throw new Error(`not done within ${limitMs} ms`);
+    return work;
+  }
+
+  /** Ends a VM without a trace: it sends and hears nothing more, and others learn of its death. */
+  kill(vm: CallsVm): void {
+    vm.gate.pause();
+    this.hub.kill(vm.name);
+    this.fleet.setState(vm.name, fleetTypes.MemberState.Dead);
+    this.vms.splice(this.vms.indexOf(vm), 1);
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await this.settle(Promise.all(this.vms.map((vm) => vm.calls[Symbol.asyncDispose]())));
+  }
+}
+
+/** An answer's text, or the execution state of its error. */
+export function summarise(result: Awaited<ReturnType<calls.Calls["call"]>>): string {
+  if (result.isErr()) return result.error.execution;
+  return textOf(result.value);
+}
+
+const STEP_MS = 20;
+const LOG_OPTIONS = { ...logModel.DEFAULT_LOG_OPTIONS, retentionMs: 86_400_000 };
+
+const ENTRY: catalogue.CallEntry = {
+  kind: catalogue.ItemKind.Call,
+  name: "register",
+  owner: "owner",
+  class: catalogue.RequestClass.Interactive,
+  service: "ledger",
+  method: "POST",
+  path: "/tags",
+  semantics: catalogue.CallSemantics.OnceOnly,
+  keyRequired: true,
+  keyRetentionMs: 3_600_000,
+  logOutage: catalogue.LogOutagePolicy.Wait,
+  deadlineMs: 10_000,
+  objectives: { targetRatio: 0.95 },
+};
+
+function serverItem([name, dataCentre]: readonly [string, string]): catalogue.ServiceBackend {
+  const kind = catalogue.ItemKind.Service;
+  const state = catalogue.DesiredState.Active;
+  return { kind, name, service: "ledger", dataCentre, url: "http://127.0.0.1:1", state };
+}
+
+function textOf(answer: backends.ServiceAnswer): string {
+  return new TextDecoder().decode(answer.body);
+}
