--- a/experiments/capacity/measureCatalogue/index.ts
+++ b/experiments/capacity/measureCatalogue/index.ts
@@ -2,6 +2,7 @@
 import * as logging from "../../../src/_lib/logger/index.js";
 import * as catalogue from "../../../src/catalogue/index.js";
 import * as types from "../../../src/catalogue/types.js";
+import * as appendBudget from "../../../src/platform/appendBudget/index.js";
 import * as logModel from "../../../standins/log/model/index.js";
 import type * as formatTable from "../_lib/formatTable/index.js";
 import * as loopbackFleet from "../_lib/loopbackFleet/index.js";
@@ -36,12 +37,7 @@
       log,
       vm.network,
       vm.membership,
-      {
-        retentionMs: logModel.DEFAULT_LOG_OPTIONS.retentionMs,
-        snapshotEveryRecords: 5_000,
-        areSnapshotsWritten: true,
-        readersPerDataCentre: 2,
-      },
+      new appendBudget.AppendBudget(fleet.clock, () => fleet.vms.length),
     );
     replica.start();
     return resources.add(replica);
