--- a/experiments/capacity/measureCatalogue/index.ts
+++ b/experiments/capacity/measureCatalogue/index.ts
@@ -3,6 +3,7 @@
 import * as catalogue from "../../../src/catalogue/index.js";
 import * as types from "../../../src/catalogue/types.js";
 import * as appendBudget from "../../../src/platform/appendBudget/index.js";
+import * as replication from "../../../src/replication/index.js";
 import * as logModel from "../../../standins/log/model/index.js";
 import type * as formatTable from "../_lib/formatTable/index.js";
 import * as loopbackFleet from "../_lib/loopbackFleet/index.js";
@@ -38,6 +39,7 @@
       vm.network,
       vm.membership,
       new appendBudget.AppendBudget(fleet.clock, () => fleet.vms.length),
+      replication.DEFAULT_FOLLOWER_OPTIONS,
     );
     replica.start();
     return resources.add(replica);
