--- a/src/peers/_lib/peerLink/index.ts
+++ b/src/peers/_lib/peerLink/index.ts
@@ -127,8 +127,14 @@
 
   private enqueue(frame: Buffer): void {
     this.queue.push(frame);
+    this.startTask();
+  }
+
+  private startTask(): void {
     this.task ??= this.run().finally(() => {
       this.task = undefined;
+      // A frame may have come after the task had found the queue empty.
+      if (!this.queue.isEmpty && !this.stop.signal.aborted) this.startTask();
     });
   }
 
