--- a/src/catalogue/applyRecord/test.ts
+++ b/src/catalogue/applyRecord/test.ts
@@ -11,6 +11,9 @@
 
 const HASHES = ["a", "b"].map((digit) => digit.repeat(64));
 
+/** Stands for the item's revision at the time of the change. */
+const CURRENT = -1;
+
 /** Any change of few accounts and engines, so that changes meet. */
 const change = fc
   .record({
@@ -19,7 +22,7 @@
     operator: fc.constant("op"),
     kind: fc.constantFrom(types.ItemKind.Account, types.ItemKind.Engine),
     name: fc.constantFrom("x", "y", "z"),
-    baseRevision: fc.option(fc.integer({ min: 0, max: 30 })),
+    baseRevision: fc.constantFrom(CURRENT, CURRENT, CURRENT, null, 0, 1),
     isRemoval: fc.boolean(),
     hash: fc.constantFrom(...HASHES),
   })
@@ -40,11 +43,27 @@
   from = createCatalogueState.createCatalogueState(),
 ): indexedState.IndexedState {
   return payloads.reduce<indexedState.IndexedState>((state, value) => {
-    const record = { offset: state.appliedOffset + 1, appendedAtWallMs: 0, payload: value };
+    const built = isOnCurrent(value) ? onCurrent(state, value) : value;
+    const record = { offset: state.appliedOffset + 1, appendedAtWallMs: 0, payload: built };
     return applyRecord.applyRecord(state, record).state;
   }, from);
 }
 
+interface BuiltChange {
+  readonly kind: string;
+  readonly name: string;
+  readonly baseRevision: number;
+}
+
+function isOnCurrent(value: unknown): value is BuiltChange {
+  return (value as BuiltChange | null | undefined)?.baseRevision === CURRENT;
+}
+
+function onCurrent(state: types.CatalogueState, value: BuiltChange): object {
+  const revised = state.items.get(`${value.kind}/${value.name}`);
+  return { ...value, baseRevision: revised?.revision ?? null };
+}
+
 function plain(state: indexedState.IndexedState): unknown {
   const sorted = (map: ReadonlyMap<string, unknown>): unknown[] =>
     [...map].sort(([left], [right]) => (left < right ? -1 : 1));
