--- a/experiments/fuzz/main.ts
+++ b/experiments/fuzz/main.ts
@@ -1,5 +1,6 @@
 import * as commander from "commander";
 
+import * as generation from "./generation/index.js";
 import * as onceOnly from "./onceOnly/index.js";
 import * as streamFollower from "./streamFollower/index.js";
 
@@ -8,6 +9,7 @@
 
 /** What can be fuzzed, by the name on the command line. */
 const TARGETS: Readonly<Record<string, FuzzTarget>> = {
+  generation: generation.fuzzGeneration,
   "once-only": onceOnly.fuzzOnceOnly,
   "stream-follower": streamFollower.fuzzStreamFollower,
 };
