Place models by catalogue and demand, under a lease

Cause: an engine without an entry's model stayed useless; orders existed but nobody gave them. Change: one VM of each data centre holds the placement lease, gathers what the homes report, and gives the orders of planPlacement: loads within what the weight store allows, each order after a look at the lease's time left, with the fencing number. Only engines whose item states modelSlotsCount are managed, so that a catalogue applied in parts cannot unload what it has not named yet. Ruled out: a plan at every VM, since two plans unload against each other.

--- a/src/catalogue/_lib/schemas/index.ts
+++ b/src/catalogue/_lib/schemas/index.ts
@@ -88,6 +88,7 @@
   url,
   memoryTokens: positiveCount,
   checksFencing: zod.boolean().default(false),
+  modelSlotsCount: positiveCount.exactOptional(),
   state,
 });
 
--- a/src/catalogue/types.ts
+++ b/src/catalogue/types.ts
@@ -105,6 +105,8 @@
   readonly url: string;
   readonly memoryTokens: number;
   readonly checksFencing: boolean;
+  /** Models that fit at the same time; without it, the engine is given no orders to load any. */
+  readonly modelSlotsCount?: number;
   readonly state: DesiredState;
 }
 
--- a/src/cli/explainCommand/index.ts
+++ b/src/cli/explainCommand/index.ts
@@ -56,11 +56,12 @@
   ];
   const rows = runs.map((run) => [
     run.requestId,
+    run.entryName,
     run.ownerVm,
     run.producedTokens,
     output.formatDuration(run.silentMs),
     run.isPreempted ? "preempted" : "runs",
   ]);
-  const headings = ["REQUEST", "ENTRY VM", "PRODUCED", "SILENT FOR", "STATE"];
+  const headings = ["REQUEST", "ENTRY", "VM", "PRODUCED", "SILENT FOR", "STATE"];
   return `${lines.join("\n")}\n${output.formatTable(headings, rows)}`;
 }
--- a/src/daemon/_lib/createContainer.ts
+++ b/src/daemon/_lib/createContainer.ts
@@ -200,7 +200,8 @@
 }
 
 /** Parts that several aggregates use: the append budget, the catalogue, and their options. */
-function registerShared({ container, store, overrides }: ContainerSource): void {
+function registerShared(source: ContainerSource): void {
+  const { container, settings: options, store, overrides } = source;
   const clock = container.resolve<clocks.Clock>(TOKENS.clock);
   const membership = container.resolve(fleet.FleetMembership);
   const liveVmCount = (): number =>
@@ -211,6 +212,12 @@
     ...replication.DEFAULT_FOLLOWER_OPTIONS,
     ...overrides.replication,
   });
+  container.registerInstance<fleet.LeaseOptions>(TOKENS.leaseOptions, {
+    ...fleet.DEFAULT_LEASE_OPTIONS,
+    vmName: options.vm.name,
+  });
+  const leases = store.add(container.resolve(fleet.LeaseHolder));
+  container.registerInstance(fleet.LeaseHolder, leases);
   container.registerInstance(TOKENS.accountLimitOptions, accounts.DEFAULT_ACCOUNT_LIMIT_OPTIONS);
   const replica = store.add(container.resolve(catalogue.CatalogueReplica));
   container.registerInstance(catalogue.CatalogueReplica, replica);
--- a/src/daemon/daemon/index.ts
+++ b/src/daemon/daemon/index.ts
@@ -14,6 +14,7 @@
 import * as replication from "../../replication/index.js";
 import type * as settings from "../../settings/index.js";
 import * as telemetry from "../../telemetry/index.js";
+import * as placement from "../../placement/index.js";
 import type * as platform from "../../platform/types.js";
 import * as adminDesks from "../adminDesk/index.js";
 import * as findLeavingBackends from "../findLeavingBackends/index.js";
@@ -32,6 +33,7 @@
   private readonly limits: accounts.AccountLimits;
   private readonly clock: clocks.Clock;
   private readonly logger: logging.Logger;
+  private readonly placement: placement.Placement;
   private readonly desk: adminDesks.AdminDesk;
   private readonly stopping = new AbortController();
   private ports: listeners.Listeners | undefined;
@@ -51,6 +53,7 @@
     this.limits = store.add(container.resolve(accounts.AccountLimits));
     this.calls = store.add(container.resolve(calls.Calls));
     this.generations = store.add(container.resolve(generations.Generations));
+    this.placement = store.add(container.resolve(placement.Placement));
     this.desk = store.add(this.createDesk());
     container
       .resolve(seededVmLists.SeededVmList)
@@ -75,6 +78,7 @@
     this.limits.start();
     this.calls.start();
     this.generations.start();
+    this.placement.start(() => this.reportPlacement());
     this.ports = await listeners.openListeners(this.options, this.callerParts(), this.desk);
     this.store.add(this.ports.callers);
     this.store.add(this.ports.admin);
@@ -150,6 +154,15 @@
     }
   }
 
+  private reportPlacement(): placement.PlacementReport {
+    const { generations: service } = this;
+    return placement.createReport(
+      this.catalogue.current(),
+      service.describeEngines(),
+      service.describeQueue(),
+    );
+  }
+
   private callerParts(): http.CallerServerParts {
     return {
       clock: this.clock,
--- a/src/generations/_lib/descriptions/index.ts
+++ b/src/generations/_lib/descriptions/index.ts
@@ -61,6 +61,7 @@
 function describeRun(run: engineRuns.EngineRun, nowMs: number): types.HeldRun {
   return {
     requestId: run.requestId,
+    entryName: run.request.entry.name,
     attempt: run.attempt,
     ownerVm: run.ownerVm,
     producedTokens: run.tokens.length,
--- a/src/generations/types.ts
+++ b/src/generations/types.ts
@@ -62,6 +62,7 @@
 /** One run of an engine. */
 export interface HeldRun {
   readonly requestId: string;
+  readonly entryName: string;
   readonly attempt: number;
   readonly ownerVm: string;
   readonly producedTokens: number;
--- /dev/null
+++ b/src/placement/createReport/index.ts
@@ -0,0 +1,41 @@
+import * as catalogue from "../../catalogue/index.js";
+import * as engines from "../../engines/index.js";
+import type * as generations from "../../generations/types.js";
+import type * as types from "../types.js";
+
+/**
+ * What a VM tells the holder of its data centre's placement lease.
+ *
+ * @param state - the catalogue, which names the model of each entry
+ * @param held - the engines whose home this VM is
+ * @param waiting - generations that wait at this VM
+ */
+export function createReport(
+  state: catalogue.CatalogueState,
+  held: readonly generations.HeldEngine[],
+  waiting: readonly generations.WaitingGeneration[],
+): types.PlacementReport {
+  return {
+    engines: held.map(({ view, runs }) => ({
+      name: view.name,
+      loadedModels: view.loadedModels,
+      isStaying: view.health === engines.EngineHealth.Live,
+      runningCounts: countByModel(state, runs),
+    })),
+    waitingCounts: countByModel(state, waiting),
+  };
+}
+
+function countByModel(
+  state: catalogue.CatalogueState,
+  generationsOfEntries: readonly { readonly entryName: string }[],
+): Readonly<Record<string, number>> {
+  const counts: Record<string, number> = {};
+  for (const { entryName } of generationsOfEntries) {
+    const entry = catalogue.findGenerationEntry(state, entryName);
+    if (entry === undefined) continue;
+    const key = engines.modelKeyOf(entry);
+    counts[key] = (counts[key] ?? 0) + 1;
+  }
+  return counts;
+}
--- /dev/null
+++ b/src/placement/listModelDemands/index.ts
@@ -0,0 +1,34 @@
+import * as catalogue from "../../catalogue/index.js";
+import * as engines from "../../engines/index.js";
+
+/**
+ * What the catalogue and the learned demand want of each model.
+ *
+ * @param state - the catalogue; entries of one model and version are joined, the highest of
+ * their minimums counts
+ * @param demandByModel - learned demand by `model/version`, in generations at a time
+ */
+export function listModelDemands(
+  state: catalogue.CatalogueState,
+  demandByModel: ReadonlyMap<string, number>,
+): readonly engines.ModelDemand[] {
+  const demands = new Map<string, engines.ModelDemand>();
+  for (const { item } of state.items.values()) {
+    if (item.kind !== catalogue.ItemKind.Generation) continue;
+    const key = engines.modelKeyOf(item);
+    const known = demands.get(key);
+    demands.set(key, {
+      model: item.model,
+      version: item.version,
+      adapters: joinAdapters(known?.adapters ?? [], item.adapter),
+      minLoadedEngines: Math.max(known?.minLoadedEngines ?? 0, item.minLoadedEngines),
+      demand: demandByModel.get(key) ?? 0,
+    });
+  }
+  return [...demands.values()];
+}
+
+function joinAdapters(known: readonly string[], adapter: string | undefined): readonly string[] {
+  if (adapter === undefined || known.includes(adapter)) return known;
+  return [...known, adapter];
+}
