--- a/src/engines/_lib/runningTable/index.ts
+++ b/src/engines/_lib/runningTable/index.ts
@@ -20,6 +20,7 @@
   readonly forecast = new forecasts.MemoryForecast();
   contextTokens = 0;
   watchedCount = 0;
+  streamingCount = 0;
   pendingPrefillTokens = 0;
   private readonly records = new Map<string, RunningRecord>();
   /** How many running generations state each bound between tokens. */
@@ -65,7 +66,7 @@
     this.records.set(need.requestId, record);
     this.contextTokens += record.contextTokens;
     this.pendingPrefillTokens += record.pendingPrefillTokens;
-    if (isWatched(need)) this.watchedCount += 1;
+    this.countWatchers(need, 1);
     this.countBound(need, 1);
     this.fill(record);
     this.forecast.add(record.share);
@@ -92,13 +93,18 @@
     this.records.delete(requestId);
     this.contextTokens -= record.contextTokens;
     this.pendingPrefillTokens -= record.pendingPrefillTokens;
-    if (isWatched(record.need)) this.watchedCount -= 1;
+    this.countWatchers(record.need, -1);
     this.countBound(record.need, -1);
     this.forecast.remove(record.share);
     if (this.records.size === 0) this.forecast.clear();
     return record;
   }
 
+  private countWatchers(need: types.GenerationNeed, change: number): void {
+    if (need.class !== catalogue.RequestClass.Batch) this.watchedCount += change;
+    if (need.class === catalogue.RequestClass.Streaming) this.streamingCount += change;
+  }
+
   private countBound(need: types.GenerationNeed, change: number): void {
     const boundMs = this.interTokenBoundMsOf(need.entryName);
     if (boundMs === null) return;
@@ -123,7 +129,3 @@
     });
   }
 }
-
-function isWatched(need: types.GenerationNeed): boolean {
-  return need.class !== catalogue.RequestClass.Batch;
-}
--- a/src/engines/constants.ts
+++ b/src/engines/constants.ts
@@ -108,3 +108,30 @@
 
 /** Weight of one event in the moving share of lost events. */
 export const EVENT_LOSS_WEIGHT = 0.02;
+
+/** Prompt tokens that an engine prefills per millisecond when it does little else. */
+export const PREFILL_TOKENS_PER_MS = 10;
+
+/** Time constant of the moving prefill load. */
+export const PREFILL_MEMORY_MS = 10_000;
+
+/** Prefill load from which an engine is left to prompts, and watched work goes elsewhere. */
+export const PREFILL_ENGINE_RATIO = 0.3;
+
+/** Prefill load at which an engine takes no more prompts of work that can wait. */
+export const FULL_PREFILL_RATIO = 1;
+
+/** Prompts from this length on are kept away from watched generations. */
+export const LONG_PROMPT_TOKENS = 128;
+
+/** Time that watched work waits for an engine without prefill load. */
+export const WATCHED_PATIENCE_MS = 500;
+
+/** Time for which prompts and watched work share engines after watched work had to wait. */
+export const SEPARATION_PAUSE_MS = 30_000;
+
+/** Time that prompts of work that can wait do so for an engine without watched generations. */
+export const BATCH_PATIENCE_MS = 30_000;
+
+/** Score of keeping long prompts and watched generations on different engines. */
+export const SEPARATION_SCORE = 0.5;
--- a/src/engines/engineScheduler/index.ts
+++ b/src/engines/engineScheduler/index.ts
@@ -1,6 +1,7 @@
 import type * as backends from "../../backends/types.js";
 import * as catalogue from "../../catalogue/types.js";
 import * as forecasts from "../_lib/memoryForecast/index.js";
+import * as prefillLoads from "../_lib/prefillLoad/index.js";
 import * as runningTables from "../_lib/runningTable/index.js";
 import * as safetyMargins from "../_lib/safetyMargin/index.js";
 import * as stepTimes from "../_lib/stepTimes/index.js";
@@ -29,6 +30,7 @@
 export class EngineScheduler implements types.EngineScheduler {
   private readonly table: runningTables.RunningTable;
   private readonly margin = new safetyMargins.SafetyMargin();
+  private readonly prefillLoad = new prefillLoads.PrefillLoad();
   private readonly steps = new stepTimes.StepTimes();
   private readonly candidate = forecasts.createMemoryShare();
   private report: backends.EngineLoadReport | null = null;
@@ -37,6 +39,7 @@
   private readonly endedAtMs = new Map<string, number>();
   private reportedAtMs = 0;
   private waitedAtMs = -Infinity;
+  private watchedWaitedAtMs = -Infinity;
 
   constructor(private readonly options: EngineSchedulerOptions) {
     this.table = new runningTables.RunningTable(options.lengths, options.interTokenBoundMsOf);
@@ -48,7 +51,7 @@
   }
 
   admit(need: types.GenerationNeed, nowMs: number): types.AdmissionDecision {
-    const blocked = this.blockedReason(need);
+    const blocked = this.blockedReason(need, nowMs);
     if (blocked === null) return ADMITTED;
     this.waitedAtMs = nowMs;
     return this.waitOrRefuse(need, nowMs, blocked);
@@ -56,6 +59,8 @@
 
   onStarted(need: types.GenerationNeed, nowMs: number): void {
     this.table.add(need, nowMs);
+    const isUnwatched = need.class === catalogue.RequestClass.Batch;
+    if (isUnwatched) this.prefillLoad.add(need.promptTokens, nowMs);
   }
 
   onProgress(requestId: string, producedTokens: number, nowMs: number): void {
@@ -113,12 +118,15 @@
       ageMs: Math.max(0, nowMs - this.reportedAtMs),
       sentSinceTokens: 0,
       sentSinceCount: 0,
+      streamingCount: this.table.streamingCount,
+      prefillRatio: this.prefillLoad.ratio(nowMs),
     };
   }
 
   /** Why the work cannot start now; null when it can. */
-  private blockedReason(need: types.GenerationNeed): string | null {
+  private blockedReason(need: types.GenerationNeed, nowMs: number): string | null {
     if (this.health() !== types.EngineHealth.Live) return "the engine is leaving";
+    if (!this.keepsPromptsApart(need, nowMs)) return "long prompts and watched work are kept apart";
     if (this.table.count === 0) return null;
     if (this.table.count >= this.options.maxRunningCount) return "the batch is full";
     if (!this.keepsInterTokenBound(need)) return "one more would slow down watched generations";
@@ -187,6 +195,28 @@
     return this.steps.stepTimeWithMs(this.table.count + 1) <= boundMs;
   }
 
+  /**
+   * Long prompts slow down every step, so they and watched work are kept on different engines, for
+   * as long as no watched work has to wait for that.
+   */
+  private keepsPromptsApart(need: types.GenerationNeed, nowMs: number): boolean {
+    const waitedMs = nowMs - need.acceptedAtMs;
+    const prefillRatio = this.prefillLoad.ratio(nowMs);
+    const isPromptEngine = prefillRatio >= constants.PREFILL_ENGINE_RATIO;
+    if (need.class === catalogue.RequestClass.Streaming) {
+      if (waitedMs >= constants.WATCHED_PATIENCE_MS) this.watchedWaitedAtMs = nowMs;
+      return !isPromptEngine || this.isSeparationPaused(nowMs);
+    }
+    const isLong = need.promptTokens >= constants.LONG_PROMPT_TOKENS;
+    if (need.class === catalogue.RequestClass.Interactive || !isLong) return true;
+    if (waitedMs >= constants.BATCH_PATIENCE_MS || this.table.streamingCount === 0) return true;
+    return isPromptEngine || this.isSeparationPaused(nowMs);
+  }
+
+  private isSeparationPaused(nowMs: number): boolean {
+    return nowMs - this.watchedWaitedAtMs < constants.SEPARATION_PAUSE_MS;
+  }
+
   private hasPrefillRoom(need: types.GenerationNeed): boolean {
     if (need.class === catalogue.RequestClass.Interactive) return true;
     if (this.table.watchedCount === 0) return true;
--- a/src/engines/selectEngine/index.ts
+++ b/src/engines/selectEngine/index.ts
@@ -1,5 +1,6 @@
 import type * as backends from "../../backends/types.js";
 import type * as randoms from "../../_lib/random/index.js";
+import * as catalogue from "../../catalogue/types.js";
 import * as constants from "../constants.js";
 import * as types from "../types.js";
 
@@ -88,7 +89,24 @@
     filledRatio +
     distance +
     suspicion +
+    separationScore(view, need) +
     constants.SLOW_STEP_SCORE * stepRatio -
     constants.PREFIX_HIT_SCORE * hitLikelihood
   );
 }
+
+/** Steers long prompts to engines with few watchers, and watched work away from those prompts. */
+function separationScore(view: types.EngineView, need: types.GenerationNeed): number {
+  const prefillRatio = view.prefillRatio ?? 0;
+  const streamingCount = view.streamingCount ?? 0;
+  const prefillShare = Math.min(1, prefillRatio / constants.PREFILL_ENGINE_RATIO);
+  if (need.class === catalogue.RequestClass.Streaming) {
+    return constants.SEPARATION_SCORE * prefillShare;
+  }
+  const isLong = need.promptTokens >= constants.LONG_PROMPT_TOKENS;
+  if (need.class === catalogue.RequestClass.Interactive || !isLong) return 0;
+  const watchedShare = streamingCount / (streamingCount + 1);
+  const isFull = prefillRatio >= constants.FULL_PREFILL_RATIO;
+  const attraction = isFull ? 0 : prefillShare;
+  return constants.SEPARATION_SCORE * (watchedShare - attraction);
+}
--- a/src/engines/types.ts
+++ b/src/engines/types.ts
@@ -47,6 +47,10 @@
   /** Tokens that this VM has sent there since the summary was made. */
   readonly sentSinceTokens: number;
   readonly sentSinceCount: number;
+  /** Generations that someone watches unfold; none where left out. */
+  readonly streamingCount?: number;
+  /** Share of the engine's prefill speed that prompts of unwatched work take; none where left out. */
+  readonly prefillRatio?: number;
 }
 
 /** One generation that a home runs on its engine. */
