--- a/src/cli/fleetCommands/index.ts
+++ b/src/cli/fleetCommands/index.ts
@@ -86,9 +86,8 @@
     backend.dataCentre,
     backend.state,
     backend.home ?? "-",
-    formatRatio(backend.usedRatio),
+    formatRatio(backend.reservedRatio),
     backend.runningCount ?? "-",
-    backend.waitingCount ?? "-",
     backend.detail,
   ]);
   const headings = [
@@ -97,9 +96,8 @@
     "DATA CENTRE",
     "STATE",
     "HOME",
-    "MEMORY",
+    "RESERVED",
     "RUNNING",
-    "WAITING",
     "DETAIL",
   ];
   return { ...backends, text: output.formatTable(headings, rows) };
@@ -111,22 +109,12 @@
     item.requestId,
     item.vm,
     item.entryName,
-    item.class,
     item.accountName,
     output.formatDuration(item.waitedMs),
-    output.formatDuration(item.deadlineInMs),
+    item.producedTokens,
     item.reason,
   ]);
-  const headings = [
-    "REQUEST",
-    "VM",
-    "ENTRY",
-    "CLASS",
-    "ACCOUNT",
-    "WAITED",
-    "DEADLINE IN",
-    "WAITS FOR",
-  ];
+  const headings = ["REQUEST", "VM", "ENTRY", "ACCOUNT", "WAITED", "PRODUCED", "WAITS FOR"];
   return { ...queue, text: output.formatTable(headings, rows) };
 }
 
--- a/src/generations/_lib/engineHome/index.ts
+++ b/src/generations/_lib/engineHome/index.ts
@@ -1,5 +1,6 @@
 import type * as backends from "../../../backends/types.js";
 import type * as catalogue from "../../../catalogue/types.js";
+import * as catalogueTypes from "../../../catalogue/types.js";
 import type * as engines from "../../../engines/types.js";
 import * as engineTypes from "../../../engines/types.js";
 import * as constants from "../../constants.js";
@@ -51,7 +52,7 @@
   }
 
   /** Runs the work, or says why not. */
-  dispatch(dispatch: messages.DispatchRequest): messages.DispatchAnswer {
+  dispatch(dispatch: messages.DispatchRequest, isOvertaking = false): messages.DispatchAnswer {
     const { snapshot } = dispatch;
     const existing = this.runs.get(snapshot.request.requestId);
     if (existing !== undefined && existing.attempt >= snapshot.attempt) {
@@ -63,6 +64,7 @@
     if (dispatch.resumeAttempt === null) {
       const refusal = this.checkAdmission(snapshot);
       if (refusal !== null) return refusal;
+      if (isOvertaking) return this.answer(messages.DispatchVerdict.Wait, "more urgent work waits");
     }
     return this.startRun(dispatch);
   }
@@ -71,6 +73,14 @@
     return { ...this.scheduler.view(nowMs), health: this.health() };
   }
 
+  /** Memory that new work may take now; none where the engine takes no work. */
+  freeTokens(nowMs: number): number {
+    const { health, capacityTokens, reservedTokens } = this.view(nowMs);
+    const isUsable =
+      health === engineTypes.EngineHealth.Live || health === engineTypes.EngineHealth.Suspect;
+    return isUsable ? Math.floor(capacityTokens - reservedTokens) : 0;
+  }
+
   get runningCount(): number {
     return [...this.runs.values()].filter((run) => !run.isEnded).length;
   }
@@ -195,7 +205,7 @@
 
   private checkAdmission(snapshot: messages.GenerationSnapshot): messages.DispatchAnswer | null {
     const health = this.health();
-    if (health !== engineTypes.EngineHealth.Live) {
+    if (health === engineTypes.EngineHealth.Leaving || health === engineTypes.EngineHealth.Dead) {
       return this.answer(messages.DispatchVerdict.Unavailable, `the engine is ${health}`);
     }
     const nowMs = this.context.clock.nowMs();
@@ -230,7 +240,7 @@
   }
 
   private health(): engineTypes.EngineHealth {
-    if (this.leaving.isNoted) return engineTypes.EngineHealth.Leaving;
+    if (this.leaving.isNoted || this.isDrained()) return engineTypes.EngineHealth.Leaving;
     if (this.missedReportsCount >= constants.MISSED_REPORTS_COUNT) {
       return engineTypes.EngineHealth.Dead;
     }
@@ -238,6 +248,13 @@
     return engineTypes.EngineHealth.Live;
   }
 
+  /** What operators say is followed both ways; signs from elsewhere stay noted. */
+  private isDrained(): boolean {
+    const item = this.context.catalogue.current().items.get(`engine/${this.engine.name}`)?.item;
+    if (item?.kind !== catalogueTypes.ItemKind.Engine) return true;
+    return item.state === catalogueTypes.DesiredState.Draining;
+  }
+
   private answer(
     verdict: messages.DispatchVerdict,
     reason: string,
--- a/src/generations/_lib/reader/index.ts
+++ b/src/generations/_lib/reader/index.ts
@@ -1,12 +1,20 @@
 import * as stepError from "../../../_lib/stepError/index.js";
 import * as constants from "../../constants.js";
 import type * as types from "../../types.js";
+import type * as callerMeasures from "../callerMeasures/index.js";
 import type * as contexts from "../context/index.js";
 import * as errors from "../errors/index.js";
 import type * as locators from "../locator/index.js";
 import * as messages from "../messages/index.js";
 import type * as owneds from "../owned/index.js";
 
+/** Where a caller has got to. */
+export interface ReadPosition {
+  readonly requestId: string;
+  readonly accountName: string;
+  readonly fromOffset: number;
+}
+
 /** Reads generations for callers, wherever they are owned. */
 export class Reader {
   constructor(
@@ -19,24 +27,70 @@
     this.context.link.handle(messages.Method.Read, messages.readSchema, async (read) => {
       const generation = this.holders.owner.find(read.requestId);
       if (generation?.record.request.accountName !== read.accountName) return notOwner();
-      return this.readHere(generation, read.fromOffset, read.waitMs);
+      const timeout = new AbortController();
+      const timer = this.context.clock.schedule(read.waitMs, () => timeout.abort());
+      const attachment = generation.attach();
+      try {
+        return await this.readHere(generation, read.fromOffset, timeout.signal);
+      } finally {
+        attachment[Symbol.dispose]();
+        timer[Symbol.dispose]();
+      }
     });
   }
 
-  /** Frames from an offset on, each token once; follows the generation to whichever VM owns it. */
-  async *frames(
-    requestId: string,
-    accountName: string,
-    fromOffset: number,
-  ): AsyncGenerator<types.TokenFrame> {
-    let offset = fromOffset;
+  /**
+   * Frames from an offset on, each token once; follows the generation to whichever VM owns it.
+   * Ending the iteration detaches the caller at once, also while it waits for a token.
+   */
+  frames(
+    position: ReadPosition,
+    located: readonly locators.LocatedHolder[],
+    measures: callerMeasures.CallerMeasures | null,
+  ): AsyncIterableIterator<types.TokenFrame> {
+    const closing = new AbortController();
+    const generator = this.follow(position, located, measures, closing.signal);
+    return {
+      next: () => {
+        measures?.onAsked();
+        return generator.next();
+      },
+      return: async () => {
+        closing.abort();
+        return generator.return(undefined);
+      },
+      [Symbol.asyncIterator]() {
+        return this;
+      },
+    };
+  }
+
+  private async *follow(
+    position: ReadPosition,
+    located: readonly locators.LocatedHolder[],
+    measures: callerMeasures.CallerMeasures | null,
+    signal: AbortSignal,
+  ): AsyncGenerator<types.TokenFrame, undefined> {
+    using attachment = new Attachment(this.holders);
+    const { requestId } = position;
+    let holders = located;
+    let offset = position.fromOffset;
     let samplingAttempt: number | null = null;
     for (;;) {
-      const answer = await this.read(requestId, accountName, offset);
+      attachment.follow(requestId);
+      const answer = await this.read({ ...position, fromOffset: offset }, holders, signal);
+      if (answer === null) return;
+      holders = [];
       const isOther = samplingAttempt !== null && answer.samplingAttempt !== samplingAttempt;
-      if (answer.isSpliced || (isOther && offset > 0)) throw this.interrupted(offset);
+      if (answer.isSpliced || (isOther && offset > 0)) {
+        measures?.onEnded(false);
+        throw this.interrupted(offset);
+      }
       samplingAttempt = answer.samplingAttempt;
       const { attempt, tokens, finishReason } = answer;
+      if (tokens.length > 0) measures?.onTokens();
+      if (finishReason !== null) measures?.onEnded(true);
+      if (answer.failure !== null) measures?.onEnded(false);
       if (tokens.length > 0 || finishReason !== null) {
         yield { requestId, attempt, offset, tokens, finishReason };
       }
@@ -48,28 +102,31 @@
 
   /** Reads from the owner, and sees to it that there is one. */
   private async read(
-    requestId: string,
-    accountName: string,
-    fromOffset: number,
-  ): Promise<messages.ReadAnswer> {
-    for (;;) {
-      const generation = this.holders.owner.find(requestId);
+    position: ReadPosition,
+    located: readonly locators.LocatedHolder[],
+    signal: AbortSignal,
+  ): Promise<messages.ReadAnswer | null> {
+    let holders = located;
+    while (!signal.aborted) {
+      const generation = this.holders.owner.find(position.requestId);
       if (generation?.isCurrentOwner === true) {
-        const answer = await this.readHere(generation, fromOffset, Infinity);
+        const answer = await this.readHere(generation, position.fromOffset, signal);
         if (answer.isOwner) return answer;
         continue;
       }
-      const answer = await this.readElsewhere(requestId, accountName, fromOffset);
+      if (holders.length === 0) holders = await this.locator.locate(position.requestId);
+      const answer = await this.readElsewhere(position, holders);
       if (answer !== null) return answer;
+      holders = [];
     }
+    return null;
   }
 
   private async readElsewhere(
-    requestId: string,
-    accountName: string,
-    fromOffset: number,
+    position: ReadPosition,
+    located: readonly locators.LocatedHolder[],
   ): Promise<messages.ReadAnswer | null> {
-    const located = await this.locator.locate(requestId);
+    const { requestId } = position;
     const owner = located.find((holder) => holder.answer.role === messages.HolderRole.Owner);
     if (owner === undefined) {
       const taken = await this.locator.takeOver(requestId, located);
@@ -80,7 +137,7 @@
       const answer = await this.context.link.call(
         owner.vmName,
         messages.Method.Read,
-        { requestId, accountName, fromOffset, waitMs: constants.READ_WAIT_MS },
+        { ...position, waitMs: constants.READ_WAIT_MS },
         messages.readAnswerSchema,
         constants.READ_WAIT_MS + constants.PEER_CALL_TIMEOUT_MS,
       );
@@ -94,43 +151,29 @@
     }
   }
 
-  /** Waits for tokens after an offset, for a change of owner, or for the time to pass. */
+  /** Waits for tokens after an offset, for a change of owner, or for the signal. */
   private async readHere(
     generation: owneds.OwnedGeneration,
     fromOffset: number,
-    waitMs: number,
+    signal: AbortSignal,
   ): Promise<messages.ReadAnswer> {
     const { record } = generation;
-    generation.noteDelivered(0);
-    const timeout = new AbortController();
-    const timer =
-      waitMs === Infinity ? null : this.context.clock.schedule(waitMs, () => timeout.abort());
-    generation.attachedCount += 1;
-    try {
-      for (;;) {
-        if (!generation.isCurrentOwner) return notOwner();
-        const chunk = record.deliverable(fromOffset);
-        const isSpliced = generation.isSplicedAt(fromOffset);
-        const isNews = chunk !== null || record.failure !== null || isSpliced;
-        if (!isNews && !timeout.signal.aborted) {
-          await record.nextChange(timeout.signal);
-          continue;
-        }
-        const tokens = isSpliced ? [] : (chunk?.tokens ?? []);
-        generation.noteDelivered(fromOffset + tokens.length);
-        return {
-          isOwner: true,
-          isSpliced,
-          attempt: record.attempt,
-          samplingAttempt: record.samplingAttempt,
-          tokens: [...tokens],
-          finishReason: chunk?.finishReason ?? null,
-          failure: describeFailure(record.failure),
-        };
+    for (;;) {
+      if (!generation.isCurrentOwner) return notOwner();
+      const isSpliced = generation.deliveries.isSplicedAt(fromOffset);
+      const chunk = isSpliced ? null : record.deliverable(fromOffset);
+      const isNews = chunk !== null || record.failure !== null || isSpliced;
+      if (!isNews && !signal.aborted) {
+        await record.nextChange(signal);
+        continue;
       }
-    } finally {
-      generation.attachedCount -= 1;
-      timer?.[Symbol.dispose]();
+      const tokens = chunk?.tokens ?? [];
+      const finishReason = chunk?.finishReason ?? null;
+      generation.noteDelivered(fromOffset + tokens.length);
+      if (finishReason !== null) generation.deliveries.hasDeliveredEnd = true;
+      const { attempt, samplingAttempt } = record;
+      const failure = describeFailure(record.failure);
+      return { isOwner: true, isSpliced, attempt, samplingAttempt, tokens, finishReason, failure };
     }
   }
 
@@ -155,6 +198,28 @@
   }
 }
 
+/** A caller's hold on a generation that this VM owns, for as long as it owns it. */
+class Attachment implements Disposable {
+  private generation: owneds.OwnedGeneration | null = null;
+  private hold: Disposable | null = null;
+
+  constructor(private readonly holders: locators.Holders) {}
+
+  /** Attaches to the generation as it is owned here now, if it is. */
+  follow(requestId: string): void {
+    const generation = this.holders.owner.find(requestId);
+    if (generation === this.generation) return;
+    this[Symbol.dispose]();
+    this.generation = generation;
+    this.hold = generation?.attach() ?? null;
+  }
+
+  [Symbol.dispose](): void {
+    this.hold?.[Symbol.dispose]();
+    this.hold = null;
+  }
+}
+
 function describeFailure(error: stepError.StepError | null): messages.ReadAnswer["failure"] {
   if (error === null) return null;
   const { message, code, step } = error;
