--- a/experiments/bench/relay/_lib/liveVms/index.ts
+++ b/experiments/bench/relay/_lib/liveVms/index.ts
@@ -1,6 +1,6 @@
 import * as catalogueViews from "../../../../../standins/catalogue/view/index.js";
 import * as fleetViews from "../../../../../standins/fleet/view/index.js";
-import * as metrics from "../../../../../standins/metrics/index.js";
+import * as counters from "../../../../../standins/telemetry/counters/index.js";
 import * as tcpFleets from "../../../../../standins/peers/tcpFleet/index.js";
 import * as vms from "../../../../../standins/vms/index.js";
 import * as clocks from "../../../../../src/_lib/clock/index.js";
@@ -40,7 +40,7 @@
         this.clock,
         randoms.createRandom(7),
         loggers.SILENT_LOGGER,
-        new metrics.CountingMetrics(),
+        new counters.CounterModel(),
         telemetry.NO_TRACER,
         await fleet.start(identity.name),
         new fleetViews.FakeFleetView(identity, identities),
--- a/src/generations/_lib/viewRecipients/index.ts
+++ b/src/generations/_lib/viewRecipients/index.ts
@@ -1,6 +1,4 @@
-import type * as fleet from "../../../fleet/types.js";
-import * as fleetTypes from "../../../fleet/types.js";
-import * as rendezvous from "../rendezvous/index.js";
+import * as fleet from "../../../fleet/index.js";
 
 /** Up to this size of fleet every VM hears of every engine directly. */
 const SMALL_FLEET_COUNT = 32;
@@ -21,7 +19,7 @@
   self: fleet.VmIdentity,
   members: readonly fleet.VmMember[],
 ): ViewRecipients {
-  const live = members.filter((member) => member.state !== fleetTypes.MemberState.Dead);
+  const live = members.filter((member) => member.state !== fleet.MemberState.Dead);
   if (live.length <= SMALL_FLEET_COUNT) return { near: live.map(nameOf), relays: [] };
   const near = live.filter((member) => member.dataCentre === self.dataCentre).map(nameOf);
   const dataCentres = new Set(live.map((member) => member.dataCentre));
@@ -32,13 +30,13 @@
 
 /** Whether a VM passes on to its data centre what it hears from others. */
 export function isRelay(self: fleet.VmIdentity, members: readonly fleet.VmMember[]): boolean {
-  const live = members.filter((member) => member.state !== fleetTypes.MemberState.Dead);
+  const live = members.filter((member) => member.state !== fleet.MemberState.Dead);
   return live.length > SMALL_FLEET_COUNT && relayOf(self.dataCentre, live) === self.name;
 }
 
 function relayOf(dataCentre: string, members: readonly fleet.VmMember[]): string | null {
-  const names = members.filter((member) => member.dataCentre === dataCentre).map(nameOf);
-  return rendezvous.rankByRendezvous(dataCentre, names)[0] ?? null;
+  const candidates = members.filter((member) => member.dataCentre === dataCentre);
+  return fleet.rankByRendezvous(dataCentre, candidates)[0]?.name ?? null;
 }
 
 function nameOf(member: fleet.VmMember): string {
--- a/src/generations/_lib/viewSpread/test.ts
+++ b/src/generations/_lib/viewSpread/test.ts
@@ -1,7 +1,7 @@
 import * as msgpackr from "msgpackr";
 import tap from "tap";
 
-import * as metrics from "../../../../standins/metrics/index.js";
+import * as counters from "../../../../standins/telemetry/counters/index.js";
 import * as fleetViews from "../../../../standins/fleet/view/index.js";
 import * as loggers from "../../../_lib/logger/index.js";
 import * as randoms from "../../../_lib/random/index.js";
@@ -53,7 +53,7 @@
     clock,
     random,
     logger: loggers.SILENT_LOGGER,
-    metrics: new metrics.CountingMetrics(),
+    metrics: new counters.CounterModel(),
     tracer: telemetry.NO_TRACER,
     link: link as unknown as contexts.GenerationContext["link"],
     fleet: new fleetViews.FakeFleetView(identities[0]!, identities),
--- a/src/generations/_lib/waitingDesk/index.ts
+++ b/src/generations/_lib/waitingDesk/index.ts
@@ -1,9 +1,9 @@
 import * as engines from "../../../engines/index.js";
+import * as fleet from "../../../fleet/index.js";
 import * as constants from "../../constants.js";
 import * as selectHomes from "../../selectHome/index.js";
 import type * as contexts from "../context/index.js";
 import * as messages from "../messages/index.js";
-import * as rendezvous from "../rendezvous/index.js";
 import type * as views from "../views/index.js";
 
 /** The work that waits at this VM, not bound to any engine, and what homes are told of it. */
@@ -72,7 +72,8 @@
       const home = selectHomes.selectHome(view, members);
       if (home !== null) homes.add(home);
     }
-    const ranked = rendezvous.rankByRendezvous(this.context.link.selfName, [...homes]);
-    return ranked.slice(0, constants.MAX_TOLD_HOMES);
+    const named = [...homes].map((name) => ({ name }));
+    const ranked = fleet.rankByRendezvous(this.context.link.selfName, named);
+    return ranked.slice(0, constants.MAX_TOLD_HOMES).map(({ name }) => name);
   }
 }
--- a/src/generations/selectHome/index.ts
+++ b/src/generations/selectHome/index.ts
@@ -1,7 +1,5 @@
 import type * as catalogue from "../../catalogue/types.js";
-import type * as fleet from "../../fleet/types.js";
-import * as fleetTypes from "../../fleet/types.js";
-import * as rendezvous from "../_lib/rendezvous/index.js";
+import * as fleet from "../../fleet/index.js";
 
 /**
  * The VM that decides about an engine: the live VM of the engine's data centre that rendezvous
@@ -20,15 +18,14 @@
 ): string | null {
   const reachable = members.filter((member) => !isAvoided(member.name));
   const live = reachable.filter((member) => isHomeState(member.state));
-  const leaving = reachable.filter((member) => member.state === fleetTypes.MemberState.Leaving);
+  const leaving = reachable.filter((member) => member.state === fleet.MemberState.Leaving);
   const eligible = live.length > 0 ? live : leaving;
   const local = eligible.filter((member) => member.dataCentre === engine.dataCentre);
   const candidates = local.length > 0 ? local : eligible;
-  const names = candidates.map((member) => member.name);
-  return rendezvous.rankByRendezvous(engine.name, names)[0] ?? null;
+  return fleet.firstByRendezvous(engine.name, candidates)?.name ?? null;
 }
 
 /** A suspect VM stays a home: a suspicion that is refuted must not move engines twice. */
 function isHomeState(state: fleet.MemberState): boolean {
-  return state === fleetTypes.MemberState.Live || state === fleetTypes.MemberState.Suspect;
+  return state === fleet.MemberState.Live || state === fleet.MemberState.Suspect;
 }
--- a/src/generations/selectKeeper/index.ts
+++ b/src/generations/selectKeeper/index.ts
@@ -1,6 +1,4 @@
-import type * as fleet from "../../fleet/types.js";
-import * as fleetTypes from "../../fleet/types.js";
-import * as rendezvous from "../_lib/rendezvous/index.js";
+import * as fleet from "../../fleet/index.js";
 
 /**
  * The VM that holds the second copy of a request: another data centre of the owner's region
@@ -21,13 +19,13 @@
   const others = members.filter(
     (member) =>
       member.name !== self.name &&
-      member.state === fleetTypes.MemberState.Live &&
+      member.state === fleet.MemberState.Live &&
       !isAvoided(member.name),
   );
   const sameRegion = others.filter((member) => member.region === self.region);
   const apart = sameRegion.filter((member) => member.dataCentre !== self.dataCentre);
   const candidates = [apart, sameRegion, others].find((group) => group.length > 0) ?? [];
-  return rankMembers(requestId, candidates)[0]?.name ?? null;
+  return fleet.rankByRendezvous(requestId, candidates)[0]?.name ?? null;
 }
 
 /**
@@ -41,18 +39,9 @@
   requestId: string,
   members: readonly fleet.VmMember[],
 ): readonly string[] {
-  const live = members.filter((member) => member.state === fleetTypes.MemberState.Live);
-  const [first, second, ...others] = rankMembers(requestId, live);
+  const live = members.filter((member) => member.state === fleet.MemberState.Live);
+  const [first, second, ...others] = fleet.rankByRendezvous(requestId, live);
   if (first === undefined || second === undefined) return first === undefined ? [] : [first.name];
   const apart = [second, ...others].find((member) => member.dataCentre !== first.dataCentre);
   return [...new Set([first.name, second.name, apart?.name ?? first.name])];
 }
-
-function rankMembers(
-  requestId: string,
-  members: readonly fleet.VmMember[],
-): readonly fleet.VmMember[] {
-  const names = members.map((member) => member.name);
-  const ranked = rendezvous.rankByRendezvous(requestId, names);
-  return ranked.flatMap((name) => members.filter((member) => member.name === name));
-}
