Keep an old home from cancelling the stream that its successor reads

Change: a cancel names the stream that goes on; a stream cancelled by somebody else counts as lost, and the generation continues from its prefix.

--- a/src/generations/_lib/engineHome/index.ts
+++ b/src/generations/_lib/engineHome/index.ts
@@ -61,6 +61,12 @@
     if (existing !== undefined && this.adoptExisting(existing, dispatch)) {
       return this.answer(messages.DispatchVerdict.Admitted, "the run goes on", existing);
     }
+    if (existing !== undefined && !existing.isEnded) {
+      const { engineName, resumeAttempt } = dispatch;
+      const kept = resumeAttempt === null ? null : { engineName, engineAttempt: resumeAttempt };
+      this.runs.delete(existing.requestId);
+      this.dropRun(existing, kept);
+    }
     if (dispatch.resumeAttempt === null) {
       const refusal = this.checkAdmission(snapshot);
       if (refusal !== null) return refusal;
@@ -113,15 +119,26 @@
     void this.client.cancel(run.requestId, run.engineAttempt);
   }
 
-  cancel(requestId: string, attempt: number): void {
-    const run = this.runs.get(requestId);
-    if (run?.attempt !== attempt) return;
-    if (!run.isEnded) {
-      void run.cancel();
-      this.scheduler.onEnded(requestId, this.context.clock.nowMs(), false);
-      this.observer.onRoom(this);
-    }
-    this.runs.delete(requestId);
+  /** Ends a run that its owner no longer wants. */
+  cancel(cancel: messages.CancelRequest): void {
+    const run = this.runs.get(cancel.requestId);
+    if (run?.attempt !== cancel.attempt) return;
+    this.runs.delete(cancel.requestId);
+    if (run.isEnded) return;
+    this.dropRun(run, cancel.keptStream);
+    this.observer.onRoom(this);
+  }
+
+  /** Stops reading a run; its stream is cancelled, unless another run has taken it up. */
+  private dropRun(
+    run: engineRuns.EngineRun,
+    keptStream: Pick<messages.RunLocation, "engineName" | "engineAttempt"> | null,
+  ): void {
+    const isStreamKept =
+      keptStream?.engineName === run.engineName && keptStream.engineAttempt === run.engineAttempt;
+    run.drop();
+    if (!isStreamKept) void this.client.cancel(run.requestId, run.engineAttempt);
+    this.scheduler.onEnded(run.requestId, this.context.clock.nowMs(), false);
   }
 
   onFrame(run: engineRuns.EngineRun, frame: types.TokenFrame): void {
--- a/src/generations/_lib/engineRun/index.ts
+++ b/src/generations/_lib/engineRun/index.ts
@@ -1,5 +1,6 @@
 import * as stepError from "../../../_lib/stepError/index.js";
 import type * as backends from "../../../backends/types.js";
+import * as backendTypes from "../../../backends/types.js";
 import * as constants from "../../constants.js";
 import type * as types from "../../types.js";
 import type * as contexts from "../context/index.js";
@@ -108,11 +109,10 @@
     this.observer.onEnded(this, kind, reason);
   }
 
-  /** Ends the run and frees the engine's memory. */
-  async cancel(): Promise<void> {
+  /** Stops reading without telling anybody. */
+  drop(): void {
     this.isEnded = true;
     this.close();
-    await this.client.cancel(this.requestId, this.engineAttempt);
   }
 
   grantCredit(offset: number): void {
@@ -172,6 +172,10 @@
     const fromOffset = this.tokens.length;
     for (const token of frame.tokens.slice(skipCount)) this.tokens.push(token);
     if (this.tokens.length > fromOffset) this.noteProgress();
+    if (frame.finishReason === backendTypes.FinishReason.Cancelled) {
+      this.end(messages.RunEndKind.EngineLost, "the engine's stream was cancelled");
+      return;
+    }
     this.finishReason = frame.finishReason;
     if (this.tokens.length > fromOffset || frame.finishReason !== null) this.emit(fromOffset);
     if (frame.finishReason === null) return;
--- a/src/generations/_lib/homeDesk/index.ts
+++ b/src/generations/_lib/homeDesk/index.ts
@@ -34,8 +34,8 @@
       this.dispatch(dispatch, fromVm),
     );
     link.handle(messages.Method.Probe, messages.offsetSchema, (probe) => this.probe(probe));
-    link.handle(messages.Method.Cancel, messages.attemptSchema, (cancel) => {
-      for (const home of this.homes.values()) home.cancel(cancel.requestId, cancel.attempt);
+    link.handle(messages.Method.Cancel, messages.cancelSchema, (cancel) => {
+      for (const home of this.homes.values()) home.cancel(cancel);
     });
     link.handle(messages.Method.Credit, messages.creditSchema, (credit) => {
       const run = this.findRun(credit.requestId);
@@ -148,7 +148,8 @@
     const run = this.findRun(requestId);
     if (run === null || run.engineName === dispatch.engineName) return;
     if (run.attempt < dispatch.snapshot.attempt) {
-      this.homes.get(run.engineName)?.cancel(requestId, run.attempt);
+      const { attempt } = run;
+      this.homes.get(run.engineName)?.cancel({ requestId, attempt, keptStream: null });
     }
   }
 
--- a/src/generations/_lib/messages/index.ts
+++ b/src/generations/_lib/messages/index.ts
@@ -139,6 +139,11 @@
 
 export const offsetSchema = attemptSchema.extend({ offset: zod.number() });
 
+export const cancelSchema = attemptSchema.extend({
+  /** The engine's stream that goes on elsewhere and must not be cancelled; null for none. */
+  keptStream: runLocationSchema.nullable(),
+});
+
 export const creditSchema = attemptSchema.extend({
   /** Offset up to which tokens may be sent; null for no bound. */
   offset: zod.number().nullable(),
@@ -221,6 +226,7 @@
 export type DispatchRequest = zod.infer<typeof dispatchSchema>;
 export type DispatchAnswer = zod.infer<typeof dispatchAnswerSchema>;
 export type WaitingItem = zod.infer<typeof waitingItemSchema>;
+export type CancelRequest = zod.infer<typeof cancelSchema>;
 export type RunEnded = zod.infer<typeof runEndedSchema>;
 export type HoldAnswer = zod.infer<typeof holdAnswerSchema>;
 export type ReadAnswer = zod.infer<typeof readAnswerSchema>;
--- a/src/generations/_lib/owned/index.ts
+++ b/src/generations/_lib/owned/index.ts
@@ -181,7 +181,8 @@
   cancelRun(): void {
     const { run, requestId, attempt } = this.record;
     if (run === null) return;
-    this.services.context.link.notify(run.homeVm, messages.Method.Cancel, { requestId, attempt });
+    const cancel = { requestId, attempt, keptStream: null };
+    this.services.context.link.notify(run.homeVm, messages.Method.Cancel, cancel);
   }
 
   trace(step: string, reason: string, engineName?: string): void {
@@ -241,7 +242,8 @@
   private cancelStaleRun(frame: types.TokenFrame, fromVm: string): void {
     if (frame.attempt >= this.record.attempt) return;
     const { requestId, attempt } = frame;
-    this.services.context.link.notify(fromVm, messages.Method.Cancel, { requestId, attempt });
+    const cancel = { requestId, attempt, keptStream: this.record.run };
+    this.services.context.link.notify(fromVm, messages.Method.Cancel, cancel);
   }
 
   /** A stream that makes progress is finished even after its deadline, except for a lookup. */
--- a/src/generations/generations/test.ts
+++ b/src/generations/generations/test.ts
@@ -112,6 +112,21 @@
   expectations.expectWhole(t, caller);
 });
 
+tap.test(
+  "a home cut off for a moment does not cancel the stream that its successor reads",
+  async (t) => {
+    await using group = new vms.VmGroup({ vms: vms.THREE_VMS, engines: { e1: "dc1" } });
+    const [home, entry] = callers.homeAndOthers(group, "e1");
+    const caller = await callers.startAt(group, entry!);
+    group.hub.cut(home, entry!);
+    await group.clock.runForMs(50);
+    group.hub.heal(home, entry!);
+    await group.clock.runForMs(5_000);
+    expectations.expectWhole(t, caller);
+    t.equal(group.engine("e1").counters.cancelledCount, 0);
+  },
+);
+
 tap.test("where no engine is left the caller is told how much it has", async (t) => {
   await using group = new vms.VmGroup({ vms: vms.THREE_VMS, engines: { e1: "dc1" } });
   const caller = await callers.startAt(group, "a", { deadlineMs: 8_000 });
