--- a/src/calls/calls/index.ts
+++ b/src/calls/calls/index.ts
@@ -90,8 +90,8 @@
   }
 
   /** Gives a server no new calls, on a sign from any source, until its catalogue item changes. */
-  markLeaving(serverName: string): void {
-    this.pool.markLeaving(serverName);
+  noteLeaving(serverName: string): void {
+    this.pool.noteLeaving(serverName);
   }
 
   describe(): types.CallsDescription {
--- a/src/catalogue/catalogueReplica/test.ts
+++ b/src/catalogue/catalogueReplica/test.ts
@@ -9,6 +9,7 @@
 import * as appendBudgets from "../../platform/appendBudget/index.js";
 import * as platform from "../../platform/types.js";
 import * as replication from "../../replication/index.js";
+import * as diffItems from "../diffItems/index.js";
 import * as types from "../types.js";
 import * as catalogueReplica from "./index.js";
 
@@ -134,3 +135,39 @@
   t.match(replica.describe().skipped[0]!.reason, /changeId/);
   await fleet.stop(replica);
 });
+
+tap.test("an item's history and a difference of two items are told", async (t) => {
+  const fleet = new Fleet();
+  const replica = fleet.start("a");
+  await fleet.settle(replica.propose(changeVm("vm-1", null)));
+  await fleet.settle(replica.propose(changeVm("vm-2", null)));
+  await fleet.settle(replica.propose(changeVm("vm-1", 0, types.DesiredState.Draining)));
+  const history = await fleet.settle(replica.history(types.ItemKind.Vm, "vm-1"));
+  const entries = history._unsafeUnwrap();
+  t.same(
+    entries.map((entry) => entry.offset),
+    [0, 2],
+  );
+  const [before, after] = entries.map((entry) => entry.change.item);
+  t.same(diffItems.diffItems(before!, after!), [
+    { path: "state", before: "active", after: "draining" },
+  ]);
+  await fleet.stop(replica);
+});
+
+tap.test("a paused VM that wakes up catches up and never shows an older catalogue", async (t) => {
+  const fleet = new Fleet();
+  const [left, right] = [fleet.start("a"), fleet.start("b", "dc-b")];
+  await fleet.clock.runForMs(1_000);
+  const resume = fleet.hub.pause("b");
+  const seen: number[] = [];
+  right.onChange((state) => seen.push(state.appliedOffset));
+  for (const [index, base] of [null, 0, 1].entries()) {
+    await fleet.settle(left.propose(changeVm(`vm-1`, base)));
+    t.equal(left.appliedOffset, index);
+  }
+  resume();
+  await fleet.clock.runForMs(3_000);
+  t.same(seen, [0, 1, 2]);
+  await fleet.stop(left, right);
+});
--- a/src/catalogue/constants.ts
+++ b/src/catalogue/constants.ts
@@ -14,7 +14,7 @@
  * Change ids are remembered in two generations of this size; the older one is dropped when the
  * younger one is full, so a repeated change is recognised for at least this many changes.
  */
-export const CHANGE_ID_GENERATION_SIZE = 16_384;
+export const CHANGE_ID_GENERATION_SIZE = 8_192;
 
 /** Defaults of optional fields in an operator's document. */
 export const DEFAULT_GENERATION_DEADLINE_MS = 600_000;
--- a/src/replication/constants.ts
+++ b/src/replication/constants.ts
@@ -21,7 +21,7 @@
 export const MAX_RETRY_PAUSE_MS = 2_000;
 
 /** Records kept in memory to serve peers and repeated questions. */
-export const RECENT_RECORDS_COUNT = 4_096;
+export const RECENT_RECORDS_COUNT = 1_024;
 
 /** Records in one message to a peer. */
 export const RECORDS_PER_MESSAGE = 500;
