--- a/src/calls/_lib/idempotentCaller/test.ts
+++ b/src/calls/_lib/idempotentCaller/test.ts
@@ -90,7 +90,7 @@
   await callSteadily(rig, 20, 20);
   t.equal(rig.service.attemptsByServer.get(server.name), undefined);
   rig.catalogue.put(server);
-  rig.vms[0]!.calls.noteLeaving(server.name);
+  rig.vms[0]!.calls.markLeaving(server.name);
   await callSteadily(rig, 20, 20);
   t.equal(rig.service.attemptsByServer.get(server.name), undefined, "said to leave");
   rig.catalogue.put(server);
--- a/src/calls/_lib/serverPool/index.ts
+++ b/src/calls/_lib/serverPool/index.ts
@@ -78,7 +78,7 @@
   }
 
   /** Gives a server no new work, from any sign, until its catalogue item changes again. */
-  noteLeaving(name: string): void {
+  markLeaving(name: string): void {
     const health = this.healthOf(name);
     if (health.leavingAtRevision !== null) return;
     health.leavingAtRevision = this.revisionOf(name);
--- a/src/calls/calls/index.ts
+++ b/src/calls/calls/index.ts
@@ -90,8 +90,8 @@
   }
 
   /** Gives a server no new calls, on a sign from any source, until its catalogue item changes. */
-  noteLeaving(serverName: string): void {
-    this.pool.noteLeaving(serverName);
+  markLeaving(serverName: string): void {
+    this.pool.markLeaving(serverName);
   }
 
   describe(): types.CallsDescription {
