--- /dev/null
+++ b/src/daemon/daemon/test.ts
@@ -0,0 +1,36 @@
+import tap from "tap";
+
+import * as disposableStore from "../../_lib/disposableStore/index.js";
+import * as localDaemons from "../../../standins/daemon/index.js";
+
+const PROMPT = "the walker's private words";
+
+tap.test("neither keys nor prompts show in traces, reports and descriptions", async (t) => {
+  const store = new disposableStore.DisposableStore();
+  t.teardown(() => store[Symbol.asyncDispose]());
+  const setup = await localDaemons.startLocalDaemon(store);
+  await localDaemons.publishItems(setup);
+  const { admin, daemon } = setup;
+  const response = await fetch(`${daemon.callerUrl}/v1/completions`, {
+    method: "POST",
+    headers: { authorization: `Bearer ${localDaemons.ACCOUNT_KEY}` },
+    body: JSON.stringify({ model: "draft", prompt: `${PROMPT} #tokens=20`, stream: true }),
+  });
+  await response.text();
+  const requestId = response.headers.get("x-request-id") ?? "";
+  const shown = JSON.stringify([
+    await admin.explainRequest(requestId),
+    await admin.explainEngine("engine-1"),
+    await admin.gatherBurn(),
+    await admin.listBackends(),
+    await admin.listQueue(),
+    await admin.listNodes(),
+    await admin.describeVm(),
+    await admin.listItems(),
+  ]);
+  t.match(shown, "engine.started", "the decisions are shown");
+  for (const secret of [localDaemons.ACCOUNT_KEY, localDaemons.OPERATOR_KEY, PROMPT]) {
+    t.notMatch(shown, secret);
+  }
+  t.notMatch(shown, "a key that all virtual machines");
+});
--- a/src/http/_lib/completionRoute.ts
+++ b/src/http/_lib/completionRoute.ts
@@ -42,12 +42,16 @@
       body.value.model,
       catalogue.findGenerationEntry,
     );
-    if (admitted.isErr()) return hapiServers.sendProblem(h, admitted.error, requestId);
-    const { permit } = admitted.value;
+    if (admitted.isErr()) return refuse(parts, h, admitted.error, requestId);
+    const { permit, account, entry } = admitted.value;
+    parts.tracer.record(requestId, {
+      step: "request.received",
+      reason: `entry ${entry.name}, class ${entry.class}, account ${account.name}`,
+    });
     const submitted = await submit(parts, requestId, body.value, admitted.value);
     if (submitted.isErr()) {
       permit[Symbol.dispose]();
-      return hapiServers.sendProblem(h, submitted.error, requestId);
+      return refuse(parts, h, submitted.error, requestId);
     }
     const target: AnswerTarget = {
       head: { requestId, entryName: body.value.model },
@@ -62,6 +66,22 @@
   };
 }
 
+/** Refuses a request, and keeps the reason for explanations. */
+function refuse(
+  parts: types.CallerServerParts,
+  h: hapi.ResponseToolkit,
+  error: stepError.StepError,
+  requestId: string,
+): hapi.ResponseObject {
+  parts.tracer.record(requestId, {
+    step: "request.refused",
+    reason: `${error.step}: ${error.message} (${error.execution})`,
+    ...(error.peer === undefined ? {} : { backend: error.peer }),
+  });
+  parts.metrics.increment("requests_refused", 1, { code: error.code });
+  return hapiServers.sendProblem(h, error, requestId);
+}
+
 /** Handles `GET /v1/requests/{id}`: takes up an answer where the caller left off. */
 export function attach(parts: types.CallerServerParts): hapi.Lifecycle.Method {
   return async (request, h) => {
