--- a/experiments/runExperiment/index.ts
+++ b/experiments/runExperiment/index.ts
@@ -13,6 +13,7 @@
 
 const TICK_MS = 50;
 const MERGE_INTERVAL_MS = 5_000;
+const EXPIRY_INTERVAL_MS = 1_000;
 const RECLAIM_NOTICE_MS = 30_000;
 /** A run ends at the latest after this many times its own duration. */
 const LONGEST_DRAIN_FACTOR = 40;
@@ -107,6 +108,7 @@
       this.repeat(this.experiment.viewIntervalMs, index, () => this.publish(node));
     });
     this.repeat(MERGE_INTERVAL_MS, 0, () => this.mergeLearners());
+    this.repeat(EXPIRY_INTERVAL_MS, 0, () => this.expireWaiting());
     for (const item of this.experiment.disturbances) {
       this.clock.schedule(item.atMs, () => this.disturb(item));
     }
@@ -216,6 +218,14 @@
     }
   }
 
+  private expireWaiting(): void {
+    const queues = [...this.vms.map((vm) => vm.queue), ...this.homeQueues.values()];
+    for (const need of queues.flatMap((queue) => queue.expire(this.clock.nowMs()))) {
+      const request = this.live.get(need.requestId);
+      if (request !== undefined) this.recorder.onRefused(request.caller);
+    }
+  }
+
   private disturb(item: types.Disturbance): void {
     const model = this.nodes[item.engineIndex]?.parts.model;
     if (item.kind === types.DisturbanceKind.EngineLoss) model?.inject(standins.EngineFault.Dead);
--- a/src/engines/constants.ts
+++ b/src/engines/constants.ts
@@ -135,3 +135,7 @@
 
 /** Score of keeping long prompts and watched generations on different engines. */
 export const SEPARATION_SCORE = 0.5;
+
+/** Up to so many engines are all looked at when one is chosen; of more, a sample. */
+export const MAX_SCANNED_ENGINES = 64;
+export const SAMPLED_ENGINES = 32;
--- a/src/engines/selectEngine/index.ts
+++ b/src/engines/selectEngine/index.ts
@@ -22,7 +22,8 @@
 
 /**
  * Chooses an engine for a request. Among engines of nearly the same score one is drawn at random,
- * so that several VMs with the same stale views do not herd onto one engine.
+ * so that several VMs with the same stale views do not herd onto one engine. Of very many engines
+ * only a random sample is looked at, unless none in it can serve the request.
  *
  * @param need - the request
  * @param views - all engines known, usable or not
@@ -32,6 +33,20 @@
   need: types.GenerationNeed,
   views: readonly types.EngineView[],
   options: SelectEngineOptions,
+): EngineChoice | null {
+  if (views.length <= constants.MAX_SCANNED_ENGINES) return selectBest(need, views, options);
+  const sample: types.EngineView[] = [];
+  for (let drawn = 0; drawn < constants.SAMPLED_ENGINES; drawn += 1) {
+    const view = views[Math.floor(options.random.next() * views.length)];
+    if (view !== undefined) sample.push(view);
+  }
+  return selectBest(need, sample, options) ?? selectBest(need, views, options);
+}
+
+function selectBest(
+  need: types.GenerationNeed,
+  views: readonly types.EngineView[],
+  options: SelectEngineOptions,
 ): EngineChoice | null {
   let best: types.EngineView | null = null;
   let bestScore = Infinity;
