--- a/experiments/bench/main.ts
+++ b/experiments/bench/main.ts
@@ -1,9 +1,11 @@
 import * as decisions from "./decisions/index.js";
+import * as relay from "./relay/index.js";
 
-type Bench = () => void;
+type Bench = () => void | Promise<void>;
 
 const BENCHES: Readonly<Record<string, Bench>> = {
   decisions: decisions.benchDecisions,
+  relay: relay.benchRelay,
 };
 
 const name = process.argv[2] ?? "decisions";
@@ -11,4 +13,4 @@
 if (bench === undefined) {
   process.stderr.write(`no bench ${name}; one of: ${Object.keys(BENCHES).join(", ")}\n`);
   process.exitCode = 1;
-} else bench();
+} else await bench();
--- a/src/generations/_lib/keeperDesk/index.ts
+++ b/src/generations/_lib/keeperDesk/index.ts
@@ -1,3 +1,4 @@
+import * as constants from "../../constants.js";
 import type * as types from "../../types.js";
 import type * as contexts from "../context/index.js";
 import * as frameBatchers from "../frameBatcher/index.js";
@@ -31,6 +32,7 @@
       if (copy?.ownerVm !== fromVm || copy.attempt > located.attempt) return;
       copy.attempt = located.attempt;
       copy.run = located.run;
+      this.extend(copy);
     });
     link.handleRaw(messages.Method.CopyFrames, (params, fromVm) => {
       this.takeFrames(frameBatchers.parseFrames(params), fromVm);
@@ -80,6 +82,13 @@
     return { isHeld: true, attempt: copy.attempt, ownerVm: copy.ownerVm };
   }
 
+  /** A generation that is still going on is held, also past its deadline. */
+  private extend(copy: records.GenerationRecord): void {
+    const { keepFinishedMs } = copy.request.entry;
+    const keptUntilMs = this.context.clock.nowMs() + keepFinishedMs + constants.COPY_KEPT_MS;
+    copy.expiresAtMs = Math.max(copy.expiresAtMs, keptUntilMs);
+  }
+
   private takeFrames(frames: readonly types.TokenFrame[], fromVm: string): void {
     const counts: CopiedCount[] = [];
     for (const frame of frames) {
@@ -87,6 +96,7 @@
       if (copy?.ownerVm !== fromVm) continue;
       copy.attempt = Math.max(copy.attempt, frame.attempt);
       copy.acceptFrame(frame);
+      this.extend(copy);
       const { requestId, attempt } = copy;
       counts.push({ requestId, attempt, heldCount: copy.tokens.length });
     }
--- a/src/generations/constants.ts
+++ b/src/generations/constants.ts
@@ -55,6 +55,9 @@
 /** Longest wait for a copy's acknowledgement before another second holder is chosen. */
 export const COPY_ACK_TIMEOUT_MS = 500;
 
+/** How long a second copy outlives the last sign of its generation, besides its keeping time. */
+export const COPY_KEPT_MS = 60_000;
+
 /** How long a home runs on without hearing from the owner before it looks for the second holder. */
 export const ORPHAN_AFTER_MS = 5_000;
 
