--- a/experiments/fuzz/_lib/faults/index.ts
+++ b/experiments/fuzz/_lib/faults/index.ts
@@ -10,6 +10,7 @@
   PauseVm = "pause-vm",
   CutLink = "cut-link",
   SilenceLink = "silence-link",
+  PartDataCentres = "part-data-centres",
   KillEngine = "kill-engine",
   StallEngine = "stall-engine",
   SilenceEngine = "silence-engine",
@@ -36,6 +37,7 @@
   FaultKind.PauseVm,
   FaultKind.CutLink,
   FaultKind.SilenceLink,
+  FaultKind.PartDataCentres,
 ]);
 
 /** Time after which other VMs call a VM that says nothing dead. */
@@ -76,6 +78,10 @@
     group.hub.silence(vm, otherVm);
     group.clock.schedule(durationMs, () => group.hub.heal(vm, otherVm));
   },
+  [FaultKind.PartDataCentres]: (group, { durationMs }) => {
+    const heal = group.part("dc1", "dc2", NOTICED_AFTER_MS);
+    group.clock.schedule(durationMs, heal);
+  },
   [FaultKind.KillEngine]: (group, { engine }) =>
     group.engine(engine).inject(engineTypes.EngineFault.Dead),
   [FaultKind.StallEngine]: (group, { engine, durationMs }) => {
--- a/src/generations/generations/test.ts
+++ b/src/generations/generations/test.ts
@@ -127,6 +127,38 @@
   },
 );
 
+tap.test(
+  "data centres that are parted each serve their callers, and agree again after",
+  async (t) => {
+    await using group = new vms.VmGroup({
+      vms: { a: "dc1", b: "dc1", c: "dc2", d: "dc2" },
+      engines: { e1: "dc1", e2: "dc2" },
+      engineOptions: { lengthOf: () => 400 },
+    });
+    const served = [await callers.startAt(group, "a"), await callers.startAt(group, "c")];
+    const heal = group.part("dc1", "dc2", 1_000);
+    await group.clock.runForMs(3_000);
+    heal();
+    await group.clock.runForMs(20_000);
+    for (const caller of served) expectations.expectWhole(t, caller, 400);
+  },
+);
+
+tap.test("a token that no second VM holds is not delivered", async (t) => {
+  await using group = new vms.VmGroup({ vms: vms.THREE_VMS, engines: { e1: "dc1" } });
+  const [home, ...others] = callers.homeAndOthers(group, "e1");
+  const caller = await callers.startAt(group, home);
+  for (const other of others) group.hub.silence(home, other);
+  await group.clock.runForMs(5);
+  const deliveredCount = caller.tokens.length;
+  await group.clock.runForMs(300);
+  t.equal(caller.tokens.length, deliveredCount);
+  await group.clock.runForMs(5_000);
+  expectations.expectWhole(t, caller);
+  const trace = group.trace(caller.requestId).join();
+  t.match(trace, /keeper.none/, "one holder alone is recorded");
+});
+
 tap.test("where no engine is left the caller is told how much it has", async (t) => {
   await using group = new vms.VmGroup({ vms: vms.THREE_VMS, engines: { e1: "dc1" } });
   const caller = await callers.startAt(group, "a", { deadlineMs: 8_000 });
--- a/standins/vms/index.ts
+++ b/standins/vms/index.ts
@@ -144,6 +144,36 @@
     );
   }
 
+  /**
+   * Cuts two data centres off from each other; each calls the other's VMs dead after a while.
+   *
+   * @returns a function that heals it
+   */
+  part(left: string, right: string, noticedAfterMs: number): () => void {
+    const pairs = this.namesIn(left).flatMap((from) =>
+      this.namesIn(right).map((to) => [from, to] as const),
+    );
+    const believe = (state: fleet.MemberState): void => {
+      for (const [from, to] of pairs) {
+        if (!this.isDown(to)) this.vm(from).fleet.setState(to, state);
+        if (!this.isDown(from)) this.vm(to).fleet.setState(from, state);
+      }
+    };
+    for (const [from, to] of pairs) this.hub.cut(from, to);
+    const notice = this.clock.schedule(noticedAfterMs, () => believe(fleetTypes.MemberState.Dead));
+    return () => {
+      notice[Symbol.dispose]();
+      for (const [from, to] of pairs) this.hub.heal(from, to);
+      believe(fleetTypes.MemberState.Live);
+    };
+  }
+
+  private namesIn(dataCentre: string): readonly string[] {
+    return Object.entries(this.options.vms).flatMap(([name, at]) =>
+      at === dataCentre ? [name] : [],
+    );
+  }
+
   /** Changes what all VMs believe about one of them. */
   markVm(name: string, state: fleet.MemberState): void {
     for (const vm of this.vms.values()) vm.fleet.setState(name, state);
