--- a/scenarios/_lib/sessionReport/requestLog.ts
+++ b/scenarios/_lib/sessionReport/requestLog.ts
@@ -18,8 +18,8 @@
 });
 
 /**
- * What the engines were asked to run. Which of several engines took a request may differ from run
- * to run, so that engines are named only where there is one; equal lines are given once.
+ * What the engines were asked to run. Which engine took a request may differ from run to run, and
+ * so may the number of resumptions; neither is told, and equal lines are given once.
  */
 export function describeEngines(
   run: scenarioRuns.ScenarioRun,
@@ -27,7 +27,7 @@
 ): string {
   const lines = [...run.world.engines.values()].flatMap((engine) =>
     engine.received
-      .filter((item) => item.action !== engineServers.StreamAction.Cancel)
+      .filter((item) => item.action === engineServers.StreamAction.Start)
       .map((item) => `  ${describeAction(item)}`),
   );
   if (lines.length === 0) return "";
--- a/scenarios/_lib/steps/index.ts
+++ b/scenarios/_lib/steps/index.ts
@@ -22,6 +22,7 @@
   resume: vmSteps.resume,
   leave: vmSteps.leave,
   apply: catalogueSteps.apply,
+  drain: catalogueSteps.drain,
   generate: requestSteps.generate,
   reattach: requestSteps.reattach,
   detach: requestSteps.detach,
--- a/scenarios/_lib/steps/requestSteps.ts
+++ b/scenarios/_lib/steps/requestSteps.ts
@@ -26,6 +26,9 @@
 export function reattach(run: scenarioRuns.ScenarioRun, step: types.StepOf<"reattach">): void {
   const caller = run.caller(step.as);
   const { requestId, lastEventId, lastHeaders } = caller;
+  const isBroken = caller.isEnded && caller.finishReason === null;
+  if (step.ifBroken && !isBroken) return;
+  caller.detach();
   if (requestId === null) throw new Error(`${step.as} has no request id yet`);
   const { authorization = "" } = lastHeaders;
   sendFrom(run, caller, step.at, {
--- a/scenarios/runScenarioFile/index.ts
+++ b/scenarios/runScenarioFile/index.ts
@@ -38,7 +38,7 @@
   if (report.steps.some((step) => step.failure !== null)) return FileVerdict.StepFailed;
   if (!scenario.golden) return FileVerdict.Passed;
   const goldenFile = goldenFileOf(file);
-  if (options.isUpdate) await fs.writeFile(goldenFile, report.session);
+  if (options.isUpdate) await writeGolden(goldenFile, report.session);
   return compareWithGolden(goldenFile, report.session, options);
 }
 
@@ -65,6 +65,11 @@
   return FileVerdict.Differs;
 }
 
+async function writeGolden(goldenFile: string, session: string): Promise<void> {
+  await fs.mkdir(path.dirname(goldenFile), { recursive: true });
+  await fs.writeFile(goldenFile, session);
+}
+
 async function readIfThere(file: string): Promise<string> {
   try {
     return await fs.readFile(file, "utf8");
--- /dev/null
+++ b/scenarios/test.ts
@@ -0,0 +1,29 @@
+import * as fs from "node:fs";
+
+import tap from "tap";
+
+import * as scenarios from "./index.js";
+
+const FOLDER = "scenarios";
+
+/** Scenarios that run at the same time; each has several daemons. */
+const CONCURRENT_COUNT = 3;
+
+const TIMEOUT_MS = 300_000;
+
+const files = fs
+  .readdirSync(FOLDER)
+  .filter((name) => name.endsWith(".yaml"))
+  .map((name) => `${FOLDER}/${name}`);
+
+tap.setTimeout(TIMEOUT_MS);
+tap.jobs = CONCURRENT_COUNT;
+
+for (const file of files) {
+  tap.test(`the scenario ${file} ends as its golden file says`, { buffered: true }, async (t) => {
+    const lines: string[] = [];
+    const writeLine = (text: string): number => lines.push(text);
+    const verdict = await scenarios.runScenarioFile(file, { isUpdate: false, writeLine });
+    t.equal(verdict, scenarios.FileVerdict.Passed, lines.join("\n"));
+  });
+}
