--- a/src/daemon/daemon/index.ts
+++ b/src/daemon/daemon/index.ts
@@ -14,7 +14,11 @@
 import * as replication from "../../replication/index.js";
 import type * as settings from "../../settings/index.js";
 import * as telemetry from "../../telemetry/index.js";
+import * as placement from "../../placement/index.js";
+import type * as platform from "../../platform/types.js";
 import * as adminDesks from "../adminDesk/index.js";
+import * as findLeavingBackends from "../findLeavingBackends/index.js";
+import * as seededVmLists from "../seededVmList/index.js";
 import * as listeners from "../_lib/openListeners.js";
 import * as renewal from "../_lib/renewCertificates.js";
 
@@ -29,6 +33,7 @@
   private readonly limits: accounts.AccountLimits;
   private readonly clock: clocks.Clock;
   private readonly logger: logging.Logger;
+  private readonly placement: placement.Placement;
   private readonly desk: adminDesks.AdminDesk;
   private readonly stopping = new AbortController();
   private ports: listeners.Listeners | undefined;
@@ -48,7 +53,11 @@
     this.limits = store.add(container.resolve(accounts.AccountLimits));
     this.calls = store.add(container.resolve(calls.Calls));
     this.generations = store.add(container.resolve(generations.Generations));
+    this.placement = store.add(container.resolve(placement.Placement));
     this.desk = store.add(this.createDesk());
+    container
+      .resolve(seededVmLists.SeededVmList)
+      .onListed((listed) => this.noteLeavingBackends(listed));
   }
 
   /** Where callers reach this VM. */
@@ -69,6 +78,7 @@
     this.limits.start();
     this.calls.start();
     this.generations.start();
+    this.placement.start(() => this.reportPlacement());
     this.ports = await listeners.openListeners(this.options, this.callerParts(), this.desk);
     this.store.add(this.ports.callers);
     this.store.add(this.ports.admin);
@@ -135,6 +145,24 @@
     return item?.kind === catalogue.ItemKind.Vm && item.state === catalogue.DesiredState.Draining;
   }
 
+  /** The list lags and says live again at times; the first sign of leaving stays in force. */
+  private noteLeavingBackends(listed: readonly platform.ListedVm[]): void {
+    const state = this.catalogue.current();
+    for (const backend of findLeavingBackends.findLeavingBackends(state, listed)) {
+      if (backend.kind === catalogue.ItemKind.Engine) this.generations.noteLeaving(backend.name);
+      else this.calls.markLeaving(backend.name);
+    }
+  }
+
+  private reportPlacement(): placement.PlacementReport {
+    const { generations: service } = this;
+    return placement.createReport(
+      this.catalogue.current(),
+      service.describeEngines(),
+      service.describeQueue(),
+    );
+  }
+
   private callerParts(): http.CallerServerParts {
     return {
       clock: this.clock,
--- a/src/engines/_lib/runningTable/index.ts
+++ b/src/engines/_lib/runningTable/index.ts
@@ -20,10 +20,16 @@
   readonly forecast = new forecasts.MemoryForecast();
   contextTokens = 0;
   watchedCount = 0;
+  streamingCount = 0;
   pendingPrefillTokens = 0;
   private readonly records = new Map<string, RunningRecord>();
+  /** How many running generations state each bound between tokens. */
+  private readonly boundCounts = new Map<number, number>();
 
-  constructor(private readonly lengths: types.LengthEstimator) {}
+  constructor(
+    private readonly lengths: types.LengthEstimator,
+    private readonly interTokenBoundMsOf: (entryName: string) => number | null,
+  ) {}
 
   get count(): number {
     return this.records.size;
@@ -33,6 +39,13 @@
     return this.records.has(requestId);
   }
 
+  /** The tightest bound between tokens among all that runs, in milliseconds. */
+  get lowestBoundMs(): number {
+    let lowestMs = Infinity;
+    for (const boundMs of this.boundCounts.keys()) lowestMs = Math.min(lowestMs, boundMs);
+    return lowestMs;
+  }
+
   list(): readonly RunningRecord[] {
     return [...this.records.values()];
   }
@@ -53,7 +66,8 @@
     this.records.set(need.requestId, record);
     this.contextTokens += record.contextTokens;
     this.pendingPrefillTokens += record.pendingPrefillTokens;
-    if (isWatched(need)) this.watchedCount += 1;
+    this.countWatchers(need, 1);
+    this.countBound(need, 1);
     this.fill(record);
     this.forecast.add(record.share);
   }
@@ -79,11 +93,26 @@
     this.records.delete(requestId);
     this.contextTokens -= record.contextTokens;
     this.pendingPrefillTokens -= record.pendingPrefillTokens;
-    if (isWatched(record.need)) this.watchedCount -= 1;
+    this.countWatchers(record.need, -1);
+    this.countBound(record.need, -1);
     this.forecast.remove(record.share);
+    if (this.records.size === 0) this.forecast.clear();
     return record;
   }
 
+  private countWatchers(need: types.GenerationNeed, change: number): void {
+    if (need.class !== catalogue.RequestClass.Batch) this.watchedCount += change;
+    if (need.class === catalogue.RequestClass.Streaming) this.streamingCount += change;
+  }
+
+  private countBound(need: types.GenerationNeed, change: number): void {
+    const boundMs = this.interTokenBoundMsOf(need.entryName);
+    if (boundMs === null) return;
+    const count = (this.boundCounts.get(boundMs) ?? 0) + change;
+    if (count > 0) this.boundCounts.set(boundMs, count);
+    else this.boundCounts.delete(boundMs);
+  }
+
   private renew(record: RunningRecord): void {
     this.forecast.remove(record.share);
     this.fill(record);
@@ -100,7 +129,3 @@
     });
   }
 }
-
-function isWatched(need: types.GenerationNeed): boolean {
-  return need.class !== catalogue.RequestClass.Batch;
-}
--- a/src/generations/selectKeeper/index.ts
+++ b/src/generations/selectKeeper/index.ts
@@ -1,6 +1,4 @@
-import type * as fleet from "../../fleet/types.js";
-import * as fleetTypes from "../../fleet/types.js";
-import * as rendezvous from "../_lib/rendezvous/index.js";
+import * as fleet from "../../fleet/index.js";
 
 /**
  * The VM that holds the second copy of a request: another data centre of the owner's region
@@ -21,12 +19,29 @@
   const others = members.filter(
     (member) =>
       member.name !== self.name &&
-      member.state === fleetTypes.MemberState.Live &&
+      member.state === fleet.MemberState.Live &&
       !isAvoided(member.name),
   );
   const sameRegion = others.filter((member) => member.region === self.region);
   const apart = sameRegion.filter((member) => member.dataCentre !== self.dataCentre);
   const candidates = [apart, sameRegion, others].find((group) => group.length > 0) ?? [];
-  const names = candidates.map((member) => member.name);
-  return rendezvous.rankByRendezvous(requestId, names)[0] ?? null;
+  return fleet.rankByRendezvous(requestId, candidates)[0]?.name ?? null;
+}
+
+/**
+ * VMs that `selectKeeper` may have chosen for a request, whichever VM accepted it.
+ *
+ * @param requestId - the request
+ * @param members - the fleet as this VM sees it
+ * @returns at most three names
+ */
+export function listLikelyKeepers(
+  requestId: string,
+  members: readonly fleet.VmMember[],
+): readonly string[] {
+  const live = members.filter((member) => member.state === fleet.MemberState.Live);
+  const [first, second, ...others] = fleet.rankByRendezvous(requestId, live);
+  if (first === undefined || second === undefined) return first === undefined ? [] : [first.name];
+  const apart = [second, ...others].find((member) => member.dataCentre !== first.dataCentre);
+  return [...new Set([first.name, second.name, apart?.name ?? first.name])];
 }
