Detach callers who go while nothing comes

Cause: ending a stream waited for the pending token, so a caller who closed its connection during a stall stayed attached until the next token. Change: the port passes a signal, and the reader heeds it. Before: held until the deadline; after: given up once abandonAfterMs is over.

--- a/src/daemon/createDaemon/test.ts
+++ b/src/daemon/createDaemon/test.ts
@@ -2,6 +2,7 @@
 
 import * as disposableStore from "../../_lib/disposableStore/index.js";
 import * as cliClients from "../../cli/adminClient/index.js";
+import * as engineTypes from "../../../standins/engine/types.js";
 import * as localDaemons from "../../../standins/daemon/index.js";
 
 function post(url: string, body: string, headers: Record<string, string>): Promise<Response> {
@@ -106,3 +107,28 @@
   t.equal((await running).status, 200, "what runs is finished");
   t.equal(await leaving, true);
 });
+
+tap.test(
+  "a caller that goes while nothing comes is detached, and its request given up",
+  async (t) => {
+    const store = new disposableStore.DisposableStore();
+    t.teardown(() => store[Symbol.asyncDispose]());
+    const setup = await localDaemons.startLocalDaemon(store);
+    await localDaemons.publishItems(setup);
+    setup.world.engines.get("engine-1")?.model.inject(engineTypes.EngineFault.Stalled);
+    const gone = new AbortController();
+    const body = JSON.stringify({ model: "impatient", prompt: "p #tokens=20", stream: true });
+    const request = fetch(`${setup.daemon.callerUrl}/v1/completions`, {
+      method: "POST",
+      headers: AUTHORIZED,
+      body,
+      signal: gone.signal,
+    });
+    const ended = request.then((response) => response.text()).catch(() => "gone");
+    await localDaemons.waitUntil(() => setup.daemon.describeHeld() !== "");
+    gone.abort();
+    t.equal(await ended, "gone");
+    await localDaemons.waitUntil(() => setup.daemon.describeHeld() === "");
+    t.pass("nothing is held any more");
+  },
+);
--- a/src/generations/_lib/reader/index.ts
+++ b/src/generations/_lib/reader/index.ts
@@ -41,15 +41,18 @@
 
   /**
    * Frames from an offset on, each token once; follows the generation to whichever VM owns it.
-   * Ending the iteration detaches the caller at once, also while it waits for a token.
+   * Ending the iteration, or the signal, detaches the caller at once, also while it waits for a
+   * token.
    */
   frames(
     position: ReadPosition,
     located: readonly locators.LocatedHolder[],
     measures: callerMeasures.CallerMeasures | null,
+    signal?: AbortSignal,
   ): AsyncIterableIterator<types.TokenFrame> {
     const closing = new AbortController();
-    const generator = this.follow(position, located, measures, closing.signal);
+    const stops = signal === undefined ? closing.signal : AbortSignal.any([closing.signal, signal]);
+    const generator = this.follow(position, located, measures, stops);
     return {
       next: () => {
         measures?.onAsked();
--- a/src/generations/generations/index.ts
+++ b/src/generations/generations/index.ts
@@ -193,8 +193,8 @@
       );
     return {
       requestId,
-      frames: (fromOffset) =>
-        this.reader.frames({ requestId, accountName, fromOffset }, located, measures),
+      frames: (fromOffset, signal) =>
+        this.reader.frames({ requestId, accountName, fromOffset }, located, measures, signal),
     };
   }
 
--- a/standins/daemon/index.ts
+++ b/standins/daemon/index.ts
@@ -43,6 +43,20 @@
   firstTokenMs: 1000
   targetRatio: 0.95
 ---
+kind: generation
+name: impatient
+owner: gauja
+class: streaming
+model: drafter
+version: "1"
+maxTokens: 4000
+deadlineMs: 60000
+maxWaitingCount: 10
+abandonAfterMs: 300
+keepFinishedMs: 1000
+minLoadedEngines: 1
+objectives: { targetRatio: 0.95 }
+---
 kind: call
 name: file-permit
 owner: gauja
