--- a/src/daemon/_lib/renewCertificates.ts
+++ b/src/daemon/_lib/renewCertificates.ts
@@ -36,8 +36,13 @@
   }
 }
 
-/** A half-written pair of files fails to load; the running pair stays until the next look. */
-async function takeUpRenewed(
+/**
+ * Looks at the files once. A half-written pair fails to load; the running one stays until the next
+ * look.
+ *
+ * @returns the certificates in use afterwards
+ */
+export async function takeUpRenewed(
   listener: RenewableListener,
   current: certificateFiles.Certificates,
   { logger, metrics }: RenewalParts,
