--- a/src/engines/constants.ts
+++ b/src/engines/constants.ts
@@ -36,6 +36,8 @@
 export const MIN_MARGIN_DEVIATIONS = 1;
 export const MAX_MARGIN_DEVIATIONS = 5;
 export const INITIAL_MARGIN_DEVIATIONS = 3;
+/** The most for interactive work, which is short and which the headroom is kept for. */
+export const INTERACTIVE_DEVIATIONS = 0.5;
 /** Added for every generation that lost its place. */
 export const MARGIN_RAISE_DEVIATIONS = 0.5;
 /** Taken off, per generation that ended while work waited, for each share of memory left idle. */
--- a/src/engines/engineScheduler/index.ts
+++ b/src/engines/engineScheduler/index.ts
@@ -133,7 +133,7 @@
     if (!this.hasPrefillRoom(need)) return "prompts are waiting for prefill";
     this.fillCandidate(need);
     const limitTokens = this.limitTokensFor(need);
-    const deviations = this.margin.deviations;
+    const deviations = this.deviationsFor(need);
     if (this.table.forecast.hasRoomFor(this.candidate, deviations, limitTokens)) return null;
     return "memory would not suffice for the expected growth";
   }
@@ -156,7 +156,7 @@
     this.fillCandidate(need);
     const steps = this.table.forecast.stepsUntilRoomFor(
       this.candidate,
-      this.margin.deviations,
+      this.deviationsFor(need),
       this.limitTokensFor(need),
     );
     if (steps === null) return constants.MAX_ESTIMATED_WAIT_MS;
@@ -181,6 +181,13 @@
     });
   }
 
+  /** People who wait are not kept out by a margin that only protects what may wait. */
+  private deviationsFor(need: types.GenerationNeed): number {
+    const isInteractive = need.class === catalogue.RequestClass.Interactive;
+    const { deviations } = this.margin;
+    return isInteractive ? Math.min(deviations, constants.INTERACTIVE_DEVIATIONS) : deviations;
+  }
+
   private limitTokensFor(need: types.GenerationNeed): number {
     const isInteractive = need.class === catalogue.RequestClass.Interactive;
     const headroomRatio = isInteractive ? 0 : constants.INTERACTIVE_HEADROOM_RATIO;
