--- a/src/generations/_lib/reader/index.ts
+++ b/src/generations/_lib/reader/index.ts
@@ -71,14 +71,14 @@
     measures: callerMeasures.CallerMeasures | null,
     signal: AbortSignal,
   ): AsyncGenerator<types.TokenFrame, undefined> {
-    using attachment = new Attachment(this.holders);
+    using attachment = new Attachment();
     const { requestId } = position;
     let holders = located;
     let offset = position.fromOffset;
     let samplingAttempt: number | null = null;
     for (;;) {
-      attachment.follow(requestId);
-      const answer = await this.read({ ...position, fromOffset: offset }, holders, signal);
+      const at = { ...position, fromOffset: offset };
+      const answer = await this.read(at, holders, attachment, signal);
       if (answer === null) return;
       holders = [];
       const isOther = samplingAttempt !== null && answer.samplingAttempt !== samplingAttempt;
@@ -104,11 +104,13 @@
   private async read(
     position: ReadPosition,
     located: readonly locators.LocatedHolder[],
+    attachment: Attachment,
     signal: AbortSignal,
   ): Promise<messages.ReadAnswer | null> {
     let holders = located;
     while (!signal.aborted) {
       const generation = this.holders.owner.find(position.requestId);
+      attachment.follow(generation);
       if (generation?.isCurrentOwner === true) {
         const answer = await this.readHere(generation, position.fromOffset, signal);
         if (answer.isOwner) return answer;
@@ -203,11 +205,8 @@
   private generation: owneds.OwnedGeneration | null = null;
   private hold: Disposable | null = null;
 
-  constructor(private readonly holders: locators.Holders) {}
-
   /** Attaches to the generation as it is owned here now, if it is. */
-  follow(requestId: string): void {
-    const generation = this.holders.owner.find(requestId);
+  follow(generation: owneds.OwnedGeneration | null): void {
     if (generation === this.generation) return;
     this[Symbol.dispose]();
     this.generation = generation;
--- a/src/generations/_lib/reader/test.ts
+++ b/src/generations/_lib/reader/test.ts
@@ -2,6 +2,7 @@
 
 import * as callers from "../../../../standins/vms/caller/index.js";
 import * as expectations from "../../../../standins/vms/expectations/index.js";
+import * as engineTypes from "../../../../standins/engine/types.js";
 import * as vms from "../../../../standins/vms/index.js";
 
 tap.test(
@@ -59,3 +60,22 @@
   await group.clock.runForMs(5_000);
   expectations.expectWhole(t, caller);
 });
+
+tap.test(
+  "a caller who waits at the new owner for its first token is not taken for gone",
+  async (t) => {
+    await using group = new vms.VmGroup({ vms: vms.THREE_VMS, engines: { e1: "dc1" } });
+    await group.settle();
+    const engine = group.engine("e1");
+    engine.inject(engineTypes.EngineFault.Stalled);
+    const caller = new callers.Caller(group, group.vm("a").service.createRequestId());
+    void caller.submit("a", { abandonAfterMs: 2_000 });
+    await group.clock.runForMs(100);
+    group.killVm("a");
+    void caller.attach("b");
+    await group.clock.runForMs(6_000);
+    engine.heal(engineTypes.EngineFault.Stalled);
+    await group.clock.runForMs(10_000);
+    expectations.expectWhole(t, caller);
+  },
+);
