--- a/experiments/fuzz/generation/index.ts
+++ b/experiments/fuzz/generation/index.ts
@@ -60,7 +60,10 @@
     if (problems.length > 0) throw new Error(problems.join("; "));
   });
   const details = await fastCheck.check(property, { numRuns: runsCount, seed });
-  return details.failed ? (fastCheck.defaultReportMessage(details) ?? "failed") : null;
+  if (!details.failed) return null;
+  const { errorInstance } = details;
+  const reason = errorInstance instanceof Error ? errorInstance.message : String(errorInstance);
+  return `${fastCheck.defaultReportMessage(details) ?? "failed"}\n${reason}`;
 }
 
 /**
--- a/src/generations/generations/test.ts
+++ b/src/generations/generations/test.ts
@@ -159,6 +159,31 @@
   t.match(trace, /keeper.none/, "one holder alone is recorded");
 });
 
+tap.test("where all holders of the tokens are lost at once nothing is spliced on", async (t) => {
+  const codes: (string | undefined)[] = [];
+  for (let seed = 1; seed <= 6; seed += 1) {
+    await using group = new vms.VmGroup({
+      vms: { ...vms.THREE_VMS, d: "dc1" },
+      engines: { e1: "dc1", e2: "dc1" },
+      seed,
+    });
+    const homes = ["e1", "e2"].map((name) => callers.homeAndOthers(group, name)[0]);
+    const entry = [...group.vms.keys()].find((name) => !homes.includes(name))!;
+    const caller = await callers.startAt(group, entry);
+    const [name, engine] = [...group.engines].find(([, item]) => item.counters.startedCount > 0)!;
+    const deliveredCount = caller.tokens.length;
+    engine.inject(engineTypes.EngineFault.Dead);
+    group.killVm(entry);
+    group.killVm(callers.homeAndOthers(group, name)[0]);
+    void caller.attach(group.runningVms()[0]!);
+    await group.clock.runForMs(20_000);
+    t.equal(caller.tokens.length, deliveredCount);
+    codes.push(caller.error?.code);
+  }
+  t.ok(codes.includes(stepError.ErrorCode.Interrupted), codes.join());
+  t.ok(codes.every((code) => code !== undefined));
+});
+
 tap.test("where no engine is left the caller is told how much it has", async (t) => {
   await using group = new vms.VmGroup({ vms: vms.THREE_VMS, engines: { e1: "dc1" } });
   const caller = await callers.startAt(group, "a", { deadlineMs: 8_000 });
