--- a/experiments/capacity/main.ts
+++ b/experiments/capacity/main.ts
@@ -5,6 +5,7 @@
 import * as formatTable from "./_lib/formatTable/index.js";
 import * as measureAccounts from "./measureAccounts/index.js";
 import * as measureCatalogue from "./measureCatalogue/index.js";
+import * as measureLargeMembership from "./measureLargeMembership/index.js";
 import * as measureLeases from "./measureLeases/index.js";
 import * as measureMembership from "./measureMembership/index.js";
 import * as measurePeers from "./measurePeers/index.js";
@@ -37,11 +38,18 @@
   members: {
     title: "Heartbeats at rest, in 19 data centres",
     columns: measureMembership.MEMBERSHIP_COLUMNS,
-    fittedColumns: measureMembership.MEMBERSHIP_COLUMNS.slice(1),
-    values: [2, 5, 10, 15, 20, 25],
+    fittedColumns: measureMembership.MEMBERSHIP_COLUMNS.slice(1, -1),
+    values: [2, 4, 6, 8, 10],
     measure: (vmsPerDataCentre) =>
       measureMembership.measureMembership({ dataCentresCount: 19, vmsPerDataCentre }),
   },
+  large: {
+    title: "Heartbeats at rest, in 19 data centres, on the virtual clock",
+    columns: measureLargeMembership.LARGE_MEMBERSHIP_COLUMNS,
+    fittedColumns: measureLargeMembership.LARGE_MEMBERSHIP_COLUMNS.slice(1, -1),
+    values: [2, 5, 10, 15, 25],
+    measure: measureLargeMembership.measureLargeMembership,
+  },
   accounts: {
     title: "Account limits among 8 VMs",
     columns: measureAccounts.ACCOUNT_COLUMNS,
