--- a/src/daemon/_lib/createContainer.ts
+++ b/src/daemon/_lib/createContainer.ts
@@ -66,7 +66,8 @@
   const container = tsyringe.container.createChildContainer();
   const source: ContainerSource = { container, settings: options, store, overrides };
   const seed = overrides.randomSeed ?? crypto.randomInt(MAX_SEED);
-  container.registerInstance(TOKENS.clock, overrides.clock ?? new clocks.SystemClock());
+  const clock: clocks.Clock = overrides.clock ?? new clocks.SystemClock();
+  container.registerInstance(TOKENS.clock, clock);
   container.registerInstance(TOKENS.random, randoms.createRandom(seed));
   container.registerInstance(TOKENS.settings, options);
   registerTelemetry(source);
@@ -126,6 +127,7 @@
   const { wrappers } = overrides;
   const listed = store.add(container.resolve(platform.HttpVmList));
   const vmList = new seededVmLists.SeededVmList(options.fleet.seedPeers, listed);
+  container.registerInstance(seededVmLists.SeededVmList, vmList);
   const logService = store.add(container.resolve(platform.HttpLogService));
   const engineClients = store.add(container.resolve(backends.HttpEngineClients));
   const serviceClients = store.add(container.resolve(backends.HttpServiceClients));
@@ -198,7 +200,8 @@
 }
 
 /** Parts that several aggregates use: the append budget, the catalogue, and their options. */
-function registerShared({ container, store, overrides }: ContainerSource): void {
+function registerShared(source: ContainerSource): void {
+  const { container, settings: options, store, overrides } = source;
   const clock = container.resolve<clocks.Clock>(TOKENS.clock);
   const membership = container.resolve(fleet.FleetMembership);
   const liveVmCount = (): number =>
@@ -209,6 +212,12 @@
     ...replication.DEFAULT_FOLLOWER_OPTIONS,
     ...overrides.replication,
   });
+  container.registerInstance<fleet.LeaseOptions>(TOKENS.leaseOptions, {
+    ...fleet.DEFAULT_LEASE_OPTIONS,
+    vmName: options.vm.name,
+  });
+  const leases = store.add(container.resolve(fleet.LeaseHolder));
+  container.registerInstance(fleet.LeaseHolder, leases);
   container.registerInstance(TOKENS.accountLimitOptions, accounts.DEFAULT_ACCOUNT_LIMIT_OPTIONS);
   const replica = store.add(container.resolve(catalogue.CatalogueReplica));
   container.registerInstance(catalogue.CatalogueReplica, replica);
--- a/src/engines/constants.ts
+++ b/src/engines/constants.ts
@@ -33,13 +33,15 @@
 export const REFORECAST_TOKENS = 16;
 
 /** Bounds and steps of the safety margin, in standard deviations. */
-export const MIN_MARGIN_DEVIATIONS = 0.5;
-export const MAX_MARGIN_DEVIATIONS = 4;
-export const INITIAL_MARGIN_DEVIATIONS = 2;
+export const MIN_MARGIN_DEVIATIONS = 1;
+export const MAX_MARGIN_DEVIATIONS = 5;
+export const INITIAL_MARGIN_DEVIATIONS = 3;
 /** Added for every generation that lost its place. */
-export const MARGIN_RAISE_DEVIATIONS = 0.25;
-/** Taken off for every generation that ended whole while work waited. */
-export const MARGIN_RELAX_DEVIATIONS = 0.0005;
+export const MARGIN_RAISE_DEVIATIONS = 0.5;
+/** Taken off, per generation that ended while work waited, for each share of memory left idle. */
+export const MARGIN_RELAX_DEVIATIONS = 0.02;
+/** Share of memory that may stay idle while work waits. */
+export const ACCEPTED_IDLE_RATIO = 0.08;
 
 /** Share of memory that only interactive work may fill. */
 export const INTERACTIVE_HEADROOM_RATIO = 0.03;
@@ -53,6 +55,9 @@
 /** Steps ahead that suspension looks, to act before the engine does. */
 export const SUSPEND_LOOKAHEAD_STEPS = 4;
 
+/** Steps of growth for which a suspension frees memory, so that another one does not follow at once. */
+export const SUSPEND_RELIEF_STEPS = 64;
+
 /** Weight of the newest value in moving averages of the step time. */
 export const STEP_TIME_WEIGHT = 0.1;
 
@@ -103,3 +108,30 @@
 
 /** Weight of one event in the moving share of lost events. */
 export const EVENT_LOSS_WEIGHT = 0.02;
+
+/** Prompt tokens that an engine prefills per millisecond when it does little else. */
+export const PREFILL_TOKENS_PER_MS = 10;
+
+/** Time constant of the moving prefill load. */
+export const PREFILL_MEMORY_MS = 10_000;
+
+/** Prefill load from which an engine is left to prompts, and watched work goes elsewhere. */
+export const PREFILL_ENGINE_RATIO = 0.3;
+
+/** Prefill load at which an engine takes no more prompts of work that can wait. */
+export const FULL_PREFILL_RATIO = 1;
+
+/** Prompts from this length on are kept away from watched generations. */
+export const LONG_PROMPT_TOKENS = 128;
+
+/** Time that watched work waits for an engine without prefill load. */
+export const WATCHED_PATIENCE_MS = 500;
+
+/** Time for which prompts and watched work share engines after watched work had to wait. */
+export const SEPARATION_PAUSE_MS = 30_000;
+
+/** Time that prompts of work that can wait do so for an engine without watched generations. */
+export const BATCH_PATIENCE_MS = 30_000;
+
+/** Score of keeping long prompts and watched generations on different engines. */
+export const SEPARATION_SCORE = 0.5;
