--- a/experiments/onceOnly/main.ts
+++ b/experiments/onceOnly/main.ts
@@ -43,11 +43,12 @@
   }
   await fleet.settle(Promise.all(ended));
   const appendsPerSecond = ((fleet.log.appendsCount - appendsBefore) * MS_PER_SECOND) / RUN_MS;
+  const refusedCount = fleet.counters.countOf("calls.append_failed");
   const added = (percentile: number): number =>
     histogram.getValueAtPercentile(percentile) - fleet.service.latencyMs;
   print(
     `${vmsCount} VMs, ${callsPerSecond} calls/s: added p50 ${added(50)} ms, p99 ${added(99)} ms;`,
-    `${appendsPerSecond.toFixed(1)} appends/s; ${histogram.totalCount} of ${callsCount} answered;`,
+    `${appendsPerSecond.toFixed(1)} appends/s, ${refusedCount} failed; ${histogram.totalCount} of ${callsCount} answered;`,
     `most executions of a key ${fleet.service.maxExecutions}`,
   );
 }
--- a/src/calls/_lib/keyLedger/index.ts
+++ b/src/calls/_lib/keyLedger/index.ts
@@ -1,5 +1,3 @@
-import * as events from "node:events";
-
 import type * as clocks from "../../../_lib/clock/index.js";
 import type * as loggers from "../../../_lib/logger/index.js";
 import * as stepError from "../../../_lib/stepError/index.js";
@@ -11,9 +9,6 @@
 import type * as groupAppender from "../groupAppender/index.js";
 import * as keyWatch from "../keyWatch/index.js";
 
-/** No warning for the records of many calls that wait for the log at once. */
-const MANY_WAITING_RECORDS = 0;
-
 /** What became of an attempt to become a key's live one. */
 export enum ClaimVerdict {
   /** The attempt is the live one: this process alone may dispatch, once. */
@@ -52,7 +47,6 @@
 
   constructor(private readonly dependencies: LedgerDependencies) {
     this.watch = new keyWatch.KeyWatch(dependencies.clock);
-    events.setMaxListeners(MANY_WAITING_RECORDS, this.stopping.signal);
     this.subscription = dependencies.follower.onApplied((_, records) => {
       this.watch.onApplied(records);
     });
@@ -184,7 +178,7 @@
         return;
       }
       metrics.increment("calls.record_delayed", 1, { type: record.type });
-      await clock.sleep(pauseMs, this.stopping.signal).catch(() => undefined);
+      await clock.sleep(pauseMs);
       pauseMs = Math.min(2 * pauseMs, constants.MAX_LOG_RETRY_MS);
     }
   }
