--- a/src/calls/_lib/keyLedger/index.ts
+++ b/src/calls/_lib/keyLedger/index.ts
@@ -178,7 +178,7 @@
         return;
       }
       metrics.increment("calls.record_delayed", 1, { type: record.type });
-      await clock.sleep(pauseMs, this.stopping.signal).catch(() => undefined);
+      await clock.sleep(pauseMs);
       pauseMs = Math.min(2 * pauseMs, constants.MAX_LOG_RETRY_MS);
     }
   }
