Bound the prompts that wait for prefill on every engine; a more careful margin

Margin 3 -> 3.5 at the start, 0.5 -> 0.75 per interruption; at most 1,024 prompt tokens pending also where nobody watches.

--- a/src/engines/_lib/runningTable/index.ts
+++ b/src/engines/_lib/runningTable/index.ts
@@ -19,7 +19,6 @@
 export class RunningTable {
   readonly forecast = new forecasts.MemoryForecast();
   contextTokens = 0;
-  watchedCount = 0;
   streamingCount = 0;
   pendingPrefillTokens = 0;
   private readonly records = new Map<string, RunningRecord>();
@@ -101,7 +100,6 @@
   }
 
   private countWatchers(need: types.GenerationNeed, change: number): void {
-    if (need.class !== catalogue.RequestClass.Batch) this.watchedCount += change;
     if (need.class === catalogue.RequestClass.Streaming) this.streamingCount += change;
   }
 
--- a/src/engines/constants.ts
+++ b/src/engines/constants.ts
@@ -35,11 +35,11 @@
 /** Bounds and steps of the safety margin, in standard deviations. */
 export const MIN_MARGIN_DEVIATIONS = 1;
 export const MAX_MARGIN_DEVIATIONS = 5;
-export const INITIAL_MARGIN_DEVIATIONS = 3;
+export const INITIAL_MARGIN_DEVIATIONS = 3.5;
 /** The most for interactive work, which is short and which the headroom is kept for. */
 export const INTERACTIVE_DEVIATIONS = 0.5;
 /** Added for every generation that lost its place. */
-export const MARGIN_RAISE_DEVIATIONS = 0.5;
+export const MARGIN_RAISE_DEVIATIONS = 0.75;
 /** Taken off, per generation that ended while work waited, for each share of memory left idle. */
 export const MARGIN_RELAX_DEVIATIONS = 0.02;
 /** Share of memory that may stay idle while work waits. */
@@ -66,7 +66,7 @@
 /** Step time assumed before any was learned. */
 export const INITIAL_STEP_TIME_MS = 30;
 
-/** Prompt tokens that may wait for prefill on an engine with watched generations. */
+/** Prompt tokens that may wait for prefill on an engine; a lookup that comes next waits for them. */
 export const MAX_PENDING_PREFILL_TOKENS = 1_024;
 
 /** Steps after which some running generation is expected to end, where only its place is missing. */
--- a/src/engines/engineScheduler/index.ts
+++ b/src/engines/engineScheduler/index.ts
@@ -226,7 +226,6 @@
 
   private hasPrefillRoom(need: types.GenerationNeed): boolean {
     if (need.class === catalogue.RequestClass.Interactive) return true;
-    if (this.table.watchedCount === 0) return true;
     if (this.table.pendingPrefillTokens === 0) return true;
     const pendingTokens = this.table.pendingPrefillTokens + need.promptTokens;
     return pendingTokens <= constants.MAX_PENDING_PREFILL_TOKENS;
