Let the running generations of a test produce a token before it asks for room

The bound on waiting prompts, now on every engine, rightly turned the short request away while nine prompts were pending; the assertion stays, and the bound and the separation get tests of their own.

--- a/src/engines/engineScheduler/test.ts
+++ b/src/engines/engineScheduler/test.ts
@@ -74,11 +74,34 @@
 tap.test("a short request still fits where a long one does not", (t) => {
   const scheduler = createScheduler();
   startMany(scheduler, 9);
+  for (let index = 0; index < 9; index += 1) scheduler.onProgress(`s${index}`, 1, 10);
   const short = { ...NEED, requestId: "r2", maxTokens: 20 };
   t.equal(scheduler.admit(short, 0).verdict, types.AdmissionVerdict.Admit);
   t.end();
 });
 
+tap.test("prompts that wait for prefill are bounded, except for people who wait", (t) => {
+  const scheduler = createScheduler({ capacityTokens: 100_000 });
+  startMany(scheduler, 6);
+  t.match(scheduler.admit(NEED, 0).reason, /prefill/);
+  const lookup = { ...NEED, class: catalogue.RequestClass.Interactive };
+  t.equal(scheduler.admit(lookup, 0).verdict, types.AdmissionVerdict.Admit);
+  for (let index = 0; index < 6; index += 1) scheduler.onProgress(`s${index}`, 1, 10);
+  t.equal(scheduler.admit(NEED, 10).verdict, types.AdmissionVerdict.Admit);
+  t.end();
+});
+
+tap.test("long prompts and watched drafts stay apart until watched work has to wait", (t) => {
+  const scheduler = createScheduler({ capacityTokens: 1_000_000 });
+  const prompt = { ...NEED, requestId: "p", promptTokens: 60_000, maxTokens: 20 };
+  scheduler.onStarted(prompt, 0);
+  const draft = { ...NEED, class: catalogue.RequestClass.Streaming, promptTokens: 10 };
+  scheduler.onProgress("p", 1, 10);
+  t.match(scheduler.admit(draft, 10).reason, /apart/);
+  t.equal(scheduler.admit(draft, 1_000).verdict, types.AdmissionVerdict.Admit);
+  t.end();
+});
+
 tap.test("work that cannot meet its deadline is refused before it waits", (t) => {
   const scheduler = createScheduler();
   startMany(scheduler, 12);
