--- a/src/accounts/accountLimits/index.ts
+++ b/src/accounts/accountLimits/index.ts
@@ -183,8 +183,9 @@
       .filter((name) => this.usages.get(name)?.isRefreshing === false)
       .slice(0, constants.MAX_DEMANDS_PER_MESSAGE);
     if (free.length === 0) return;
+    this.sequence += 1;
     const demands = new Map(free.map((name) => [name, this.demandOf(name)]));
-    const shares = await this.ask(home, demands);
+    const shares = await this.ask(home, this.sequence, demands);
     for (const name of free) this.onAnswer(name, home, shares);
   }
 
@@ -192,18 +193,18 @@
     const usage = this.usageOf(accountName);
     usage.isRefreshing = true;
     const wanted = usage.sampleDemand(this.clock.nowMs());
-    this.sequence += 1;
     return { wanted, held: usage.held(), sequence: this.sequence };
   }
 
   private async ask(
     home: string,
+    sequence: number,
     demands: demandCodec.DemandMessage,
   ): Promise<demandCodec.ShareMessage | undefined> {
     const self = this.fleetView.self.name;
     if (home === self) return this.grantAll(demands, self);
     if (home === "") return undefined;
-    const params = demandCodec.encodeDemands(demands);
+    const params = demandCodec.encodeDemands(sequence, demands);
     const timeout = { timeoutMs: this.options.callTimeoutMs };
     const answer = await this.peerNetwork.call(home, constants.DEMAND_METHOD, params, timeout);
     return answer.isOk() ? demandCodec.decodeShares(answer.value) : undefined;
