Take no new incarnation after a pause

Who suspects the VM says so in the answer to its next heartbeat, and it refutes that; a new incarnation each time only made news.

--- a/src/fleet/fleetMembership/index.ts
+++ b/src/fleet/fleetMembership/index.ts
@@ -223,7 +223,7 @@
     return this.clock.nowMs() - this.tickedAtMs > this.options.pauseThresholdMs;
   }
 
-  /** What was believed before the pause is no evidence against others; this VM joins again. */
+  /** What was believed before the pause is no evidence; who suspects this VM will tell it so. */
   private onPaused(pausedMs: number): void {
     const nowMs = this.clock.nowMs();
     this.logger.warn({ pausedMs }, "this process stood still; joining again");
@@ -233,7 +233,7 @@
     this.silentLeavers.clear();
     this.state.contacts.forgivePause(pausedMs);
     this.joiningUntilMs = nowMs + this.options.joinTimeoutMs;
-    this.state.announce(this.state.self.state);
+    this.onStateChanged();
   }
 
   private onHeard(): void {
