--- a/experiments/fuzz/onceOnly/index.ts
+++ b/experiments/fuzz/onceOnly/index.ts
@@ -13,6 +13,7 @@
   LogLostAnswer = "log-lost-answer",
   LogSlow = "log-slow",
   LogLinkCut = "log-link-cut",
+  LogLate = "log-late",
   LogTruncated = "log-truncated",
   VmPaused = "vm-paused",
   VmKilled = "vm-killed",
@@ -225,6 +226,12 @@
     vm.log.isCut = true;
     return () => (vm.log.isCut = false);
   },
+  [PlanFault.LogLate]: (run, { vmIndex: index, durationMs }) => {
+    const vm = run.vmAt(index);
+    if (vm === undefined) return () => undefined;
+    vm.log.lateByMs = durationMs / 2;
+    return () => (vm.log.lateByMs = 0);
+  },
   [PlanFault.LogTruncated]: (run) => {
     void truncateCovered(run);
     return () => undefined;
--- a/src/calls/calls/test.ts
+++ b/src/calls/calls/test.ts
@@ -4,6 +4,7 @@
 import * as logModel from "../../../standins/log/model/index.js";
 import * as serviceClients from "../../../standins/service/clients/index.js";
 import * as catalogue from "../../catalogue/index.js";
+import * as platform from "../../platform/types.js";
 
 const { summarise } = callsFleet;
 const { ServiceFault } = serviceClients;
@@ -192,3 +193,35 @@
   rig.log.heal(logModel.LogFault.LostAnswer);
   await rig[Symbol.asyncDispose]();
 });
+
+tap.test("a key outlives the log's retention by a snapshot, also at a new VM", async (t) => {
+  const rig = new callsFleet.CallsFleet();
+  const first = rig.start("vm-0", "dc-a", { snapshotEveryRecords: 10 });
+  await rig.clock.runForMs(1_000);
+  for (let index = 0; index < 10; index += 1) {
+    await rig.settle(first.calls.call(rig.request(`key-${index}`)));
+  }
+  await rig.clock.runForMs(30_000);
+  const { snapshotOffset } = first.calls.describe().follower;
+  t.ok(snapshotOffset > 0);
+  rig.log.truncateBefore(platform.LogStream.Calls, snapshotOffset + 1);
+  rig.kill(first);
+  const fresh = rig.start("vm-1", "dc-b");
+  const again = await rig.settle(fresh.calls.call(rig.request("key-3")));
+  t.equal(summarise(again), "execution key-3");
+  t.equal(rig.service.maxExecutions, 1);
+});
+
+tap.test("an intent that reaches the log late runs nothing and blocks nothing", async (t) => {
+  const rig = await startFleet("dc-a", "dc-b");
+  const [left, right] = rig.vms;
+  left!.log.lateByMs = 5_000;
+  const late = await rig.settle(left!.calls.call(rig.request("key-1", "body", {}, 1_000)));
+  t.equal(summarise(late), "not-run");
+  left!.log.lateByMs = 0;
+  await rig.clock.runForMs(20_000);
+  t.notOk(rig.service.executionsByKey.has("key-1"));
+  const next = await rig.settle(right!.calls.call(rig.request("key-1")));
+  t.equal(summarise(next), "execution key-1");
+  await rig[Symbol.asyncDispose]();
+});
--- a/standins/calls/index.ts
+++ b/standins/calls/index.ts
@@ -75,7 +75,7 @@
   ): CallsVm {
     this.fleet.add(name, dataCentre);
     const vmGate = new gate.Gate();
-    const log = new logLink.LogLink(this.log, this.downLog, vmGate);
+    const log = new logLink.LogLink(this.log, this.downLog, vmGate, this.clock);
     const clock = new gate.GatedClock(this.clock, vmGate);
     const service = new calls.Calls(
       clock,
--- a/standins/log/link/index.ts
+++ b/standins/log/link/index.ts
@@ -1,5 +1,6 @@
 import * as neverthrow from "neverthrow";
 
+import type * as clocks from "../../../src/_lib/clock/index.js";
 import * as stepError from "../../../src/_lib/stepError/index.js";
 import type * as platform from "../../../src/platform/types.js";
 import type * as gate from "../../vmGate/index.js";
@@ -8,12 +9,15 @@
 /** A VM's log: the shared one, through a link that can be cut for this VM alone. */
 export class LogLink implements platform.LogService {
   isCut = false;
+  /** An append's answer is lost, and the append takes effect only after this time. */
+  lateByMs = 0;
   readsCount = 0;
 
   constructor(
     private readonly log: logModel.LogModel,
     private readonly downLog: logModel.LogModel,
     private readonly vmGate: gate.Gate,
+    private readonly clock: clocks.Clock,
   ) {}
 
   async append(
@@ -21,6 +25,10 @@
     payloads: readonly unknown[],
   ): ReturnType<platform.LogService["append"]> {
     await this.vmGate.pass();
+    if (this.lateByMs > 0) {
+      this.clock.schedule(this.lateByMs, () => void this.log.append(stream, payloads));
+      return neverthrow.err(LOST_ANSWER);
+    }
     const result = await (this.isCut ? this.downLog : this.log).append(stream, payloads);
     await this.vmGate.pass();
     return this.isDown() && result.isOk() ? neverthrow.err(LOST_ANSWER) : result;
@@ -45,7 +53,7 @@
   }
 }
 
-const LOST_ANSWER = new stepError.StepError("the link was cut before the answer came", {
+const LOST_ANSWER = new stepError.StepError("the answer to the append was lost", {
   code: stepError.ErrorCode.PlatformUnavailable,
   step: "log.append",
   peer: "log",
--- a/standins/replication/index.ts
+++ b/standins/replication/index.ts
@@ -71,7 +71,7 @@
     this.fleet.add(name, dataCentre);
     const vmGate = new gate.Gate();
     const clock = new gate.GatedClock(this.clock, vmGate);
-    const log = new logLink.LogLink(this.log, this.downLog, vmGate);
+    const log = new logLink.LogLink(this.log, this.downLog, vmGate, this.clock);
     log.isCut = isLogCut;
     const follower = new replication.StreamFollower(
       CHAIN_RULES,
