--- a/src/http/adminServer/index.ts
+++ b/src/http/adminServer/index.ts
@@ -1,5 +1,3 @@
-import * as nodeTls from "node:tls";
-
 import type * as hapi from "@hapi/hapi";
 import * as neverthrow from "neverthrow";
 
@@ -10,6 +8,7 @@
 import * as authentication from "../_lib/authenticateAccount.js";
 import * as errors from "../_lib/errors.js";
 import * as hapiServers from "../_lib/hapiServer.js";
+import * as httpListeners from "../_lib/httpListener.js";
 import type * as types from "../types.js";
 
 /** An operator, and the hash of its key. */
@@ -19,9 +18,7 @@
 }
 
 /** The port that operators use; callers' keys do not open it. */
-export class AdminServer implements AsyncDisposable {
-  private constructor(private readonly server: hapi.Server) {}
-
+export class AdminServer extends httpListeners.HttpListener {
   /** Starts to listen. */
   static async start(
     operations: adminTypes.AdminOperations,
@@ -40,22 +37,6 @@
     await server.start();
     return new AdminServer(server);
   }
-
-  /** Address with the port in use. */
-  get url(): string {
-    const { protocol, address, port } = this.server.info;
-    return `${protocol}://${address}:${port}`;
-  }
-
-  /** Replaces the certificates of a TLS listener; running connections keep theirs. */
-  renewTls(tls: NonNullable<types.ListenOptions["tls"]>): void {
-    const { listener } = this.server;
-    if (listener instanceof nodeTls.Server) listener.setSecureContext(tls);
-  }
-
-  async [Symbol.asyncDispose](): Promise<void> {
-    await this.server.stop({ timeout: 0 });
-  }
 }
 
 async function handle(
--- a/src/http/callerServer/index.ts
+++ b/src/http/callerServer/index.ts
@@ -1,17 +1,14 @@
-import * as nodeTls from "node:tls";
-
 import type * as hapi from "@hapi/hapi";
 
 import * as stepError from "../../_lib/stepError/index.js";
 import * as callRoute from "../_lib/callRoute.js";
 import * as completionRoute from "../_lib/completionRoute.js";
 import * as hapiServers from "../_lib/hapiServer.js";
+import * as httpListeners from "../_lib/httpListener.js";
 import type * as types from "../types.js";
 
 /** The port that callers use. */
-export class CallerServer implements AsyncDisposable {
-  private constructor(private readonly server: hapi.Server) {}
-
+export class CallerServer extends httpListeners.HttpListener {
   /** Starts to listen. */
   static async start(
     parts: types.CallerServerParts,
@@ -29,22 +26,6 @@
     await server.start();
     return new CallerServer(server);
   }
-
-  /** Address with the port in use. */
-  get url(): string {
-    const { protocol, address, port } = this.server.info;
-    return `${protocol}://${address}:${port}`;
-  }
-
-  /** Replaces the certificates of a TLS listener; running connections keep theirs. */
-  renewTls(tls: NonNullable<types.ListenOptions["tls"]>): void {
-    const { listener } = this.server;
-    if (listener instanceof nodeTls.Server) listener.setSecureContext(tls);
-  }
-
-  async [Symbol.asyncDispose](): Promise<void> {
-    await this.server.stop({ timeout: 0 });
-  }
 }
 
 function sendReadiness(
