--- a/src/generations/_lib/owned/index.ts
+++ b/src/generations/_lib/owned/index.ts
@@ -1,3 +1,4 @@
+import * as catalogueTypes from "../../../catalogue/types.js";
 import * as stepError from "../../../_lib/stepError/index.js";
 import type * as types from "../../types.js";
 import * as errors from "../errors/index.js";
@@ -249,7 +250,8 @@
   /** A stream that makes progress is finished even after its deadline, except for a lookup. */
   private onDeadline(): void {
     const isProgressing = this.record.run !== null && this.record.tokens.length > 0;
-    if (isProgressing && this.record.request.isStreamed) return;
+    const isLookup = this.record.request.entry.class === catalogueTypes.RequestClass.Interactive;
+    if (isProgressing && !isLookup) return;
     const message = "the deadline passed before the generation was finished";
     const details = { step: "generation.deadline", deliveredTokens: this.record.heldCount };
     const code = stepError.ErrorCode.DeadlineExceeded;
--- a/src/generations/generations/test.ts
+++ b/src/generations/generations/test.ts
@@ -184,6 +184,18 @@
   t.ok(codes.every((code) => code !== undefined));
 });
 
+tap.test("at its deadline an answer under way is finished, except a lookup's", async (t) => {
+  for (const requestClass of Object.values(catalogueTypes.RequestClass)) {
+    await using group = new vms.VmGroup({ vms: vms.THREE_VMS, engines: { e1: "dc1" } });
+    const caller = await callers.startAt(group, "a", { class: requestClass, deadlineMs: 700 });
+    await group.clock.runForMs(5_000);
+    if (requestClass === catalogueTypes.RequestClass.Interactive) {
+      t.equal(caller.error?.code, stepError.ErrorCode.DeadlineExceeded);
+      t.equal(caller.error?.deliveredTokens, caller.tokens.length);
+    } else expectations.expectWhole(t, caller);
+  }
+});
+
 tap.test("where no engine is left the caller is told how much it has", async (t) => {
   await using group = new vms.VmGroup({ vms: vms.THREE_VMS, engines: { e1: "dc1" } });
   const caller = await callers.startAt(group, "a", { deadlineMs: 8_000 });
