Let a follower without its reader read the log itself

A follower whose connection to its reader broke asked only every 5 s, so that changes came late there.

--- a/src/replication/_lib/announcer/index.ts
+++ b/src/replication/_lib/announcer/index.ts
@@ -23,6 +23,11 @@
     return readerRoles.selectReaders(fleetView, this.stream, this.options.readersPerDataCentre);
   }
 
+  /** The reader that passes records on to this VM. */
+  ownReader(): string | undefined {
+    return readerRoles.preferredReader(this.readers(), this.dependencies.fleetView.self.name);
+  }
+
   isReader(): boolean {
     return this.readers().includes(this.dependencies.fleetView.self.name);
   }
--- a/src/replication/_lib/readerRoles/index.ts
+++ b/src/replication/_lib/readerRoles/index.ts
@@ -21,7 +21,12 @@
     .filter((member) => member.dataCentre === view.self.dataCentre)
     .map((member) => member.name)
     .filter((name) => !readers.includes(name))
-    .filter((name) => rendezvous.rankByRendezvous(readers, name)[0] === view.self.name);
+    .filter((name) => preferredReader(readers, name) === view.self.name);
+}
+
+/** The reader that passes records on to a follower; undefined where there is none. */
+export function preferredReader(readers: readonly string[], follower: string): string | undefined {
+  return rendezvous.rankByRendezvous(readers, follower)[0];
 }
 
 /**
--- a/src/replication/streamFollower/index.ts
+++ b/src/replication/streamFollower/index.ts
@@ -28,6 +28,8 @@
  */
 export class StreamFollower<State> implements AsyncDisposable {
   private hasBeenReady = false;
+  /** VMs whose connection broke and that have sent nothing since. */
+  private readonly lostPeers = new Set<string>();
   private lastHeardMs = 0;
   private news = timeLimit.createDeferred<undefined>();
   private readonly stopping = new AbortController();
@@ -61,7 +63,7 @@
         lowestOffset: () => applied.lowestRecentOffset,
         recordsFrom: (offset, maxCount) => applied.recordsFrom(offset, maxCount),
         packedSnapshot: () => this.snapshots.packRecent(),
-        onBatch: (batch) => this.takeBatch(batch),
+        onBatch: (batch, fromVm) => this.takeBatch(batch, fromVm),
       }),
     );
     this.announcer = new announcer.Announcer(dependencies, stream, options, applied, this.exchange);
@@ -72,6 +74,7 @@
       snapshots: this.snapshots,
       announcer: this.announcer,
     });
+    this.store.add(dependencies.peerNetwork.onDisconnect((vmName) => this.onDisconnect(vmName)));
     this.store.add(
       applied.onApplied((_, records) => {
         for (const record of records) this.snapshots.observe(record);
@@ -190,7 +193,7 @@
   private async step(): Promise<boolean> {
     try {
       if (!this.isFollowing) return await this.bootstrap();
-      return await (this.announcer.isReader() ? this.readLog() : this.followReader());
+      return await (this.readsLog() ? this.readLog() : this.followReader());
     } catch (error) {
       const { stream } = this.rules;
       this.dependencies.logger.error({ stream, err: error }, "step of a stream follower failed");
@@ -198,6 +201,18 @@
     }
   }
 
+  /** A VM whose reader is out of reach reads the log itself until it hears from that reader. */
+  private readsLog(): boolean {
+    return this.announcer.isReader() || this.lostPeers.has(this.announcer.ownReader() ?? "");
+  }
+
+  private onDisconnect(vmName: string): void {
+    const names = new Set(this.dependencies.fleetView.members().map(({ name }) => name));
+    for (const name of this.lostPeers) if (!names.has(name)) this.lostPeers.delete(name);
+    this.lostPeers.add(vmName);
+    this.news.resolve(undefined);
+  }
+
   private async bootstrap(): Promise<boolean> {
     const logOffset = await this.loader.loadFromLog();
     const peersOffset = await this.loader.loadFromPeers();
@@ -257,7 +272,8 @@
     return fromLog.isOk() || (await this.loader.loadFromPeers()) !== null;
   }
 
-  private takeBatch(batch: types.RecordBatch): void {
+  private takeBatch(batch: types.RecordBatch, fromVm: string): void {
+    this.lostPeers.delete(fromVm);
     this.lastHeardMs = this.dependencies.clock.nowMs();
     this.applied.knownOffset = Math.max(this.applied.knownOffset, batch.knownOffset);
     if (this.applied.phase !== types.FollowerPhase.Bootstrapping) this.applied.apply(batch.records);
--- a/src/replication/streamFollower/test.ts
+++ b/src/replication/streamFollower/test.ts
@@ -190,3 +190,24 @@
   t.equal(rig.counters.countOf("replication.phase_gap"), 0);
   await rig[Symbol.asyncDispose]();
 });
+
+tap.test("a follower cut off from its readers reads the log itself, without delay", async (t) => {
+  const rig = new followers.FollowerFleet();
+  for (let index = 0; index < 5; index += 1) rig.start(`vm-${index}`);
+  await rig.clock.runForMs(2_000);
+  const readers = rig.vms.filter((vm) => vm.follower.status().isReader);
+  const lonely = rig.vms.find((vm) => !readers.includes(vm))!;
+  for (const reader of readers) rig.hub.cut(reader.name, lonely.name);
+  for (let round = 0; round < 5; round += 1) {
+    await rig.append(1);
+    await rig.clock.runForMs(900);
+    t.equal(lonely.follower.appliedOffset, round);
+  }
+  for (const reader of readers) rig.hub.heal(reader.name, lonely.name);
+  await rig.clock.runForMs(15_000);
+  lonely.log.isCut = true;
+  await rig.append(1);
+  await rig.clock.runForMs(900);
+  t.equal(lonely.follower.appliedOffset, 5, "its reader passes records on again");
+  await rig[Symbol.asyncDispose]();
+});
