Rank readers by the fleet's rendezvous hashing

Cause: two rules ranked VMs by a key, one hashing pairs, one mixing hashes. Measured: 127 assertions over replication, catalogue and calls pass.

--- a/src/replication/_lib/readerRoles/index.ts
+++ b/src/replication/_lib/readerRoles/index.ts
@@ -1,7 +1,6 @@
-import * as fleet from "../../../fleet/types.js";
+import * as fleet from "../../../fleet/index.js";
 import type * as platform from "../../../platform/types.js";
 import * as constants from "../../constants.js";
-import * as rendezvous from "../rendezvous/index.js";
 
 /** VMs of this data centre that read the stream from the log, the first choice first. */
 export function selectReaders(
@@ -12,7 +11,7 @@
   const names = reachableMembers(view)
     .filter((member) => member.dataCentre === view.self.dataCentre)
     .map((member) => member.name);
-  return rendezvous.rankByRendezvous(names, `reader/${stream}`).slice(0, readersCount);
+  return rankNames(names, `reader/${stream}`).slice(0, readersCount);
 }
 
 /** The VMs of this data centre that a reader serves: each follower prefers one reader. */
@@ -26,7 +25,7 @@
 
 /** The reader that passes records on to a follower; undefined where there is none. */
 export function preferredReader(readers: readonly string[], follower: string): string | undefined {
-  return rendezvous.rankByRendezvous(readers, follower)[0];
+  return rankNames(readers, follower)[0];
 }
 
 /**
@@ -57,7 +56,12 @@
 /** Position of this VM in the order in which VMs write a due snapshot. */
 export function snapshotTurn(view: fleet.FleetView, key: string): number {
   const names = reachableMembers(view).map((member) => member.name);
-  return Math.max(0, rendezvous.rankByRendezvous(names, key).indexOf(view.self.name));
+  return Math.max(0, rankNames(names, key).indexOf(view.self.name));
+}
+
+function rankNames(names: readonly string[], key: string): readonly string[] {
+  const members = names.map((name) => ({ name }));
+  return fleet.rankByRendezvous(key, members).map(({ name }) => name);
 }
 
 function onePerDataCentre(members: readonly fleet.VmMember[], key: string): string[] {
@@ -67,9 +71,7 @@
     names.push(member.name);
     byDataCentre.set(member.dataCentre, names);
   }
-  return [...byDataCentre.values()].flatMap((names) =>
-    rendezvous.rankByRendezvous(names, key).slice(0, 1),
-  );
+  return [...byDataCentre.values()].flatMap((names) => rankNames(names, key).slice(0, 1));
 }
 
 function reachableMembers(view: fleet.FleetView): readonly fleet.VmMember[] {
