--- a/src/engines/_lib/runningTable/index.ts
+++ b/src/engines/_lib/runningTable/index.ts
@@ -38,6 +38,11 @@
     return this.records.has(requestId);
   }
 
+  /** How often a running generation was suspended before. */
+  suspensionsOf(requestId: string): number {
+    return this.records.get(requestId)?.suspensionsCount ?? 0;
+  }
+
   /** The tightest bound between tokens among all that runs, in milliseconds. */
   get lowestBoundMs(): number {
     let lowestMs = Infinity;
@@ -49,7 +54,7 @@
     return [...this.records.values()];
   }
 
-  add(need: types.GenerationNeed, nowMs: number): void {
+  add(need: types.GenerationNeed, nowMs: number, suspensionsCount: number): void {
     this.remove(need.requestId);
     const record: RunningRecord = {
       need,
@@ -57,7 +62,7 @@
       contextTokens: need.promptTokens + need.producedTokens,
       producedTokens: need.producedTokens,
       lastTokenAtMs: nowMs,
-      suspensionsCount: need.suspensionsCount ?? 0,
+      suspensionsCount,
       forecastAtTokens: need.producedTokens,
       share: forecasts.createMemoryShare(),
       pendingPrefillTokens: need.promptTokens,
--- a/src/engines/constants.ts
+++ b/src/engines/constants.ts
@@ -141,3 +141,6 @@
 /** Up to so many engines are all looked at when one is chosen; of more, a sample. */
 export const MAX_SCANNED_ENGINES = 64;
 export const SAMPLED_ENGINES = 32;
+
+/** Suspended generations that a home remembers of one engine. */
+export const MAX_REMEMBERED_SUSPENSIONS = 1_024;
--- a/src/engines/engineScheduler/index.ts
+++ b/src/engines/engineScheduler/index.ts
@@ -33,6 +33,8 @@
   private readonly prefillLoad = new prefillLoads.PrefillLoad();
   private readonly steps = new stepTimes.StepTimes();
   private readonly candidate = forecasts.createMemoryShare();
+  /** How often this home suspended what has not ended since; the oldest are forgotten. */
+  private readonly suspensionCounts = new Map<string, number>();
   private report: backends.EngineLoadReport | null = null;
   private foreignTokens = 0;
   /** When generations ended here; lagging reports still list them. */
@@ -58,7 +60,8 @@
   }
 
   onStarted(need: types.GenerationNeed, nowMs: number): void {
-    this.table.add(need, nowMs);
+    const ownCount = this.suspensionCounts.get(need.requestId) ?? 0;
+    this.table.add(need, nowMs, Math.max(ownCount, need.suspensionsCount ?? 0));
     const isUnwatched = need.class === catalogue.RequestClass.Batch;
     if (isUnwatched) this.prefillLoad.add(need.promptTokens, nowMs);
   }
@@ -71,6 +74,7 @@
     const record = this.table.remove(requestId);
     this.endedAtMs.set(requestId, nowMs);
     if (record === undefined || !isWhole) return;
+    this.suspensionCounts.delete(requestId);
     this.options.lengths.observe(record.need, record.producedTokens);
     const hasWorkWaited = nowMs - this.waitedAtMs < constants.WAITING_MEMORY_MS;
     const idleRatio = 1 - this.usedTokens() / this.options.capacityTokens;
@@ -95,6 +99,7 @@
     if (excessTokens <= 0) return [];
     const tokensToFree = excessTokens + this.table.count * constants.SUSPEND_RELIEF_STEPS;
     const chosen = victims.selectVictims(this.table.list(), tokensToFree);
+    for (const requestId of chosen) this.countSuspension(requestId);
     this.margin.onInterruptions(chosen.length);
     this.waitedAtMs = nowMs;
     return chosen;
@@ -245,6 +250,15 @@
     return tokens;
   }
 
+  private countSuspension(requestId: string): void {
+    const count = this.table.suspensionsOf(requestId) + 1;
+    this.suspensionCounts.delete(requestId);
+    this.suspensionCounts.set(requestId, count);
+    if (this.suspensionCounts.size <= constants.MAX_REMEMBERED_SUSPENSIONS) return;
+    const oldest = this.suspensionCounts.keys().next();
+    if (oldest.done !== true) this.suspensionCounts.delete(oldest.value);
+  }
+
   private forgetEndedBefore(limitMs: number): void {
     for (const [requestId, endedAtMs] of this.endedAtMs) {
       if (endedAtMs >= limitMs) return;
--- a/src/engines/engineScheduler/test.ts
+++ b/src/engines/engineScheduler/test.ts
@@ -141,6 +141,19 @@
   t.end();
 });
 
+tap.test("what was suspended once is spared while others never were", (t) => {
+  const scheduler = createScheduler();
+  startMany(scheduler, 10);
+  for (let index = 0; index < 10; index += 1) scheduler.onProgress(`s${index}`, 797, 1_000);
+  const [first = ""] = scheduler.selectSuspensions(1_000);
+  scheduler.onEnded(first, 1_000, false);
+  scheduler.onStarted({ ...NEED, requestId: first, producedTokens: 797 }, 1_100);
+  const [second = ""] = scheduler.selectSuspensions(1_100);
+  t.not(second, "");
+  t.not(second, first);
+  t.end();
+});
+
 tap.test("a leaving engine gets no new work", (t) => {
   const scheduler = createScheduler();
   scheduler.onLoadReport({ ...REPORT, takenAtMs: 1, leavingInMs: 20_000 }, 1);
