Carry the count of suspensions with a generation

Cause: the count stood at the home that had suspended; work that moved looked never suspended to the next home and could be chosen again. Change: the count is part of what holders and homes pass on. Ruled out: asking the old home, which may be gone.

--- a/src/generations/_lib/engineHome/index.ts
+++ b/src/generations/_lib/engineHome/index.ts
@@ -253,6 +253,7 @@
     return engineRequests.createNeed(snapshot.request, snapshot.tokens.length, {
       acceptedAtMs: nowMs,
       deadlineAtMs: nowMs + leftMs,
+      suspensionsCount: snapshot.suspensionsCount,
     });
   }
 
--- a/src/generations/_lib/engineRequest/index.ts
+++ b/src/generations/_lib/engineRequest/index.ts
@@ -31,7 +31,7 @@
 export function createNeed(
   request: types.GenerationRequest,
   producedTokens: number,
-  times: { readonly acceptedAtMs: number; readonly deadlineAtMs: number },
+  history: Pick<engines.GenerationNeed, "acceptedAtMs" | "deadlineAtMs" | "suspensionsCount">,
 ): engines.GenerationNeed {
   return {
     requestId: request.requestId,
@@ -45,7 +45,7 @@
     prefixHashes: [],
     producedTokens,
     maxTokens: request.maxTokens,
-    ...times,
+    ...history,
   };
 }
 
--- a/src/generations/_lib/engineRun/index.ts
+++ b/src/generations/_lib/engineRun/index.ts
@@ -32,6 +32,7 @@
   expiresAtMs = Infinity;
   readonly request: types.GenerationRequest;
   readonly samplingAttempt: number;
+  readonly suspensionsCount: number;
   readonly tokens: string[];
   private readonly progress: progressBounds.ProgressBound;
   private connection = new AbortController();
@@ -46,6 +47,7 @@
   ) {
     const { snapshot } = dispatch;
     this.request = snapshot.request;
+    this.suspensionsCount = snapshot.suspensionsCount;
     this.attempt = snapshot.attempt;
     this.ownerVm = snapshot.ownerVm;
     this.keeperVm = snapshot.keeperVm;
--- a/src/generations/_lib/messages/index.ts
+++ b/src/generations/_lib/messages/index.ts
@@ -77,6 +77,8 @@
   /** The attempt whose sampling the tokens come from. */
   samplingAttempt: zod.number(),
   tokens: zod.array(zod.string()),
+  /** How often homes have suspended it, so that the next one spares it. */
+  suspensionsCount: zod.int().min(0),
   finishReason: zod.enum(backendTypes.FinishReason).nullable(),
   run: runLocationSchema.nullable(),
 });
--- a/src/generations/_lib/owned/index.ts
+++ b/src/generations/_lib/owned/index.ts
@@ -215,6 +215,7 @@
       return;
     }
     if (ended.kind === messages.RunEndKind.Suspended) {
+      this.record.suspensionsCount += 1;
       this.placer.preferredEngine = run.engineName;
       this.isWaiting = true;
       return;
--- a/src/generations/_lib/placer/index.ts
+++ b/src/generations/_lib/placer/index.ts
@@ -108,6 +108,7 @@
     return engineRequests.createNeed(record.request, record.tokens.length, {
       acceptedAtMs,
       deadlineAtMs: clock.nowMs() + leftMs,
+      suspensionsCount: record.suspensionsCount,
     });
   }
 
--- a/src/generations/_lib/record/index.ts
+++ b/src/generations/_lib/record/index.ts
@@ -25,6 +25,7 @@
   ownerVm: string;
   keeperVm: string | null;
   run: messages.RunLocation | null;
+  suspensionsCount: number;
   finishReason: backends.FinishReason | null;
   failure: stepError.StepError | null = null;
   /** Tokens that both holders have; no token beyond is delivered. */
@@ -41,6 +42,7 @@
     this.ownerVm = snapshot.ownerVm;
     this.keeperVm = snapshot.keeperVm;
     this.run = snapshot.run;
+    this.suspensionsCount = snapshot.suspensionsCount;
     this.finishReason = snapshot.finishReason;
     this.storedTokens = [...snapshot.tokens];
   }
@@ -128,6 +130,7 @@
       samplingAttempt: this.samplingAttempt,
       tokens: [...this.storedTokens],
       finishReason: this.finishReason,
+      suspensionsCount: this.suspensionsCount,
       run: this.run,
     };
   }
--- a/src/generations/_lib/takeOver/index.ts
+++ b/src/generations/_lib/takeOver/index.ts
@@ -76,6 +76,7 @@
     keeperVm: run.keeperVm,
     attempt,
     samplingAttempt: run.samplingAttempt,
+    suspensionsCount: run.suspensionsCount,
     tokens: [...run.tokens],
     finishReason: run.finishReason,
     run: run.location,
--- a/src/generations/generations/index.ts
+++ b/src/generations/generations/index.ts
@@ -206,6 +206,7 @@
       attempt: 0,
       samplingAttempt: 1,
       tokens: [],
+      suspensionsCount: 0,
       finishReason: null,
       run: null,
     };
