Share learned output lengths among the VMs of a data centre

Cause: each VM learned alone; one that starts expects outputs of any length and admits too little, and few observations reach each VM of a small fleet. Change: homes tell each other what they observed, and a VM that starts asks for all; the interval grows with the number of VMs that are told.

--- a/src/generations/_lib/createScheduler/index.ts
+++ b/src/generations/_lib/createScheduler/index.ts
@@ -7,12 +7,15 @@
 const MAX_RUNNING_COUNT = 256;
 
 /**
- * Makes the schedulers of this VM's engines. They share what has been learned about output lengths.
+ * Makes the schedulers of this VM's engines.
  *
  * @param view - the catalogue, for the objectives of entries
+ * @param lengths - what has been learned about output lengths, shared by all engines
  */
-export function createSchedulerFactory(view: catalogue.CatalogueView): contexts.SchedulerFactory {
-  const lengths = new engines.LengthLearner();
+export function createSchedulerFactory(
+  view: catalogue.CatalogueView,
+  lengths: engines.LengthLearner,
+): contexts.SchedulerFactory {
   return (engine) =>
     new engines.EngineScheduler({
       engineName: engine.name,
--- a/src/generations/_lib/messages/index.ts
+++ b/src/generations/_lib/messages/index.ts
@@ -24,6 +24,8 @@
   Waiting = "generations/waiting",
   Room = "generations/room",
   EngineViews = "generations/engine-views",
+  Lengths = "generations/lengths",
+  KnownLengths = "generations/known-lengths",
 }
 
 const entrySchema = zod.object({
--- a/src/generations/generations/index.ts
+++ b/src/generations/generations/index.ts
@@ -11,6 +11,7 @@
 import * as tokens from "../../_lib/tokens/index.js";
 import type * as backends from "../../backends/types.js";
 import type * as catalogue from "../../catalogue/types.js";
+import * as engines from "../../engines/index.js";
 import type * as fleet from "../../fleet/types.js";
 import * as fleetTypes from "../../fleet/types.js";
 import type * as peers from "../../peers/types.js";
@@ -22,6 +23,7 @@
 import * as descriptions from "../_lib/descriptions/index.js";
 import * as homeDesks from "../_lib/homeDesk/index.js";
 import * as keeperDesks from "../_lib/keeperDesk/index.js";
+import * as lengthExchanges from "../_lib/lengthExchange/index.js";
 import * as locators from "../_lib/locator/index.js";
 import type * as messages from "../_lib/messages/index.js";
 import * as orphanWatches from "../_lib/orphans/index.js";
@@ -42,6 +44,7 @@
   private readonly context: contexts.GenerationContext;
   private readonly holders: locators.Holders;
   private readonly views: views.EngineViews;
+  private readonly lengths: lengthExchanges.LengthExchange;
   private readonly spread: viewSpreads.ViewSpread;
   private readonly locator: locators.Locator;
   private readonly orphans: orphanWatches.OrphanWatch;
@@ -63,6 +66,7 @@
     @tsyringe.inject(tokens.TOKENS.engineClients) engineClients: backends.EngineClients,
   ) {
     const link = this.resources.add(new peerLinks.PeerLink(fleetView.self.name, peerNetwork));
+    const lengths = new engines.LengthLearner();
     this.context = {
       clock,
       random,
@@ -73,8 +77,9 @@
       fleet: fleetView,
       catalogue: catalogueView,
       engineClients,
-      createScheduler: schedulers.createSchedulerFactory(catalogueView),
+      createScheduler: schedulers.createSchedulerFactory(catalogueView, lengths),
     };
+    this.lengths = new lengthExchanges.LengthExchange(this.context, lengths);
     this.views = new views.EngineViews(this.context);
     this.spread = new viewSpreads.ViewSpread(this.context);
     const owner = this.resources.add(new ownerDesks.OwnerDesk(this.context, this.views));
@@ -92,6 +97,7 @@
   /** Registers with the peers and takes up the engines whose home this VM is. */
   start(): void {
     this.views.start();
+    this.lengths.start();
     this.holders.owner.start();
     this.holders.keeper.start();
     this.holders.home.start();
@@ -100,6 +106,7 @@
     this.reader.start();
     void this.repeat(constants.WATCH_INTERVAL_MS, () => this.watch());
     void this.repeat(constants.TELL_WAITING_INTERVAL_MS, () => this.holders.owner.waiting.tell());
+    void this.repeat(constants.LENGTHS_CHECK_INTERVAL_MS, () => this.lengths.exchange());
     void this.repeat(constants.VIEW_INTERVAL_MS, () => this.spreadViews());
   }
 
