Explain the demo's draft, and expect traces in scenarios

Cause: the demo ended without showing why the draft went on, and no scenario looked at explanations. Change: a step that expects decisions in order and an offset; the demo prints the draft's timeline.

--- a/experiments/local/demo.ts
+++ b/experiments/local/demo.ts
@@ -1,3 +1,4 @@
+import * as traces from "../../src/cli/renderTrace/index.js";
 import * as scenarios from "../../scenarios/index.js";
 import * as localScenario from "./_lib/localScenario.js";
 
@@ -47,6 +48,15 @@
     `every token has arrived once, in order, from a single sampling`,
     { do: "expect-request", as: "draft", status: 200, tokens: DRAFT_TOKENS, finish: "stop" },
   ],
+  [
+    "the draft's explanation names the engine's death and where it was continued",
+    {
+      do: "expect-trace",
+      as: "draft",
+      steps: ["engine.started", "run.engine-lost", "engine.started", "run.placed"],
+      offsetAtLeast: KILL_AT_TOKENS,
+    },
+  ],
   ["the first filing has succeeded", { do: "expect-request", as: "first", status: 200 }],
   [
     "the second filing has the same answer",
@@ -66,14 +76,23 @@
   );
   const firstDemoStep = scenario.steps.length - STEPS.length;
   print("two daemons and two engines start");
-  const report = await scenarios.runScenario(scenario, ({ number, failure }) => {
+  let explanation = "";
+  const report = await scenarios.runScenario(scenario, async ({ number, failure }, run) => {
     const [text = "the catalogue is published"] = STEPS[number - 1 - firstDemoStep] ?? [];
     print(failure === null ? `ok      ${text}` : `FAILED  ${text}: ${failure}`);
+    if (number === scenario.steps.length) explanation = await explainDraft(run);
   });
+  print(`\nchiveferry explain, of the draft:\n\n${explanation}`);
   print(`\nWhat every party saw:\n\n${report.session}`);
   return report.steps.every((step) => step.failure === null);
 }
 
+async function explainDraft(run: scenarios.ScenarioRun): Promise<string> {
+  const { requestId } = run.caller("draft");
+  const trace = await run.adminOf(run.vmAt("riga-a-1")).explainRequest(requestId ?? "");
+  return traces.renderTrace(trace.value);
+}
+
 function print(text: string): void {
   process.stdout.write(`${text}\n`);
 }
--- a/scenarios/_lib/schema/index.ts
+++ b/scenarios/_lib/schema/index.ts
@@ -192,6 +192,17 @@
   fields: zod.record(zod.string(), zod.unknown()),
 });
 
+/** What the VMs that held a request say about it. */
+const expectTrace = zod.strictObject({
+  do: zod.literal("expect-trace"),
+  as: name,
+  at: name.optional(),
+  /** Steps that the trace has in this order, others between them. */
+  steps: zod.array(zod.string()).min(1),
+  /** Least offset of the last of these steps. */
+  offsetAtLeast: count.optional(),
+});
+
 const STEPS = [
   start,
   apply,
@@ -215,6 +226,7 @@
   expectEngine,
   expectVm,
   expectItem,
+  expectTrace,
 ] as const;
 
 const stepNames = STEPS.map((step) => step.shape.do.value);
--- a/scenarios/_lib/steps/expectationSteps.ts
+++ b/scenarios/_lib/steps/expectationSteps.ts
@@ -95,6 +95,23 @@
   }
 }
 
+export async function expectTrace(
+  run: scenarioRuns.ScenarioRun,
+  step: types.StepOf<"expect-trace">,
+): Promise<void> {
+  const { requestId } = run.caller(step.as);
+  const { value } = await run.adminOf(run.vmAt(step.at)).explainRequest(requestId ?? "");
+  const events = [...value].sort((left, right) => left.atWallMs - right.atWallMs);
+  let position = -1;
+  for (const expected of step.steps) {
+    position = events.findIndex((event, index) => index > position && event.step === expected);
+    if (position >= 0) continue;
+    const found = events.map((event) => event.step).join(", ");
+    throw new Error(`expected ${step.steps.join(", ")} in this order, found ${found}`);
+  }
+  expectAtMost("offset expected", step.offsetAtLeast ?? 0, events[position]?.offset ?? 0);
+}
+
 /** The tokens are one run from 0: none missing, none twice, none of another sampling. */
 function expectWholeAnswer(caller: callerSessions.CallerSession, count: number): void {
   const runs = tokenRuns.gatherTokenRuns(caller.tokens);
--- a/scenarios/_lib/steps/index.ts
+++ b/scenarios/_lib/steps/index.ts
@@ -37,6 +37,7 @@
   "expect-engine": expectationSteps.expectEngine,
   "expect-vm": expectationSteps.expectVm,
   "expect-item": expectationSteps.expectItem,
+  "expect-trace": expectationSteps.expectTrace,
 };
 
 /** Carries out one step; throws an Error that says what was found where it fails. */
--- a/scenarios/runScenario/index.ts
+++ b/scenarios/runScenario/index.ts
@@ -11,14 +11,19 @@
 /** Bounds the wait for a log that is never quiet. */
 const MAX_LOG_READS = 12;
 
+/** Told of each step when it has ended, while the daemons still run. */
+export type OnStep = (
+  report: types.StepReport,
+  run: scenarioRuns.ScenarioRun,
+) => void | Promise<void>;
+
 /**
  * Runs a scenario with whole daemons and stand-ins in this process. A step that fails ends it.
  *
- * @param onStep - told of each step when it has ended
  */
 export async function runScenario(
   scenario: types.Scenario,
-  onStep: (report: types.StepReport) => void = () => undefined,
+  onStep: OnStep = () => undefined,
 ): Promise<types.ScenarioReport> {
   const run = await scenarioRuns.ScenarioRun.create(scenario);
   try {
@@ -27,7 +32,7 @@
       const failure = await failureOf(run, step);
       const report = { number: index + 1, name: step.do, failure };
       reports.push(report);
-      onStep(report);
+      await onStep(report, run);
       if (failure !== null) break;
     }
     await settleLog(run);
