Trace how an answer ended for its caller

Cause: an explanation ended with the last placement; whether the caller got the whole answer could not be seen. Change: the callers' port records the end or the interruption.

--- a/src/http/_lib/completionRoute.ts
+++ b/src/http/_lib/completionRoute.ts
@@ -6,6 +6,7 @@
 import * as stepError from "../../_lib/stepError/index.js";
 import * as catalogue from "../../catalogue/index.js";
 import type * as generations from "../../generations/types.js";
+import type * as telemetry from "../../telemetry/types.js";
 import * as completionEvents from "../completionEvents/index.js";
 import * as constants from "../constants.js";
 import * as problems from "../problemOf/index.js";
@@ -24,6 +25,7 @@
   readonly promptTokens: number;
   /** Called with the tokens of each frame before it is sent. */
   readonly onTokens: (count: number) => void;
+  readonly tracer: telemetry.Tracer;
   /** Aborted when the caller has gone. */
   readonly signal: AbortSignal;
   /** Called once, however the answer ends. */
@@ -59,6 +61,7 @@
       fromOffset: 0,
       promptTokens: estimatePromptTokens(body.value.prompt),
       onTokens: (count) => permit.spendTokens(count),
+      tracer: parts.tracer,
       signal: callerSignal(request),
       onEnd: () => permit[Symbol.dispose](),
     };
@@ -102,6 +105,7 @@
       fromOffset: offset.value,
       promptTokens: 0,
       onTokens: () => undefined,
+      tracer: parts.tracer,
       signal: callerSignal(request),
       onEnd: () => undefined,
     };
@@ -174,10 +178,12 @@
   try {
     for await (const frame of target.handle.frames(target.fromOffset, target.signal)) {
       target.onTokens(frame.tokens.length);
+      traceEnd(target, frame);
       yield completionEvents.formatFrame(target.head, frame);
     }
   } catch (error) {
     const failure = errors.toStepError(error, "generations.frames");
+    traceFailure(target, failure);
     yield completionEvents.formatProblem(problems.problemOf(failure, requestId));
   }
 }
@@ -193,6 +199,7 @@
       target.onTokens(frame.tokens.length);
       tokens.push(...frame.tokens);
       if (frame.finishReason === null) continue;
+      traceEnd(target, frame);
       const whole = completionEvents.formatWhole(
         target.head,
         target.promptTokens,
@@ -204,12 +211,31 @@
     throw cutShort(tokens.length);
   } catch (error) {
     const failure = errors.toStepError(error, "generations.frames");
+    traceFailure(target, failure);
     return hapiServers.sendProblem(h, failure, requestId);
   } finally {
     target.onEnd();
   }
 }
 
+/** Keeps for explanations that the caller was sent the end of its answer. */
+function traceEnd({ tracer, head }: AnswerTarget, frame: generations.TokenFrame): void {
+  if (frame.finishReason === null) return;
+  tracer.record(head.requestId, {
+    step: "request.answered",
+    offset: frame.offset + frame.tokens.length,
+    reason: `the whole answer was sent, finish reason ${frame.finishReason}`,
+  });
+}
+
+function traceFailure({ tracer, head }: AnswerTarget, error: stepError.StepError): void {
+  tracer.record(head.requestId, {
+    step: "request.interrupted",
+    reason: `${error.step}: ${error.message}`,
+    ...(error.deliveredTokens === undefined ? {} : { offset: error.deliveredTokens }),
+  });
+}
+
 function cutShort(tokensCount: number): stepError.StepError {
   return new stepError.StepError("the answer ended without a finish reason", {
     code: stepError.ErrorCode.Interrupted,
