Say which calls bear repetition, so that they share connections

Cause: the client keeps requests that may not be repeated off pooled connections, and nobody told it which may; every call made a new connection. Change: idempotent calls and status lookups say so.

--- a/src/calls/_lib/idempotentCaller/index.ts
+++ b/src/calls/_lib/idempotentCaller/index.ts
@@ -212,5 +212,6 @@
     },
     body: request.body,
     timeoutMs,
+    isIdempotent: true,
   };
 }
--- a/src/calls/_lib/idempotentCaller/test.ts
+++ b/src/calls/_lib/idempotentCaller/test.ts
@@ -105,3 +105,14 @@
   t.same(await callSteadily(rig, 1, 10), ["not-run"]);
   await rig[Symbol.asyncDispose]();
 });
+
+tap.test("idempotent calls may use pooled connections, once-only ones may not", async (t) => {
+  const rig = await startFleet();
+  await callSteadily(rig, 10, 10);
+  t.equal(rig.service.idempotentCount, 10);
+  const once = rig.vms[0]!.calls.call(rig.request("key-1", "body", {}, 2_000));
+  await rig.settle(once);
+  t.equal(rig.service.attemptsCount, 11);
+  t.equal(rig.service.idempotentCount, 10);
+  await rig[Symbol.asyncDispose]();
+});
--- a/src/calls/_lib/statusLookup/index.ts
+++ b/src/calls/_lib/statusLookup/index.ts
@@ -35,6 +35,7 @@
     headers: { [constants.KEY_HEADER]: key },
     body: new Uint8Array(0),
     timeoutMs,
+    isIdempotent: true,
   });
   const place = { step: "call.status", peer: server.backend.name };
   const result = await replication.limitTime(dependencies.clock, timeoutMs, work, place);
--- a/standins/service/clients/index.ts
+++ b/standins/service/clients/index.ts
@@ -32,6 +32,8 @@
   readonly latencyByServer = new Map<string, number>();
   readonly executionsByKey = new Map<string, number>();
   readonly attemptsByServer = new Map<string, number>();
+  /** Requests that were said to bear repetition, so that a pooled connection may carry them. */
+  idempotentCount = 0;
   private executionsCount = 0;
 
   constructor(private readonly clock: clocks.Clock) {}
@@ -53,6 +55,7 @@
     const fault = this.faultByServer.get(name) ?? this.fault;
     if (fault === ServiceFault.Unreachable)
       return neverthrow.err(failure(name, stepError.ExecutionState.NotRun));
+    if (request.isIdempotent === true) this.idempotentCount += 1;
     if (request.path.startsWith(STATUS_PREFIX)) return this.lookUp(request.path);
     this.attemptsByServer.set(name, (this.attemptsByServer.get(name) ?? 0) + 1);
     await this.clock.sleep(this.latencyByServer.get(name) ?? this.latencyMs);
