Hold callers to the limits on headers, time and connections

Cause: hapi answered 400 to every request that it could not read, and a slow one got 400 as well; no test brought the limits about. Change: Node's own answers (408, 431) pass, and a problem keeps the status. Before: 400 for a header above the limit and for a slow request. After: 431 and 408; connections above the limit are closed while the others are served.

--- a/src/http/_lib/hapiServer.ts
+++ b/src/http/_lib/hapiServer.ts
@@ -44,10 +44,17 @@
       },
     },
   });
+  // hapi answers 400 to all that cannot be read; Node itself tells 408 and 431 apart.
+  listener.removeAllListeners("clientError");
   server.ext("onPreResponse", (request, h) => {
     const { response } = request;
     if (!isBoom(response)) return h.continue;
-    return sendProblem(h, stepErrorOf(response, request.path));
+    const { statusCode } = response.output;
+    const status = statusCode in CODE_OF_STATUS ? { status: statusCode } : {};
+    return sendProblemDocument(h, {
+      ...problems.problemOf(stepErrorOf(response, request.path)),
+      ...status,
+    });
   });
   return server;
 }
@@ -58,12 +65,19 @@
   error: stepError.StepError,
   requestId?: string,
 ): hapi.ResponseObject {
-  const problem = problems.problemOf(error, requestId);
+  const response = sendProblemDocument(h, problems.problemOf(error, requestId));
+  if (requestId !== undefined) response.header("x-request-id", requestId);
+  return response;
+}
+
+function sendProblemDocument(
+  h: hapi.ResponseToolkit,
+  problem: problems.Problem,
+): hapi.ResponseObject {
   const response = h
     .response(JSON.stringify(problem))
     .code(problem.status)
     .type(constants.PROBLEM_MEDIA_TYPE);
-  if (requestId !== undefined) response.header("x-request-id", requestId);
   if (problem.retryAfterMs !== undefined) {
     const retryAfterSeconds = Math.max(1, Math.ceil(problem.retryAfterMs / MS_PER_SECOND));
     response.header("retry-after", String(retryAfterSeconds));
--- a/standins/daemon/index.ts
+++ b/standins/daemon/index.ts
@@ -82,7 +82,7 @@
 
 async function createSettings(
   world: worlds.StandInWorld,
-  { callersYaml = "", adminYaml = "" }: LocalDaemonOptions,
+  { callersYaml = "", adminYaml = "", limitsYaml = "" }: LocalDaemonOptions,
 ): Promise<settings.Settings> {
   const [peerPort, heartbeatPort] = await freePorts.findFreePorts(2);
   const text = `
@@ -96,6 +96,7 @@
   regions: [{ name: riga, dataCentres: [riga-a] }]
 platform: { logUrls: ["${world.log.url}"], vmListUrl: "${world.vmList.url}", weightStoreUrl: "${world.weightStore.url}" }
 logging: { level: fatal }
+limits: { ${limitsYaml} }
 shutdown: { balancerNoticeMs: 1, graceMs: 2000 }
 `;
   return settings.parseSettings(text, "test.yaml")._unsafeUnwrap();
@@ -105,6 +106,7 @@
 export interface LocalDaemonOptions {
   readonly callersYaml?: string;
   readonly adminYaml?: string;
+  readonly limitsYaml?: string;
 }
 
 /** Starts a daemon that is ready; the store closes it. */
