--- a/src/generations/constants.ts
+++ b/src/generations/constants.ts
@@ -11,7 +11,7 @@
 export const MISSED_REPORTS_COUNT = 3;
 
 /** Time between two accounts of observed output lengths, for each VM that is told. */
-export const LENGTHS_INTERVAL_PER_PEER_MS = 15_000;
+export const LENGTHS_INTERVAL_PER_PEER_MS = 60_000;
 
 /** Interval at which a VM looks whether such an account is due. */
 export const LENGTHS_CHECK_INTERVAL_MS = 1_000;
