--- a/src/fleet/_lib/dataCentreContacts/index.ts
+++ b/src/fleet/_lib/dataCentreContacts/index.ts
@@ -22,7 +22,7 @@
   }
 
   /** Adds the time that this process stood still, in which it could hear nothing. */
-  forgivePause(pausedMs: number): void {
+  excludePause(pausedMs: number): void {
     for (const [name, atMs] of this.contactAtMs) this.contactAtMs.set(name, atMs + pausedMs);
   }
 }
--- a/src/fleet/fleetMembership/index.ts
+++ b/src/fleet/fleetMembership/index.ts
@@ -214,7 +214,7 @@
     this.tickedAtMs = nowMs;
     if (hasPaused) this.onPaused(pausedMs);
     this.endJoiningAlone(nowMs);
-    this.buryOverdue(nowMs);
+    this.declareOverdue(nowMs);
     this.retryDead(nowMs);
     this.updateCutOff(nowMs);
   }
@@ -231,7 +231,7 @@
     this.exchange.abandonPending();
     this.state.table.restartTimes(nowMs);
     this.silentLeavers.clear();
-    this.state.contacts.forgivePause(pausedMs);
+    this.state.contacts.excludePause(pausedMs);
     this.joiningUntilMs = nowMs + this.options.joinTimeoutMs;
     this.onStateChanged();
   }
@@ -248,7 +248,7 @@
     this.onStateChanged();
   }
 
-  private buryOverdue(nowMs: number): void {
+  private declareOverdue(nowMs: number): void {
     const { suspicionMs, deadRetentionMs } = this.options;
     const { table, self } = this.state;
     for (const member of table.membersSince(types.MemberState.Suspect, suspicionMs, nowMs)) {
--- a/src/peers/_lib/peerLink/index.ts
+++ b/src/peers/_lib/peerLink/index.ts
@@ -91,7 +91,7 @@
   }
 
   /** Starts the measurement of silence again, after this process itself has stood still. */
-  forgiveSilence(nowMs: number): void {
+  restartSilence(nowMs: number): void {
     if (this.connection === undefined) return;
     if (this.connection.awaitingSinceMs === null) return;
     this.connection.awaitingSinceMs = nowMs;
--- a/src/peers/tcpPeerNetwork/index.ts
+++ b/src/peers/tcpPeerNetwork/index.ts
@@ -151,7 +151,7 @@
       const isLate = nowMs - lastSweepAtMs > LATE_SWEEP_INTERVALS * constants.SWEEP_INTERVAL_MS;
       lastSweepAtMs = nowMs;
       for (const link of this.links.values()) {
-        if (isLate) link.forgiveSilence(nowMs);
+        if (isLate) link.restartSilence(nowMs);
         else link.check(nowMs);
       }
     }
