Measure what a daemon adds to a call

Cause: the time of tokens through daemons was measured, that of calls was not. Change: npm run bench -- calls takes the service itself, an idempotent and a keyed call in turn.

--- a/experiments/bench/main.ts
+++ b/experiments/bench/main.ts
@@ -1,9 +1,11 @@
+import * as calls from "./calls/index.js";
 import * as decisions from "./decisions/index.js";
 import * as relay from "./relay/index.js";
 
 type Bench = () => void | Promise<void>;
 
 const BENCHES: Readonly<Record<string, Bench>> = {
+  calls: calls.benchCalls,
   decisions: decisions.benchDecisions,
   relay: relay.benchRelay,
 };
--- a/standins/daemon/index.ts
+++ b/standins/daemon/index.ts
@@ -23,7 +23,7 @@
 name: drafts
 owner: gauja
 keyHashes: ["${http.hashKey(ACCOUNT_KEY)}"]
-requestsPerSecond: 100
+requestsPerSecond: 10000
 concurrentRequests: 20
 tokensPerSecond: 100000
 ---
@@ -58,6 +58,18 @@
 objectives: { targetRatio: 0.95 }
 ---
 kind: call
+name: look-up
+owner: gauja
+class: interactive
+service: permits
+method: POST
+path: /look-up
+semantics: idempotent
+keyRequired: false
+deadlineMs: 5000
+objectives: { targetRatio: 0.99 }
+---
+kind: call
 name: file-permit
 owner: gauja
 class: interactive
