--- a/src/_lib/yamlFile/index.ts
+++ b/src/_lib/yamlFile/index.ts
@@ -16,12 +16,6 @@
   readonly found: string;
 }
 
-/** A checked document with the line on which it starts. */
-export interface YamlItem<T> {
-  readonly value: T;
-  readonly line: number;
-}
-
 /**
  * Parses a YAML text of one document and checks it against a schema.
  *
@@ -34,29 +28,7 @@
 ): neverthrow.Result<T, readonly YamlProblem[]> {
   const lines = new yaml.LineCounter();
   const document = yaml.parseDocument(text, { lineCounter: lines });
-  return checkDocument(document, lines, fileName, schema).map((item) => item.value);
-}
-
-/**
- * Parses a YAML text of several documents, each checked against the same schema; empty ones are
- * left out.
- *
- * @returns the checked values with their lines, or every mistake of all documents at once
- */
-export function parseYamlDocuments<T>(
-  text: string,
-  fileName: string,
-  schema: zod.ZodType<T>,
-): neverthrow.Result<readonly YamlItem<T>[], readonly YamlProblem[]> {
-  const lines = new yaml.LineCounter();
-  const parsed = yaml.parseAllDocuments(text, { lineCounter: lines });
-  const documents = Array.isArray(parsed) ? parsed : [];
-  const results = documents
-    .filter((document) => document.contents !== null || document.errors.length > 0)
-    .map((document) => checkDocument(document, lines, fileName, schema));
-  const problems = results.flatMap((result) => (result.isErr() ? result.error : []));
-  if (problems.length > 0) return neverthrow.err(problems);
-  return neverthrow.ok(results.flatMap((result) => (result.isOk() ? [result.value] : [])));
+  return checkDocument(document, lines, fileName, schema);
 }
 
 /** Text of one problem, e.g. `vm.yaml:3: vm.peerPort: expected number, found "x"`. */
@@ -70,15 +42,13 @@
   lines: yaml.LineCounter,
   fileName: string,
   schema: zod.ZodType<T>,
-): neverthrow.Result<YamlItem<T>, readonly YamlProblem[]> {
+): neverthrow.Result<T, readonly YamlProblem[]> {
   if (document.errors.length > 0) {
     return neverthrow.err(document.errors.map((error) => syntaxProblem(error, lines, fileName)));
   }
   const value: unknown = document.toJS();
   const result = schema.safeParse(value);
-  if (result.success) {
-    return neverthrow.ok({ value: result.data, line: locateNodes.lineOf(document, lines, []) });
-  }
+  if (result.success) return neverthrow.ok(result.data);
   const problems = result.error.issues
     .flatMap((issue) => describeIssues.describeIssue(issue, value))
     .map((mistake) => ({
--- a/src/daemon/constants.ts
+++ b/src/daemon/constants.ts
@@ -1,15 +1,9 @@
 /** Longest wait for a VM's part of a gathered answer, in milliseconds. */
 export const GATHER_TIMEOUT_MS = 2_000;
 
-/** VMs that are asked at the same time. */
-export const GATHER_CONCURRENCY = 32;
-
 /** Time between two looks at the certificate files, in milliseconds. */
 export const CERTIFICATE_CHECK_INTERVAL_MS = 30_000;
 
-/** Time between two looks at whether a VM that leaves still holds work, in milliseconds. */
-export const DRAIN_CHECK_INTERVAL_MS = 100;
-
 /** Exit code of a daemon that could not start (EX_SOFTWARE of sysexits). */
 export const EXIT_CODE_START_FAILED = 70;
 
--- a/src/http/_lib/authenticateAccount.ts
+++ b/src/http/_lib/authenticateAccount.ts
@@ -24,8 +24,9 @@
   if (key === null || key === "") {
     return neverthrow.err(unauthenticated("expected an Authorization header with a Bearer key"));
   }
-  const account = catalogue.findAccountByKeyHash(state, keys.hashKey(key));
-  if (account === undefined || !keys.isKeyAmong(key, account.keyHashes)) {
+  const hash = keys.hashKey(key);
+  const account = catalogue.findAccountByKeyHash(state, hash);
+  if (account === undefined || !keys.isHashAmong(hash, account.keyHashes)) {
     return neverthrow.err(unauthenticated("the key belongs to no client account"));
   }
   return neverthrow.ok(account);
--- a/src/http/adminServer/index.ts
+++ b/src/http/adminServer/index.ts
@@ -65,7 +65,8 @@
   operatorKeys: readonly OperatorKey[],
 ): neverthrow.Result<string, stepError.StepError> {
   const key = authentication.readBearerKey(request) ?? "";
-  const found = operatorKeys.filter(({ keyHash }) => keys.isKeyAmong(key, [keyHash]));
+  const hash = keys.hashKey(key);
+  const found = operatorKeys.filter(({ keyHash }) => keys.isHashAmong(hash, [keyHash]));
   const [first] = found;
   if (first !== undefined) return neverthrow.ok(first.operator);
   return neverthrow.err(
--- a/src/http/constants.ts
+++ b/src/http/constants.ts
@@ -9,6 +9,3 @@
 
 /** Bytes of text per token, for estimates of a prompt's length before an engine has seen it. */
 export const BYTES_PER_TOKEN = 4;
-
-/** Longest time to wait for a whole request, in milliseconds. */
-export const RECEIVE_TIMEOUT_MS = 20_000;
--- a/src/http/hashKey/index.ts
+++ b/src/http/hashKey/index.ts
@@ -11,11 +11,16 @@
 
 /** Whether a key has one of the hashes; compares in constant time. */
 export function isKeyAmong(key: string, hashes: readonly string[]): boolean {
-  const hash = Buffer.from(hashKey(key), "hex");
+  return isHashAmong(hashKey(key), hashes);
+}
+
+/** Whether a key's hash is one of the hashes; compares in constant time. */
+export function isHashAmong(hash: string, hashes: readonly string[]): boolean {
+  const bytes = Buffer.from(hash, "hex");
   let isFound = false;
   for (const candidate of hashes) {
     const other = Buffer.from(candidate, "hex");
-    if (other.length === hash.length && crypto.timingSafeEqual(hash, other)) isFound = true;
+    if (other.length === bytes.length && crypto.timingSafeEqual(bytes, other)) isFound = true;
   }
   return isFound;
 }
