--- a/eslint.config.js
+++ b/eslint.config.js
@@ -7,7 +7,7 @@
 };
 
 export default tseslint.config(
-  { ignores: ["build/**", "node_modules/**", "tap-snapshots/**", ".tap/**"] },
+  { ignores: ["build/**", "target/**", "node_modules/**", "tap-snapshots/**", ".tap/**"] },
   {
     files: ["**/*.ts"],
     extends: [tseslint.configs.strictTypeChecked, tseslint.configs.stylisticTypeChecked],
--- a/experiments/capacity/_lib/loopbackFleet/index.ts
+++ b/experiments/capacity/_lib/loopbackFleet/index.ts
@@ -6,7 +6,7 @@
 import * as randoms from "../../../../src/_lib/random/index.js";
 import * as fleet from "../../../../src/fleet/index.js";
 import * as peers from "../../../../src/peers/index.js";
-import * as platform from "../../../../src/platform/types.js";
+import * as platform from "../../../../src/controlPlane/types.js";
 import * as counters from "../../../../standins/telemetry/counters/index.js";
 
 const ADDRESS = "127.0.0.1";
--- a/experiments/capacity/measureCatalogue/index.ts
+++ b/experiments/capacity/measureCatalogue/index.ts
@@ -2,7 +2,7 @@
 import * as logging from "../../../src/_lib/logger/index.js";
 import * as catalogue from "../../../src/catalogue/index.js";
 import * as types from "../../../src/catalogue/types.js";
-import * as appendBudget from "../../../src/platform/appendBudget/index.js";
+import * as appendBudget from "../../../src/controlPlane/appendBudget/index.js";
 import * as replication from "../../../src/replication/index.js";
 import * as logModel from "../../../standins/log/model/index.js";
 import type * as formatTable from "../_lib/formatTable/index.js";
--- a/experiments/capacity/measureLeases/index.ts
+++ b/experiments/capacity/measureLeases/index.ts
@@ -1,7 +1,7 @@
 import * as logging from "../../../src/_lib/logger/index.js";
 import * as virtualClock from "../../../src/_lib/virtualClock/index.js";
 import * as fleet from "../../../src/fleet/index.js";
-import * as appendBudget from "../../../src/platform/appendBudget/index.js";
+import * as appendBudget from "../../../src/controlPlane/appendBudget/index.js";
 import * as logModel from "../../../standins/log/model/index.js";
 import * as counters from "../../../standins/telemetry/counters/index.js";
 import type * as formatTable from "../_lib/formatTable/index.js";
--- a/experiments/fuzz/onceOnly/index.ts
+++ b/experiments/fuzz/onceOnly/index.ts
@@ -4,7 +4,7 @@
 import * as logModel from "../../../standins/log/model/index.js";
 import * as serviceClients from "../../../standins/service/clients/index.js";
 import type * as calls from "../../../src/calls/index.js";
-import * as platform from "../../../src/platform/types.js";
+import * as platform from "../../../src/controlPlane/types.js";
 import * as replication from "../../../src/replication/index.js";
 
 /** Faults that a plan brings about; each is healed after its time. */
--- a/experiments/fuzz/streamFollower/index.ts
+++ b/experiments/fuzz/streamFollower/index.ts
@@ -3,7 +3,7 @@
 import type * as hub from "../../../standins/peers/hub/index.js";
 import * as logModel from "../../../standins/log/model/index.js";
 import * as followers from "../../../standins/replication/index.js";
-import * as platform from "../../../src/platform/types.js";
+import * as platform from "../../../src/controlPlane/types.js";
 
 /** What a plan does at a time. */
 export enum PlanStep {
--- a/scenarios/_lib/gatedPlatform/index.ts
+++ b/scenarios/_lib/gatedPlatform/index.ts
@@ -1,7 +1,7 @@
 import * as neverthrow from "neverthrow";
 
 import * as stepError from "../../../src/_lib/stepError/index.js";
-import type * as platform from "../../../src/platform/types.js";
+import type * as platform from "../../../src/controlPlane/types.js";
 import * as linkTables from "../linkTable/index.js";
 import type * as vmGates from "../vmGate/index.js";
 
--- a/scenarios/_lib/sessionReport/index.ts
+++ b/scenarios/_lib/sessionReport/index.ts
@@ -1,4 +1,4 @@
-import * as platform from "../../../src/platform/types.js";
+import * as platform from "../../../src/controlPlane/types.js";
 import type * as callerSessions from "../callerSession/index.js";
 import type * as scenarioRuns from "../scenarioRun/index.js";
 import * as tokenRuns from "../tokenRuns/index.js";
--- a/src/calls/_lib/keyWatch/index.ts
+++ b/src/calls/_lib/keyWatch/index.ts
@@ -1,5 +1,5 @@
 import type * as clocks from "../../../_lib/clock/index.js";
-import type * as platform from "../../../platform/types.js";
+import type * as platform from "../../../controlPlane/types.js";
 import * as replication from "../../../replication/index.js";
 import * as callRecords from "../callRecords/index.js";
 
--- a/src/calls/calls/test.ts
+++ b/src/calls/calls/test.ts
@@ -4,7 +4,7 @@
 import * as logModel from "../../../standins/log/model/index.js";
 import * as serviceClients from "../../../standins/service/clients/index.js";
 import * as catalogue from "../../catalogue/index.js";
-import * as platform from "../../platform/types.js";
+import * as platform from "../../controlPlane/types.js";
 
 const { summarise } = callsFleet;
 const { ServiceFault } = serviceClients;
--- a/src/catalogue/_lib/proposal/index.ts
+++ b/src/catalogue/_lib/proposal/index.ts
@@ -2,8 +2,8 @@
 
 import type * as clocks from "../../../_lib/clock/index.js";
 import * as stepError from "../../../_lib/stepError/index.js";
-import * as appendBudgets from "../../../platform/appendBudget/index.js";
-import * as platform from "../../../platform/types.js";
+import * as appendBudgets from "../../../controlPlane/appendBudget/index.js";
+import * as platform from "../../../controlPlane/types.js";
 import * as replication from "../../../replication/index.js";
 import * as applyRecord from "../../applyRecord/index.js";
 import * as constants from "../../constants.js";
--- a/src/catalogue/applyRecord/index.ts
+++ b/src/catalogue/applyRecord/index.ts
@@ -1,5 +1,5 @@
 import * as persistentMap from "../../_lib/persistentMap/index.js";
-import type * as platform from "../../platform/types.js";
+import type * as platform from "../../controlPlane/types.js";
 import * as indexedState from "../_lib/indexedState/index.js";
 import * as schemas from "../_lib/schemas/index.js";
 import * as constants from "../constants.js";
--- a/src/daemon/daemon/index.ts
+++ b/src/daemon/daemon/index.ts
@@ -15,7 +15,7 @@
 import type * as settings from "../../settings/index.js";
 import * as telemetry from "../../telemetry/index.js";
 import * as placement from "../../placement/index.js";
-import type * as platform from "../../platform/types.js";
+import type * as platform from "../../controlPlane/types.js";
 import * as adminDesks from "../adminDesk/index.js";
 import * as findLeavingBackends from "../findLeavingBackends/index.js";
 import * as seededVmLists from "../seededVmList/index.js";
--- a/src/daemon/findLeavingBackends/index.ts
+++ b/src/daemon/findLeavingBackends/index.ts
@@ -1,5 +1,5 @@
 import * as catalogue from "../../catalogue/index.js";
-import * as platform from "../../platform/types.js";
+import * as platform from "../../controlPlane/types.js";
 
 /** A backend server that runs on a VM of the platform. */
 export type Backend = catalogue.EngineBackend | catalogue.ServiceBackend;
--- a/src/daemon/findLeavingBackends/test.ts
+++ b/src/daemon/findLeavingBackends/test.ts
@@ -1,7 +1,7 @@
 import tap from "tap";
 
 import * as catalogue from "../../catalogue/index.js";
-import * as platform from "../../platform/types.js";
+import * as platform from "../../controlPlane/types.js";
 import * as backends from "./index.js";
 
 function engine(name: string, url: string): catalogue.RevisedItem {
--- a/src/daemon/seededVmList/index.ts
+++ b/src/daemon/seededVmList/index.ts
@@ -1,7 +1,7 @@
 import * as neverthrow from "neverthrow";
 
 import type * as stepError from "../../_lib/stepError/index.js";
-import * as platform from "../../platform/types.js";
+import * as platform from "../../controlPlane/types.js";
 import type * as settings from "../../settings/index.js";
 
 type SeedPeer = settings.Settings["fleet"]["seedPeers"][number];
--- a/src/daemon/seededVmList/test.ts
+++ b/src/daemon/seededVmList/test.ts
@@ -2,7 +2,7 @@
 import tap from "tap";
 
 import * as stepError from "../../_lib/stepError/index.js";
-import * as platform from "../../platform/types.js";
+import * as platform from "../../controlPlane/types.js";
 import * as lists from "./index.js";
 
 const SEED = {
--- /dev/null
+++ b/src/diagnostics/decisionLog/index.ts
@@ -0,0 +1,62 @@
+import * as bunyan from "bunyan";
+
+import type * as clocks from "../../_lib/clock/index.js";
+import type * as boundedWriter from "../boundedWriter/index.js";
+import * as types from "../types.js";
+
+/** How often lines that were dropped are told. */
+const DROP_REPORT_INTERVAL_MS = 5_000;
+
+const LEVELS: Readonly<Record<types.Importance, "debug" | "info" | "warn">> = {
+  [types.Importance.Routine]: "debug",
+  [types.Importance.Notable]: "info",
+  [types.Importance.Belief]: "warn",
+};
+
+/** A decision log that writes bunyan records through a bounded writer. */
+export class BunyanDecisionLog implements types.DecisionLog, Disposable {
+  private importance = types.Importance.Belief;
+  private readonly logger: ReturnType<typeof bunyan.default.createLogger>;
+  private reporting: Disposable;
+
+  constructor(
+    identity: { readonly vmName: string; readonly dataCentre: string },
+    private readonly writer: boundedWriter.BoundedWriter,
+    private readonly clock: clocks.Clock,
+  ) {
+    const stream = {
+      write: (record: object): void => {
+        this.writer.push(`${JSON.stringify(record)}\n`, this.importance);
+      },
+    };
+    this.logger = bunyan.default.createLogger({
+      name: "chiveferry",
+      vm: identity.vmName,
+      dataCentre: identity.dataCentre,
+      streams: [{ type: "raw", level: "debug", stream }],
+    });
+    this.reporting = this.scheduleReport();
+  }
+
+  record(importance: types.Importance, event: types.LogEvent, fields: types.LogFields): void {
+    this.importance = importance;
+    this.logger[LEVELS[importance]]({ event, ...fields }, event);
+  }
+
+  [Symbol.dispose](): void {
+    this.reporting[Symbol.dispose]();
+  }
+
+  private scheduleReport(): Disposable {
+    return this.clock.schedule(DROP_REPORT_INTERVAL_MS, () => {
+      const droppedCount = this.writer.takeDroppedCount();
+      if (droppedCount > 0) {
+        this.record(types.Importance.Belief, types.LogEvent.LinesDropped, { droppedCount });
+      }
+      this.reporting = this.scheduleReport();
+    });
+  }
+}
+
+/** Discards every line; for tests and tools. */
+export const SILENT_DECISION_LOG: types.DecisionLog = { record: () => undefined };
--- /dev/null
+++ b/src/diagnostics/meters/index.ts
@@ -0,0 +1,94 @@
+import * as promClient from "prom-client";
+
+/** Upper bounds of the latency histograms, in seconds; they hold the objectives of 0.1 to 1.8 s. */
+const LATENCY_BUCKETS_S = [0.01, 0.03, 0.06, 0.12, 0.25, 0.5, 1, 1.5, 1.8, 2.5, 5, 10, 20, 40];
+
+/** The process's counters and histograms, in the text format of Prometheus. */
+export class Meters {
+  private readonly registry = new promClient.Registry();
+
+  readonly requests = this.counter("requests_total", "Requests by how they ended.", [
+    "kind",
+    "outcome",
+  ]);
+  readonly refusals = this.counter("refusals_total", "Answers of the process's own.", ["reason"]);
+  readonly attempts = this.counter("attempts_total", "Attempts at backend servers.", [
+    "service",
+    "outcome",
+  ]);
+  readonly repeats = this.counter("repeats_total", "Repeats, and those the budget denied.", [
+    "service",
+    "decision",
+  ]);
+  readonly handovers = this.counter("handovers_total", "Runs carried to another engine.", [
+    "way",
+    "outcome",
+  ]);
+  readonly storeCalls = this.counter("store_calls_total", "Calls to the platform's store.", [
+    "call",
+    "outcome",
+  ]);
+  readonly droppedLines = this.counter("log_lines_dropped_total", "Log lines dropped.", []);
+  readonly firstByte = this.histogram(
+    "first_byte_seconds",
+    "Time from a request's arrival to the first byte of its answer.",
+    ["kind"],
+  );
+  readonly queueWait = this.histogram(
+    "queue_wait_seconds",
+    "Time for which generations waited for room.",
+    [],
+  );
+  readonly eventGap = this.histogram(
+    "event_gap_seconds",
+    "Pauses between two events of a stream.",
+    [],
+  );
+  readonly loopDelay = this.histogram(
+    "event_loop_delay_seconds",
+    "How late the process's timers fire.",
+    [],
+  );
+  private readonly gauges = new Map<string, promClient.Gauge>();
+
+  /** Shows a value that is read when the metrics are fetched. */
+  gauge(name: string, help: string, read: () => number): void {
+    const gauge = new promClient.Gauge({
+      name: `chiveferry_${name}`,
+      help,
+      registers: [this.registry],
+      collect() {
+        this.set(read());
+      },
+    });
+    this.gauges.set(name, gauge);
+  }
+
+  /** All metrics as text. */
+  text(): Promise<string> {
+    return this.registry.metrics();
+  }
+
+  private counter<T extends string>(
+    name: string,
+    help: string,
+    labelNames: readonly T[],
+  ): promClient.Counter<T> {
+    const registers = [this.registry];
+    return new promClient.Counter({ name: `chiveferry_${name}`, help, labelNames, registers });
+  }
+
+  private histogram<T extends string>(
+    name: string,
+    help: string,
+    labelNames: readonly T[],
+  ): promClient.Histogram<T> {
+    return new promClient.Histogram({
+      name: `chiveferry_${name}`,
+      help,
+      labelNames,
+      buckets: LATENCY_BUCKETS_S,
+      registers: [this.registry],
+    });
+  }
+}
--- /dev/null
+++ b/src/dispatch/constants.ts
@@ -0,0 +1,44 @@
+/**
+ * Prompt tokens that an engine reads in a millisecond beside running streams: half of the 14 that
+ * the platform's pages state, since chunks of a prompt alternate with steps of the others.
+ */
+export const READ_TOKENS_PER_MS = 7;
+
+/** Time from dispatch to the first event beside reading, in milliseconds: connection and first step. */
+export const FIRST_EVENT_OVERHEAD_MS = 20;
+
+/** Share of a run's expected rest that counts as taken: runs of one engine do not all peak at once. */
+export const EXPECTED_REST_RATIO = 0.6;
+
+/** Share of an engine's memory up to which new runs are sent there; the rest absorbs longer outputs. */
+export const MAX_COMMITTED_RATIO = 0.92;
+
+/** Share of an engine's memory up to which it takes copies of other engines' runs. */
+export const MAX_BACKUP_COMMITTED_RATIO = 0.8;
+
+/** Rest that is expected of an output which is longer than expected already, as a share of it. */
+export const OVERRUN_REST_RATIO = 0.35;
+
+/** Cost, in milliseconds of first-event time, of an engine's memory being full. */
+export const FULL_MEMORY_COST_MS = 600;
+
+/** Cost of an engine whose answers all fail, in milliseconds. */
+export const FAILURE_COST_MS = 4_000;
+
+/** Cost of leaving the data centre, in milliseconds: the bytes are dearer than the 1.4 ms. */
+export const OTHER_DATA_CENTRE_COST_MS = 30;
+
+/** Cost of a call in progress at a plain server before its typical time is known, in milliseconds. */
+export const UNKNOWN_CALL_MS = 20;
+
+/** Time after which a waiting generation is no longer overtaken by smaller ones that fit. */
+export const OVERTAKING_LIMIT_MS = 400;
+
+/** Shortest time to come back that a caller is told. */
+export const MIN_RETRY_AFTER_MS = 300;
+
+/** Longest time to come back that a caller is told. */
+export const MAX_RETRY_AFTER_MS = 10_000;
+
+/** Half-life of the rate at which memory is given back, in milliseconds. */
+export const RELEASE_RATE_HALF_LIFE_MS = 5_000;
--- a/src/fleet/_lib/leaseLog/index.ts
+++ b/src/fleet/_lib/leaseLog/index.ts
@@ -3,8 +3,8 @@
 import type * as clocks from "../../../_lib/clock/index.js";
 import type * as stepError from "../../../_lib/stepError/index.js";
 import type * as telemetry from "../../../telemetry/types.js";
-import * as appendBudget from "../../../platform/appendBudget/index.js";
-import * as platform from "../../../platform/types.js";
+import * as appendBudget from "../../../controlPlane/appendBudget/index.js";
+import * as platform from "../../../controlPlane/types.js";
 import * as leaseRecords from "../leaseRecords/index.js";
 import * as leaseTable from "../leaseTable/index.js";
 
--- a/src/fleet/_lib/seedTracker/index.ts
+++ b/src/fleet/_lib/seedTracker/index.ts
@@ -1,4 +1,4 @@
-import * as platform from "../../../platform/types.js";
+import * as platform from "../../../controlPlane/types.js";
 import * as constants from "../../constants.js";
 
 interface Seed {
--- a/src/fleet/fleetMembership/index.ts
+++ b/src/fleet/fleetMembership/index.ts
@@ -7,7 +7,7 @@
 import type * as logging from "../../_lib/logger/index.js";
 import type * as randoms from "../../_lib/random/index.js";
 import * as tokens from "../../_lib/tokens/index.js";
-import type * as platform from "../../platform/types.js";
+import type * as platform from "../../controlPlane/types.js";
 import type * as telemetry from "../../telemetry/types.js";
 import * as heartbeatExchange from "../_lib/heartbeatExchange/index.js";
 import * as isSuperseding from "../_lib/isSuperseding/index.js";
--- a/src/fleet/fleetMembership/test.ts
+++ b/src/fleet/fleetMembership/test.ts
@@ -1,7 +1,7 @@
 import tap from "tap";
 
 import * as virtualFleet from "../../../standins/fleet/virtualFleet/index.js";
-import * as platform from "../../platform/types.js";
+import * as platform from "../../controlPlane/types.js";
 import * as homeOf from "../homeOf/index.js";
 import * as types from "../types.js";
 
--- a/src/fleet/udpSocket/test.ts
+++ b/src/fleet/udpSocket/test.ts
@@ -8,7 +8,7 @@
 import * as clocks from "../../_lib/clock/index.js";
 import * as logging from "../../_lib/logger/index.js";
 import * as randoms from "../../_lib/random/index.js";
-import * as platform from "../../platform/types.js";
+import * as platform from "../../controlPlane/types.js";
 import * as constants from "../constants.js";
 import * as fleetMembership from "../fleetMembership/index.js";
 import * as types from "../types.js";
--- /dev/null
+++ b/src/gateway/_lib/pauseMonitor/index.ts
@@ -0,0 +1,36 @@
+import type * as clocks from "../../../_lib/clock/index.js";
+import * as diagnostics from "../../../diagnostics/index.js";
+import * as constants from "../../constants.js";
+
+const { Importance, LogEvent } = diagnostics;
+
+/** Measures how late timers fire, and logs when the process or its machine stood still. */
+export function monitorPauses(
+  clock: clocks.Clock,
+  log: diagnostics.DecisionLog,
+  meters: diagnostics.Meters,
+): Disposable {
+  let timer: Disposable;
+  const measure = (): void => {
+    const steadyMs = clock.nowMs();
+    const wallMs = clock.wallTimeMs();
+    timer = clock.schedule(constants.SWEEP_INTERVAL_MS, () => {
+      const steadyLateMs = clock.nowMs() - steadyMs - constants.SWEEP_INTERVAL_MS;
+      const wallLateMs = clock.wallTimeMs() - wallMs - constants.SWEEP_INTERVAL_MS;
+      meters.loopDelay.observe(Math.max(0, steadyLateMs) / 1_000);
+      if (Math.max(steadyLateMs, wallLateMs) > constants.PAUSE_THRESHOLD_MS) {
+        log.record(Importance.Belief, LogEvent.ProcessPaused, {
+          steadyLateMs: Math.round(steadyLateMs),
+          wallLateMs: Math.round(wallLateMs),
+        });
+      }
+      measure();
+    });
+  };
+  measure();
+  return {
+    [Symbol.dispose]() {
+      timer[Symbol.dispose]();
+    },
+  };
+}
--- /dev/null
+++ b/src/gateway/_lib/statusServers/index.ts
@@ -0,0 +1,68 @@
+import * as hapi from "@hapi/hapi";
+
+import type * as diagnostics from "../../../diagnostics/index.js";
+import * as sharedView from "../../../sharedView/index.js";
+import type * as types from "../../types.js";
+
+const READY_STATUS = 200;
+const UNREADY_STATUS = 503;
+
+/** The servers beside that for callers: readiness, peers and metrics. */
+export async function startStatusServers(
+  settings: types.GatewaySettings,
+  options: {
+    readonly isReady: () => boolean;
+    readonly replicas: ReadonlyMap<sharedView.Topic, sharedView.TopicReplica>;
+    readonly meters: diagnostics.Meters;
+  },
+): Promise<AsyncDisposable> {
+  const servers = [
+    createReadinessServer(settings.readiness, options.isReady),
+    createPeerServer(settings.peers, options.replicas),
+    createMetricsServer(settings.metrics, options.meters),
+  ];
+  for (const server of servers) await server.start();
+  return {
+    async [Symbol.asyncDispose]() {
+      for (const server of servers) await server.stop({ timeout: 0 });
+    },
+  };
+}
+
+function createReadinessServer(address: types.ListenAddress, isReady: () => boolean): hapi.Server {
+  const server = createServer(address);
+  server.route({
+    method: "*",
+    path: "/{path*}",
+    handler: (_request, toolkit) =>
+      toolkit.response().code(isReady() ? READY_STATUS : UNREADY_STATUS),
+  });
+  return server;
+}
+
+function createPeerServer(
+  address: types.ListenAddress,
+  replicas: ReadonlyMap<sharedView.Topic, sharedView.TopicReplica>,
+): hapi.Server {
+  const server = createServer(address);
+  sharedView.addReplicaRoutes(server, replicas);
+  return server;
+}
+
+function createMetricsServer(
+  address: types.ListenAddress,
+  meters: diagnostics.Meters,
+): hapi.Server {
+  const server = createServer(address);
+  server.route({
+    method: "GET",
+    path: "/metrics",
+    handler: async (_request, toolkit) =>
+      toolkit.response(await meters.text()).type("text/plain; version=0.0.4"),
+  });
+  return server;
+}
+
+function createServer({ host, port }: types.ListenAddress): hapi.Server {
+  return hapi.server({ host, port, compression: false });
+}
--- /dev/null
+++ b/src/gateway/gateway/index.ts
@@ -0,0 +1,281 @@
+import * as disposableStore from "../../_lib/disposableStore/index.js";
+import * as diagnostics from "../../diagnostics/index.js";
+import * as dispatch from "../../dispatch/index.js";
+import * as relay from "../../relay/index.js";
+import * as routing from "../../routing/index.js";
+import * as servers from "../../servers/index.js";
+import * as sharedView from "../../sharedView/index.js";
+import * as pauseMonitors from "../_lib/pauseMonitor/index.js";
+import * as statusServers from "../_lib/statusServers/index.js";
+import * as vmDiscoveries from "../_lib/vmDiscovery/index.js";
+import * as callerServers from "../callerServer/index.js";
+import * as constants from "../constants.js";
+import * as currentViews from "../currentView/index.js";
+import type * as types from "../types.js";
+
+const { Importance, LogEvent } = diagnostics;
+const { Topic } = sharedView;
+
+/** Claims of other VMs are dropped when no summary named them for this long. */
+const CLAIM_EXPIRY_MS = 6_000;
+
+const READER_OPTIONS: readonly sharedView.ReaderOptions[] = [
+  sharedView.CONFIGURATION_READER,
+  sharedView.SERVERS_READER,
+];
+
+/**
+ * One entry VM of the fleet: takes callers' calls, relays them to backend servers, and shares with
+ * the other VMs what it reads from the platform's store and what it claims of engines.
+ */
+export class Gateway implements AsyncDisposable {
+  private readonly resources = new disposableStore.DisposableStore();
+  private readonly directory: servers.ServerDirectory;
+  private readonly trust: servers.ServerTrust;
+  private readonly claims: dispatch.ClaimTable;
+  private readonly view: currentViews.CurrentView;
+  private readonly mesh: sharedView.PeerMesh;
+  private readonly dispatcher: relay.EngineDispatcher;
+  private readonly callerServer: callerServers.CallerServer;
+  private readonly discovery: vmDiscoveries.VmDiscovery;
+  private readonly readers: readonly sharedView.TopicReader[];
+  private stopAtMs: number | null = null;
+  private wasReady = false;
+  private sweepTimer: Disposable | null = null;
+
+  constructor(
+    private readonly settings: types.GatewaySettings,
+    private readonly ports: types.GatewayPorts,
+  ) {
+    const { clock, random } = ports;
+    this.directory = new servers.ServerDirectory(clock);
+    this.trust = new servers.ServerTrust(clock);
+    this.claims = new dispatch.ClaimTable(clock);
+    this.view = new currentViews.CurrentView(ports, this.directory, ({ limits }) =>
+      this.callerServer.applyLimits(limits),
+    );
+    this.mesh = this.createMesh();
+    this.dispatcher = new relay.EngineDispatcher({
+      clock,
+      random: random.fork(),
+      vmName: settings.vmName,
+      dataCentre: settings.dataCentre,
+      directory: this.directory,
+      trust: this.trust,
+      claims: this.claims,
+      broadcast: this.mesh,
+      engineTraits: (name) => this.view.routingTable?.servicesByName.get(name)?.engine ?? null,
+    });
+    this.readers = READER_OPTIONS.map((options) => this.createReader(options));
+    this.discovery = new vmDiscoveries.VmDiscovery({
+      clock,
+      registry: ports.registry,
+      self: this.address,
+      introduce: (address) => this.mesh.introduce(address),
+    });
+    this.callerServer = this.createCallerServer();
+  }
+
+  /** Calls that are being served. */
+  get activeCallsCount(): number {
+    return this.callerServer.activeCallsCount;
+  }
+
+  /**
+   * Listens on all addresses and begins to follow the store.
+   *
+   * @throws the system's error where an address cannot be listened on
+   */
+  async start(): Promise<void> {
+    const { settings, ports } = this;
+    this.resources.add(
+      await statusServers.startStatusServers(settings, {
+        isReady: () => this.noteReadiness(),
+        replicas: this.view.replicas,
+        meters: ports.meters,
+      }),
+    );
+    await this.callerServer.listen(settings.callers);
+    this.resources.add(this.callerServer);
+    this.resources.add(this.dispatcher);
+    this.resources.add(this.mesh);
+    this.resources.add(this.discovery);
+    this.resources.add(this.directory.onLeaving((server) => this.noteLeaving(server)));
+    this.resources.add(pauseMonitors.monitorPauses(ports.clock, ports.log, ports.meters));
+    for (const reader of this.readers) {
+      this.resources.add(reader);
+      void reader.run();
+    }
+    void this.discovery.run();
+    this.scheduleSweep();
+    this.resources.defer(() => this.sweepTimer?.[Symbol.dispose]());
+    this.addGauges();
+    ports.log.record(Importance.Belief, LogEvent.Started, {
+      callersPort: settings.callers.port,
+      peersPort: settings.peers.port,
+      pid: process.pid,
+    });
+  }
+
+  /**
+   * Takes no new connections, finishes what is under way within the grace period, and closes.
+   */
+  async stop(): Promise<void> {
+    if (this.stopAtMs !== null) return;
+    const { clock, log } = this.ports;
+    const startedAtMs = clock.nowMs();
+    this.stopAtMs = startedAtMs + this.settings.graceMs - constants.GRACE_MARGIN_MS;
+    log.record(Importance.Belief, LogEvent.Stopping, { activeCount: this.activeCallsCount });
+    const drainedAtMs = startedAtMs + constants.DRAIN_MIN_MS;
+    for (;;) {
+      const nowMs = clock.nowMs();
+      const isIdle = this.activeCallsCount === 0 && nowMs >= drainedAtMs;
+      if (isIdle || nowMs >= this.stopAtMs) break;
+      await clock.sleep(constants.SWEEP_INTERVAL_MS / 5);
+    }
+    log.record(Importance.Belief, LogEvent.Stopped, { cutCount: this.activeCallsCount });
+    this.mesh.sayBye();
+    await Promise.race([this.discovery.withdraw(), clock.sleep(constants.SWEEP_INTERVAL_MS)]);
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await this.resources[Symbol.asyncDispose]();
+  }
+
+  private get address(): sharedView.VmAddress {
+    const { vmName, peers } = this.settings;
+    return { vmName, host: peers.host, port: peers.port };
+  }
+
+  private isReady(): boolean {
+    if (this.stopAtMs !== null || !this.view.isComplete) return false;
+    const needsKeys = this.view.routingTable?.configuration.accounts !== null;
+    const limitMs = this.settings.revocationMs - constants.REVOCATION_MARGIN_MS;
+    return !needsKeys || this.view.configurationAgeMs <= limitMs;
+  }
+
+  private noteReadiness(): boolean {
+    const isReady = this.isReady();
+    if (isReady !== this.wasReady) {
+      this.wasReady = isReady;
+      this.ports.log.record(Importance.Belief, LogEvent.ReadinessChanged, {
+        isReady,
+        isStopping: this.stopAtMs !== null,
+        isViewComplete: this.view.isComplete,
+        configurationAgeMs: Math.round(Math.min(1e9, this.view.configurationAgeMs)),
+      });
+    }
+    return isReady;
+  }
+
+  private createMesh(): sharedView.PeerMesh {
+    const { clock, log, socket } = this.ports;
+    const replicas = this.view.replicas;
+    const client = new sharedView.ReplicaClient({ clock, log, replicas });
+    return new sharedView.PeerMesh({
+      clock,
+      log,
+      socket,
+      replicas,
+      claims: this.claims,
+      self: {
+        ...this.address,
+        dataCentre: this.settings.dataCentre,
+        coresCount: this.settings.coresCount,
+        startedAtWallMs: clock.wallTimeMs(),
+      },
+      reachesStore: () => this.readers.every((reader) => reader.reachesStore),
+      onBehind: (topic, peer, endOffset) => void client.catchUp(topic, peer, endOffset),
+      onClaims: () => this.dispatcher.pump(),
+    });
+  }
+
+  private createReader(options: sharedView.ReaderOptions): sharedView.TopicReader {
+    const { clock, store, log, meters } = this.ports;
+    return new sharedView.TopicReader(
+      {
+        clock,
+        store,
+        log,
+        meters,
+        replica: this.view.replicaOf(options.topic),
+        rank: () => this.mesh.readerRank,
+        onRead: (fromOffset, batch) => this.mesh.shareRecords(options.topic, fromOffset, batch),
+        onRegained: () => this.directory.noteStoreRegained(),
+      },
+      options,
+    );
+  }
+
+  private createCallerServer(): callerServers.CallerServer {
+    const { settings, ports } = this;
+    const budget = new relay.RetryBudget(
+      ports.clock,
+      settings.retryBudget,
+      () => this.mesh.liveCount,
+    );
+    const context: relay.RelayContext = {
+      ...ports,
+      random: ports.random.fork(),
+      vmName: settings.vmName,
+      dataCentre: settings.dataCentre,
+      directory: this.directory,
+      trust: this.trust,
+      dispatcher: this.dispatcher,
+      lengths: new dispatch.OutputLengths(),
+      budget,
+    };
+    const plain = new relay.PlainRelay(context);
+    const generations = this.resources.add(new relay.GenerationRelay(context));
+    const relayPlain = plain.relay.bind(plain);
+    return new callerServers.CallerServer({
+      settings,
+      ports,
+      view: this.view,
+      budget,
+      relays: {
+        [routing.RouteKind.Idempotent]: relayPlain,
+        [routing.RouteKind.OnceOnly]: relayPlain,
+        [routing.RouteKind.Generation]: generations.relay.bind(generations),
+      },
+      stopsInMs: () =>
+        this.stopAtMs === null ? null : Math.max(0, this.stopAtMs - ports.clock.nowMs()),
+    });
+  }
+
+  private noteLeaving(server: servers.KnownServer): void {
+    const { entry, leaving, heardAtMs } = server;
+    this.ports.log.record(Importance.Belief, LogEvent.ServerLeaving, {
+      serverId: entry.id,
+      service: entry.serviceName,
+      sign: leaving,
+      entryAgeMs: Math.round(this.ports.clock.nowMs() - heardAtMs),
+      viewAgeMs: Math.round(this.view.replicaOf(Topic.Servers).ageMs),
+    });
+    this.dispatcher.pump();
+  }
+
+  private scheduleSweep(): void {
+    this.sweepTimer = this.ports.clock.schedule(constants.SWEEP_INTERVAL_MS, () => {
+      this.directory.sweep();
+      this.claims.dropStale(this.settings.vmName, CLAIM_EXPIRY_MS);
+      this.trust.retain(new Set(this.directory.all().map(({ entry }) => entry.id)));
+      this.scheduleSweep();
+    });
+  }
+
+  private addGauges(): void {
+    const { meters } = this.ports;
+    meters.gauge("active_calls", "Calls being served.", () => this.activeCallsCount);
+    meters.gauge("waiting_generations", "Generations that wait for room.", () => {
+      return this.dispatcher.waitingCount;
+    });
+    meters.gauge("live_vms", "VMs that are up, this one included.", () => this.mesh.liveCount);
+    meters.gauge("configuration_age_seconds", "Age of the configuration in force.", () => {
+      return this.view.configurationAgeMs / 1_000;
+    });
+    meters.gauge("servers_age_seconds", "Age of what is known of backend servers.", () => {
+      return this.view.replicaOf(Topic.Servers).ageMs / 1_000;
+    });
+  }
+}
--- /dev/null
+++ b/src/gateway/index.ts
@@ -0,0 +1,2 @@
+export * from "./gateway/index.js";
+export * from "./types.js";
--- a/src/placement/placement/index.ts
+++ b/src/placement/placement/index.ts
@@ -12,7 +12,7 @@
 import * as engines from "../../engines/index.js";
 import * as fleet from "../../fleet/index.js";
 import type * as peers from "../../peers/types.js";
-import type * as platform from "../../platform/types.js";
+import type * as platform from "../../controlPlane/types.js";
 import * as replication from "../../replication/index.js";
 import type * as telemetry from "../../telemetry/types.js";
 import * as constants from "../constants.js";
--- a/src/placement/placement/test.ts
+++ b/src/placement/placement/test.ts
@@ -7,7 +7,7 @@
 import * as backends from "../../backends/types.js";
 import * as catalogue from "../../catalogue/index.js";
 import * as fleet from "../../fleet/index.js";
-import * as appendBudgets from "../../platform/appendBudget/index.js";
+import * as appendBudgets from "../../controlPlane/appendBudget/index.js";
 import * as catalogueViews from "../../../standins/catalogue/view/index.js";
 import * as engineClients from "../../../standins/engine/client/index.js";
 import * as engineDefaults from "../../../standins/engine/defaultOptions/index.js";
--- /dev/null
+++ b/src/relay/_lib/attemptScope/index.ts
@@ -0,0 +1,45 @@
+import type * as clocks from "../../../_lib/clock/index.js";
+
+/**
+ * The time in which attempts of one call may work: it ends when the caller is gone, at the call's
+ * deadline, or when it is disposed.
+ */
+export class AttemptScope implements Disposable {
+  private readonly controller = new AbortController();
+  private readonly timer: Disposable;
+  private timedOut = false;
+
+  constructor(
+    clock: clocks.Clock,
+    deadlineAtMs: number,
+    private readonly parent: AbortSignal,
+  ) {
+    const remainingMs = Math.max(0, deadlineAtMs - clock.nowMs());
+    this.timer = clock.schedule(remainingMs, () => {
+      this.timedOut = true;
+      this.controller.abort();
+    });
+    if (parent.aborted) this.controller.abort();
+    parent.addEventListener("abort", this.end, { once: true });
+  }
+
+  get signal(): AbortSignal {
+    return this.controller.signal;
+  }
+
+  /** Whether the deadline has passed. */
+  get isTimedOut(): boolean {
+    return this.timedOut;
+  }
+
+  /** Ends all attempts. */
+  readonly end = (): void => {
+    this.controller.abort();
+  };
+
+  [Symbol.dispose](): void {
+    this.timer[Symbol.dispose]();
+    this.parent.removeEventListener("abort", this.end);
+    this.controller.abort();
+  }
+}
--- /dev/null
+++ b/src/relay/_lib/openAttempt/index.ts
@@ -0,0 +1,121 @@
+import * as http from "node:http";
+import * as net from "node:net";
+
+/** How an attempt at a server began. */
+export enum OpeningKind {
+  /** No connection was made: the call did not leave this VM. */
+  NotSent = "not-sent",
+  /** The head of an answer came. */
+  Answered = "answered",
+  /** The call was sent, and nothing that can be read came back. */
+  Lost = "lost",
+}
+
+/** The head of an answer, and the message whose body follows. */
+export interface AnsweredOpening {
+  readonly kind: OpeningKind.Answered;
+  readonly message: http.IncomingMessage;
+  readonly close: () => void;
+  /** Whether a body that ends with its connection was cut by a reset, which the parser takes for its end. */
+  readonly isCutByReset: () => boolean;
+}
+
+/** The outcome of the first half of an attempt. */
+export type Opening =
+  | AnsweredOpening
+  | { readonly kind: OpeningKind.NotSent; readonly cause: string }
+  | { readonly kind: OpeningKind.Lost; readonly cause: string };
+
+/** What is sent to a server, and how long each step may take. */
+export interface AttemptRequest {
+  readonly host: string;
+  readonly port: number;
+  readonly method: string;
+  readonly target: string;
+  readonly headers: readonly string[];
+  readonly body: Buffer;
+  readonly connectTimeoutMs: number;
+  /** Ends the attempt and closes its connection. */
+  readonly signal: AbortSignal;
+}
+
+/**
+ * Sends a call to a server on a connection of its own and waits for the head of the answer. A
+ * connection that served another call could hold a late answer, or break while the call is on
+ * its way and leave it unknown whether it ran.
+ */
+export async function openAttempt(request: AttemptRequest): Promise<Opening> {
+  const socket = await connect(request);
+  if (typeof socket === "string") return { kind: OpeningKind.NotSent, cause: socket };
+  return exchange(request, socket);
+}
+
+function connect(request: AttemptRequest): Promise<net.Socket | string> {
+  return new Promise((resolve) => {
+    if (request.signal.aborted) {
+      resolve("aborted before connecting");
+      return;
+    }
+    const socket = net.connect({ host: request.host, port: request.port, noDelay: true });
+    const fail = (cause: string): void => {
+      cleanUp();
+      socket.destroy();
+      resolve(cause);
+    };
+    const onAbort = (): void => fail("aborted while connecting");
+    const onError = (error: Error): void => fail(error.message);
+    const timer = setTimeout(() => fail("connecting timed out"), request.connectTimeoutMs);
+    const cleanUp = (): void => {
+      clearTimeout(timer);
+      request.signal.removeEventListener("abort", onAbort);
+      socket.off("error", onError);
+      // A socket that is given up may still fail; that was reported already.
+      socket.on("error", () => undefined);
+    };
+    request.signal.addEventListener("abort", onAbort, { once: true });
+    socket.once("error", onError);
+    socket.once("connect", () => {
+      cleanUp();
+      resolve(socket);
+    });
+  });
+}
+
+function exchange(request: AttemptRequest, socket: net.Socket): Promise<Opening> {
+  return new Promise((resolve) => {
+    const outgoing = http.request({
+      createConnection: () => socket,
+      method: request.method,
+      path: request.target,
+      setHost: false,
+    });
+    for (let index = 0; index < request.headers.length; index += 2) {
+      outgoing.appendHeader(request.headers[index] ?? "", request.headers[index + 1] ?? "");
+    }
+    let isReset = false;
+    // Ahead of the parser's own listener, which ends an unframed body on any error.
+    socket.prependListener("error", () => {
+      isReset = true;
+    });
+    const close = (): void => void outgoing.destroy();
+    request.signal.addEventListener("abort", close, { once: true });
+    outgoing.once("close", () => request.signal.removeEventListener("abort", close));
+    outgoing.once("response", (message) => {
+      // Errors of the body reach its reader through "close" without "complete".
+      message.on("error", () => undefined);
+      const isCutByReset = (): boolean => isReset && !isFramed(message);
+      resolve({ kind: OpeningKind.Answered, message, close, isCutByReset });
+    });
+    outgoing.on("error", (error) => resolve({ kind: OpeningKind.Lost, cause: error.message }));
+    outgoing.once("close", () =>
+      resolve({ kind: OpeningKind.Lost, cause: "closed without an answer" }),
+    );
+    outgoing.end(request.body);
+  });
+}
+
+/** Whether a message says where its body ends. */
+function isFramed(message: http.IncomingMessage): boolean {
+  const { headers } = message;
+  return headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
+}
--- /dev/null
+++ b/src/relay/_lib/startRun/index.ts
@@ -0,0 +1,232 @@
+import * as diagnostics from "../../../diagnostics/index.js";
+import * as dispatch from "../../../dispatch/index.js";
+import * as servers from "../../../servers/index.js";
+import * as constants from "../../constants.js";
+import type * as engineDispatcher from "../../engineDispatcher/index.js";
+import type * as relayContext from "../../relayContext.js";
+import * as types from "../../types.js";
+import type * as attemptScopes from "../attemptScope/index.js";
+import type * as callSink from "../callSink/index.js";
+import * as engineStreams from "../engineStream/index.js";
+import * as refusals from "../refusals/index.js";
+import type * as runClaims from "../runClaims/index.js";
+
+const { Importance, LogEvent } = diagnostics;
+
+/** A generation whose first engine answers with a stream. */
+export interface StartedRun {
+  readonly stream: engineStreams.EngineStream;
+  readonly head: types.AnswerHead;
+}
+
+interface StartContext {
+  readonly scope: attemptScopes.AttemptScope;
+  readonly claims: runClaims.RunClaims;
+}
+
+/** The priority of a call, 0 the most urgent: the account's goes before the route's. */
+export function priorityOf(call: types.Call): number {
+  return call.account?.priority ?? call.route.priority;
+}
+
+/**
+ * Places a generation and opens its stream; engines that have not run it are replaced by others.
+ *
+ * @returns null where the caller was answered otherwise, or is gone
+ */
+export async function startRun(
+  context: relayContext.RelayContext,
+  call: types.Call,
+  sink: callSink.CallSink,
+  { scope, claims }: StartContext,
+): Promise<StartedRun | null> {
+  const avoidedIds = new Set<string>();
+  for (let sendsCount = 0; sendsCount < constants.MAX_SENDS_COUNT;) {
+    const placed = await place(context, call, { scope, claims }, avoidedIds);
+    if (placed.isErr()) {
+      refusePlacement(context, call, sink, { scope, refusal: placed.error });
+      return null;
+    }
+    const outcome = await openAt(context, call, { scope, claims }, placed.value);
+    if (outcome.kind === engineStreams.OpenKind.Open) return outcome;
+    if (scope.signal.aborted) {
+      answerTimeout(context, call, sink, scope, outcome);
+      return null;
+    }
+    if (outcome.kind === engineStreams.OpenKind.Answered) {
+      sink.answer(outcome.head.status, outcome.head.forwardedHeaders, outcome.body);
+      return null;
+    }
+    if (outcome.kind === engineStreams.OpenKind.Unknown) {
+      refuse(context, call, sink, refusals.refusalFor(types.RefusalReason.OutcomeUnknown));
+      return null;
+    }
+    avoidedIds.add(placed.value.server.entry.id);
+    claims.releaseAll();
+    if (!outcome.wasSent) continue;
+    sendsCount += 1;
+    if (!takeRepeat(context, call)) break;
+  }
+  const reason = types.RefusalReason.ServersRefused;
+  refuse(context, call, sink, refusals.refusalFor(reason, constants.DEFAULT_RETRY_AFTER_MS));
+  return null;
+}
+
+function place(
+  context: relayContext.RelayContext,
+  call: types.Call,
+  { scope, claims }: StartContext,
+  avoidedIds: ReadonlySet<string>,
+): ReturnType<engineDispatcher.EngineDispatcher["place"]> {
+  return context.dispatcher.place({
+    requestId: call.head.id,
+    serviceName: call.serviceName,
+    need: claims.initialNeed(),
+    priority: priorityOf(call),
+    objectiveAtMs: call.arrivedAtMs + call.route.objectiveMs,
+    deadlineAtMs: call.deadlineAtMs,
+    avoidedIds: new Set(avoidedIds),
+    signal: scope.signal,
+  });
+}
+
+async function openAt(
+  context: relayContext.RelayContext,
+  call: types.Call,
+  { scope, claims }: StartContext,
+  placement: engineDispatcher.Placement,
+): Promise<engineStreams.OpenOutcome> {
+  const { clock, trust, meters } = context;
+  const server = placement.server.entry;
+  const startedAtMs = clock.nowMs();
+  meters.queueWait.observe(placement.waitedMs / 1_000);
+  logPlacement(context, call, placement);
+  const options: types.AttemptOptions = {
+    server,
+    timeLeftMs: call.deadlineAtMs - startedAtMs,
+    priority: priorityOf(call),
+    backupAddress: claims.claimBackup(server.id, 0),
+    continuation: null,
+  };
+  const outcome = await engineStreams.openStream(context.codec, call, options, scope.signal);
+  const elapsedMs = clock.nowMs() - startedAtMs;
+  if (outcome.kind === engineStreams.OpenKind.Open) {
+    context.dispatcher.noteFirstEvent(server.id, placement.expectedFirstEventMs, elapsedMs);
+  }
+  if (scope.signal.aborted) return outcome;
+  const verdict = verdictOf(outcome);
+  trust.note(server.id, verdict, elapsedMs);
+  meters.attempts.inc({ service: call.serviceName, outcome: verdict });
+  noteReplaced(context, server, outcome);
+  if (outcome.kind !== engineStreams.OpenKind.Open) {
+    context.log.record(Importance.Notable, LogEvent.AttemptEnded, {
+      requestId: call.head.id,
+      serverId: server.id,
+      outcome: outcome.kind,
+      cause: "cause" in outcome ? outcome.cause : `status ${outcome.head.status}`,
+      elapsedMs: Math.round(elapsedMs),
+    });
+  }
+  return outcome;
+}
+
+function logPlacement(
+  context: relayContext.RelayContext,
+  call: types.Call,
+  placement: engineDispatcher.Placement,
+): void {
+  const { entry, heardAtMs } = placement.server;
+  const load = context.dispatcher.loadOf(entry.id);
+  context.log.record(Importance.Routine, LogEvent.RequestPlaced, {
+    requestId: call.head.id,
+    route: call.route.name,
+    account: call.account?.name,
+    serverId: entry.id,
+    entryAgeMs: Math.round(context.clock.nowMs() - heardAtMs),
+    waitedMs: Math.round(placement.waitedMs),
+    expectedFirstEventMs: Math.round(placement.expectedFirstEventMs),
+    committedTokens: Math.round(load.committedTokens),
+    runningCount: load.runningCount,
+    candidatesCount: placement.candidatesCount,
+  });
+}
+
+function verdictOf(outcome: engineStreams.OpenOutcome): servers.AttemptVerdict {
+  if (outcome.kind === engineStreams.OpenKind.Open) return servers.AttemptVerdict.Served;
+  if (outcome.kind === engineStreams.OpenKind.Answered) return servers.AttemptVerdict.Failed;
+  if (outcome.kind === engineStreams.OpenKind.Unknown) return servers.AttemptVerdict.Broken;
+  return outcome.wasSent ? servers.AttemptVerdict.Refused : servers.AttemptVerdict.Unreachable;
+}
+
+function noteReplaced(
+  context: relayContext.RelayContext,
+  server: servers.ServerEntry,
+  outcome: engineStreams.OpenOutcome,
+): void {
+  if (outcome.kind !== engineStreams.OpenKind.NotRun || !outcome.isOtherServer) return;
+  context.directory.markLeaving(server.id, servers.LeavingSign.ReplacedAtAddress);
+}
+
+function takeRepeat(context: relayContext.RelayContext, call: types.Call): boolean {
+  const isAllowed = context.budget.tryTake(call.serviceName);
+  const decision = isAllowed ? "allowed" : "denied";
+  context.meters.repeats.inc({ service: call.serviceName, decision });
+  return isAllowed;
+}
+
+const PLACEMENT_REASONS = {
+  "no-server": types.RefusalReason.NoServer,
+  "no-room": types.RefusalReason.NoRoom,
+  "caller-gone": null,
+} as const;
+
+function refusePlacement(
+  context: relayContext.RelayContext,
+  call: types.Call,
+  sink: callSink.CallSink,
+  {
+    scope,
+    refusal,
+  }: {
+    readonly scope: attemptScopes.AttemptScope;
+    readonly refusal: engineDispatcher.PlacementRefusal;
+  },
+): void {
+  const placementReason = PLACEMENT_REASONS[refusal.kind];
+  const reason = scope.isTimedOut ? types.RefusalReason.TimedOutNotRun : placementReason;
+  if (reason === null) return;
+  const retryAfterMs = dispatch.retryAfterMs(refusal.expectedWaitMs, context.random);
+  refuse(context, call, sink, refusals.refusalFor(reason, retryAfterMs));
+}
+
+function answerTimeout(
+  context: relayContext.RelayContext,
+  call: types.Call,
+  sink: callSink.CallSink,
+  scope: attemptScopes.AttemptScope,
+  outcome: engineStreams.OpenOutcome,
+): void {
+  if (!scope.isTimedOut) return;
+  const wasSent = outcome.kind !== engineStreams.OpenKind.NotRun;
+  const reason = wasSent ? types.RefusalReason.TimedOut : types.RefusalReason.TimedOutNotRun;
+  refuse(context, call, sink, refusals.refusalFor(reason));
+}
+
+function refuse(
+  context: relayContext.RelayContext,
+  call: types.Call,
+  sink: callSink.CallSink,
+  refusal: types.Refusal,
+): void {
+  context.meters.refusals.inc({ reason: refusal.reason });
+  context.log.record(Importance.Notable, LogEvent.RequestRefused, {
+    requestId: call.head.id,
+    route: call.route.name,
+    reason: refusal.reason,
+    status: refusal.status,
+    retryAfterMs: refusal.retryAfterMs,
+    waitingCount: context.dispatcher.waitingCount,
+    elapsedMs: Math.round(context.clock.nowMs() - call.arrivedAtMs),
+  });
+  sink.refuse(refusal);
+}
--- /dev/null
+++ b/src/relay/constants.ts
@@ -0,0 +1,43 @@
+/** Time for a connection to a server; the platform's data centres are at most 2 ms apart. */
+export const CONNECT_TIMEOUT_MS = 250;
+
+/** Interval at which waiting generations are tried again without a change that woke them. */
+export const QUEUE_TICK_MS = 20;
+
+/** Weight of the newest first event in an engine's slowness. */
+export const SLOWNESS_WEIGHT = 0.25;
+
+/** Bounds of an engine's slowness, so that one odd answer does not rule it out. */
+export const MIN_SLOWNESS_RATIO = 0.5;
+export const MAX_SLOWNESS_RATIO = 8;
+
+/** Answers of plain servers are held back until they are whole, up to this size. */
+export const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
+
+/** Share of an objective after which a call that bears repetition is sent to a second server. */
+export const HEDGE_OBJECTIVE_RATIO = 0.8;
+
+/** Times that one call may be sent, over all servers that it may use. */
+export const MAX_SENDS_COUNT = 3;
+
+/** Typical time of one output token on a shared engine, in milliseconds; a step takes 7 and more. */
+export const TOKEN_MS = 12;
+
+/** Time that is kept back from a server so that its last words can still be passed on. */
+export const ANSWER_MARGIN_MS = 30;
+
+/** Time to come back after a refusal that waits for nothing in particular. */
+export const DEFAULT_RETRY_AFTER_MS = 500;
+
+/** Time to come back to another VM when this one stops. */
+export const STOPPING_RETRY_AFTER_MS = 50;
+
+/** Silence of a stream after which its engine is taken for dead, if a copy stands by. */
+export const STREAM_SILENCE_MS = 1_500;
+
+/** Time for which a copy of a run's memory is waited for. */
+export const MOVE_TIMEOUT_MS = 3_000;
+
+/** Weight of a failure against a typical time, for calls that bear repetition and for those that do not. */
+export const REPEATABLE_FAILURE_WEIGHT = 2;
+export const ONCE_ONLY_FAILURE_WEIGHT = 6;
--- /dev/null
+++ b/src/relay/index.ts
@@ -0,0 +1,10 @@
+export { DEFAULT_RETRY_AFTER_MS, STOPPING_RETRY_AFTER_MS } from "./constants.js";
+export { CallSink } from "./_lib/callSink/index.js";
+export * from "./_lib/collectBody/index.js";
+export { refusalFor } from "./_lib/refusals/index.js";
+export * from "./engineDispatcher/index.js";
+export * from "./generationRelay/index.js";
+export * from "./plainRelay/index.js";
+export type { RelayContext } from "./relayContext.js";
+export * from "./retryBudget/index.js";
+export * from "./types.js";
--- /dev/null
+++ b/src/relay/plainRelay/index.ts
@@ -0,0 +1,274 @@
+import * as diagnostics from "../../diagnostics/index.js";
+import * as dispatch from "../../dispatch/index.js";
+import * as routing from "../../routing/index.js";
+import * as servers from "../../servers/index.js";
+import * as attemptScopes from "../_lib/attemptScope/index.js";
+import type * as callSink from "../_lib/callSink/index.js";
+import * as refusals from "../_lib/refusals/index.js";
+import * as sends from "../_lib/sendWhole/index.js";
+import * as constants from "../constants.js";
+import type * as relayContext from "../relayContext.js";
+import * as types from "../types.js";
+
+const { Importance, LogEvent } = diagnostics;
+
+/** Relays calls to plain servers: once-only ones once, idempotent ones again or to two at a time. */
+export class PlainRelay {
+  private readonly pendingCounts = new Map<string, number>();
+
+  constructor(private readonly context: relayContext.RelayContext) {}
+
+  /** Serves a call and answers its caller. */
+  async relay(call: types.Call, sink: callSink.CallSink): Promise<void> {
+    using scope = new attemptScopes.AttemptScope(
+      this.context.clock,
+      call.deadlineAtMs,
+      call.callerGone,
+    );
+    await new PlainCall(this.context, this.pendingCounts, call, sink, scope).run();
+  }
+}
+
+/** One call at work: its sends, of which two may be on their way at a time. */
+class PlainCall {
+  private readonly usedIds = new Set<string>();
+  /** Servers that run the call, ran it, or may have; their number is bounded by the route. */
+  private readonly ranIds = new Set<string>();
+  private readonly isRepeatable: boolean;
+  private readonly maxServersCount: number;
+  private sendsCount = 0;
+  private pendingCount = 0;
+  private lastAnswer: sends.WholeAnswer | null = null;
+  private mayHaveRun = false;
+  private hedge: Disposable | null = null;
+  private settle: () => void = () => undefined;
+  private isSettled = false;
+
+  constructor(
+    private readonly context: relayContext.RelayContext,
+    private readonly pendingCounts: Map<string, number>,
+    private readonly call: types.Call,
+    private readonly sink: callSink.CallSink,
+    private readonly scope: attemptScopes.AttemptScope,
+  ) {
+    this.isRepeatable = call.route.kind === routing.RouteKind.Idempotent;
+    this.maxServersCount = this.isRepeatable ? Math.max(1, call.route.maxServersCount) : 1;
+  }
+
+  async run(): Promise<void> {
+    const finished = new Promise<void>((resolve) => {
+      this.settle = resolve;
+    });
+    this.scope.signal.addEventListener("abort", () => this.giveUp(), { once: true });
+    this.send();
+    this.scheduleHedge();
+    await finished;
+    this.hedge?.[Symbol.dispose]();
+  }
+
+  private send(): void {
+    const server = this.chooseServer();
+    if (server === undefined) {
+      if (this.pendingCount > 0) return;
+      if (this.lastAnswer !== null) this.passOn(this.lastAnswer);
+      else this.finishWithoutAnswer(types.RefusalReason.NoServer);
+      return;
+    }
+    this.sendsCount += 1;
+    this.pendingCount += 1;
+    void this.sendTo(server.entry);
+  }
+
+  private async sendTo(server: servers.ServerEntry): Promise<void> {
+    const { context, call } = this;
+    const startedAtMs = context.clock.nowMs();
+    this.usedIds.add(server.id);
+    this.ranIds.add(server.id);
+    this.countPending(server.id, 1);
+    const timeLeftMs = call.deadlineAtMs - startedAtMs;
+    const options = { server, timeLeftMs, priority: null, backupAddress: null, continuation: null };
+    const outcome = await sends.sendWhole(context.codec, call, options, this.scope.signal);
+    this.countPending(server.id, -1);
+    this.pendingCount -= 1;
+    if (this.isSettled || this.scope.signal.aborted) return;
+    this.noteOutcome(server, outcome, context.clock.nowMs() - startedAtMs);
+    HANDLERS[outcome.kind](this, outcome as never, server);
+  }
+
+  /** Takes in a whole answer: passes it on, or repeats the call where it is a failure. */
+  onAnswered(answer: sends.WholeAnswer): void {
+    this.mayHaveRun = true;
+    this.lastAnswer = answer;
+    const isServed = sends.verdictOf(answer) === servers.AttemptVerdict.Served;
+    if (isServed || !this.isRepeatable) this.passOn(answer);
+    else this.repeatOrFinish();
+  }
+
+  /** A server has not run the call: another one may. */
+  onNotRun(outcome: sends.NotRun, server: servers.ServerEntry): void {
+    this.ranIds.delete(server.id);
+    if (outcome.isOtherServer) this.noteReplaced(server);
+    this.repeatOrFinish(outcome.wasSent);
+  }
+
+  /** The call may have run: only one that bears repetition goes on. */
+  onUnknown(): void {
+    this.mayHaveRun = true;
+    if (this.isRepeatable) this.repeatOrFinish();
+    else if (this.pendingCount === 0) this.finishWithoutAnswer(types.RefusalReason.OutcomeUnknown);
+  }
+
+  /** Sends the call again; one that reached no server before costs nothing of the budget. */
+  private repeatOrFinish(wasSent = true): void {
+    if (this.pendingCount > 0) return;
+    const maySend = this.sendsCount < constants.MAX_SENDS_COUNT;
+    if (maySend && (!wasSent || this.takeRepeat())) {
+      this.send();
+      return;
+    }
+    if (this.lastAnswer !== null) this.passOn(this.lastAnswer);
+    else this.finishWithoutAnswer(types.RefusalReason.ServersRefused);
+  }
+
+  private takeRepeat(): boolean {
+    const { context, call } = this;
+    const isAllowed = context.budget.tryTake(call.serviceName);
+    const decision = isAllowed ? "allowed" : "denied";
+    context.meters.repeats.inc({ service: call.serviceName, decision });
+    if (!isAllowed) {
+      context.log.record(Importance.Notable, LogEvent.RepeatDenied, {
+        requestId: call.head.id,
+        service: call.serviceName,
+        remainingCount: Math.round(context.budget.remaining(call.serviceName)),
+      });
+    }
+    return isAllowed;
+  }
+
+  private chooseServer(): servers.KnownServer | undefined {
+    const { context, call } = this;
+    const available = context.directory.available(call.serviceName);
+    const reachable = available.filter(({ entry }) => !context.trust.isSuspended(entry.id));
+    const pool = reachable.length > 0 ? reachable : available;
+    const mayUseNew = this.ranIds.size < this.maxServersCount;
+    const choices = mayUseNew ? pool : pool.filter(({ entry }) => this.ranIds.has(entry.id));
+    const candidates = choices.map(({ entry }): dispatch.PlainCandidate => {
+      return {
+        serverId: entry.id,
+        dataCentre: entry.dataCentre,
+        pendingCount: this.pendingCounts.get(entry.id) ?? 0,
+        failureRatio: context.trust.failureRatio(entry.id),
+        typicalMs: context.trust.typicalMs(entry.id),
+      };
+    });
+    const chosen = dispatch.selectPlainServer(candidates, {
+      dataCentre: context.dataCentre,
+      avoidedIds: this.usedIds,
+      failureWeight: this.isRepeatable
+        ? constants.REPEATABLE_FAILURE_WEIGHT
+        : constants.ONCE_ONLY_FAILURE_WEIGHT,
+      random: context.random,
+    });
+    return chosen && context.directory.find(chosen.serverId);
+  }
+
+  private scheduleHedge(): void {
+    if (!this.isRepeatable || this.maxServersCount < 2) return;
+    const delayMs = constants.HEDGE_OBJECTIVE_RATIO * this.call.route.objectiveMs;
+    this.hedge = this.context.clock.schedule(delayMs, () => {
+      if (this.isSettled || this.pendingCount !== 1) return;
+      if (this.sendsCount >= constants.MAX_SENDS_COUNT || !this.takeRepeat()) return;
+      this.context.log.record(Importance.Routine, LogEvent.Hedged, {
+        requestId: this.call.head.id,
+        afterMs: Math.round(delayMs),
+      });
+      this.send();
+    });
+  }
+
+  private passOn(answer: sends.WholeAnswer): void {
+    if (this.isSettled) return;
+    this.sink.answer(answer.head.status, answer.head.forwardedHeaders, answer.body);
+    this.finish();
+  }
+
+  private finishWithoutAnswer(reason: types.RefusalReason): void {
+    if (this.isSettled) return;
+    const hasRun = this.mayHaveRun && !this.isRepeatable;
+    const shownReason = hasRun ? types.RefusalReason.OutcomeUnknown : reason;
+    const retryAfterMs =
+      refusals.refusalFor(shownReason).status === 503 ? constants.DEFAULT_RETRY_AFTER_MS : null;
+    this.refuse(refusals.refusalFor(shownReason, retryAfterMs));
+  }
+
+  private giveUp(): void {
+    if (this.isSettled) return;
+    if (!this.scope.isTimedOut) {
+      this.finish();
+      return;
+    }
+    const wasSent = this.mayHaveRun || this.pendingCount > 0;
+    const reason = wasSent ? types.RefusalReason.TimedOut : types.RefusalReason.TimedOutNotRun;
+    this.refuse(refusals.refusalFor(reason));
+  }
+
+  private refuse(refusal: types.Refusal): void {
+    const { context, call } = this;
+    context.meters.refusals.inc({ reason: refusal.reason });
+    context.log.record(Importance.Notable, LogEvent.RequestRefused, {
+      requestId: call.head.id,
+      route: call.route.name,
+      reason: refusal.reason,
+      status: refusal.status,
+      retryAfterMs: refusal.retryAfterMs,
+      sendsCount: this.sendsCount,
+      elapsedMs: Math.round(context.clock.nowMs() - call.arrivedAtMs),
+    });
+    this.sink.refuse(refusal);
+    this.finish();
+  }
+
+  private finish(): void {
+    this.isSettled = true;
+    this.settle();
+  }
+
+  private noteOutcome(
+    server: servers.ServerEntry,
+    outcome: sends.SendOutcome,
+    elapsedMs: number,
+  ): void {
+    const { context, call } = this;
+    const verdict = sends.verdictOf(outcome);
+    context.trust.note(server.id, verdict, elapsedMs);
+    context.meters.attempts.inc({ service: call.serviceName, outcome: verdict });
+    if (verdict === servers.AttemptVerdict.Served) return;
+    context.log.record(Importance.Notable, LogEvent.AttemptEnded, {
+      requestId: call.head.id,
+      serverId: server.id,
+      verdict,
+      status: outcome.kind === sends.SendKind.Answered ? outcome.head.status : null,
+      cause: outcome.kind === sends.SendKind.Answered ? null : outcome.cause,
+      failureRatio: Number(context.trust.failureRatio(server.id).toFixed(2)),
+      elapsedMs: Math.round(elapsedMs),
+    });
+  }
+
+  private noteReplaced(server: servers.ServerEntry): void {
+    this.context.directory.markLeaving(server.id, servers.LeavingSign.ReplacedAtAddress);
+  }
+
+  private countPending(serverId: string, change: 1 | -1): void {
+    const count = (this.pendingCounts.get(serverId) ?? 0) + change;
+    if (count > 0) this.pendingCounts.set(serverId, count);
+    else this.pendingCounts.delete(serverId);
+  }
+}
+
+type Handler = (call: PlainCall, outcome: never, server: servers.ServerEntry) => void;
+
+const HANDLERS: Readonly<Record<sends.SendKind, Handler>> = {
+  [sends.SendKind.Answered]: (call, outcome: sends.WholeAnswer) => call.onAnswered(outcome),
+  [sends.SendKind.NotRun]: (call, outcome: sends.NotRun, server) => call.onNotRun(outcome, server),
+  [sends.SendKind.Unknown]: (call) => call.onUnknown(),
+};
--- /dev/null
+++ b/src/relay/relayContext.ts
@@ -0,0 +1,25 @@
+import type * as clocks from "../_lib/clock/index.js";
+import type * as randoms from "../_lib/random/index.js";
+import type * as diagnostics from "../diagnostics/index.js";
+import type * as dispatch from "../dispatch/index.js";
+import type * as servers from "../servers/index.js";
+import type * as engineDispatcher from "./engineDispatcher/index.js";
+import type * as retryBudgets from "./retryBudget/index.js";
+import type * as types from "./types.js";
+
+/** What relaying calls works with. */
+export interface RelayContext {
+  readonly clock: clocks.Clock;
+  readonly random: randoms.RandomSource;
+  readonly vmName: string;
+  readonly dataCentre: string;
+  readonly codec: types.WireCodec;
+  readonly control: types.EngineControl;
+  readonly directory: servers.ServerDirectory;
+  readonly trust: servers.ServerTrust;
+  readonly dispatcher: engineDispatcher.EngineDispatcher;
+  readonly lengths: dispatch.OutputLengths;
+  readonly budget: retryBudgets.RetryBudget;
+  readonly log: diagnostics.DecisionLog;
+  readonly meters: diagnostics.Meters;
+}
--- a/src/replication/_lib/announcer/index.ts
+++ b/src/replication/_lib/announcer/index.ts
@@ -1,4 +1,4 @@
-import type * as platform from "../../../platform/types.js";
+import type * as platform from "../../../controlPlane/types.js";
 import * as constants from "../../constants.js";
 import type * as types from "../../types.js";
 import type * as appliedState from "../appliedState/index.js";
--- a/src/replication/_lib/appliedState/index.ts
+++ b/src/replication/_lib/appliedState/index.ts
@@ -1,4 +1,4 @@
-import type * as platform from "../../../platform/types.js";
+import type * as platform from "../../../controlPlane/types.js";
 import * as constants from "../../constants.js";
 import * as types from "../../types.js";
 import * as recentRecords from "../recentRecords/index.js";
--- a/src/replication/_lib/messages/index.ts
+++ b/src/replication/_lib/messages/index.ts
@@ -1,6 +1,6 @@
 import * as zod from "zod";
 
-import type * as platform from "../../../platform/types.js";
+import type * as platform from "../../../controlPlane/types.js";
 import * as constants from "../../constants.js";
 
 const offset = zod.int().min(-1);
--- a/src/replication/_lib/peerExchange/index.ts
+++ b/src/replication/_lib/peerExchange/index.ts
@@ -1,6 +1,6 @@
 import type * as zod from "zod";
 
-import type * as platform from "../../../platform/types.js";
+import type * as platform from "../../../controlPlane/types.js";
 import * as constants from "../../constants.js";
 import type * as types from "../../types.js";
 import * as messages from "../messages/index.js";
--- a/src/replication/_lib/readerRoles/index.ts
+++ b/src/replication/_lib/readerRoles/index.ts
@@ -1,5 +1,5 @@
 import * as fleet from "../../../fleet/index.js";
-import type * as platform from "../../../platform/types.js";
+import type * as platform from "../../../controlPlane/types.js";
 import * as constants from "../../constants.js";
 
 /** VMs of this data centre that read the stream from the log, the first choice first. */
--- a/src/replication/_lib/recentRecords/index.ts
+++ b/src/replication/_lib/recentRecords/index.ts
@@ -1,4 +1,4 @@
-import type * as platform from "../../../platform/types.js";
+import type * as platform from "../../../controlPlane/types.js";
 
 /** The last consecutive records of a stream, up to a count. */
 export class RecentRecords {
--- a/src/replication/_lib/snapshotKeeper/index.ts
+++ b/src/replication/_lib/snapshotKeeper/index.ts
@@ -1,5 +1,5 @@
-import * as appendBudgets from "../../../platform/appendBudget/index.js";
-import type * as platform from "../../../platform/types.js";
+import * as appendBudgets from "../../../controlPlane/appendBudget/index.js";
+import type * as platform from "../../../controlPlane/types.js";
 import * as constants from "../../constants.js";
 import type * as types from "../../types.js";
 import type * as logReader from "../logReader/index.js";
--- a/src/replication/_lib/stateLoader/index.ts
+++ b/src/replication/_lib/stateLoader/index.ts
@@ -1,7 +1,7 @@
 import * as neverthrow from "neverthrow";
 
 import type * as stepError from "../../../_lib/stepError/index.js";
-import type * as platform from "../../../platform/types.js";
+import type * as platform from "../../../controlPlane/types.js";
 import * as constants from "../../constants.js";
 import type * as types from "../../types.js";
 import type * as announcer from "../announcer/index.js";
--- a/src/replication/streamFollower/test.ts
+++ b/src/replication/streamFollower/test.ts
@@ -2,7 +2,7 @@
 
 import * as logModel from "../../../standins/log/model/index.js";
 import * as followers from "../../../standins/replication/index.js";
-import * as platform from "../../platform/types.js";
+import * as platform from "../../controlPlane/types.js";
 
 function offsetsOf(rig: followers.FollowerFleet): number[] {
   return rig.vms.map((vm) => vm.follower.appliedOffset);
--- a/src/replication/types.ts
+++ b/src/replication/types.ts
@@ -2,8 +2,8 @@
 import type * as loggers from "../_lib/logger/index.js";
 import type * as fleet from "../fleet/types.js";
 import type * as peers from "../peers/types.js";
-import type * as appendBudgets from "../platform/appendBudget/index.js";
-import type * as platform from "../platform/types.js";
+import type * as appendBudgets from "../controlPlane/appendBudget/index.js";
+import type * as platform from "../controlPlane/types.js";
 import type * as telemetry from "../telemetry/types.js";
 
 /** How one stream's records make a state; every VM follows the same rules. */
--- /dev/null
+++ b/src/routing/createRoutingTable/index.ts
@@ -0,0 +1,32 @@
+import type * as types from "../types.js";
+
+/** Arranges a configuration for look-ups by host, service and API key. */
+export function createRoutingTable(configuration: types.Configuration): types.RoutingTable {
+  return {
+    configuration,
+    routesByHost: groupByHost(configuration.routes),
+    servicesByName: new Map(configuration.services.map((service) => [service.name, service])),
+    accountsByKey: indexKeys(configuration.accounts ?? []),
+  };
+}
+
+function groupByHost(routes: readonly types.Route[]): Map<string, types.Route[]> {
+  const routesByHost = new Map<string, types.Route[]>();
+  for (const route of routes) {
+    const siblings = routesByHost.get(route.host);
+    if (siblings === undefined) routesByHost.set(route.host, [route]);
+    else siblings.push(route);
+  }
+  for (const siblings of routesByHost.values()) {
+    siblings.sort((left, right) => right.pathPrefix.length - left.pathPrefix.length);
+  }
+  return routesByHost;
+}
+
+function indexKeys(accounts: readonly types.Account[]): Map<string, types.Account> {
+  const accountsByKey = new Map<string, types.Account>();
+  for (const account of accounts) {
+    for (const key of account.apiKeys) accountsByKey.set(key, account);
+  }
+  return accountsByKey;
+}
--- /dev/null
+++ b/src/routing/index.ts
@@ -0,0 +1,4 @@
+export * from "./createRoutingTable/index.js";
+export * from "./matchRoute/index.js";
+export * from "./selectService/index.js";
+export * from "./types.js";
--- /dev/null
+++ b/src/sharedView/_lib/datagrams/index.ts
@@ -0,0 +1,98 @@
+import * as msgpackr from "msgpackr";
+import * as zod from "zod";
+
+/** Kinds of datagrams between VMs. */
+export enum DatagramKind {
+  Heartbeat = 1,
+  Records = 2,
+  Claims = 3,
+  Bye = 4,
+}
+
+const count = zod.number().int().nonnegative();
+const name = zod.string().min(1).max(200);
+
+const bytes = zod.custom<Uint8Array>((value) => value instanceof Uint8Array);
+
+const topicState = zod.tuple([zod.number().int(), zod.number().nonnegative()]);
+
+/** The steady and the wall clock of a VM. */
+const moment = zod.object({ steadyMs: zod.number(), wallMs: zod.number() });
+
+const heartbeat = zod.object({
+  kind: zod.literal(DatagramKind.Heartbeat),
+  vmName: name,
+  host: name,
+  port: count.max(65_535),
+  dataCentre: name,
+  coresCount: zod.number().positive(),
+  startedAtWallMs: zod.number(),
+  /** The sender's clocks; the receiver returns them as an echo. */
+  sentAt: moment,
+  /** The receiver's own clocks, of the last heartbeat that the sender had from it; null before. */
+  echo: moment.nullable(),
+  reachesStore: zod.boolean(),
+  /** End offset and age of each topic, in the order of TOPICS. */
+  topics: zod.array(topicState).max(8),
+});
+
+const record = zod.tuple([name, count, bytes.nullable()]);
+
+const records = zod.object({
+  kind: zod.literal(DatagramKind.Records),
+  vmName: name,
+  topic: count,
+  fromOffset: count,
+  endOffset: count,
+  records: zod.array(record),
+});
+
+/** A claim that was put: id, role, server, unread, prompt, expected, produced, has first event. */
+const putClaim = zod.tuple([
+  name,
+  zod.boolean(),
+  name,
+  zod.number(),
+  zod.number(),
+  zod.number(),
+  zod.number(),
+  zod.boolean(),
+]);
+
+/** A claim that was released: id and whether it was a copy's. */
+const releasedClaim = zod.tuple([name, zod.boolean()]);
+
+const claims = zod.object({
+  kind: zod.literal(DatagramKind.Claims),
+  vmName: name,
+  startedAtWallMs: zod.number(),
+  put: zod.array(putClaim),
+  released: zod.array(releasedClaim),
+});
+
+const bye = zod.object({ kind: zod.literal(DatagramKind.Bye), vmName: name });
+
+const datagram = zod.discriminatedUnion("kind", [heartbeat, records, claims, bye]);
+
+/** A message between VMs. */
+export type Datagram = zod.infer<typeof datagram>;
+export type Heartbeat = zod.infer<typeof heartbeat>;
+export type Records = zod.infer<typeof records>;
+export type Claims = zod.infer<typeof claims>;
+export type PutClaim = zod.infer<typeof putClaim>;
+
+/** Bytes of a message. */
+export function encodeDatagram(message: Datagram): Buffer {
+  return msgpackr.pack(message);
+}
+
+/** The message in some bytes; null where they hold none. */
+export function decodeDatagram(bytes: Uint8Array): Datagram | null {
+  try {
+    const parsed = datagram.safeParse(msgpackr.unpack(bytes));
+    return parsed.success ? parsed.data : null;
+  } catch {
+    // Anyone can send bytes to a port; the caller counts what cannot be read.
+    return null;
+  }
+}
--- /dev/null
+++ b/src/sharedView/constants.ts
@@ -0,0 +1,47 @@
+/** Age at which the first reader reads the servers' entries again; leaving engines give 1.5 s notice. */
+export const SERVERS_POLL_MS = 150;
+
+/** Age at which the first reader asks for configuration again; with the wait well under the 2 s to apply it. */
+export const CONFIGURATION_POLL_MS = 50;
+
+/** How long the store may wait for a record of each topic before it answers that there is none. */
+export const SERVERS_WAIT_MS = 100;
+export const CONFIGURATION_WAIT_MS = 500;
+
+/** Added to that age for each VM that goes before: it reads only if those before it fail to. */
+export const READER_RANK_DELAY_MS = 300;
+
+/** Most that the rank adds, so that a cut-off VM of a large fleet reads for itself in time. */
+export const MAX_RANK_DELAY_MS = 3_000;
+
+/** How old a peer's word is when it comes, at the most, beside what it says. */
+export const PEER_WORD_LAG_MS = 250;
+
+/** Time for an answer of the store, beside what it may wait. */
+export const STORE_TIMEOUT_MS = 1_200;
+
+/** Pauses after failed calls to the store; they double from the first to the last. */
+export const MIN_STORE_BACKOFF_MS = 150;
+export const MAX_STORE_BACKOFF_MS = 1_000;
+
+/** Interval between a VM's heartbeats, and what each peer adds to it. */
+export const HEARTBEAT_INTERVAL_MS = 250;
+export const HEARTBEAT_PER_PEER_MS = 8;
+
+/** Heartbeats that may be missed before a peer counts as gone. */
+export const MISSED_HEARTBEATS_COUNT = 4;
+
+/** How long a silent peer is still sent heartbeats, so that it finds back after a cut. */
+export const PEER_RETENTION_MS = 60_000;
+
+/** The largest datagram that is sent; fits the usual MTU. */
+export const MAX_DATAGRAM_BYTES = 1_200;
+
+/** How long a VM that lags behind a peer waits for records to come by themselves. */
+export const CATCH_UP_DELAY_MS = 60;
+
+/** Time for a peer's answer with a whole topic. */
+export const REPLICA_FETCH_TIMEOUT_MS = 700;
+
+/** Interval between summaries of claims, in heartbeats. */
+export const CLAIM_SUMMARY_HEARTBEATS = 4;
--- /dev/null
+++ b/src/sharedView/index.ts
@@ -0,0 +1,6 @@
+export * from "./peerMesh/index.js";
+export * from "./replicaClient/index.js";
+export * from "./replicaServer/index.js";
+export * from "./topicReader/index.js";
+export * from "./topicReplica/index.js";
+export * from "./types.js";
--- /dev/null
+++ b/src/sharedView/replicaClient/index.ts
@@ -0,0 +1,97 @@
+import Wreck from "@hapi/wreck";
+import * as msgpackr from "msgpackr";
+import * as neverthrow from "neverthrow";
+import * as zod from "zod";
+
+import type * as clocks from "../../_lib/clock/index.js";
+import * as diagnostics from "../../diagnostics/index.js";
+import * as ageClocks from "../_lib/ageClock/index.js";
+import * as constants from "../constants.js";
+import * as topicReplicas from "../topicReplica/index.js";
+import * as types from "../types.js";
+
+const { Importance, LogEvent } = diagnostics;
+
+const bytes = zod.custom<Uint8Array>((value) => value instanceof Uint8Array);
+
+const replicaMessage = zod.object({
+  endOffset: zod.number().int().nonnegative(),
+  ageMs: zod.number().nonnegative(),
+  records: zod.array(zod.tuple([zod.string(), zod.number().int().nonnegative(), bytes])),
+});
+
+/** What the client works with. */
+export interface ReplicaClientContext {
+  readonly clock: clocks.Clock;
+  readonly replicas: ReadonlyMap<types.Topic, topicReplicas.TopicReplica>;
+  readonly log: diagnostics.DecisionLog;
+}
+
+/** Fetches whole topics from peers that know more than this VM does. */
+export class ReplicaClient {
+  private readonly fetching = new Set<types.Topic>();
+
+  constructor(private readonly context: ReplicaClientContext) {}
+
+  /** Catches up with a peer, unless the records come by themselves within a moment. */
+  async catchUp(topic: types.Topic, peer: types.VmAddress, peerEndOffset: number): Promise<void> {
+    const replica = this.context.replicas.get(topic);
+    if (replica === undefined || this.fetching.has(topic)) return;
+    this.fetching.add(topic);
+    try {
+      await this.context.clock.sleep(replica.isKnown ? constants.CATCH_UP_DELAY_MS : 0);
+      if (replica.endOffset < peerEndOffset) await this.fetch(topic, peer, replica);
+    } finally {
+      this.fetching.delete(topic);
+    }
+  }
+
+  private async fetch(
+    topic: types.Topic,
+    peer: types.VmAddress,
+    replica: topicReplicas.TopicReplica,
+  ): Promise<void> {
+    const sentAt = ageClocks.nowOf(this.context.clock);
+    const fetched = await fetchReplica(topic, peer);
+    this.context.log.record(Importance.Routine, LogEvent.ReplicaFetched, {
+      topic,
+      peer: peer.vmName,
+      endOffset: fetched.isOk() ? fetched.value.batch.endOffset : null,
+      cause: fetched.isErr() ? fetched.error : null,
+    });
+    if (fetched.isErr()) return;
+    const { batch, ageMs } = fetched.value;
+    const confirmedAt = ageClocks.before(sentAt, ageMs);
+    replica.applyListing(batch, confirmedAt, topicReplicas.ViewSource.Peer);
+  }
+}
+
+interface FetchedReplica {
+  readonly batch: types.RecordBatch;
+  readonly ageMs: number;
+}
+
+async function fetchReplica(
+  topic: types.Topic,
+  peer: types.VmAddress,
+): Promise<neverthrow.Result<FetchedReplica, string>> {
+  try {
+    const url = `http://${peer.host}:${peer.port}/replica/${topic}`;
+    const { payload } = await Wreck.get<Buffer>(url, {
+      timeout: constants.REPLICA_FETCH_TIMEOUT_MS,
+    });
+    return parseReplica(payload);
+  } catch (error) {
+    return neverthrow.err(error instanceof Error ? error.message : String(error));
+  }
+}
+
+function parseReplica(payload: Buffer): neverthrow.Result<FetchedReplica, string> {
+  const parsed = replicaMessage.safeParse(msgpackr.unpack(payload));
+  if (!parsed.success) return neverthrow.err("unreadable replica");
+  const records = parsed.data.records.map(([key, offset, value]): types.ViewRecord => {
+    return { key, offset, value: Buffer.from(value) };
+  });
+  const { endOffset, ageMs } = parsed.data;
+  return neverthrow.ok({ batch: { records, endOffset }, ageMs });
+}
--- a/standins/calls/index.ts
+++ b/standins/calls/index.ts
@@ -5,7 +5,7 @@
 import * as calls from "../../src/calls/index.js";
 import * as catalogue from "../../src/catalogue/index.js";
 import * as fleetTypes from "../../src/fleet/types.js";
-import * as appendBudgets from "../../src/platform/appendBudget/index.js";
+import * as appendBudgets from "../../src/controlPlane/appendBudget/index.js";
 import * as replication from "../../src/replication/index.js";
 import * as catalogueView from "../catalogue/view/index.js";
 import * as fleetModel from "../fleet/model/index.js";
--- a/standins/fleet/virtualFleet/index.ts
+++ b/standins/fleet/virtualFleet/index.ts
@@ -5,7 +5,7 @@
 import * as stepError from "../../../src/_lib/stepError/index.js";
 import * as virtualClock from "../../../src/_lib/virtualClock/index.js";
 import * as fleet from "../../../src/fleet/index.js";
-import * as platform from "../../../src/platform/types.js";
+import * as platform from "../../../src/controlPlane/types.js";
 import * as datagrams from "../../datagrams/hub/index.js";
 import * as counters from "../../telemetry/counters/index.js";
 import * as pausableClock from "../../pausableClock/index.js";
--- a/standins/log/model/index.ts
+++ b/standins/log/model/index.ts
@@ -2,7 +2,7 @@
 
 import type * as clocks from "../../../src/_lib/clock/index.js";
 import * as stepError from "../../../src/_lib/stepError/index.js";
-import type * as platform from "../../../src/platform/types.js";
+import type * as platform from "../../../src/controlPlane/types.js";
 
 /** Faults that can be injected into the log. */
 export enum LogFault {
--- a/standins/log/server/index.ts
+++ b/standins/log/server/index.ts
@@ -2,7 +2,7 @@
 import * as zod from "zod";
 
 import type * as clocks from "../../../src/_lib/clock/index.js";
-import * as platform from "../../../src/platform/types.js";
+import * as platform from "../../../src/controlPlane/types.js";
 import * as httpStandIn from "../../_lib/httpStandIn/index.js";
 import * as refusals from "../../_lib/refuse.js";
 import * as models from "../model/index.js";
--- a/standins/weights/model/index.ts
+++ b/standins/weights/model/index.ts
@@ -1,5 +1,5 @@
 import type * as clocks from "../../../src/_lib/clock/index.js";
-import type * as platform from "../../../src/platform/types.js";
+import type * as platform from "../../../src/controlPlane/types.js";
 
 const MS_PER_MINUTE = 60_000;
 
