Tell a reset from the end of an unframed answer

Ruled out: the order of error listeners (an error listener ahead of the parser's saw no error). Change: at the end of an unframed answer an empty write is tried, which fails after a reset.

--- a/src/relay/_lib/engineStream/index.ts
+++ b/src/relay/_lib/engineStream/index.ts
@@ -119,7 +119,7 @@
       let silence = this.watchSilence(consumer, clock);
       const finish = (): void => {
         silence[Symbol.dispose]();
-        resolve(this.endOf());
+        void this.endOf().then(resolve);
       };
       this.message.on("data", (chunk: Buffer) => {
         if (this.isClosed || this.isFaulty) return;
@@ -150,9 +150,9 @@
     return clock.schedule(constants.STREAM_SILENCE_MS, () => consumer.onSilence());
   }
 
-  private endOf(): StreamEnd {
+  private async endOf(): Promise<StreamEnd> {
     if (this.isClosed) return StreamEnd.Closed;
-    const isComplete = this.message.complete && !this.opening.isCutByReset();
+    const isComplete = this.message.complete && !(await this.opening.isCutByReset());
     const isWhole = isComplete && !this.splitter.hasRest && !this.isFaulty;
     return isWhole ? StreamEnd.Whole : StreamEnd.CutOff;
   }
@@ -163,8 +163,9 @@
   opening: openAttempts.AnsweredOpening,
 ): Promise<OpenOutcome> {
   const collected = await collectBodies.collectBody(opening.message, constants.MAX_ANSWER_BYTES);
+  const isCut = await opening.isCutByReset();
   opening.close();
-  if (collected.end === collectBodies.BodyEnd.Whole && !opening.isCutByReset()) {
+  if (collected.end === collectBodies.BodyEnd.Whole && !isCut) {
     return { kind: OpenKind.Answered, head, body: collected.body };
   }
   return { kind: OpenKind.Unknown, cause: `body of status ${head.status} ${collected.end}` };
--- a/src/relay/_lib/openAttempt/index.ts
+++ b/src/relay/_lib/openAttempt/index.ts
@@ -1,6 +1,8 @@
 import * as http from "node:http";
 import * as net from "node:net";
 
+const NOTHING = Buffer.alloc(0);
+
 /** How an attempt at a server began. */
 export enum OpeningKind {
   /** No connection was made: the call did not leave this VM. */
@@ -16,8 +18,8 @@
   readonly kind: OpeningKind.Answered;
   readonly message: http.IncomingMessage;
   readonly close: () => void;
-  /** Whether a body that ends with its connection was cut by a reset, which the parser takes for its end. */
-  readonly isCutByReset: () => boolean;
+  /** Once the message has ended: whether a reset cut it that was taken for the end of its body. */
+  readonly isCutByReset: () => Promise<boolean>;
 }
 
 /** The outcome of the first half of an attempt. */
@@ -56,7 +58,8 @@
       resolve("aborted before connecting");
       return;
     }
-    const socket = net.connect({ host: request.host, port: request.port, noDelay: true });
+    const { host, port } = request;
+    const socket = net.connect({ host, port, noDelay: true, allowHalfOpen: true });
     const fail = (cause: string): void => {
       cleanUp();
       socket.destroy();
@@ -92,18 +95,14 @@
     for (let index = 0; index < request.headers.length; index += 2) {
       outgoing.appendHeader(request.headers[index] ?? "", request.headers[index + 1] ?? "");
     }
-    let isReset = false;
-    // Ahead of the parser's own listener, which ends an unframed body on any error.
-    socket.prependListener("error", () => {
-      isReset = true;
-    });
+    const endCheck = watchEnd(socket);
     const close = (): void => void outgoing.destroy();
     request.signal.addEventListener("abort", close, { once: true });
     outgoing.once("close", () => request.signal.removeEventListener("abort", close));
     outgoing.once("response", (message) => {
       // Errors of the body reach its reader through "close" without "complete".
       message.on("error", () => undefined);
-      const isCutByReset = (): boolean => isReset && !isFramed(message);
+      const isCutByReset = async (): Promise<boolean> => !isFramed(message) && endCheck();
       resolve({ kind: OpeningKind.Answered, message, close, isCutByReset });
     });
     outgoing.on("error", (error) => resolve({ kind: OpeningKind.Lost, cause: error.message }));
@@ -114,6 +113,33 @@
   });
 }
 
+/**
+ * Tells an orderly end of a connection from a reset. A reset that comes together with the last
+ * bytes is reported as an end; an empty write then fails where the connection was reset. The
+ * listeners go ahead of the parser's, which closes the socket.
+ *
+ * @returns a function that says, once the connection has ended, whether it was reset
+ */
+function watchEnd(socket: net.Socket): () => Promise<boolean> {
+  let isReset = false;
+  let probe: Promise<void> = Promise.resolve();
+  socket.prependListener("error", () => {
+    isReset = true;
+  });
+  socket.prependListener("end", () => {
+    probe = new Promise((resolve) => {
+      socket.write(NOTHING, (error) => {
+        isReset ||= error instanceof Error;
+        resolve();
+      });
+    });
+  });
+  return async () => {
+    await probe;
+    return isReset;
+  };
+}
+
 /** Whether a message says where its body ends. */
 function isFramed(message: http.IncomingMessage): boolean {
   const { headers } = message;
--- a/src/relay/_lib/sendWhole/index.ts
+++ b/src/relay/_lib/sendWhole/index.ts
@@ -62,8 +62,8 @@
   }
   const head = codec.decodeAnswer(opening.message);
   const collected = await collectBodies.collectBody(opening.message, constants.MAX_ANSWER_BYTES);
+  const isCut = await opening.isCutByReset();
   opening.close();
-  const isCut = opening.isCutByReset();
   return judge(call, head, isCut ? { ...collected, end: collectBodies.BodyEnd.CutOff } : collected);
 }
 
