Hand runs over once the next engine is connected, and copy in turns

Notices came with a poll of 150 ms. Change: entries by long poll; a switch to a copy waits 600 ms from the first event and closes the old stream only once the new engine is connected; last copies wait for the first ones of all runs; silence leads away only from engines that cannot be reached; a data centre whose servers cannot be reached is avoided; copies are claimed at the size that they have.

--- a/src/dispatch/claimTable/index.ts
+++ b/src/dispatch/claimTable/index.ts
@@ -62,6 +62,10 @@
       .filter((claim) => claim.vmName === vmName);
   }
 
+  ofServer(serverId: string): readonly types.TimedClaim[] {
+    return [...(this.byServer.get(serverId)?.values() ?? [])];
+  }
+
   find(requestId: string, role: types.ClaimRole): types.TimedClaim | undefined {
     const key = keyOf(requestId, role);
     const serverId = this.serverOf.get(key);
@@ -133,6 +137,8 @@
 
 /** Memory that a claim is expected to take at its engine, in tokens. */
 export function committedBy(claim: types.Claim): number {
+  // A copy is no larger than its run is now, and lapses with it.
+  if (claim.role === types.ClaimRole.Backup) return claim.promptTokens + claim.producedTokens;
   const restTokens = estimateOutput.estimateRest(claim.expectedOutputTokens, claim.producedTokens);
   return claim.promptTokens + claim.producedTokens + constants.EXPECTED_REST_RATIO * restTokens;
 }
--- a/src/dispatch/constants.ts
+++ b/src/dispatch/constants.ts
@@ -14,7 +14,7 @@
 export const MAX_COMMITTED_RATIO = 0.92;
 
 /** Share of an engine's memory up to which it takes copies of other engines' runs. */
-export const MAX_BACKUP_COMMITTED_RATIO = 0.8;
+export const MAX_BACKUP_COMMITTED_RATIO = 0.65;
 
 /** Rest that is expected of an output which is longer than expected already, as a share of it. */
 export const OVERRUN_REST_RATIO = 0.35;
@@ -25,8 +25,11 @@
 /** Cost of an engine whose answers all fail, in milliseconds. */
 export const FAILURE_COST_MS = 4_000;
 
-/** Cost of leaving the data centre, in milliseconds: the bytes are dearer than the 1.4 ms. */
-export const OTHER_DATA_CENTRE_COST_MS = 30;
+/** Cost of leaving the data centre, in milliseconds: a cut between data centres breaks the stream. */
+export const OTHER_DATA_CENTRE_COST_MS = 80;
+
+/** Cost of a server to which the way seems cut, in milliseconds: taken only where no other is left. */
+export const CUT_OFF_COST_MS = 10_000;
 
 /** Cost of a call in progress at a plain server before its typical time is known, in milliseconds. */
 export const UNKNOWN_CALL_MS = 20;
@@ -42,3 +45,12 @@
 
 /** Half-life of the rate at which memory is given back, in milliseconds. */
 export const RELEASE_RATE_HALF_LIFE_MS = 5_000;
+
+/**
+ * Tokens of memory that an engine's link carries in a millisecond: 24 Gbit/s and 160 KB a token,
+ * as the platform's example states them, with a quarter less for copies to other data centres.
+ */
+export const MOVE_TOKENS_PER_MS = 14;
+
+/** Latest time after a notice for a last copy: reclaimed engines are gone 1.5 s after it. */
+export const LAST_COPY_LIMIT_MS = 1_150;
--- a/src/dispatch/selectEngine/index.ts
+++ b/src/dispatch/selectEngine/index.ts
@@ -50,6 +50,7 @@
     estimateFirstEvents.estimateFirstEvent(need, engine) +
     constants.FULL_MEMORY_COST_MS * fullRatio ** 2 +
     constants.FAILURE_COST_MS * engine.failureRatio ** 2 +
+    (engine.isCutOff ? constants.CUT_OFF_COST_MS : 0) +
     distanceMs
   );
 }
--- a/src/dispatch/selectPlainServer/index.ts
+++ b/src/dispatch/selectPlainServer/index.ts
@@ -29,6 +29,7 @@
     const costMs =
       callMs * (1 + server.pendingCount) +
       options.failureWeight * server.failureRatio * callMs +
+      (server.isCutOff ? constants.CUT_OFF_COST_MS : 0) +
       (server.dataCentre === options.dataCentre ? 0 : 2) +
       options.random.next() * DRAW_MS;
     if (costMs >= lowestCostMs) continue;
--- a/src/dispatch/types.ts
+++ b/src/dispatch/types.ts
@@ -56,6 +56,8 @@
   readonly coldRemainingMs: number;
   /** Share of its last answers that were failures. */
   readonly failureRatio: number;
+  /** Whether the way to its data centre seems cut. */
+  readonly isCutOff: boolean;
   /** Time to the first event as seen, over the time that was expected. */
   readonly slownessRatio: number;
 }
@@ -67,6 +69,8 @@
   /** Calls of this VM in progress there. */
   readonly pendingCount: number;
   readonly failureRatio: number;
+  /** Whether the way to its data centre seems cut. */
+  readonly isCutOff: boolean;
   /** Null before the first answer. */
   readonly typicalMs: number | null;
 }
--- a/src/relay/_lib/engineStream/index.ts
+++ b/src/relay/_lib/engineStream/index.ts
@@ -46,28 +46,38 @@
   take(event: eventSplitter.StreamEvent): boolean;
   /** Resolves once more events may come; null where they may come at once. */
   backpressure(): Promise<void> | null;
-  /** Called when nothing came for a while. */
+  /** Called when nothing came for a while, and again for as long as that lasts. */
   onSilence(): void;
 }
 
 const OK_STATUS = 200;
 
+/** How a stream is asked for. */
+export interface OpenRequest {
+  readonly server: servers.ServerEntry;
+  /** What the call is sent with; asked for once the connection stands. */
+  readonly options: () => types.AttemptOptions;
+  /** Called once the connection stands and before anything is sent; false gives the attempt up. */
+  readonly onConnected?: () => boolean;
+  readonly signal: AbortSignal;
+}
+
 /** Asks an engine for a stream. */
 export async function openStream(
   codec: types.WireCodec,
   call: types.Call,
-  options: types.AttemptOptions,
-  signal: AbortSignal,
+  { server, options, onConnected, signal }: OpenRequest,
 ): Promise<OpenOutcome> {
   const opening = await openAttempts.openAttempt({
-    host: options.server.host,
-    port: options.server.port,
+    host: server.host,
+    port: server.port,
     method: call.head.method,
     target: call.head.target,
-    headers: codec.encodeAttempt(call, options),
+    headers: () => codec.encodeAttempt(call, options()),
     body: call.body,
     connectTimeoutMs: constants.CONNECT_TIMEOUT_MS,
     signal,
+    ...(onConnected === undefined ? {} : { onConnected }),
   });
   if (opening.kind === openAttempts.OpeningKind.NotSent) {
     return { kind: OpenKind.NotRun, cause: opening.cause, wasSent: false, isOtherServer: false };
@@ -87,7 +97,7 @@
     return { kind: OpenKind.Unknown, cause: fault };
   }
   if (head.status === OK_STATUS) {
-    const stream = new EngineStream(options.server, opening);
+    const stream = new EngineStream(server, opening);
     return { kind: OpenKind.Open, stream, head };
   }
   return takeWhole(head, opening);
@@ -107,6 +117,11 @@
     this.message = opening.message;
   }
 
+  /** Whether this VM has closed the stream. */
+  get isClosedHere(): boolean {
+    return this.isClosed;
+  }
+
   /** Closes the connection, upon which the engine drops the run. */
   close(): void {
     this.isClosed = true;
@@ -147,7 +162,15 @@
   }
 
   private watchSilence(consumer: EventConsumer, clock: clocks.Clock): Disposable {
-    return clock.schedule(constants.STREAM_SILENCE_MS, () => consumer.onSilence());
+    let timer: Disposable;
+    const watch = (): void => {
+      timer = clock.schedule(constants.STREAM_SILENCE_MS, () => {
+        watch();
+        consumer.onSilence();
+      });
+    };
+    watch();
+    return { [Symbol.dispose]: () => timer[Symbol.dispose]() };
   }
 
   private async endOf(): Promise<StreamEnd> {
--- a/src/relay/_lib/generationRun/index.ts
+++ b/src/relay/_lib/generationRun/index.ts
@@ -8,6 +8,7 @@
 import * as engineStreams from "../engineStream/index.js";
 import type * as eventSplitter from "../eventSplitter/index.js";
 import * as handovers from "../handover/index.js";
+import * as openAttempts from "../openAttempt/index.js";
 import * as runClaims from "../runClaims/index.js";
 import * as startRuns from "../startRun/index.js";
 
@@ -16,6 +17,18 @@
 /** Events after which the claims of a run are brought up to date. */
 const PROGRESS_EVENTS_COUNT = 8;
 
+type HandoverCause = "leaving" | "silent";
+
+type Handover = (
+  run: GenerationRun,
+  stream: engineStreams.EngineStream,
+) => Promise<engineStreams.EngineStream | null>;
+
+const HANDOVERS: Readonly<Record<HandoverCause, Handover>> = {
+  leaving: (run, stream) => run.leave(stream),
+  silent: (run, stream) => run.leaveSilent(stream),
+};
+
 /**
  * One generation: placed on an engine, forwarded as its events arrive, and carried on from its
  * memory at another engine when the first one leaves or dies.
@@ -23,7 +36,11 @@
 export class GenerationRun implements engineStreams.EventConsumer {
   private readonly claims: runClaims.RunClaims;
   private stream: engineStreams.EngineStream | null = null;
-  private handover: handovers.Handover | null = null;
+  private scope: attemptScopes.AttemptScope | null = null;
+  private forwarding: Promise<engineStreams.StreamEnd> | null = null;
+  private handover: Promise<engineStreams.EngineStream | null> | null = null;
+  private isFinished = false;
+  private firstEventAtMs = 0;
   /** The server on which it was decided whether the run stays, so that it is decided once. */
   private decidedServerId: string | null = null;
   private lastEventId = 0;
@@ -84,7 +101,7 @@
   }
 
   onSilence(): void {
-    if (this.claims.backup !== null) this.beginHandover("silent");
+    this.beginHandover("silent");
   }
 
   private async runWithin(scope: attemptScopes.AttemptScope): Promise<void> {
@@ -93,12 +110,16 @@
       claims: this.claims,
     });
     if (started === null) return;
-    this.stream = started.stream;
+    this.scope = scope;
     this.sink.beginStream(started.head.forwardedHeaders);
     this.lastEventAtMs = this.context.clock.nowMs();
-    for (;;) {
-      const end = await this.stream.forward(this, this.context.clock);
+    let stream: engineStreams.EngineStream | null = started.stream;
+    while (stream !== null) {
+      this.stream = stream;
+      this.forwarding = stream.forward(this, this.context.clock);
+      const end = await this.forwarding;
       if (end === engineStreams.StreamEnd.Whole) {
+        this.isFinished = true;
         this.finishWhole();
         return;
       }
@@ -106,12 +127,8 @@
         this.abandon(scope);
         return;
       }
-      const next = await this.carryOn(end, scope);
-      if (next === null) {
-        this.breakOff(end);
-        return;
-      }
-      this.stream = next;
+      stream = await this.carryOn(stream, end);
+      if (stream === null) this.breakOff(end);
     }
   }
 
@@ -119,6 +136,7 @@
     const { clock, meters } = this.context;
     const nowMs = clock.nowMs();
     if (isFirst) {
+      this.firstEventAtMs = nowMs;
       this.claims.noteFirstEvent();
     } else {
       meters.eventGap.observe((nowMs - this.lastEventAtMs) / 1_000);
@@ -130,65 +148,110 @@
     }
   }
 
-  private beginHandover(cause: "leaving" | "silent"): void {
+  private beginHandover(cause: HandoverCause): void {
     const { stream } = this;
     if (stream === null || this.handover !== null) return;
+    const handover = HANDOVERS[cause](this, stream).finally(() => {
+      if (this.handover === handover) this.handover = null;
+    });
+    this.handover = handover;
+  }
+
+  /** Leaves an engine that will be gone: over the run's copy, or by moving its memory. */
+  async leave(stream: engineStreams.EngineStream): Promise<engineStreams.EngineStream | null> {
+    const { clock } = this.context;
+    const noticedAtMs = clock.nowMs();
     const restMs = this.claims.restTokens(this.lastEventId) * constants.TOKEN_MS;
-    this.handover = handovers.beginHandover(this.context, {
+    const isStaying = restMs < constants.STAY_LIMIT_MS;
+    const hasBackup = this.backupTarget() !== null;
+    this.logHandover("leaving", isStaying ? "stays" : hasBackup ? "backup" : "move", restMs);
+    if (isStaying) return null;
+    if (hasBackup) {
+      const settledAtMs = this.firstEventAtMs + constants.BACKUP_SETTLE_MS;
+      if (settledAtMs > noticedAtMs) await clock.sleep(settledAtMs - noticedAtMs);
+      const next = await this.switchToBackup(stream);
+      if (next !== null || stream.isClosedHere || this.isFinished) return next;
+    }
+    return this.moveOff(stream, noticedAtMs);
+  }
+
+  /** Leaves an engine that has fallen silent and cannot be reached, if the copy's engine can. */
+  async leaveSilent(
+    stream: engineStreams.EngineStream,
+  ): Promise<engineStreams.EngineStream | null> {
+    if (this.scope === null || this.backupTarget() === null) return null;
+    const isReachable = await openAttempts.isReachable(stream.server.host, stream.server.port, {
+      connectTimeoutMs: constants.CONNECT_TIMEOUT_MS,
+      signal: this.scope.signal,
+    });
+    if (isReachable) return null;
+    this.logHandover("silent", "backup", 0);
+    return this.switchToBackup(stream);
+  }
+
+  private switchToBackup(
+    stream: engineStreams.EngineStream,
+  ): Promise<engineStreams.EngineStream | null> {
+    const target = this.backupTarget();
+    if (target === null) return Promise.resolve(null);
+    return this.openContinuation(target, () => {
+      if (this.isFinished) return false;
+      stream.close();
+      return true;
+    });
+  }
+
+  private async moveOff(
+    stream: engineStreams.EngineStream,
+    noticedAtMs: number,
+  ): Promise<engineStreams.EngineStream | null> {
+    const target = await handovers.moveMemory(this.context, {
       requestId: this.call.head.id,
-      cause,
-      stream,
-      restMs,
-      lastEventId: this.lastEventId,
-      need: this.claims.continuationNeed(this.lastEventId),
       serviceName: this.call.serviceName,
-      backup: this.claims.backup,
+      from: stream.server,
+      need: this.claims.continuationNeed(this.lastEventId),
+      noticedAtMs,
     });
+    if (target === null) return null;
+    // The engine has stopped the run and closes the stream behind its last event.
+    const closing = this.context.clock.schedule(constants.STOPPED_STREAM_MS, () => stream.close());
+    const end = await this.forwarding;
+    closing[Symbol.dispose]();
+    if (end === engineStreams.StreamEnd.Whole) return null;
+    return this.openContinuation(target, () => true);
+  }
+
+  private backupTarget(): handovers.ContinuationTarget | null {
+    return handovers.backupTarget(this.claims.backup, this.call.head.id);
   }
 
   private async carryOn(
+    former: engineStreams.EngineStream,
     end: engineStreams.StreamEnd,
-    scope: attemptScopes.AttemptScope,
   ): Promise<engineStreams.EngineStream | null> {
-    const former = this.stream?.server;
-    if (former === undefined) return null;
-    if (end === engineStreams.StreamEnd.CutOff && this.handover === null) {
-      this.context.trust.note(former.id, servers.AttemptVerdict.Broken, 0);
-    }
-    const targets = await handovers.continuationTargets(
-      this.handover,
-      this.claims.backup,
-      this.call.head.id,
-    );
-    this.handover = null;
-    for (const target of targets) {
-      const stream = await this.openContinuation(target, scope);
-      if (stream !== null) return stream;
-      if (scope.signal.aborted) return null;
+    const { handover } = this;
+    if (end === engineStreams.StreamEnd.CutOff && handover === null) {
+      this.context.trust.note(former.server, servers.AttemptVerdict.Broken, 0);
     }
-    return null;
+    const next = handover === null ? null : await handover;
+    if (next !== null || former.isClosedHere) return next;
+    const target = this.backupTarget();
+    return target === null ? null : this.openContinuation(target, () => true);
   }
 
   private async openContinuation(
     target: handovers.ContinuationTarget,
-    scope: attemptScopes.AttemptScope,
+    onConnected: () => boolean,
   ): Promise<engineStreams.EngineStream | null> {
-    const { context, call } = this;
+    const { context, call, scope } = this;
+    if (scope === null) return null;
     const server = context.directory.find(target.server.id)?.entry ?? target.server;
-    this.claims.moveTo(server.id, this.lastEventId);
-    const options: types.AttemptOptions = {
+    const outcome = await engineStreams.openStream(context.codec, call, {
       server,
-      timeLeftMs: call.deadlineAtMs - context.clock.nowMs(),
-      priority: startRuns.priorityOf(call),
-      backupAddress: this.claims.claimBackup(server.id, this.lastEventId),
-      continuation: {
-        memoryAddress: target.memoryAddress,
-        memoryHandle: target.memoryHandle,
-        lastEventId: this.lastEventId,
-      },
-    };
-    const outcome = await engineStreams.openStream(context.codec, call, options, scope.signal);
-    const isOpen = outcome.kind === engineStreams.OpenKind.Open;
+      options: () => this.continuationOptions(target, server),
+      onConnected,
+      signal: scope.signal,
+    });
     context.meters.handovers.inc({ way: target.way, outcome: outcome.kind });
     context.log.record(Importance.Notable, LogEvent.CarriedOn, {
       requestId: call.head.id,
@@ -199,11 +262,41 @@
       lastEventId: this.lastEventId,
       gapMs: Math.round(context.clock.nowMs() - this.lastEventAtMs),
     });
-    if (!isOpen) return null;
+    if (outcome.kind !== engineStreams.OpenKind.Open) return null;
     this.carriedCount += 1;
     return outcome.stream;
   }
 
+  private continuationOptions(
+    target: handovers.ContinuationTarget,
+    server: servers.ServerEntry,
+  ): types.AttemptOptions {
+    const { call, lastEventId } = this;
+    this.claims.moveTo(server.id, lastEventId);
+    return {
+      server,
+      timeLeftMs: call.deadlineAtMs - this.context.clock.nowMs(),
+      priority: startRuns.priorityOf(call),
+      backupAddress: this.claims.claimBackup(server.id, lastEventId),
+      continuation: {
+        memoryAddress: target.memoryAddress,
+        memoryHandle: target.memoryHandle,
+        lastEventId,
+      },
+    };
+  }
+
+  private logHandover(cause: HandoverCause, way: string, restMs: number): void {
+    this.context.log.record(Importance.Notable, LogEvent.HandoverStarted, {
+      requestId: this.call.head.id,
+      cause,
+      way,
+      fromServerId: this.serverId,
+      restMs: Math.round(restMs),
+      lastEventId: this.lastEventId,
+    });
+  }
+
   private finishWhole(): void {
     this.sink.end();
     this.claims.noteOutputLength(this.lastEventId);
--- a/src/relay/_lib/handover/index.ts
+++ b/src/relay/_lib/handover/index.ts
@@ -3,7 +3,6 @@
 import type * as servers from "../../../servers/index.js";
 import * as constants from "../../constants.js";
 import type * as relayContext from "../../relayContext.js";
-import type * as engineStreams from "../engineStream/index.js";
 
 const { Importance, LogEvent } = diagnostics;
 
@@ -21,154 +20,100 @@
   readonly memoryHandle: string;
 }
 
-/** A run that is being carried elsewhere; the targets are there once its memory is. */
-export interface Handover {
-  readonly targets: Promise<readonly ContinuationTarget[]>;
-}
-
-/** What a handover is decided on. */
-export interface HandoverCase {
+/** A run whose memory is to be moved. */
+export interface MoveRequest {
   readonly requestId: string;
-  readonly cause: "leaving" | "silent";
-  readonly stream: engineStreams.EngineStream;
-  /** Time for which the run is expected to go on. */
-  readonly restMs: number;
-  readonly lastEventId: number;
-  readonly need: dispatch.GenerationNeed;
   readonly serviceName: string;
-  readonly backup: servers.KnownServer | null;
-}
-
-/** A run that ends sooner than this stays where it is: reclaimed engines are gone 1.5 s after notice. */
-const STAY_LIMIT_MS = 500;
-
-/** Time in which a stream that its engine has stopped closes by itself. */
-const CLOSE_GRACE_MS = 120;
-
-/**
- * Begins to carry a run elsewhere, over its copy where it has one, or else by moving its memory.
- *
- * @returns null where the run stays
- */
-export function beginHandover(
-  context: relayContext.RelayContext,
-  request: HandoverCase,
-): Handover | null {
-  const backup = usableBackup(request.backup);
-  const way = backup === null ? HandoverWay.Move : HandoverWay.Backup;
-  const isStaying = request.cause === "leaving" && request.restMs < STAY_LIMIT_MS;
-  context.log.record(Importance.Notable, LogEvent.HandoverStarted, {
-    requestId: request.requestId,
-    cause: request.cause,
-    way: isStaying ? "stays" : way,
-    fromServerId: request.stream.server.id,
-    restMs: Math.round(request.restMs),
-    lastEventId: request.lastEventId,
-  });
-  if (isStaying) return null;
-  if (backup !== null) {
-    request.stream.close();
-    return { targets: Promise.resolve([backupTarget(backup, request.requestId)]) };
-  }
-  if (request.cause === "silent") return null;
-  return { targets: moveMemory(context, request) };
+  readonly from: servers.ServerEntry;
+  readonly need: dispatch.GenerationNeed;
+  /** When the engine's leaving was noticed; on the VM's own clock. */
+  readonly noticedAtMs: number;
 }
 
-/** Where a run can go on after its stream has ended, the best first. */
-export async function continuationTargets(
-  handover: Handover | null,
+/** The target at which a run's copy stands, if its engine takes work. */
+export function backupTarget(
   backup: servers.KnownServer | null,
   requestId: string,
-): Promise<readonly ContinuationTarget[]> {
-  const moved = handover === null ? [] : await handover.targets;
-  const usable = usableBackup(backup);
-  if (usable === null || moved.some(({ way }) => way === HandoverWay.Backup)) return moved;
-  return [...moved, backupTarget(usable, requestId)];
+): ContinuationTarget | null {
+  if (backup?.leaving !== null) return null;
+  const { entry } = backup;
+  return {
+    way: HandoverWay.Backup,
+    server: entry,
+    memoryAddress: addressOf(entry),
+    memoryHandle: requestId,
+  };
 }
 
-async function moveMemory(
+/**
+ * Moves the memory of a run off an engine that leaves: copies it while the run goes on, waits
+ * until the copies of the engine's other runs are likely through, then stops the run and copies
+ * what is new. All copies of an engine share its link, so that a last one that came sooner would
+ * wait for the first ones of others while its caller sees nothing.
+ *
+ * @returns null where no engine has room, or the engine was gone before
+ */
+export async function moveMemory(
   context: relayContext.RelayContext,
-  request: HandoverCase,
-): Promise<readonly ContinuationTarget[]> {
-  const { stream } = request;
-  const candidates = context.dispatcher.candidates(
-    request.serviceName,
-    new Set([stream.server.id]),
-  );
-  const engine = dispatch.selectEngine(request.need, candidates);
-  const target = engine && context.directory.find(engine.serverId);
-  if (target === undefined) {
-    noteFailure(context, request, "no engine has room");
-    return [];
-  }
-  context.dispatcher.putClaim({
-    ...request.need,
-    requestId: request.requestId,
+  request: MoveRequest,
+): Promise<ContinuationTarget | null> {
+  const { requestId, from, need } = request;
+  const { dispatcher, directory } = context;
+  const candidates = dispatcher.candidates(request.serviceName, new Set([from.id]));
+  const engine = dispatch.selectMoveTarget(need, candidates, from.dataCentre);
+  const target = engine && directory.find(engine.serverId)?.entry;
+  if (target === undefined) return noteFailure(context, request, "no engine has room");
+  dispatcher.putClaim({
+    ...need,
+    requestId,
     role: dispatch.ClaimRole.Backup,
     vmName: context.vmName,
-    serverId: target.entry.id,
+    serverId: target.id,
     hasFirstEvent: true,
   });
-  const handle = await copyThenStop(context, request, target.entry);
-  context.dispatcher.releaseClaim(request.requestId, dispatch.ClaimRole.Backup);
-  if (handle === null) return [];
-  context.clock.schedule(CLOSE_GRACE_MS, () => stream.close());
-  return [
-    {
-      way: HandoverWay.Move,
-      server: target.entry,
-      memoryAddress: addressOf(stream.server),
-      memoryHandle: handle,
-    },
-  ];
+  const handle = await copyTwice(context, request, target);
+  dispatcher.releaseClaim(requestId, dispatch.ClaimRole.Backup);
+  if (handle === null) return null;
+  return {
+    way: HandoverWay.Move,
+    server: target,
+    memoryAddress: addressOf(from),
+    memoryHandle: handle,
+  };
 }
 
-/** Copies the memory while the run goes on, then stops the run and copies what is new. */
-async function copyThenStop(
+async function copyTwice(
   context: relayContext.RelayContext,
-  request: HandoverCase,
+  request: MoveRequest,
   target: servers.ServerEntry,
 ): Promise<string | null> {
-  const from = request.stream.server;
+  const { control, clock, dispatcher } = context;
+  const { from, requestId } = request;
   const timeoutMs = constants.MOVE_TIMEOUT_MS;
-  for (const stopsRun of [false, true]) {
-    const moved = await context.control.moveRun(from, target, request.requestId, {
-      stopsRun,
-      timeoutMs,
-    });
-    if (moved.isErr()) {
-      noteFailure(context, request, `${stopsRun ? "last" : "first"} copy: ${moved.error}`);
-      return null;
-    }
-    if (stopsRun) return moved.value.handle;
-  }
-  return null;
+  const othersTokens = dispatcher.tokensToMoveFrom(from.id);
+  const first = await control.moveRun(from, target, requestId, { stopsRun: false, timeoutMs });
+  if (first.isErr()) return noteFailure(context, request, `first copy: ${first.error}`);
+  const lastAtMs = request.noticedAtMs + dispatch.lastCopyDelayMs(othersTokens);
+  const waitMs = lastAtMs - clock.nowMs();
+  if (waitMs > 0) await clock.sleep(waitMs);
+  const last = await control.moveRun(from, target, requestId, { stopsRun: true, timeoutMs });
+  if (last.isErr()) return noteFailure(context, request, `last copy: ${last.error}`);
+  return last.value.handle;
 }
 
 function noteFailure(
   context: relayContext.RelayContext,
-  request: HandoverCase,
+  request: MoveRequest,
   cause: string,
-): void {
+): null {
   context.meters.handovers.inc({ way: HandoverWay.Move, outcome: "failed" });
   context.log.record(Importance.Notable, LogEvent.HandoverFailed, {
     requestId: request.requestId,
-    fromServerId: request.stream.server.id,
+    fromServerId: request.from.id,
     cause,
+    sinceNoticeMs: Math.round(context.clock.nowMs() - request.noticedAtMs),
   });
-}
-
-function usableBackup(backup: servers.KnownServer | null): servers.ServerEntry | null {
-  return backup?.leaving === null ? backup.entry : null;
-}
-
-function backupTarget(backup: servers.ServerEntry, requestId: string): ContinuationTarget {
-  return {
-    way: HandoverWay.Backup,
-    server: backup,
-    memoryAddress: addressOf(backup),
-    memoryHandle: requestId,
-  };
+  return null;
 }
 
 function addressOf(server: servers.ServerEntry): string {
--- a/src/relay/_lib/openAttempt/index.ts
+++ b/src/relay/_lib/openAttempt/index.ts
@@ -34,9 +34,12 @@
   readonly port: number;
   readonly method: string;
   readonly target: string;
-  readonly headers: readonly string[];
+  /** Names and values in turn; asked for once the connection stands. */
+  readonly headers: () => readonly string[];
   readonly body: Buffer;
   readonly connectTimeoutMs: number;
+  /** Called once the connection stands and before anything is sent; false gives the attempt up. */
+  readonly onConnected?: () => boolean;
   /** Ends the attempt and closes its connection. */
   readonly signal: AbortSignal;
 }
@@ -49,10 +52,28 @@
 export async function openAttempt(request: AttemptRequest): Promise<Opening> {
   const socket = await connect(request);
   if (typeof socket === "string") return { kind: OpeningKind.NotSent, cause: socket };
+  if (request.onConnected?.() === false) {
+    socket.destroy();
+    return { kind: OpeningKind.NotSent, cause: "given up once connected" };
+  }
   return exchange(request, socket);
 }
 
-function connect(request: AttemptRequest): Promise<net.Socket | string> {
+/** Whether a server accepts a connection; nothing is sent on it. */
+export async function isReachable(
+  host: string,
+  port: number,
+  options: { readonly connectTimeoutMs: number; readonly signal: AbortSignal },
+): Promise<boolean> {
+  const socket = await connect({ host, port, ...options });
+  if (typeof socket === "string") return false;
+  socket.destroy();
+  return true;
+}
+
+type ConnectRequest = Pick<AttemptRequest, "host" | "port" | "connectTimeoutMs" | "signal">;
+
+function connect(request: ConnectRequest): Promise<net.Socket | string> {
   return new Promise((resolve) => {
     if (request.signal.aborted) {
       resolve("aborted before connecting");
@@ -92,8 +113,9 @@
       path: request.target,
       setHost: false,
     });
-    for (let index = 0; index < request.headers.length; index += 2) {
-      outgoing.appendHeader(request.headers[index] ?? "", request.headers[index + 1] ?? "");
+    const headers = request.headers();
+    for (let index = 0; index < headers.length; index += 2) {
+      outgoing.appendHeader(headers[index] ?? "", headers[index + 1] ?? "");
     }
     const endCheck = watchEnd(socket);
     const close = (): void => void outgoing.destroy();
--- a/src/relay/_lib/sendWhole/index.ts
+++ b/src/relay/_lib/sendWhole/index.ts
@@ -49,7 +49,7 @@
     port: options.server.port,
     method: call.head.method,
     target: call.head.target,
-    headers: codec.encodeAttempt(call, options),
+    headers: () => codec.encodeAttempt(call, options),
     body: call.body,
     connectTimeoutMs: constants.CONNECT_TIMEOUT_MS,
     signal,
--- a/src/relay/_lib/startRun/index.ts
+++ b/src/relay/_lib/startRun/index.ts
@@ -108,14 +108,18 @@
     backupAddress: claims.claimBackup(server.id, 0),
     continuation: null,
   };
-  const outcome = await engineStreams.openStream(context.codec, call, options, scope.signal);
+  const outcome = await engineStreams.openStream(context.codec, call, {
+    server,
+    options: () => options,
+    signal: scope.signal,
+  });
   const elapsedMs = clock.nowMs() - startedAtMs;
   if (outcome.kind === engineStreams.OpenKind.Open) {
     context.dispatcher.noteFirstEvent(server.id, placement.expectedFirstEventMs, elapsedMs);
   }
   if (scope.signal.aborted) return outcome;
   const verdict = verdictOf(outcome);
-  trust.note(server.id, verdict, elapsedMs);
+  trust.note(server, verdict, elapsedMs);
   meters.attempts.inc({ service: call.serviceName, outcome: verdict });
   noteReplaced(context, server, outcome);
   if (outcome.kind !== engineStreams.OpenKind.Open) {
--- a/src/relay/constants.ts
+++ b/src/relay/constants.ts
@@ -1,5 +1,5 @@
 /** Time for a connection to a server; the platform's data centres are at most 2 ms apart. */
-export const CONNECT_TIMEOUT_MS = 250;
+export const CONNECT_TIMEOUT_MS = 150;
 
 /** Interval at which waiting generations are tried again without a change that woke them. */
 export const QUEUE_TICK_MS = 20;
@@ -41,3 +41,12 @@
 /** Weight of a failure against a typical time, for calls that bear repetition and for those that do not. */
 export const REPEATABLE_FAILURE_WEIGHT = 2;
 export const ONCE_ONLY_FAILURE_WEIGHT = 6;
+
+/** A run that ends sooner than this stays where it is: reclaimed engines are gone 1.5 s after notice. */
+export const STAY_LIMIT_MS = 500;
+
+/** Time after a run's first event in which its copy comes to stand; engines send it several times a second. */
+export const BACKUP_SETTLE_MS = 600;
+
+/** Time in which a stream whose run its engine has stopped closes by itself. */
+export const STOPPED_STREAM_MS = 120;
--- a/src/relay/engineDispatcher/index.ts
+++ b/src/relay/engineDispatcher/index.ts
@@ -116,6 +116,17 @@
     return this.context.claims.loadOf(serverId);
   }
 
+  /** Memory of an engine's runs that have no copy elsewhere, in tokens. */
+  tokensToMoveFrom(serverId: string): number {
+    const claims = this.context.claims.ofServer(serverId);
+    return claims.reduce((sum, claim) => {
+      const isBackedUp =
+        this.context.claims.find(claim.requestId, dispatch.ClaimRole.Backup) !== undefined;
+      const moves = claim.role === dispatch.ClaimRole.Run && !isBackedUp;
+      return moves ? sum + claim.promptTokens + claim.producedTokens : sum;
+    }, 0);
+  }
+
   /** A claim that is held, of this VM or another. */
   claimOf(requestId: string, role: dispatch.ClaimRole): dispatch.Claim | undefined {
     return this.context.claims.find(requestId, role);
@@ -234,6 +245,7 @@
       slotsCount: entry.slotsCount,
       coldRemainingMs: entry.coldRemainingMs,
       failureRatio: this.context.trust.failureRatio(entry.id),
+      isCutOff: this.context.trust.isSuspected(entry.dataCentre),
       slownessRatio: this.slowness.get(entry.id) ?? 1,
     };
   }
--- a/src/relay/plainRelay/index.ts
+++ b/src/relay/plainRelay/index.ts
@@ -159,6 +159,7 @@
         pendingCount: this.pendingCounts.get(entry.id) ?? 0,
         failureRatio: context.trust.failureRatio(entry.id),
         typicalMs: context.trust.typicalMs(entry.id),
+        isCutOff: context.trust.isSuspected(entry.dataCentre),
       };
     });
     const chosen = dispatch.selectPlainServer(candidates, {
@@ -240,7 +241,7 @@
   ): void {
     const { context, call } = this;
     const verdict = sends.verdictOf(outcome);
-    context.trust.note(server.id, verdict, elapsedMs);
+    context.trust.note(server, verdict, elapsedMs);
     context.meters.attempts.inc({ service: call.serviceName, outcome: verdict });
     if (verdict === servers.AttemptVerdict.Served) return;
     context.log.record(Importance.Notable, LogEvent.AttemptEnded, {
--- a/src/servers/constants.ts
+++ b/src/servers/constants.ts
@@ -15,3 +15,9 @@
 
 /** Weight of the newest answer in a server's typical time. */
 export const LATENCY_WEIGHT = 0.15;
+
+/** Servers of a data centre that cannot be reached before the way there counts as cut. */
+export const CUT_SERVERS_COUNT = 2;
+
+/** Time after the last such failure in which others are preferred; then the way is tried again. */
+export const CUT_SUSPICION_MS = 800;
--- a/src/servers/serverTrust/index.ts
+++ b/src/servers/serverTrust/index.ts
@@ -9,6 +9,12 @@
   suspendedUntilMs: number;
 }
 
+/** Servers of a data centre that could not be reached since one of it answered. */
+interface DataCentreReach {
+  readonly failedIds: Set<string>;
+  failedAtMs: number;
+}
+
 type Judgement = (record: TrustRecord, nowMs: number) => void;
 
 const JUDGEMENTS: Readonly<Record<types.AttemptVerdict, Judgement>> = {
@@ -35,6 +41,7 @@
 /** What servers' own answers say about them; it goes before what their health probes say. */
 export class ServerTrust {
   private readonly records = new Map<string, TrustRecord>();
+  private readonly reaches = new Map<string, DataCentreReach>();
 
   constructor(private readonly clock: clocks.Clock) {}
 
@@ -43,8 +50,13 @@
    *
    * @param elapsedMs - time to the answer, or to its first event
    */
-  note(serverId: string, verdict: types.AttemptVerdict, elapsedMs: number): void {
-    const record = this.recordOf(serverId);
+  note(
+    server: Pick<types.ServerEntry, "id" | "dataCentre">,
+    verdict: types.AttemptVerdict,
+    elapsedMs: number,
+  ): void {
+    const record = this.recordOf(server.id);
+    this.noteDataCentre(server, verdict);
     JUDGEMENTS[verdict](record, this.clock.nowMs());
     if (verdict !== types.AttemptVerdict.Served) return;
     const previousMs = record.typicalMs ?? elapsedMs;
@@ -66,6 +78,16 @@
     return (this.records.get(serverId)?.suspendedUntilMs ?? 0) > this.clock.nowMs();
   }
 
+  /**
+   * Whether connections to several servers of a data centre have just failed, and none since then
+   * was answered: the way there is likely cut.
+   */
+  isSuspected(dataCentre: string): boolean {
+    const reach = this.reaches.get(dataCentre);
+    if (reach === undefined || reach.failedIds.size < constants.CUT_SERVERS_COUNT) return false;
+    return this.clock.nowMs() < reach.failedAtMs + constants.CUT_SUSPICION_MS;
+  }
+
   /** Forgets servers that are gone. */
   retain(serverIds: ReadonlySet<string>): void {
     for (const serverId of this.records.keys()) {
@@ -73,6 +95,21 @@
     }
   }
 
+  private noteDataCentre(
+    server: Pick<types.ServerEntry, "id" | "dataCentre">,
+    verdict: types.AttemptVerdict,
+  ): void {
+    if (verdict === types.AttemptVerdict.Broken) return;
+    if (verdict !== types.AttemptVerdict.Unreachable) {
+      this.reaches.delete(server.dataCentre);
+      return;
+    }
+    const reach = this.reaches.get(server.dataCentre) ?? { failedIds: new Set(), failedAtMs: 0 };
+    reach.failedIds.add(server.id);
+    reach.failedAtMs = this.clock.nowMs();
+    this.reaches.set(server.dataCentre, reach);
+  }
+
   private recordOf(serverId: string): TrustRecord {
     const known = this.records.get(serverId);
     if (known !== undefined) return known;
--- a/src/sharedView/constants.ts
+++ b/src/sharedView/constants.ts
@@ -1,12 +1,12 @@
-/** Age at which the first reader reads the servers' entries again; leaving engines give 1.5 s notice. */
-export const SERVERS_POLL_MS = 150;
+/** Age at which the first reader asks for the servers' entries again: at once, so that notices come at once. */
+export const SERVERS_POLL_MS = 10;
 
 /** Age at which the first reader asks for configuration again; with the wait well under the 2 s to apply it. */
-export const CONFIGURATION_POLL_MS = 50;
+export const CONFIGURATION_POLL_MS = 10;
 
 /** How long the store may wait for a record of each topic before it answers that there is none. */
-export const SERVERS_WAIT_MS = 100;
-export const CONFIGURATION_WAIT_MS = 500;
+export const SERVERS_WAIT_MS = 600;
+export const CONFIGURATION_WAIT_MS = 600;
 
 /** Added to that age for each VM that goes before: it reads only if those before it fail to. */
 export const READER_RANK_DELAY_MS = 300;
