--- /dev/null
+++ b/src/dispatch/selectBackupEngine/test.ts
@@ -0,0 +1,23 @@
+import tap from "tap";
+
+import * as fixtures from "../_lib/fixtures/index.js";
+import * as dispatch from "../index.js";
+
+tap.test("the copy goes to the emptiest other engine", async (t) => {
+  const engines = [
+    fixtures.engine({ serverId: "own" }),
+    fixtures.engine({ serverId: "half", committedTokens: 15_000 }),
+    fixtures.engine({ serverId: "quarter", committedTokens: 8_000 }),
+  ];
+  t.equal(dispatch.selectBackupEngine(fixtures.need(), engines, "own")?.serverId, "quarter");
+});
+
+tap.test("no copy takes the room of runs", async (t) => {
+  const crowded = fixtures.engine({ serverId: "crowded", committedTokens: 20_000 });
+  t.equal(dispatch.selectBackupEngine(fixtures.need(), [crowded], "own"), undefined);
+});
+
+tap.test("no copy goes where the way seems cut", async (t) => {
+  const cut = fixtures.engine({ serverId: "cut", isCutOff: true });
+  t.equal(dispatch.selectBackupEngine(fixtures.need(), [cut], "own"), undefined);
+});
--- /dev/null
+++ b/src/gateway/gateway/generations/test.ts
@@ -0,0 +1,104 @@
+import tap from "tap";
+
+import * as backendServers from "../../../../standins/platform/backendServer/index.js";
+import * as gatewayFleets from "../../../../standins/platform/gatewayFleet/index.js";
+import * as testFleets from "../../_lib/testFleet/index.js";
+
+const { ENGINE_SERVICE } = gatewayFleets;
+
+tap.test("a stream comes whole and in order", async (t) => {
+  const fleet = await testFleets.startReady(t);
+  const script = backendServers.stream({ eventsCount: 12, gapMs: 2 });
+  await fleet.addServer("e1", ENGINE_SERVICE, script);
+  await testFleets.until(() => testFleets.isStreamed(fleet));
+  const answer = await testFleets.draft(fleet, "d1");
+  t.ok(answer.isWhole);
+  t.same(
+    testFleets.eventIds(answer.body),
+    Array.from({ length: 12 }, (_, index) => index + 1),
+  );
+});
+
+tap.test("a stream whose engine dies goes on from its copy, each event once", async (t) => {
+  const fleet = await testFleets.startReady(t);
+  const dying = backendServers.stream({ eventsCount: 20, gapMs: 5, resetAfter: 8 });
+  const first = await fleet.addServer("e1", ENGINE_SERVICE, dying);
+  await testFleets.until(() => testFleets.isTried(fleet, first));
+  const second = await fleet.addServer("e2", ENGINE_SERVICE, dying);
+  await testFleets.until(async () => {
+    await testFleets.draft(fleet, "probe");
+    return second.calls.length > 0;
+  });
+  for (const server of [first, second]) {
+    server.behave((call, response, self) => {
+      const goesOn = call.headers["kv-from"] !== undefined;
+      const resetAfter = goesOn ? undefined : 8;
+      const script = {
+        eventsCount: 20,
+        gapMs: 5,
+        ...(resetAfter === undefined ? {} : { resetAfter }),
+      };
+      return backendServers.stream(script)(call, response, self);
+    });
+  }
+  const answer = await testFleets.draft(fleet, "d1");
+  t.ok(answer.isWhole);
+  t.same(
+    testFleets.eventIds(answer.body),
+    Array.from({ length: 20 }, (_, index) => index + 1),
+  );
+  const continued = [...first.calls, ...second.calls].find(
+    (call) => call.id === "d1" && call.headers["kv-from"] !== undefined,
+  );
+  t.equal(continued?.headers["last-event-id"], "8");
+});
+
+tap.test("a stream that breaks where no copy stands is visibly cut", async (t) => {
+  const fleet = await testFleets.startReady(t);
+  const dying = backendServers.stream({ eventsCount: 20, gapMs: 2, resetAfter: 5 });
+  const server = await fleet.addServer("e1", ENGINE_SERVICE, dying);
+  await testFleets.until(() => testFleets.isTried(fleet, server));
+  const answer = await testFleets.draft(fleet, "d1");
+  t.equal(answer.status, 200);
+  t.notOk(answer.isWhole);
+  t.same(testFleets.eventIds(answer.body), [1, 2, 3, 4, 5]);
+});
+
+tap.test("a caller that leaves frees its engine at once", async (t) => {
+  const fleet = await testFleets.startReady(t);
+  const short = backendServers.stream({ eventsCount: 1, gapMs: 1 });
+  const server = await fleet.addServer("e1", ENGINE_SERVICE, short);
+  await testFleets.until(() => testFleets.isStreamed(fleet));
+  let isClosed = false;
+  server.behave((call, response, self) => {
+    response.once("close", () => {
+      isClosed = true;
+    });
+    return backendServers.stream({ eventsCount: 10_000, gapMs: 5 })(call, response, self);
+  });
+  const controller = new AbortController();
+  const { signal } = controller;
+  const call = fleet
+    .call({ ...testFleets.DRAFT, path: "/draft/", id: "d1", signal })
+    .catch(() => null);
+  await testFleets.until(() => server.runs.includes("d1"));
+  controller.abort();
+  await call;
+  await testFleets.until(() => isClosed);
+  t.pass("the engine saw the connection close");
+});
+
+tap.test("a VM that stops is not ready and finishes what it has begun", async (t) => {
+  const fleet = await testFleets.startReady(t);
+  const script = backendServers.stream({ eventsCount: 40, gapMs: 10 });
+  const server = await fleet.addServer("e1", ENGINE_SERVICE, script);
+  await testFleets.until(() => testFleets.isStreamed(fleet));
+  const answer = testFleets.draft(fleet, "d1");
+  await testFleets.until(() => server.runs.includes("d1"));
+  const stopped = fleet.gateways[0]?.stop();
+  t.notOk(await fleet.isReady());
+  t.ok((await answer).isWhole);
+  const late = await testFleets.draft(fleet, "d2");
+  t.equal(late.status, 503, "a generation that could be cut goes elsewhere");
+  await stopped;
+});
--- /dev/null
+++ b/src/gateway/gateway/test.ts
@@ -0,0 +1,188 @@
+import tap from "tap";
+
+import * as backendServers from "../../../standins/platform/backendServer/index.js";
+import * as gatewayFleets from "../../../standins/platform/gatewayFleet/index.js";
+import * as platformLogStores from "../../../standins/platform/logStore/index.js";
+import * as diagnostics from "../../diagnostics/index.js";
+import * as testFleets from "../_lib/testFleet/index.js";
+
+const { API_KEY, PLAIN_SERVICE } = gatewayFleets;
+
+tap.test("a lookup reaches a server with what it needs to know, and without the key", async (t) => {
+  const fleet = await testFleets.startReady(t);
+  const server = await fleet.addServer("s1", PLAIN_SERVICE, backendServers.answerWhole("found"));
+  await testFleets.until(async () => (await fleet.call({ path: "/lookup/7?x=1" })).status === 200);
+  const answer = await fleet.call({ path: "/lookup/7?x=1", headers: { "X-Tenant": "forged" } });
+  t.equal(answer.body, "found");
+  const { target, headers = {} } = server.calls.at(-1) ?? {};
+  t.equal(target, "/lookup/7?x=1");
+  t.equal(headers["x-key"], undefined);
+  t.equal(headers["x-tenant"], "acme");
+  t.equal(headers["x-expect-instance"], "s1");
+  t.ok(Number(headers["x-deadline-ms"]) <= 20_000);
+});
+
+tap.test("no route is 404, an unknown key 401, and no configuration yet 503", async (t) => {
+  const fleet = await testFleets.startFleet(t);
+  await fleet.addGateway();
+  t.equal((await fleet.call({ path: "/lookup/" })).status, 503);
+  t.notOk(await fleet.isReady());
+  fleet.configure();
+  await testFleets.until(() => fleet.isReady());
+  t.equal((await fleet.call({ path: "/nowhere/" })).status, 404);
+  t.equal((await fleet.call({ path: "/lookup/", apiKey: "other" })).status, 401);
+  t.equal((await fleet.call({ path: "/lookup/", apiKey: null })).status, 401);
+});
+
+tap.test("a lookup is tried at another server after a failure", async (t) => {
+  const fleet = await testFleets.startReady(t);
+  const failing = await fleet.addServer("s1", PLAIN_SERVICE, backendServers.breakOff());
+  await fleet.addServer("s2", PLAIN_SERVICE, backendServers.answerWhole("found"));
+  await testFleets.until(() => testFleets.isServed(fleet));
+  for (let index = 0; failing.runs.length === 0 && index < 200; index += 1) {
+    const answer = await fleet.call({ path: "/lookup/", id: `l${index}` });
+    t.equal(answer.status, 200);
+  }
+  t.ok(failing.runs.length > 0, "the failing server was tried");
+});
+
+tap.test("a lookup runs on no more servers than its route allows", async (t) => {
+  const fleet = await testFleets.startReady(t);
+  const names = ["s1", "s2", "s3", "s4"];
+  const servers = await Promise.all(
+    names.map((name) =>
+      fleet.addServer(name, PLAIN_SERVICE, backendServers.answerWhole("error", 500)),
+    ),
+  );
+  await testFleets.until(async () => {
+    await fleet.call({ path: "/lookup/", id: "probe" });
+    return servers.every((server) => server.runs.length > 0);
+  });
+  for (let index = 0; index < 20; index += 1) {
+    const id = `l${index}`;
+    const answer = await fleet.call({ path: "/lookup/", id });
+    t.equal(answer.status, 500, "the server's failure is passed on");
+    const ranAt = servers.filter((server) => server.runs.includes(id));
+    t.ok(ranAt.length <= 2, `${id} ran at ${ranAt.length} servers`);
+  }
+});
+
+tap.test("a filing whose answer is lost is not tried again, and its fate is told", async (t) => {
+  const fleet = await testFleets.startReady(t);
+  const server = await fleet.addServer("s1", PLAIN_SERVICE, backendServers.answerWhole("filed"));
+  await testFleets.until(() => testFleets.isServed(fleet));
+  server.behave(backendServers.breakOff());
+  const answer = await fleet.call({ path: "/file/", method: "POST", id: "f1", body: "form" });
+  t.equal(answer.status, 502);
+  t.equal(server.runs.filter((id) => id === "f1").length, 1);
+});
+
+tap.test("a filing that a server has not run goes to another one", async (t) => {
+  const fleet = await testFleets.startReady(t);
+  const full = await fleet.addServer("s1", PLAIN_SERVICE, backendServers.refuse());
+  const free = await fleet.addServer("s2", PLAIN_SERVICE, backendServers.answerWhole("filed"));
+  await testFleets.until(() => testFleets.isServed(fleet));
+  for (let index = 0; index < 10; index += 1) {
+    const id = `f${index}`;
+    const answer = await fleet.call({ path: "/file/", method: "POST", id, body: "form" });
+    t.equal(answer.status, 200);
+    t.equal(free.runs.filter((run) => run === id).length, 1);
+  }
+  t.ok(full.calls.length > 0, "the full server was asked");
+});
+
+tap.test("a refusal says when to come back and has not run", async (t) => {
+  const fleet = await testFleets.startReady(t);
+  const full = await fleet.addServer("s1", PLAIN_SERVICE, backendServers.refuse());
+  await testFleets.until(async () => {
+    await fleet.call({ path: "/file/", method: "POST", body: "x" });
+    return full.calls.length > 0;
+  });
+  const answer = await fleet.call({ path: "/file/", method: "POST", id: "f1", body: "form" });
+  t.equal(answer.status, 503);
+  t.ok(Number(answer.headers["retry-after"]) > 0);
+  t.equal(full.runs.length, 0);
+});
+
+tap.test("an unframed answer that a reset cuts is not passed on as whole", async (t) => {
+  const fleet = await testFleets.startReady(t);
+  const server = await fleet.addServer("s1", PLAIN_SERVICE, backendServers.answerWhole("x"));
+  await testFleets.until(() => testFleets.isServed(fleet));
+  server.behave(backendServers.resetUnframed("only a part"));
+  for (let index = 0; index < 10; index += 1) {
+    const answer = await fleet.call({ path: "/file/", method: "POST", id: `f${index}`, body: "x" });
+    t.equal(answer.status, 502);
+  }
+});
+
+tap.test("a call is answered at its route's timeout", async (t) => {
+  const fleet = await testFleets.startReady(t);
+  const server = await fleet.addServer("s1", PLAIN_SERVICE, backendServers.answerWhole("x"));
+  await testFleets.until(() => testFleets.isServed(fleet));
+  server.behave(backendServers.staySilent());
+  t.equal((await fleet.call({ path: "/short/" })).status, 504);
+});
+
+tap.test("a server that announces its leaving gets no more calls", async (t) => {
+  const fleet = await testFleets.startReady(t);
+  const leaving = await fleet.addServer("s1", PLAIN_SERVICE, backendServers.answerWhole("old"));
+  await fleet.addServer("s2", PLAIN_SERVICE, backendServers.answerWhole("new"));
+  await testFleets.until(() => testFleets.isServed(fleet));
+  fleet.register(leaving, PLAIN_SERVICE, "draining");
+  const { ServerLeaving } = diagnostics.LogEvent;
+  await testFleets.until(() => fleet.log.lines.some(({ event }) => event === ServerLeaving));
+  const countBefore = leaving.calls.length;
+  for (let index = 0; index < 20; index += 1) {
+    t.equal((await fleet.call({ path: "/lookup/", id: `l${index}` })).body, "new");
+  }
+  t.equal(leaving.calls.length, countBefore);
+});
+
+tap.test("keys are refused once the store has been silent for too long", async (t) => {
+  const fleet = await testFleets.startReady(t);
+  await fleet.addServer("s1", PLAIN_SERVICE, backendServers.answerWhole("x"));
+  await testFleets.until(() => testFleets.isServed(fleet));
+  fleet.store.setMode(platformLogStores.StoreMode.Silent);
+  await testFleets.until(async () => !(await fleet.isReady()));
+  const refused = await fleet.call({ path: "/lookup/" });
+  t.equal(refused.status, 503);
+  t.ok(Number(refused.headers["retry-after"]) > 0);
+  fleet.configure({ tenants: [{ name: "acme", api_keys: ["key-2"] }] });
+  fleet.store.setMode(platformLogStores.StoreMode.Serves);
+  await testFleets.until(async () => (await fleet.call({ path: "/lookup/" })).status === 401);
+  t.equal((await fleet.call({ path: "/lookup/", apiKey: "key-2" })).status, 200);
+});
+
+tap.test("history that is dropped from the store loses nothing", async (t) => {
+  const fleet = await testFleets.startReady(t);
+  await fleet.addServer("s1", PLAIN_SERVICE, backendServers.answerWhole("x"));
+  await testFleets.until(() => testFleets.isServed(fleet));
+  fleet.store.compact("keyed.op");
+  fleet.store.compact("keyed.servers");
+  fleet.configure({ tenants: [{ name: "acme", api_keys: ["key-2"] }] });
+  await testFleets.until(
+    async () => (await fleet.call({ path: "/lookup/", apiKey: "key-2" })).status === 200,
+  );
+  t.equal((await fleet.call({ path: "/lookup/", apiKey: API_KEY })).status, 401);
+});
+
+tap.test("entries of other writers name no server, and the others hold", async (t) => {
+  const fleet = await testFleets.startReady(t);
+  await fleet.addServer("s1", PLAIN_SERVICE, backendServers.answerWhole("x"));
+  fleet.store.put("keyed.servers", "foreign", "not json");
+  fleet.store.put("keyed.servers", "partial", { service: PLAIN_SERVICE, address: 7 });
+  fleet.store.put("keyed.op", "other", "not a configuration");
+  await testFleets.until(() => testFleets.isServed(fleet));
+  t.equal((await fleet.call({ path: "/lookup/" })).status, 200);
+});
+
+tap.test("VMs tell each other what they read and claim", async (t) => {
+  const fleet = await testFleets.startReady(t);
+  await fleet.addGateway();
+  await testFleets.until(() => fleet.isReady(1));
+  await fleet.addServer("s1", PLAIN_SERVICE, backendServers.answerWhole("x"));
+  await testFleets.until(async () => (await fleet.call({ path: "/lookup/" }, 1)).status === 200);
+  const { PeerUp } = diagnostics.LogEvent;
+  await testFleets.until(() => fleet.log.lines.filter(({ event }) => event === PeerUp).length >= 2);
+  t.equal((await fleet.call({ path: "/lookup/" }, 0)).status, 200);
+});
--- a/src/relay/_lib/generationRun/index.ts
+++ b/src/relay/_lib/generationRun/index.ts
@@ -1,4 +1,3 @@
-import * as diagnostics from "../../../diagnostics/index.js";
 import * as servers from "../../../servers/index.js";
 import * as constants from "../../constants.js";
 import type * as relayContext from "../../relayContext.js";
@@ -10,23 +9,20 @@
 import * as handovers from "../handover/index.js";
 import * as openAttempts from "../openAttempt/index.js";
 import * as runClaims from "../runClaims/index.js";
+import * as runLogs from "../runLog/index.js";
 import * as startRuns from "../startRun/index.js";
 
-const { Importance, LogEvent } = diagnostics;
-
 /** Events after which the claims of a run are brought up to date. */
 const PROGRESS_EVENTS_COUNT = 8;
 
-type HandoverCause = "leaving" | "silent";
-
 type Handover = (
   run: GenerationRun,
   stream: engineStreams.EngineStream,
 ) => Promise<engineStreams.EngineStream | null>;
 
-const HANDOVERS: Readonly<Record<HandoverCause, Handover>> = {
-  leaving: (run, stream) => run.leave(stream),
-  silent: (run, stream) => run.leaveSilent(stream),
+const HANDOVERS: Readonly<Record<handovers.HandoverCause, Handover>> = {
+  [handovers.HandoverCause.Leaving]: (run, stream) => run.leave(stream),
+  [handovers.HandoverCause.Silent]: (run, stream) => run.leaveSilent(stream),
 };
 
 /**
@@ -35,6 +31,7 @@
  */
 export class GenerationRun implements engineStreams.EventConsumer {
   private readonly claims: runClaims.RunClaims;
+  private readonly runLog: runLogs.RunLog;
   private stream: engineStreams.EngineStream | null = null;
   private scope: attemptScopes.AttemptScope | null = null;
   private forwarding: Promise<engineStreams.StreamEnd> | null = null;
@@ -54,6 +51,7 @@
     private readonly sink: callSink.CallSink,
   ) {
     this.claims = new runClaims.RunClaims(context, call);
+    this.runLog = new runLogs.RunLog(context, call);
   }
 
   /** The server that the run is on, once it has answered. */
@@ -82,7 +80,7 @@
     if (serverId === null || this.lastEventId === 0 || this.decidedServerId === serverId) return;
     if (this.context.directory.find(serverId)?.leaving === null) return;
     this.decidedServerId = serverId;
-    this.beginHandover("leaving");
+    this.beginHandover(handovers.HandoverCause.Leaving);
   }
 
   take(event: eventSplitter.StreamEvent): boolean {
@@ -101,7 +99,7 @@
   }
 
   onSilence(): void {
-    this.beginHandover("silent");
+    this.beginHandover(handovers.HandoverCause.Silent);
   }
 
   private async runWithin(scope: attemptScopes.AttemptScope): Promise<void> {
@@ -119,7 +117,6 @@
       this.forwarding = stream.forward(this, this.context.clock);
       const end = await this.forwarding;
       if (end === engineStreams.StreamEnd.Whole) {
-        this.isFinished = true;
         this.finishWhole();
         return;
       }
@@ -148,7 +145,7 @@
     }
   }
 
-  private beginHandover(cause: HandoverCause): void {
+  private beginHandover(cause: handovers.HandoverCause): void {
     const { stream } = this;
     if (stream === null || this.handover !== null) return;
     const handover = HANDOVERS[cause](this, stream).finally(() => {
@@ -164,7 +161,8 @@
     const restMs = this.claims.restTokens(this.lastEventId) * constants.TOKEN_MS;
     const isStaying = restMs < constants.STAY_LIMIT_MS;
     const hasBackup = this.backupTarget() !== null;
-    this.logHandover("leaving", isStaying ? "stays" : hasBackup ? "backup" : "move", restMs);
+    const way = isStaying ? "stays" : hasBackup ? "backup" : "move";
+    this.runLog.handoverStarted(this.position, handovers.HandoverCause.Leaving, way, restMs);
     if (isStaying) return null;
     if (hasBackup) {
       const settledAtMs = this.firstEventAtMs + constants.BACKUP_SETTLE_MS;
@@ -185,15 +183,15 @@
       signal: this.scope.signal,
     });
     if (isReachable) return null;
-    this.logHandover("silent", "backup", 0);
+    this.runLog.handoverStarted(this.position, handovers.HandoverCause.Silent, "backup", 0);
     return this.switchToBackup(stream);
   }
 
-  private switchToBackup(
+  private async switchToBackup(
     stream: engineStreams.EngineStream,
   ): Promise<engineStreams.EngineStream | null> {
     const target = this.backupTarget();
-    if (target === null) return Promise.resolve(null);
+    if (target === null) return null;
     return this.openContinuation(target, () => {
       if (this.isFinished) return false;
       stream.close();
@@ -217,8 +215,7 @@
     const closing = this.context.clock.schedule(constants.STOPPED_STREAM_MS, () => stream.close());
     const end = await this.forwarding;
     closing[Symbol.dispose]();
-    if (end === engineStreams.StreamEnd.Whole) return null;
-    return this.openContinuation(target, () => true);
+    return end === engineStreams.StreamEnd.Whole ? null : this.openContinuation(target, () => true);
   }
 
   private backupTarget(): handovers.ContinuationTarget | null {
@@ -252,16 +249,8 @@
       onConnected,
       signal: scope.signal,
     });
-    context.meters.handovers.inc({ way: target.way, outcome: outcome.kind });
-    context.log.record(Importance.Notable, LogEvent.CarriedOn, {
-      requestId: call.head.id,
-      way: target.way,
-      outcome: outcome.kind,
-      cause: "cause" in outcome ? outcome.cause : null,
-      serverId: server.id,
-      lastEventId: this.lastEventId,
-      gapMs: Math.round(context.clock.nowMs() - this.lastEventAtMs),
-    });
+    const gapMs = context.clock.nowMs() - this.lastEventAtMs;
+    this.runLog.carriedOn(this.position, target, outcome, gapMs);
     if (outcome.kind !== engineStreams.OpenKind.Open) return null;
     this.carriedCount += 1;
     return outcome.stream;
@@ -286,52 +275,24 @@
     };
   }
 
-  private logHandover(cause: HandoverCause, way: string, restMs: number): void {
-    this.context.log.record(Importance.Notable, LogEvent.HandoverStarted, {
-      requestId: this.call.head.id,
-      cause,
-      way,
-      fromServerId: this.serverId,
-      restMs: Math.round(restMs),
-      lastEventId: this.lastEventId,
-    });
-  }
-
   private finishWhole(): void {
+    this.isFinished = true;
     this.sink.end();
     this.claims.noteOutputLength(this.lastEventId);
-    this.context.log.record(Importance.Routine, LogEvent.RequestServed, {
-      requestId: this.call.head.id,
-      route: this.call.route.name,
-      serverId: this.serverId,
-      eventsCount: this.lastEventId,
-      carriedCount: this.carriedCount,
-      elapsedMs: Math.round(this.context.clock.nowMs() - this.call.arrivedAtMs),
-    });
+    this.runLog.served(this.position, this.carriedCount);
   }
 
   private abandon(scope: attemptScopes.AttemptScope): void {
-    const event = scope.isTimedOut ? LogEvent.StreamBroken : LogEvent.CallerGone;
-    this.context.log.record(Importance.Notable, event, {
-      requestId: this.call.head.id,
-      cause: scope.isTimedOut ? "deadline" : "caller closed the connection",
-      serverId: this.serverId,
-      lastEventId: this.lastEventId,
-    });
+    this.runLog.abandoned(this.position, scope.isTimedOut);
     this.sink.breakOff();
   }
 
   private breakOff(end: engineStreams.StreamEnd): void {
-    const serverId = this.serverId;
-    const leaving = serverId === null ? null : this.context.directory.find(serverId)?.leaving;
-    this.context.log.record(Importance.Notable, LogEvent.StreamBroken, {
-      requestId: this.call.head.id,
-      cause: end,
-      serverId,
-      serverLeaving: leaving ?? null,
-      lastEventId: this.lastEventId,
-      hadBackup: this.claims.backup !== null,
-    });
+    this.runLog.broken(this.position, end, this.claims.backup !== null);
     this.sink.breakOff();
   }
+
+  private get position(): runLogs.RunPosition {
+    return { serverId: this.serverId, lastEventId: this.lastEventId };
+  }
 }
--- a/src/relay/_lib/handover/index.ts
+++ b/src/relay/_lib/handover/index.ts
@@ -6,6 +6,12 @@
 
 const { Importance, LogEvent } = diagnostics;
 
+/** Why a run is carried elsewhere. */
+export enum HandoverCause {
+  Leaving = "leaving",
+  Silent = "silent",
+}
+
 /** By what a run goes on elsewhere. */
 export enum HandoverWay {
   Backup = "backup",
--- a/src/relay/_lib/startRun/index.ts
+++ b/src/relay/_lib/startRun/index.ts
@@ -5,6 +5,7 @@
 import type * as engineDispatcher from "../../engineDispatcher/index.js";
 import type * as relayContext from "../../relayContext.js";
 import * as types from "../../types.js";
+import * as answerRefusals from "../answerRefusal/index.js";
 import type * as attemptScopes from "../attemptScope/index.js";
 import type * as callSink from "../callSink/index.js";
 import * as engineStreams from "../engineStream/index.js";
@@ -222,15 +223,6 @@
   sink: callSink.CallSink,
   refusal: types.Refusal,
 ): void {
-  context.meters.refusals.inc({ reason: refusal.reason });
-  context.log.record(Importance.Notable, LogEvent.RequestRefused, {
-    requestId: call.head.id,
-    route: call.route.name,
-    reason: refusal.reason,
-    status: refusal.status,
-    retryAfterMs: refusal.retryAfterMs,
-    waitingCount: context.dispatcher.waitingCount,
-    elapsedMs: Math.round(context.clock.nowMs() - call.arrivedAtMs),
-  });
-  sink.refuse(refusal);
+  const { waitingCount } = context.dispatcher;
+  answerRefusals.answerRefusal(context, call, sink, refusal, { waitingCount });
 }
--- a/src/relay/plainRelay/index.ts
+++ b/src/relay/plainRelay/index.ts
@@ -2,6 +2,7 @@
 import * as dispatch from "../../dispatch/index.js";
 import * as routing from "../../routing/index.js";
 import * as servers from "../../servers/index.js";
+import * as answerRefusals from "../_lib/answerRefusal/index.js";
 import * as attemptScopes from "../_lib/attemptScope/index.js";
 import type * as callSink from "../_lib/callSink/index.js";
 import * as refusals from "../_lib/refusals/index.js";
@@ -214,18 +215,8 @@
   }
 
   private refuse(refusal: types.Refusal): void {
-    const { context, call } = this;
-    context.meters.refusals.inc({ reason: refusal.reason });
-    context.log.record(Importance.Notable, LogEvent.RequestRefused, {
-      requestId: call.head.id,
-      route: call.route.name,
-      reason: refusal.reason,
-      status: refusal.status,
-      retryAfterMs: refusal.retryAfterMs,
-      sendsCount: this.sendsCount,
-      elapsedMs: Math.round(context.clock.nowMs() - call.arrivedAtMs),
-    });
-    this.sink.refuse(refusal);
+    const { sendsCount } = this;
+    answerRefusals.answerRefusal(this.context, this.call, this.sink, refusal, { sendsCount });
     this.finish();
   }
 
--- /dev/null
+++ b/src/servers/serverDirectory/test.ts
@@ -0,0 +1,117 @@
+import * as fastCheck from "fast-check";
+import tap from "tap";
+
+import * as virtualClocks from "../../_lib/virtualClock/index.js";
+import * as constants from "../constants.js";
+import * as fixtures from "../_lib/fixtures/index.js";
+import * as servers from "../index.js";
+
+const { LeavingSign, ServerState } = servers;
+
+function setUp(): {
+  readonly clock: virtualClocks.VirtualClock;
+  readonly directory: servers.ServerDirectory;
+  readonly availableIds: () => readonly string[];
+} {
+  const clock = new virtualClocks.VirtualClock();
+  const directory = new servers.ServerDirectory(clock);
+  const availableIds = (): readonly string[] =>
+    directory.available("s").map(({ entry }) => entry.id);
+  return { clock, directory, availableIds };
+}
+
+tap.test("a server that announces its leaving gets nothing more", async (t) => {
+  const { directory, availableIds } = setUp();
+  const left: string[] = [];
+  directory.onLeaving(({ entry }) => left.push(entry.id));
+  directory.apply(fixtures.entry());
+  t.same(availableIds(), ["e1"]);
+  directory.apply(fixtures.entry({ state: ServerState.Draining, sequence: 2 }));
+  t.same(availableIds(), []);
+  t.same(left, ["e1"]);
+});
+
+tap.test("an older message that comes late does not take a leaving back", async (t) => {
+  const { directory, availableIds } = setUp();
+  directory.apply(fixtures.entry({ state: ServerState.Draining, sequence: 5 }));
+  directory.apply(fixtures.entry({ sequence: 4 }));
+  directory.apply(fixtures.entry({ sequence: 6 }));
+  t.same(availableIds(), []);
+});
+
+tap.test("a new start under the same id is a new server, an older start is none", async (t) => {
+  const { directory, availableIds } = setUp();
+  directory.apply(fixtures.entry({ state: ServerState.Draining, sequence: 5 }));
+  directory.apply(fixtures.entry({ bornAtWallMs: 2_000, sequence: 0 }));
+  t.same(availableIds(), ["e1"]);
+  directory.apply(
+    fixtures.entry({ bornAtWallMs: 1_000, sequence: 9, state: ServerState.Draining }),
+  );
+  t.same(availableIds(), ["e1"]);
+});
+
+tap.test("entries that lapse as the store returns are kept for two seconds", async (t) => {
+  const { clock, directory, availableIds } = setUp();
+  directory.apply(fixtures.entry());
+  directory.apply(fixtures.entry({ id: "e2", port: 9_001 }));
+  directory.noteStoreRegained();
+  directory.remove("e1");
+  directory.remove("e2");
+  t.same(availableIds(), ["e1", "e2"]);
+  await clock.runForMs(constants.LAPSED_ENTRY_GRACE_MS / 2);
+  directory.apply(fixtures.entry());
+  await clock.runForMs(constants.LAPSED_ENTRY_GRACE_MS);
+  directory.sweep();
+  t.same(availableIds(), ["e1"], "the one that came back stays");
+  t.equal(directory.find("e2")?.leaving, LeavingSign.EntryGone);
+});
+
+tap.test("an entry that goes while the store serves is gone at once", async (t) => {
+  const { clock, directory, availableIds } = setUp();
+  directory.noteStoreRegained();
+  await clock.runForMs(constants.LAPSED_ENTRY_GRACE_MS);
+  directory.apply(fixtures.entry());
+  directory.remove("e1");
+  t.same(availableIds(), []);
+});
+
+tap.test("a listing replaces what it lacks", async (t) => {
+  const { clock, directory, availableIds } = setUp();
+  await clock.runForMs(10_000);
+  directory.apply(fixtures.entry());
+  directory.applyListing([fixtures.entry({ id: "e2", port: 9_001 })]);
+  t.same(availableIds(), ["e2"]);
+});
+
+tap.test("an address that another server took over leads to the newer one only", async (t) => {
+  const { directory, availableIds } = setUp();
+  directory.apply(fixtures.entry());
+  directory.apply(fixtures.entry({ id: "e2", serviceName: "t", bornAtWallMs: 5_000 }));
+  t.same(availableIds(), []);
+  t.equal(directory.find("e1")?.leaving, LeavingSign.ReplacedAtAddress);
+  t.equal(directory.available("t").length, 1);
+});
+
+tap.test("histories: no start that was seen leaving takes work again", async () => {
+  const step = fastCheck.record({
+    born: fastCheck.integer({ min: 1, max: 3 }),
+    sequence: fastCheck.integer({ min: 0, max: 6 }),
+    isDraining: fastCheck.boolean(),
+  });
+  fastCheck.assert(
+    fastCheck.property(fastCheck.array(step, { maxLength: 30 }), (steps) => {
+      const { directory } = setUp();
+      const leftBorn = new Set<number>();
+      for (const { born, sequence, isDraining } of steps) {
+        const state = isDraining ? ServerState.Draining : ServerState.Ready;
+        directory.apply(fixtures.entry({ bornAtWallMs: born, sequence, state }));
+        const known = directory.find("e1");
+        if (known !== undefined && known.leaving !== null) leftBorn.add(known.entry.bornAtWallMs);
+        const available = directory.available("s")[0];
+        if (available !== undefined && leftBorn.has(available.entry.bornAtWallMs)) return false;
+      }
+      return true;
+    }),
+    { seed: 11, numRuns: 500 },
+  );
+});
--- /dev/null
+++ b/standins/platform/gatewayFleet/index.ts
@@ -0,0 +1,258 @@
+import * as http from "node:http";
+
+import * as decodeConfigurations from "../../../platform/decodeConfiguration/index.js";
+import * as decodeServerEntries from "../../../platform/decodeServerEntry/index.js";
+import * as engineControls from "../../../platform/engineControl/index.js";
+import * as logStores from "../../../platform/logStore/index.js";
+import * as names from "../../../platform/names/index.js";
+import * as wireCodecs from "../../../platform/wireCodec/index.js";
+import * as clocks from "../../../src/_lib/clock/index.js";
+import * as disposableStore from "../../../src/_lib/disposableStore/index.js";
+import * as randoms from "../../../src/_lib/random/index.js";
+import * as diagnostics from "../../../src/diagnostics/index.js";
+import * as fleet from "../../../src/fleet/index.js";
+import * as gateways from "../../../src/gateway/index.js";
+import * as freePorts from "../../freePorts/index.js";
+import * as backendServers from "../backendServer/index.js";
+import * as platformLogStores from "../logStore/index.js";
+
+/** An answer as a caller got it. */
+export interface CallerAnswer {
+  readonly status: number;
+  readonly headers: http.IncomingHttpHeaders;
+  readonly body: string;
+  /** Whether the answer came to its end. */
+  readonly isWhole: boolean;
+}
+
+/** A call as a caller makes it. */
+export interface CallerRequest {
+  readonly path: string;
+  readonly method?: string;
+  readonly id?: string;
+  readonly apiKey?: string | null;
+  readonly body?: string;
+  readonly timeLeftMs?: number;
+  readonly headers?: http.OutgoingHttpHeaders;
+  readonly signal?: AbortSignal;
+}
+
+/** The names under which the fleet's services and routes stand in its configuration. */
+export const HOST = "a.example";
+export const API_KEY = "key-1";
+export const PLAIN_SERVICE = "plain";
+export const ENGINE_SERVICE = "engines";
+
+/** A log that keeps its lines for tests. */
+export class RecordedLog implements diagnostics.DecisionLog {
+  readonly lines: {
+    readonly event: diagnostics.LogEvent;
+    readonly fields: diagnostics.LogFields;
+  }[] = [];
+
+  record(
+    _importance: diagnostics.Importance,
+    event: diagnostics.LogEvent,
+    fields: diagnostics.LogFields,
+  ): void {
+    this.lines.push({ event, fields });
+  }
+}
+
+/** Gateways on loopback with stand-ins of the platform's store and of backend servers. */
+export class GatewayFleet implements AsyncDisposable {
+  readonly store = new platformLogStores.PlatformLogStore();
+  readonly log = new RecordedLog();
+  readonly gateways: gateways.Gateway[] = [];
+  private readonly settings: gateways.GatewaySettings[] = [];
+  private readonly resources = new disposableStore.DisposableStore();
+  private version = 0;
+  private sequence = 0;
+
+  /** Starts the store. */
+  async start(): Promise<void> {
+    await this.store.start();
+    this.resources.add(this.store);
+  }
+
+  /** Starts a backend server and registers it. */
+  async addServer(
+    id: string,
+    serviceName: string,
+    behaviour: backendServers.Behaviour,
+  ): Promise<backendServers.BackendServer> {
+    const server = new backendServers.BackendServer(id);
+    await server.start();
+    server.behave(behaviour);
+    this.resources.add(server);
+    this.register(server, serviceName, "ready");
+    return server;
+  }
+
+  /** Writes a server's entry. */
+  register(server: backendServers.BackendServer, service: string, state: string): void {
+    this.sequence += 1;
+    this.store.put(names.TOPIC_NAMES.servers, server.id, {
+      service,
+      address: `127.0.0.1:${server.port}`,
+      zone: "dc-a",
+      version: "v1",
+      slots: 24,
+      state,
+      cold_remaining_ms: 0,
+      sequence: this.sequence,
+      born: 1_000,
+    });
+  }
+
+  /** Writes a configuration with the usual routes, changed by what is given. */
+  configure(overrides: Readonly<Record<string, unknown>> = {}): void {
+    this.version += 1;
+    const route = (name: string, kind: string, fields: object): object => {
+      const service = kind === "streaming" ? ENGINE_SERVICE : PLAIN_SERVICE;
+      const path_prefix = `/${name}/`;
+      return { name, host: HOST, path_prefix, kind, service, ...ROUTE_DEFAULTS, ...fields };
+    };
+    this.store.put(names.TOPIC_NAMES.configuration, names.CONFIGURATION_KEY, {
+      version: this.version,
+      routes: [
+        route("lookup", "idempotent", { max_attempts: 2 }),
+        route("file", "non_idempotent", {}),
+        route("draft", "streaming", { target_gap_ms: 180 }),
+        route("short", "idempotent", { timeout_ms: 200 }),
+      ],
+      services: [
+        { name: PLAIN_SERVICE, max_connections: 100 },
+        { name: ENGINE_SERVICE, max_connections: 100, engine: ENGINE_TRAITS },
+      ],
+      limits: CALLER_LIMITS,
+      tenants: [{ name: "acme", api_keys: [API_KEY] }],
+      ...overrides,
+    });
+  }
+
+  /** Starts a gateway and waits until it is ready. */
+  async addGateway(): Promise<gateways.Gateway> {
+    const settings = await this.createSettings(`vm-${this.gateways.length + 1}`);
+    const clock = new clocks.SystemClock();
+    const store = new logStores.LogStore({ host: "127.0.0.1", port: this.store.port });
+    const gateway = new gateways.Gateway(settings, {
+      clock,
+      random: randoms.createRandom(this.gateways.length + 1),
+      store,
+      registry: store,
+      codec: wireCodecs.WIRE_CODEC,
+      control: this.resources.add(new engineControls.HttpEngineControl()),
+      decoder: {
+        decodeConfiguration: decodeConfigurations.decodeConfiguration,
+        decodeServer: decodeServerEntries.decodeServerEntry,
+      },
+      socket: this.resources.add(await fleet.UdpSocket.open("127.0.0.1", settings.peers.port)),
+      log: this.log,
+      meters: new diagnostics.Meters(),
+    });
+    this.resources.add(store);
+    await gateway.start();
+    this.resources.add(gateway);
+    this.gateways.push(gateway);
+    this.settings.push(settings);
+    return gateway;
+  }
+
+  /** Asks a gateway whether it is ready. */
+  async isReady(index = 0): Promise<boolean> {
+    const port = this.settings[index]?.readiness.port ?? 0;
+    const answer = await request(port, { path: "/readyz", apiKey: null });
+    return answer.status === 200;
+  }
+
+  /** Makes a call at a gateway. */
+  call(options: CallerRequest, index = 0): Promise<CallerAnswer> {
+    return request(this.settings[index]?.callers.port ?? 0, options);
+  }
+
+  /** The port on which a gateway takes calls. */
+  callersPort(index = 0): number {
+    return this.settings[index]?.callers.port ?? 0;
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await this.resources[Symbol.asyncDispose]();
+  }
+
+  private async createSettings(vmName: string): Promise<gateways.GatewaySettings> {
+    const [callers = 0, readiness = 0, peers = 0, metrics = 0] = await freePorts.findFreePorts(4);
+    const host = "127.0.0.1";
+    return {
+      vmName,
+      dataCentre: "dc-a",
+      coresCount: 1,
+      callers: { host, port: callers },
+      readiness: { host, port: readiness },
+      peers: { host, port: peers },
+      metrics: { host, port: metrics },
+      graceMs: 4_000,
+      revocationMs: 3_000,
+      configurationApplyMs: 2_000,
+      retryBudget: { ratio: 0.2, slackCount: 50, windowMs: 10_000 },
+    };
+  }
+}
+
+const ROUTE_DEFAULTS = {
+  timeout_ms: 20_000,
+  target_latency_ms: 1_000,
+  priority: 1,
+  max_attempts: 1,
+  anonymous: false,
+};
+
+const ENGINE_TRAITS = {
+  slots: 24,
+  kv_capacity_tokens: 34_000,
+  stride: 4,
+  moves: true,
+  backups: true,
+};
+
+const CALLER_LIMITS = {
+  max_header_bytes: 16_384,
+  max_body_bytes: 65_536,
+  header_timeout_ms: 3_000,
+  idle_timeout_ms: 15_000,
+};
+
+function request(port: number, options: CallerRequest): Promise<CallerAnswer> {
+  const { HEADERS } = names;
+  const headers: http.OutgoingHttpHeaders = {
+    Host: HOST,
+    [HEADERS.requestId]: options.id ?? "attempt-1",
+    [HEADERS.timeLeftMs]: String(options.timeLeftMs ?? 20_000),
+    ...(options.apiKey === null ? {} : { [HEADERS.apiKey]: options.apiKey ?? API_KEY }),
+    ...options.headers,
+  };
+  const { method = "GET", path, signal } = options;
+  return new Promise((resolve, reject) => {
+    const outgoing = http.request({
+      host: "127.0.0.1",
+      port,
+      method,
+      path,
+      headers,
+      agent: false,
+      ...(signal === undefined ? {} : { signal }),
+    });
+    outgoing.on("error", reject);
+    outgoing.on("response", (message) => {
+      const chunks: Buffer[] = [];
+      message.on("data", (chunk: Buffer) => chunks.push(chunk));
+      message.on("error", () => undefined);
+      message.on("close", () => {
+        const body = Buffer.concat(chunks).toString();
+        const status = message.statusCode ?? 0;
+        resolve({ status, headers: message.headers, body, isWhole: message.complete });
+      });
+    });
+    outgoing.end(options.body);
+  });
+}
--- /dev/null
+++ b/standins/platform/logStore/index.ts
@@ -0,0 +1,198 @@
+import * as http from "node:http";
+import type * as net from "node:net";
+
+/** How the store treats calls. */
+export enum StoreMode {
+  Serves = "serves",
+  /** Answers 503 to all. */
+  Refuses = "refuses",
+  /** Takes calls and never answers. */
+  Silent = "silent",
+  /** Carries appends out and loses their answers. */
+  LosesAnswers = "loses-answers",
+}
+
+interface LogRecord {
+  readonly offset: number;
+  readonly content: Uint8Array;
+}
+
+interface TopicLog {
+  records: LogRecord[];
+  end: number;
+  readonly newest: Map<string, LogRecord>;
+  readonly waiters: Set<() => void>;
+}
+
+const OK = 200;
+const GONE = 410;
+const UNAVAILABLE = 503;
+
+/** The platform's store, in memory: an append-only log whose topics keep the newest record of each key. */
+export class PlatformLogStore implements AsyncDisposable {
+  private readonly topics = new Map<string, TopicLog>();
+  private readonly server = http.createServer((request, response) => {
+    void this.handle(request, response);
+  });
+  private mode = StoreMode.Serves;
+
+  /** Calls by path, for tests that bound them. */
+  readonly callCounts = new Map<string, number>();
+
+  get port(): number {
+    return (this.server.address() as net.AddressInfo).port;
+  }
+
+  async start(): Promise<void> {
+    await new Promise<void>((resolve) => this.server.listen(0, "127.0.0.1", resolve));
+  }
+
+  /** Changes how all calls are treated. */
+  setMode(mode: StoreMode): void {
+    this.mode = mode;
+  }
+
+  /** Writes a record as the operator or a server does; null drops the key. */
+  put(topic: string, key: string, value: unknown): number {
+    const valueBytes =
+      value === null
+        ? Buffer.alloc(0)
+        : Buffer.from(typeof value === "string" ? value : JSON.stringify(value));
+    const keyBytes = Buffer.from(key);
+    return this.append(
+      topic,
+      Buffer.concat([Buffer.from([keyBytes.length]), keyBytes, valueBytes]),
+    );
+  }
+
+  /** Forgets the history of a topic; the newest record of each key stays readable. */
+  compact(topic: string): void {
+    this.topicOf(topic).records = [];
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    const closed = new Promise<void>((resolve) => this.server.close(() => resolve()));
+    this.server.closeAllConnections();
+    await closed;
+  }
+
+  private async handle(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): Promise<void> {
+    const url = new URL(request.url ?? "/", "http://store");
+    this.callCounts.set(url.pathname, (this.callCounts.get(url.pathname) ?? 0) + 1);
+    const chunks: Buffer[] = [];
+    for await (const chunk of request) chunks.push(chunk as Buffer);
+    if (this.mode === StoreMode.Silent) return;
+    if (this.mode === StoreMode.Refuses) {
+      response.writeHead(UNAVAILABLE).end();
+      return;
+    }
+    const handler = HANDLERS[url.pathname];
+    if (handler === undefined) response.writeHead(404).end();
+    else handler(this, url.searchParams, Buffer.concat(chunks), response);
+  }
+
+  /** Answers an append. */
+  onAppend(query: URLSearchParams, body: Buffer, response: http.ServerResponse): void {
+    const offset = this.append(query.get("topic") ?? "", body.subarray(4));
+    if (this.mode === StoreMode.LosesAnswers) response.destroy();
+    else sendJson(response, { offset, end_offset: offset + 1 });
+  }
+
+  /** Answers a read, once there is a record or the wait is over. */
+  onRead(query: URLSearchParams, response: http.ServerResponse): void {
+    const topic = this.topicOf(query.get("topic") ?? "");
+    const from = Number(query.get("from"));
+    const firstOffset = topic.records[0]?.offset ?? topic.end;
+    if (from < firstOffset) {
+      response.writeHead(GONE, { "content-type": "application/json" });
+      response.end(JSON.stringify({ first_offset: firstOffset }));
+      return;
+    }
+    const waitMs = Number(query.get("wait_ms") ?? 0);
+    if (from < topic.end || waitMs === 0) {
+      sendRecords(response, topic, from, firstOffset);
+      return;
+    }
+    const finish = (): void => {
+      clearTimeout(timer);
+      topic.waiters.delete(finish);
+      if (!response.destroyed) sendRecords(response, topic, from, firstOffset);
+    };
+    const timer = setTimeout(finish, waitMs);
+    topic.waiters.add(finish);
+    response.once("close", () => {
+      clearTimeout(timer);
+      topic.waiters.delete(finish);
+    });
+  }
+
+  /** Answers with the newest record of each key. */
+  onNewest(query: URLSearchParams, response: http.ServerResponse): void {
+    const topic = this.topicOf(query.get("topic") ?? "");
+    const entries = [...topic.newest].map(([key, { offset, content }]) => {
+      const value = Buffer.from(content.subarray(1 + (content[0] ?? 0))).toString("base64");
+      return { key, value, offset };
+    });
+    sendJson(response, { entries, has_more: false, end_offset: topic.end });
+  }
+
+  private append(topicName: string, content: Uint8Array): number {
+    const topic = this.topicOf(topicName);
+    const record = { offset: topic.end, content };
+    topic.records.push(record);
+    topic.end += 1;
+    const keyLength = content[0] ?? 0;
+    const key = Buffer.from(content).toString("utf8", 1, 1 + keyLength);
+    if (content.length > 1 + keyLength) topic.newest.set(key, record);
+    else topic.newest.delete(key);
+    for (const wake of [...topic.waiters]) wake();
+    return record.offset;
+  }
+
+  private topicOf(name: string): TopicLog {
+    const known = this.topics.get(name);
+    if (known !== undefined) return known;
+    const created = { records: [], end: 0, newest: new Map(), waiters: new Set<() => void>() };
+    this.topics.set(name, created);
+    return created;
+  }
+}
+
+type Handler = (
+  store: PlatformLogStore,
+  query: URLSearchParams,
+  body: Buffer,
+  response: http.ServerResponse,
+) => void;
+
+const HANDLERS: Readonly<Partial<Record<string, Handler>>> = {
+  "/log-append": (store, query, body, response) => store.onAppend(query, body, response),
+  "/log-read": (store, query, _body, response) => store.onRead(query, response),
+  "/log-newest": (store, query, _body, response) => store.onNewest(query, response),
+};
+
+function sendJson(response: http.ServerResponse, value: unknown): void {
+  response.writeHead(OK, { "content-type": "application/json" }).end(JSON.stringify(value));
+}
+
+function sendRecords(
+  response: http.ServerResponse,
+  topic: TopicLog,
+  from: number,
+  firstOffset: number,
+): void {
+  const head = Buffer.alloc(16);
+  head.writeBigUInt64BE(BigInt(topic.end), 0);
+  head.writeBigUInt64BE(BigInt(firstOffset), 8);
+  const parts: Uint8Array[] = [head];
+  for (const { offset, content } of topic.records) {
+    if (offset < from) continue;
+    const length = Buffer.alloc(4);
+    length.writeUInt32BE(content.length);
+    parts.push(length, content);
+  }
+  response.writeHead(OK).end(Buffer.concat(parts));
+}
