--- /dev/null
+++ b/src/sharedView/_lib/datagrams/test.ts
@@ -0,0 +1,53 @@
+import * as fastCheck from "fast-check";
+import * as msgpackr from "msgpackr";
+import tap from "tap";
+
+import * as datagrams from "./index.js";
+
+tap.test("a message is read as it was written", async (t) => {
+  const message: datagrams.Claims = {
+    kind: datagrams.DatagramKind.Claims,
+    vmName: "vm-1",
+    startedAtWallMs: 5,
+    put: [["r1", false, "e1", 10, 20, 30, 0, false]],
+    released: [["r2", true]],
+  };
+  t.same(datagrams.decodeDatagram(datagrams.encodeDatagram(message)), message);
+});
+
+tap.test("records carry their bytes, and dropped keys none", async (t) => {
+  const message: datagrams.Records = {
+    kind: datagrams.DatagramKind.Records,
+    vmName: "vm-1",
+    topic: 1,
+    fromOffset: 4,
+    endOffset: 6,
+    records: [
+      ["a", 4, Buffer.from("x")],
+      ["b", 5, null],
+    ],
+  };
+  const decoded = datagrams.decodeDatagram(datagrams.encodeDatagram(message));
+  t.equal(decoded?.kind, datagrams.DatagramKind.Records);
+  t.match(decoded, { fromOffset: 4, endOffset: 6 });
+});
+
+tap.test("any bytes give a message or none, and never throw", async () => {
+  const anything = fastCheck.oneof(
+    fastCheck.uint8Array(),
+    fastCheck.anything().map((value) => {
+      try {
+        return msgpackr.pack(value);
+      } catch {
+        return Buffer.alloc(0);
+      }
+    }),
+    fastCheck
+      .record({ kind: fastCheck.integer({ min: 0, max: 5 }) })
+      .map((value) => msgpackr.pack(value)),
+  );
+  fastCheck.assert(
+    fastCheck.property(anything, (bytes) => datagrams.decodeDatagram(bytes) === null),
+    { seed: 6, numRuns: 500 },
+  );
+});
--- /dev/null
+++ b/src/sharedView/topicReader/test.ts
@@ -0,0 +1,107 @@
+import * as neverthrow from "neverthrow";
+import tap from "tap";
+
+import * as virtualClocks from "../../_lib/virtualClock/index.js";
+import * as diagnostics from "../../diagnostics/index.js";
+import * as sharedView from "../index.js";
+
+const { StoreFailure } = sharedView;
+
+/** A store whose reads wait as long as they may and find nothing. */
+class QuietStore implements sharedView.ViewStore {
+  readonly reads: { readonly offset: number; readonly atMs: number }[] = [];
+  listings = 0;
+  failure: sharedView.StoreFailure | null = null;
+
+  constructor(private readonly clock: virtualClocks.VirtualClock) {}
+
+  readNewest(): ReturnType<sharedView.ViewStore["readNewest"]> {
+    this.listings += 1;
+    if (this.failure === StoreFailure.Refused) {
+      return Promise.resolve(neverthrow.err(StoreFailure.Refused));
+    }
+    return Promise.resolve(neverthrow.ok({ records: [], endOffset: 4 }));
+  }
+
+  async readFrom(
+    _topic: sharedView.Topic,
+    offset: number,
+    waitMs: number,
+  ): ReturnType<sharedView.ViewStore["readFrom"]> {
+    this.reads.push({ offset, atMs: this.clock.nowMs() });
+    if (this.failure !== null) return neverthrow.err(this.failure);
+    await this.clock.sleep(waitMs);
+    return neverthrow.ok({ records: [], endOffset: offset });
+  }
+}
+
+function setUp(rank: number): {
+  readonly clock: virtualClocks.VirtualClock;
+  readonly store: QuietStore;
+  readonly replica: sharedView.TopicReplica;
+  readonly reader: sharedView.TopicReader;
+  readonly events: string[];
+} {
+  const clock = new virtualClocks.VirtualClock();
+  const store = new QuietStore(clock);
+  const events: string[] = [];
+  const listener = { onRecords: () => undefined, onListing: () => undefined };
+  const replica = new sharedView.TopicReplica(clock, listener);
+  const reader = new sharedView.TopicReader(
+    {
+      clock,
+      store,
+      replica,
+      log: { record: (_importance, event) => void events.push(event) },
+      meters: new diagnostics.Meters(),
+      rank: () => rank,
+      onRead: () => undefined,
+      onRegained: () => events.push("regained"),
+    },
+    sharedView.CONFIGURATION_READER,
+  );
+  void reader.run();
+  return { clock, store, replica, reader, events };
+}
+
+tap.test("the first reader waits at the store without a pause", async (t) => {
+  const { clock, store, replica } = setUp(0);
+  await clock.runForMs(10_000);
+  t.equal(store.listings, 1);
+  t.ok(store.reads.length >= 14 && store.reads.length <= 17, `${store.reads.length} calls in 10 s`);
+  t.ok(replica.ageMs < 1_000);
+});
+
+tap.test("a later one reads only when the view grows old", async (t) => {
+  const { clock, store, replica } = setUp(3);
+  const readsBefore = (): number => store.reads.length;
+  await clock.runForMs(1_000);
+  t.equal(readsBefore(), 0);
+  await clock.runForMs(4_000);
+  t.ok(readsBefore() >= 1);
+  t.ok(replica.ageMs < 3_000);
+});
+
+tap.test("history that was dropped is read anew from the newest records", async (t) => {
+  const { clock, store } = setUp(0);
+  await clock.runForMs(1_000);
+  store.failure = StoreFailure.Trimmed;
+  await clock.runForMs(700);
+  t.ok(store.listings >= 2);
+});
+
+tap.test("a store that fails is tried less and less, and its return is told once", async (t) => {
+  const { clock, store, reader, events, replica } = setUp(0);
+  await clock.runForMs(1_000);
+  store.failure = StoreFailure.NoAnswer;
+  const countBefore = store.reads.length;
+  await clock.runForMs(10_000);
+  const failedCount = store.reads.length - countBefore;
+  t.ok(failedCount >= 8 && failedCount <= 16, `${failedCount} calls in 10 s of outage`);
+  t.notOk(reader.reachesStore);
+  t.ok(replica.ageMs > 9_000, "what is not confirmed grows old");
+  store.failure = null;
+  await clock.runForMs(2_500);
+  t.ok(reader.reachesStore);
+  t.same(events, [diagnostics.LogEvent.StoreLost, diagnostics.LogEvent.StoreRegained, "regained"]);
+});
