--- a/src/cli/createProgram/index.ts
+++ b/src/cli/createProgram/index.ts
@@ -7,6 +7,7 @@
 import * as explainCommand from "../explainCommand/index.js";
 import * as fleetCommands from "../fleetCommands/index.js";
 import * as keyCommand from "../keyCommand/index.js";
+import * as logsCommand from "../logsCommand/index.js";
 import * as reportCommand from "../reportCommand/index.js";
 import * as settingsCommand from "../settingsCommand/index.js";
 import type * as types from "../types.js";
@@ -15,6 +16,7 @@
 Examples:
   chiveferry catalogue apply draft.yaml --wait 7
   chiveferry explain 0193a5c2-...
+  chiveferry logs request 9c41d07be2a35f68 edge-*.log
   chiveferry report burn --html burn.html
   chiveferry drain engine tln-a-engine-1
 
@@ -42,6 +44,7 @@
     .showHelpAfterError("(add --help for usage)");
   catalogueCommand.addCatalogueCommand(program, context);
   explainCommand.addExplainCommand(program, context);
+  logsCommand.addLogsCommand(program, context);
   reportCommand.addReportCommand(program, context);
   fleetCommands.addFleetCommands(program, context);
   settingsCommand.addSettingsCommand(program, context);
--- /dev/null
+++ b/src/cli/logsCommand/test.ts
@@ -0,0 +1,66 @@
+import * as fs from "node:fs/promises";
+import * as path from "node:path";
+
+import tap, { type Test } from "tap";
+
+import * as virtualClocks from "../../_lib/virtualClock/index.js";
+import * as constants from "../constants.js";
+import * as program from "../createProgram/index.js";
+
+interface Finished {
+  readonly code: constants.ExitCode;
+  readonly out: string;
+  readonly err: string;
+}
+
+async function run(...args: readonly string[]): Promise<Finished> {
+  let out = "";
+  let err = "";
+  const code = await program.runProgram(args, {
+    clock: new virtualClocks.VirtualClock(),
+    environment: {},
+    writeOut: (text) => void (out += text),
+    writeErr: (text) => void (err += text),
+    createClient: () => Promise.reject(new Error("no daemon is needed")),
+  });
+  return { code, out, err };
+}
+
+async function writeLog(t: Test, name: string, lines: readonly string[]): Promise<string> {
+  const file = path.join(t.testdir(), name);
+  await fs.writeFile(file, lines.join("\n"));
+  return file;
+}
+
+const REFUSED = JSON.stringify({
+  event: "request-refused",
+  vm: "vm-1",
+  time: "2026-11-04T07:30:00.000Z",
+  requestId: "r1",
+  reason: "no-room",
+  status: 503,
+  retryAfterMs: 700,
+});
+
+tap.test("a request's history ends with its cause", async (t) => {
+  const file = await writeLog(t, "vm-1.log", [REFUSED, "something else"]);
+  const { code, out, err } = await run("logs", "request", "r1", file);
+  t.equal(code, constants.ExitCode.Ok);
+  t.match(out, /vm-1 request-refused reason=no-room/);
+  t.match(out, /refused: answered 503 for no-room, to come back in 700 ms/);
+  t.match(err, /1 lines hold no decision/);
+});
+
+tap.test("a request that no line names, and a file that cannot be read, are errors", async (t) => {
+  const file = await writeLog(t, "vm-1.log", [REFUSED]);
+  t.equal((await run("logs", "request", "r2", file)).code, constants.ExitCode.NotFound);
+  t.equal((await run("logs", "unserved", `${file}.gone`)).code, constants.ExitCode.Usage);
+  const badTime = await run("logs", "configuration", "--at", "noon", file);
+  t.equal(badTime.code, constants.ExitCode.Usage);
+});
+
+tap.test("unserved requests are a table, and help has examples", async (t) => {
+  const file = await writeLog(t, "vm-1.log", [REFUSED]);
+  t.match((await run("logs", "unserved", file)).out, /r1 +refused +answered 503/);
+  t.match((await run("logs", "--help")).out, /chiveferry logs server/);
+});
--- a/src/relay/_lib/sendWhole/index.ts
+++ b/src/relay/_lib/sendWhole/index.ts
@@ -18,6 +18,7 @@
 /** A whole answer of a server. */
 export interface WholeAnswer {
   readonly kind: SendKind.Answered;
+  readonly serverId: string;
   readonly head: types.AnswerHead;
   readonly body: Buffer;
 }
@@ -64,7 +65,12 @@
   const collected = await collectBodies.collectBody(opening.message, constants.MAX_ANSWER_BYTES);
   const isCut = await opening.isCutByReset();
   opening.close();
-  return judge(call, head, isCut ? { ...collected, end: collectBodies.BodyEnd.CutOff } : collected);
+  return judge(
+    call,
+    options.server.id,
+    head,
+    isCut ? { ...collected, end: collectBodies.BodyEnd.CutOff } : collected,
+  );
 }
 
 /** What an outcome tells about the server. */
@@ -79,6 +85,7 @@
 
 function judge(
   call: types.Call,
+  serverId: string,
   head: types.AnswerHead,
   collected: collectBodies.CollectedBody,
 ): SendOutcome {
@@ -88,7 +95,7 @@
   }
   const fault = faultOf(call, head, collected);
   if (fault !== null) return { kind: SendKind.Unknown, cause: fault };
-  return { kind: SendKind.Answered, head, body: collected.body };
+  return { kind: SendKind.Answered, serverId, head, body: collected.body };
 }
 
 function faultOf(
--- a/src/relay/_lib/startRun/index.ts
+++ b/src/relay/_lib/startRun/index.ts
@@ -56,6 +56,7 @@
     }
     if (outcome.kind === engineStreams.OpenKind.Answered) {
       sink.answer(outcome.head.status, outcome.head.forwardedHeaders, outcome.body);
+      logFailure(context, call, placed.value.server.entry.id, outcome.head.status);
       return null;
     }
     if (outcome.kind === engineStreams.OpenKind.Unknown) {
@@ -156,6 +157,30 @@
   });
 }
 
+function logCallerGone(context: relayContext.RelayContext, call: types.Call): void {
+  context.log.record(Importance.Notable, LogEvent.CallerGone, {
+    requestId: call.head.id,
+    route: call.route.name,
+    elapsedMs: Math.round(context.clock.nowMs() - call.arrivedAtMs),
+  });
+}
+
+function logFailure(
+  context: relayContext.RelayContext,
+  call: types.Call,
+  serverId: string,
+  status: number,
+): void {
+  context.log.record(Importance.Notable, LogEvent.RequestFailed, {
+    requestId: call.head.id,
+    route: call.route.name,
+    serverId,
+    status,
+    sendsCount: 1,
+    elapsedMs: Math.round(context.clock.nowMs() - call.arrivedAtMs),
+  });
+}
+
 function verdictOf(outcome: engineStreams.OpenOutcome): servers.AttemptVerdict {
   if (outcome.kind === engineStreams.OpenKind.Open) return servers.AttemptVerdict.Served;
   if (outcome.kind === engineStreams.OpenKind.Answered) return servers.AttemptVerdict.Failed;
@@ -199,7 +224,10 @@
 ): void {
   const placementReason = PLACEMENT_REASONS[refusal.kind];
   const reason = scope.isTimedOut ? types.RefusalReason.TimedOutNotRun : placementReason;
-  if (reason === null) return;
+  if (reason === null) {
+    logCallerGone(context, call);
+    return;
+  }
   const retryAfterMs = dispatch.retryAfterMs(refusal.expectedWaitMs, context.random);
   refuse(context, call, sink, refusals.refusalFor(reason, retryAfterMs));
 }
@@ -211,7 +239,10 @@
   scope: attemptScopes.AttemptScope,
   outcome: engineStreams.OpenOutcome,
 ): void {
-  if (!scope.isTimedOut) return;
+  if (!scope.isTimedOut) {
+    logCallerGone(context, call);
+    return;
+  }
   const wasSent = outcome.kind !== engineStreams.OpenKind.NotRun;
   const reason = wasSent ? types.RefusalReason.TimedOut : types.RefusalReason.TimedOutNotRun;
   refuse(context, call, sink, refusals.refusalFor(reason));
--- a/src/relay/plainRelay/index.ts
+++ b/src/relay/plainRelay/index.ts
@@ -86,6 +86,15 @@
     this.usedIds.add(server.id);
     this.ranIds.add(server.id);
     this.countPending(server.id, 1);
+    context.log.record(Importance.Routine, LogEvent.RequestPlaced, {
+      requestId: call.head.id,
+      route: call.route.name,
+      account: call.account?.name,
+      serverId: server.id,
+      pendingCount: this.pendingCounts.get(server.id) ?? 0,
+      failureRatio: Number(context.trust.failureRatio(server.id).toFixed(2)),
+      sendsCount: this.sendsCount,
+    });
     const timeLeftMs = call.deadlineAtMs - startedAtMs;
     const options = { server, timeLeftMs, priority: null, backupAddress: null, continuation: null };
     const outcome = await sends.sendWhole(context.codec, call, options, this.scope.signal);
@@ -190,7 +199,19 @@
 
   private passOn(answer: sends.WholeAnswer): void {
     if (this.isSettled) return;
-    this.sink.answer(answer.head.status, answer.head.forwardedHeaders, answer.body);
+    const { head, body, serverId } = answer;
+    this.sink.answer(head.status, head.forwardedHeaders, body);
+    const isServed = sends.verdictOf(answer) === servers.AttemptVerdict.Served;
+    const importance = isServed ? Importance.Routine : Importance.Notable;
+    const event = isServed ? LogEvent.RequestServed : LogEvent.RequestFailed;
+    this.context.log.record(importance, event, {
+      requestId: this.call.head.id,
+      route: this.call.route.name,
+      serverId,
+      status: head.status,
+      sendsCount: this.sendsCount,
+      elapsedMs: Math.round(this.context.clock.nowMs() - this.call.arrivedAtMs),
+    });
     this.finish();
   }
 
@@ -206,6 +227,11 @@
   private giveUp(): void {
     if (this.isSettled) return;
     if (!this.scope.isTimedOut) {
+      this.context.log.record(Importance.Notable, LogEvent.CallerGone, {
+        requestId: this.call.head.id,
+        sendsCount: this.sendsCount,
+        elapsedMs: Math.round(this.context.clock.nowMs() - this.call.arrivedAtMs),
+      });
       this.finish();
       return;
     }
