--- a/src/relay/_lib/generationRun/index.ts
+++ b/src/relay/_lib/generationRun/index.ts
@@ -37,13 +37,12 @@
   private forwarding: Promise<engineStreams.StreamEnd> | null = null;
   private handover: Promise<engineStreams.EngineStream | null> | null = null;
   private isFinished = false;
-  private firstEventAtMs = 0;
+  private readonly pace = { firstEventAtMs: 0, maxGapMs: 0, carriedCount: 0 };
   /** The server on which it was decided whether the run stays, so that it is decided once. */
   private decidedServerId: string | null = null;
   private lastEventId = 0;
   private lastEventAtMs = 0;
   private isDrained = true;
-  private carriedCount = 0;
 
   constructor(
     private readonly context: relayContext.RelayContext,
@@ -133,10 +132,12 @@
     const { clock, meters } = this.context;
     const nowMs = clock.nowMs();
     if (isFirst) {
-      this.firstEventAtMs = nowMs;
+      this.pace.firstEventAtMs = nowMs;
       this.claims.noteFirstEvent();
     } else {
-      meters.eventGap.observe((nowMs - this.lastEventAtMs) / 1_000);
+      const gapMs = nowMs - this.lastEventAtMs;
+      this.pace.maxGapMs = Math.max(this.pace.maxGapMs, gapMs);
+      meters.eventGap.observe(gapMs / 1_000);
     }
     this.lastEventAtMs = nowMs;
     this.checkLeaving();
@@ -165,7 +166,7 @@
     this.runLog.handoverStarted(this.position, handovers.HandoverCause.Leaving, way, restMs);
     if (isStaying) return null;
     if (hasBackup) {
-      const settledAtMs = this.firstEventAtMs + constants.BACKUP_SETTLE_MS;
+      const settledAtMs = this.pace.firstEventAtMs + constants.BACKUP_SETTLE_MS;
       if (settledAtMs > noticedAtMs) await clock.sleep(settledAtMs - noticedAtMs);
       const next = await this.switchToBackup(stream);
       if (next !== null || stream.isClosedHere || this.isFinished) return next;
@@ -252,7 +253,7 @@
     const gapMs = context.clock.nowMs() - this.lastEventAtMs;
     this.runLog.carriedOn(this.position, target, outcome, gapMs);
     if (outcome.kind !== engineStreams.OpenKind.Open) return null;
-    this.carriedCount += 1;
+    this.pace.carriedCount += 1;
     return outcome.stream;
   }
 
@@ -279,7 +280,7 @@
     this.isFinished = true;
     this.sink.end();
     this.claims.noteOutputLength(this.lastEventId);
-    this.runLog.served(this.position, this.carriedCount);
+    this.runLog.served(this.position, this.pace);
   }
 
   private abandon(scope: attemptScopes.AttemptScope): void {
--- a/src/relay/_lib/runLog/index.ts
+++ b/src/relay/_lib/runLog/index.ts
@@ -12,6 +12,15 @@
   readonly lastEventId: number;
 }
 
+/** How smoothly a run went. */
+export interface RunPace {
+  readonly firstEventAtMs: number;
+  /** Longest pause between two events. */
+  readonly maxGapMs: number;
+  /** Times that the run went on elsewhere. */
+  readonly carriedCount: number;
+}
+
 /** Writes the lines of one generation's run. */
 export class RunLog {
   constructor(
@@ -44,12 +53,14 @@
     });
   }
 
-  served(at: RunPosition, carriedCount: number): void {
+  served(at: RunPosition, pace: RunPace): void {
     this.context.log.record(Importance.Routine, LogEvent.RequestServed, {
       requestId: this.call.head.id,
       route: this.call.route.name,
       ...at,
-      carriedCount,
+      carriedCount: pace.carriedCount,
+      firstEventMs: Math.round(pace.firstEventAtMs - this.call.arrivedAtMs),
+      maxGapMs: Math.round(pace.maxGapMs),
       elapsedMs: this.elapsedMs(),
     });
   }
