Ask the copy's engine before the old stream is closed

Ruled out: the end of the grace period (the VM had 7 s left). Change: the copy's engine is asked while the old stream runs, which is closed once the new one is there; both run for 250 ms at the most, and events that come twice are dropped by their ids. Without a copy the memory is moved. Test: a run whose copy is not there stays on the engine that leaves. With it, for crowded engines: no more work for one whose run is overdue, readers of the store take turns up to ten, a data centre counts as cut while its VMs are silent.

--- a/src/dispatch/claimTable/index.ts
+++ b/src/dispatch/claimTable/index.ts
@@ -3,7 +3,12 @@
 import * as estimateOutput from "../estimateOutput/index.js";
 import * as types from "../types.js";
 
-const NO_LOAD: types.EngineLoad = { committedTokens: 0, backlogTokens: 0, runningCount: 0 };
+const NO_LOAD: types.EngineLoad = {
+  committedTokens: 0,
+  backlogTokens: 0,
+  runningCount: 0,
+  overdueCount: 0,
+};
 
 /**
  * Claims of all VMs on all engines. Every VM holds the whole table, so that each sees at once
@@ -78,11 +83,16 @@
     if (claims === undefined || claims.size === 0) return NO_LOAD;
     let committedTokens = 0;
     let runningCount = 0;
+    let overdueCount = 0;
+    const overdueSinceMs = this.clock.nowMs() - constants.OVERDUE_MS;
     for (const claim of claims.values()) {
       committedTokens += committedBy(claim);
-      if (claim.role === types.ClaimRole.Run) runningCount += 1;
+      if (claim.role !== types.ClaimRole.Run) continue;
+      runningCount += 1;
+      if (!claim.hasFirstEvent && claim.sinceMs < overdueSinceMs) overdueCount += 1;
     }
-    return { committedTokens, runningCount, backlogTokens: this.backlogOf(claims) };
+    const backlogTokens = this.backlogOf(claims);
+    return { committedTokens, runningCount, overdueCount, backlogTokens };
   }
 
   /** Memory given back lately by the runs of all VMs, in tokens a millisecond. */
--- a/src/dispatch/claimTable/test.ts
+++ b/src/dispatch/claimTable/test.ts
@@ -16,7 +16,7 @@
   t.equal(load.runningCount, 2);
   t.equal(load.backlogTokens, 6_000);
   t.ok(load.committedTokens > 6_000 && load.committedTokens < 8_000);
-  t.same(claims.loadOf("e2"), { committedTokens: 0, backlogTokens: 0, runningCount: 0 });
+  t.match(claims.loadOf("e2"), { committedTokens: 0, backlogTokens: 0, runningCount: 0 });
 });
 
 tap.test("prompts count as read as time passes, and once their first event is there", async (t) => {
@@ -30,11 +30,22 @@
   t.equal(claims.loadOf("e1").backlogTokens, 0);
 });
 
+tap.test("a run without a first event for too long is overdue, until it has one", async (t) => {
+  const clock = new virtualClocks.VirtualClock();
+  const claims = new dispatch.ClaimTable(clock);
+  claims.put(fixtures.claim());
+  claims.put(fixtures.claim({ requestId: "r2", hasFirstEvent: true }));
+  await clock.runForMs(constants.OVERDUE_MS + 1);
+  t.equal(claims.loadOf("e1").overdueCount, 1);
+  claims.put(fixtures.claim({ hasFirstEvent: true }));
+  t.equal(claims.loadOf("e1").overdueCount, 0);
+});
+
 tap.test("a copy takes memory, and neither a slot nor reading time", async (t) => {
   const claims = new dispatch.ClaimTable(new virtualClocks.VirtualClock());
   claims.put(fixtures.claim({ role: ClaimRole.Backup, producedTokens: 500 }));
   const load = claims.loadOf("e1");
-  t.same(load, { committedTokens: 3_500, backlogTokens: 0, runningCount: 0 });
+  t.match(load, { committedTokens: 3_500, backlogTokens: 0, runningCount: 0 });
 });
 
 tap.test("a run that goes on elsewhere leaves nothing behind", async (t) => {
--- a/src/dispatch/constants.ts
+++ b/src/dispatch/constants.ts
@@ -11,14 +11,20 @@
 export const EXPECTED_REST_RATIO = 0.6;
 
 /** Share of an engine's memory up to which new runs are sent there; the rest absorbs longer outputs. */
-export const MAX_COMMITTED_RATIO = 0.92;
+export const MAX_COMMITTED_RATIO = 0.95;
 
 /** Share of an engine's memory up to which it takes copies of other engines' runs. */
-export const MAX_BACKUP_COMMITTED_RATIO = 0.65;
+export const MAX_BACKUP_COMMITTED_RATIO = 0.5;
 
 /** Rest that is expected of an output which is longer than expected already, as a share of it. */
 export const OVERRUN_REST_RATIO = 0.35;
 
+/**
+ * Time without a first event after which a run counts as overdue: its engine is full, slow or dead,
+ * whatever was expected, and gets no more until it gives one. Just under the objectives of 1.5 s.
+ */
+export const OVERDUE_MS = 1_400;
+
 /** Cost, in milliseconds of first-event time, of an engine's memory being full. */
 export const FULL_MEMORY_COST_MS = 600;
 
--- a/src/dispatch/selectEngine/index.ts
+++ b/src/dispatch/selectEngine/index.ts
@@ -11,7 +11,7 @@
 
 /** Whether an engine has room for a generation, by what is expected of all of its runs. */
 export function hasRoom(need: types.GenerationNeed, engine: types.EngineCandidate): boolean {
-  if (engine.runningCount >= engine.slotsCount) return false;
+  if (engine.runningCount >= engine.slotsCount || engine.overdueCount > 0) return false;
   if (engine.runningCount === 0 && engine.committedTokens === 0) return true;
   const limitTokens = constants.MAX_COMMITTED_RATIO * engine.memoryTokens;
   return engine.committedTokens + neededTokens(need) <= limitTokens;
--- a/src/dispatch/selectEngine/test.ts
+++ b/src/dispatch/selectEngine/test.ts
@@ -18,6 +18,13 @@
   t.equal(dispatch.selectEngine(fixtures.need(), [fits])?.serverId, "e1");
 });
 
+tap.test("an engine that lets runs wait gets no more, however free it seems", async (t) => {
+  const stuck = fixtures.engine({ serverId: "stuck", overdueCount: 1, runningCount: 1 });
+  const busy = fixtures.engine({ serverId: "busy", backlogTokens: 9_000, runningCount: 3 });
+  t.equal(dispatch.selectEngine(fixtures.need(), [stuck, busy])?.serverId, "busy");
+  t.equal(dispatch.selectEngine(fixtures.need(), [stuck]), undefined);
+});
+
 tap.test("an empty engine takes what is larger than its share", async (t) => {
   const need = fixtures.need({ promptTokens: 33_000 });
   t.equal(dispatch.selectEngine(need, [fixtures.engine()])?.serverId, "e1");
--- a/src/dispatch/types.ts
+++ b/src/dispatch/types.ts
@@ -35,6 +35,8 @@
   /** Prompt tokens that are still to be read before a new prompt. */
   readonly backlogTokens: number;
   readonly runningCount: number;
+  /** Runs that have waited for their first event for longer than any engine in good order takes. */
+  readonly overdueCount: number;
 }
 
 /** What a generation asks of an engine. */
--- a/src/gateway/_lib/testFleet/index.ts
+++ b/src/gateway/_lib/testFleet/index.ts
@@ -2,6 +2,7 @@
 
 import type * as backendServers from "../../../../standins/platform/backendServer/index.js";
 import * as gatewayFleets from "../../../../standins/platform/gatewayFleet/index.js";
+import * as diagnostics from "../../../diagnostics/index.js";
 
 const PAUSE_MS = 20;
 const MAX_TRIES = 1_000;
@@ -10,7 +11,7 @@
 export const DRAFT = {
   method: "POST",
   body: "prompt",
-  headers: { "X-Token-Count": "300,200", "X-Length-Hint": "40", "X-Model": "m" },
+  headers: { "X-Token-Count": "300,2000", "X-Length-Hint": "1000", "X-Model": "m" },
 } as const;
 
 /** Starts a store without gateways. */
@@ -39,6 +40,17 @@
   throw new Error("the state was not reached");
 }
 
+/** Waits until a gateway knows so many backend servers. */
+export async function untilKnown(
+  fleet: gatewayFleets.GatewayFleet,
+  serversCount: number,
+): Promise<void> {
+  const { ServerKnown } = diagnostics.LogEvent;
+  await until(() => {
+    return fleet.log.lines.filter(({ event }) => event === ServerKnown).length >= serversCount;
+  });
+}
+
 /** Asks for a draft. */
 export function draft(
   fleet: gatewayFleets.GatewayFleet,
--- a/src/gateway/_lib/vmDiscovery/index.ts
+++ b/src/gateway/_lib/vmDiscovery/index.ts
@@ -13,7 +13,7 @@
 const RETRY_MS = 700;
 
 /** Interval at which the list is read again, and the own entry put back if it is gone. */
-const INTERVAL_MS = 15_000;
+const INTERVAL_MS = 30_000;
 
 /**
  * Makes this VM known to the others and them to it, through the list in the store. A VM that is
--- a/src/gateway/currentView/index.ts
+++ b/src/gateway/currentView/index.ts
@@ -96,14 +96,25 @@
         this.directory.remove(record.key);
         continue;
       }
-      const entry = this.decodeServer(record);
-      if (entry !== null) this.directory.apply(entry);
+      this.takeServer(record);
     }
   }
 
+  private takeServer(record: sharedView.ViewRecord): void {
+    const entry = this.decodeServer(record);
+    if (entry === null || !this.directory.apply(entry)) return;
+    this.ports.log.record(Importance.Belief, LogEvent.ServerKnown, {
+      serverId: entry.id,
+      service: entry.serviceName,
+      dataCentre: entry.dataCentre,
+      state: entry.state,
+      offset: record.offset,
+    });
+  }
+
   private takeServerListing(records: readonly sharedView.ViewRecord[]): void {
-    const entries = records.map((record) => this.decodeServer(record));
-    this.directory.applyListing(entries.filter((entry) => entry !== null));
+    for (const record of records) this.takeServer(record);
+    this.directory.retainListed(new Set(records.map(({ key }) => key)));
   }
 
   /** An entry that cannot be read names no server; the others hold. */
--- a/src/gateway/gateway/generations/test.ts
+++ b/src/gateway/gateway/generations/test.ts
@@ -23,12 +23,8 @@
   const fleet = await testFleets.startReady(t);
   const dying = backendServers.stream({ eventsCount: 20, gapMs: 5, resetAfter: 8 });
   const first = await fleet.addServer("e1", ENGINE_SERVICE, dying);
-  await testFleets.until(() => testFleets.isTried(fleet, first));
   const second = await fleet.addServer("e2", ENGINE_SERVICE, dying);
-  await testFleets.until(async () => {
-    await testFleets.draft(fleet, "probe");
-    return second.calls.length > 0;
-  });
+  await testFleets.untilKnown(fleet, 2);
   for (const server of [first, second]) {
     server.behave((call, response, self) => {
       const goesOn = call.headers["kv-from"] !== undefined;
@@ -53,6 +49,34 @@
   t.equal(continued?.headers["last-event-id"], "8");
 });
 
+tap.test("a run whose copy is not there stays on the engine that leaves", async (t) => {
+  const fleet = await testFleets.startReady(t);
+  const script = backendServers.stream({ eventsCount: 60, gapMs: 10 });
+  const withoutCopy: backendServers.Behaviour = (call, response, self) => {
+    const goesOn = call.headers["kv-from"] !== undefined;
+    return goesOn ? backendServers.refuse()(call, response, self) : script(call, response, self);
+  };
+  const first = await fleet.addServer("e1", ENGINE_SERVICE, withoutCopy);
+  const second = await fleet.addServer("e2", ENGINE_SERVICE, withoutCopy);
+  await testFleets.untilKnown(fleet, 2);
+  const answer = testFleets.draft(fleet, "d1");
+  const isRunning = (): boolean => [...first.runs, ...second.runs].includes("d1");
+  await testFleets.until(isRunning);
+  const leaving = first.runs.includes("d1") ? first : second;
+  const other = leaving === first ? second : first;
+  fleet.register(leaving, ENGINE_SERVICE, "draining");
+  const whole = await answer;
+  t.ok(
+    other.calls.some((call) => call.id === "d1"),
+    "the copy's engine was asked",
+  );
+  t.ok(whole.isWhole);
+  t.same(
+    testFleets.eventIds(whole.body),
+    Array.from({ length: 60 }, (_, index) => index + 1),
+  );
+});
+
 tap.test("a stream that breaks where no copy stands is visibly cut", async (t) => {
   const fleet = await testFleets.startReady(t);
   const dying = backendServers.stream({ eventsCount: 20, gapMs: 2, resetAfter: 5 });
--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -49,7 +49,7 @@
   ) {
     const { clock, random } = ports;
     this.directory = new servers.ServerDirectory(clock);
-    this.trust = new servers.ServerTrust(clock);
+    this.trust = new servers.ServerTrust(clock, (dataCentre) => this.mesh.isSilent(dataCentre));
     this.claims = new dispatch.ClaimTable(clock);
     this.view = new currentViews.CurrentView(ports, this.directory, ({ limits }) =>
       this.callerServer.applyLimits(limits),
--- a/src/relay/_lib/generationRun/index.ts
+++ b/src/relay/_lib/generationRun/index.ts
@@ -166,8 +166,6 @@
     this.runLog.handoverStarted(this.position, handovers.HandoverCause.Leaving, way, restMs);
     if (isStaying) return null;
     if (hasBackup) {
-      const settledAtMs = this.pace.firstEventAtMs + constants.BACKUP_SETTLE_MS;
-      if (settledAtMs > noticedAtMs) await clock.sleep(settledAtMs - noticedAtMs);
       const next = await this.switchToBackup(stream);
       if (next !== null || stream.isClosedHere || this.isFinished) return next;
     }
@@ -188,16 +186,23 @@
     return this.switchToBackup(stream);
   }
 
+  /**
+   * Goes on from the copy while the old stream still runs, which is closed once the new one is
+   * there, so that nothing is lost where the copy is not. Both run for a moment; events that come
+   * twice are told apart by their ids.
+   */
   private async switchToBackup(
     stream: engineStreams.EngineStream,
   ): Promise<engineStreams.EngineStream | null> {
     const target = this.backupTarget();
     if (target === null) return null;
-    return this.openContinuation(target, () => {
-      if (this.isFinished) return false;
-      stream.close();
-      return true;
-    });
+    const { clock } = this.context;
+    const closing = clock.schedule(constants.MAX_OVERLAP_MS, () => stream.close());
+    const next = await this.openContinuation(target, () => !this.isFinished);
+    closing[Symbol.dispose]();
+    if (next !== null && this.isFinished) next.close();
+    else if (next !== null) stream.close();
+    return next;
   }
 
   private async moveOff(
@@ -244,9 +249,16 @@
     const { context, call, scope } = this;
     if (scope === null) return null;
     const server = context.directory.find(target.server.id)?.entry ?? target.server;
+    const backup = this.claims.chooseBackup(server.id, this.lastEventId);
     const outcome = await engineStreams.openStream(context.codec, call, {
       server,
-      options: () => this.continuationOptions(target, server),
+      options: () => ({
+        server,
+        timeLeftMs: call.deadlineAtMs - context.clock.nowMs(),
+        priority: startRuns.priorityOf(call),
+        backupAddress: backup === null ? null : servers.addressOf(backup.entry),
+        continuation: { ...target.memory, lastEventId: this.lastEventId },
+      }),
       onConnected,
       signal: scope.signal,
     });
@@ -254,28 +266,10 @@
     this.runLog.carriedOn(this.position, target, outcome, gapMs);
     if (outcome.kind !== engineStreams.OpenKind.Open) return null;
     this.pace.carriedCount += 1;
+    this.claims.moveTo(server.id, backup, this.lastEventId);
     return outcome.stream;
   }
 
-  private continuationOptions(
-    target: handovers.ContinuationTarget,
-    server: servers.ServerEntry,
-  ): types.AttemptOptions {
-    const { call, lastEventId } = this;
-    this.claims.moveTo(server.id, lastEventId);
-    return {
-      server,
-      timeLeftMs: call.deadlineAtMs - this.context.clock.nowMs(),
-      priority: startRuns.priorityOf(call),
-      backupAddress: this.claims.claimBackup(server.id, lastEventId),
-      continuation: {
-        memoryAddress: target.memoryAddress,
-        memoryHandle: target.memoryHandle,
-        lastEventId,
-      },
-    };
-  }
-
   private finishWhole(): void {
     this.isFinished = true;
     this.sink.end();
--- a/src/relay/_lib/handover/index.ts
+++ b/src/relay/_lib/handover/index.ts
@@ -1,8 +1,9 @@
 import * as diagnostics from "../../../diagnostics/index.js";
 import * as dispatch from "../../../dispatch/index.js";
-import type * as servers from "../../../servers/index.js";
+import * as servers from "../../../servers/index.js";
 import * as constants from "../../constants.js";
 import type * as relayContext from "../../relayContext.js";
+import type * as types from "../../types.js";
 
 const { Importance, LogEvent } = diagnostics;
 
@@ -22,8 +23,7 @@
 export interface ContinuationTarget {
   readonly way: HandoverWay;
   readonly server: servers.ServerEntry;
-  readonly memoryAddress: string;
-  readonly memoryHandle: string;
+  readonly memory: Omit<types.Continuation, "lastEventId">;
 }
 
 /** A run whose memory is to be moved. */
@@ -46,8 +46,7 @@
   return {
     way: HandoverWay.Backup,
     server: entry,
-    memoryAddress: addressOf(entry),
-    memoryHandle: requestId,
+    memory: { memoryAddress: servers.addressOf(entry), memoryHandle: requestId },
   };
 }
 
@@ -83,8 +82,7 @@
   return {
     way: HandoverWay.Move,
     server: target,
-    memoryAddress: addressOf(from),
-    memoryHandle: handle,
+    memory: { memoryAddress: servers.addressOf(from), memoryHandle: handle },
   };
 }
 
@@ -121,7 +119,3 @@
   });
   return null;
 }
-
-function addressOf(server: servers.ServerEntry): string {
-  return `${server.host}:${server.port}`;
-}
--- a/src/relay/_lib/runClaims/index.ts
+++ b/src/relay/_lib/runClaims/index.ts
@@ -56,34 +56,27 @@
     return dispatch.estimateRest(this.expectedOutputTokens, producedTokens);
   }
 
-  /**
-   * Claims memory for a copy of the run at a second engine.
-   *
-   * @returns the engine's address as host:port; null where none has the room
-   */
-  claimBackup(runServerId: string, lastEventId: number): string | null {
-    this.releaseBackup();
+  /** The engine that could keep a copy of a run at another engine; null where none has the room. */
+  chooseBackup(runServerId: string, lastEventId: number): servers.KnownServer | null {
     if (!this.canBackUp) return null;
     const need = this.continuationNeed(lastEventId);
     const candidates = this.context.dispatcher.candidates(this.call.serviceName, new Set());
     const engine = dispatch.selectBackupEngine(need, candidates, runServerId);
-    const server = engine && this.context.directory.find(engine.serverId);
-    if (server === undefined) return null;
-    this.holdBackup(server, lastEventId);
-    return `${server.entry.host}:${server.entry.port}`;
+    return (engine && this.context.directory.find(engine.serverId)) ?? null;
   }
 
-  /** Claims memory for a copy of the run at an engine that was chosen already. */
+  /** Claims memory for a copy of the run. */
   holdBackup(server: servers.KnownServer, lastEventId: number): void {
     this.backupServer = server;
     const serverId = server.entry.id;
     this.put(ClaimRole.Backup, serverId, lastEventId, true);
   }
 
-  /** The run goes on at another engine. */
-  moveTo(serverId: string, lastEventId: number): void {
+  /** The run goes on at another engine, with a copy of it at a third one or none. */
+  moveTo(serverId: string, backup: servers.KnownServer | null, lastEventId: number): void {
     this.releaseBackup();
     this.put(ClaimRole.Run, serverId, lastEventId, true);
+    if (backup !== null) this.holdBackup(backup, lastEventId);
   }
 
   /** The run has its prompt read. */
--- a/src/relay/_lib/startRun/index.ts
+++ b/src/relay/_lib/startRun/index.ts
@@ -103,11 +103,13 @@
   const startedAtMs = clock.nowMs();
   meters.queueWait.observe(placement.waitedMs / 1_000);
   logPlacement(context, call, placement);
+  const backup = claims.chooseBackup(server.id, 0);
+  if (backup !== null) claims.holdBackup(backup, 0);
   const options: types.AttemptOptions = {
     server,
     timeLeftMs: call.deadlineAtMs - startedAtMs,
     priority: priorityOf(call),
-    backupAddress: claims.claimBackup(server.id, 0),
+    backupAddress: backup === null ? null : servers.addressOf(backup.entry),
     continuation: null,
   };
   const outcome = await engineStreams.openStream(context.codec, call, {
--- a/src/relay/constants.ts
+++ b/src/relay/constants.ts
@@ -20,6 +20,9 @@
 /** Times that one call may be sent, over all servers that it may use. */
 export const MAX_SENDS_COUNT = 3;
 
+/** Times that one call may be tried where servers cannot be reached. */
+export const MAX_TRIES_COUNT = 5;
+
 /** Typical time of one output token on a shared engine, in milliseconds; a step takes 7 and more. */
 export const TOKEN_MS = 12;
 
@@ -45,8 +48,8 @@
 /** A run that ends sooner than this stays where it is: reclaimed engines are gone 1.5 s after notice. */
 export const STAY_LIMIT_MS = 500;
 
-/** Time after a run's first event in which its copy comes to stand; engines send it several times a second. */
-export const BACKUP_SETTLE_MS = 600;
+/** Longest time for which a run may go on at two engines; the platform's pages bound it at 400 ms. */
+export const MAX_OVERLAP_MS = 250;
 
 /** Time in which a stream whose run its engine has stopped closes by itself. */
 export const STOPPED_STREAM_MS = 120;
--- a/src/relay/plainRelay/index.ts
+++ b/src/relay/plainRelay/index.ts
@@ -131,7 +131,8 @@
   /** Sends the call again; one that reached no server before costs nothing of the budget. */
   private repeatOrFinish(wasSent = true): void {
     if (this.pendingCount > 0) return;
-    const maySend = this.sendsCount < constants.MAX_SENDS_COUNT;
+    const maxCount = wasSent ? constants.MAX_SENDS_COUNT : constants.MAX_TRIES_COUNT;
+    const maySend = this.sendsCount < maxCount;
     if (maySend && (!wasSent || this.takeRepeat())) {
       this.send();
       return;
--- a/src/servers/index.ts
+++ b/src/servers/index.ts
@@ -1,3 +1,4 @@
+export * from "./addressOf/index.js";
 export * from "./serverDirectory/index.js";
 export * from "./serverTrust/index.js";
 export * from "./types.js";
--- a/src/servers/serverDirectory/index.ts
+++ b/src/servers/serverDirectory/index.ts
@@ -16,11 +16,15 @@
 
   constructor(private readonly clock: clocks.Clock) {}
 
-  /** Takes in an entry; older messages and older starts of the same server change nothing. */
-  apply(entry: types.ServerEntry): void {
+  /**
+   * Takes in an entry; older messages and older starts of the same server change nothing.
+   *
+   * @returns whether it tells of a start that was not known
+   */
+  apply(entry: types.ServerEntry): boolean {
     const known = this.servers.get(entry.id);
     this.lapsed.delete(entry.id);
-    if (known !== undefined && isOlder(entry, known.entry)) return;
+    if (known !== undefined && isOlder(entry, known.entry)) return false;
     const isSameStart = known?.entry.bornAtWallMs === entry.bornAtWallMs;
     const heardAtMs = this.clock.nowMs();
     const isBackAfterLapse = isSameStart && known.leaving === types.LeavingSign.EntryGone;
@@ -35,6 +39,7 @@
     if (entry.state === types.ServerState.Draining) {
       this.markLeaving(entry.id, types.LeavingSign.Announced);
     }
+    return !isSameStart;
   }
 
   /** Notes that a server's entry is gone from the store. */
@@ -48,10 +53,8 @@
     this.markLeaving(serverId, types.LeavingSign.EntryGone);
   }
 
-  /** Replaces what is known by a whole listing: servers that it lacks are gone. */
-  applyListing(entries: readonly types.ServerEntry[]): void {
-    const listedIds = new Set(entries.map((entry) => entry.id));
-    for (const entry of entries) this.apply(entry);
+  /** Notes that a whole listing was taken in: servers that it lacks are gone. */
+  retainListed(listedIds: ReadonlySet<string>): void {
     for (const serverId of this.servers.keys()) {
       if (!listedIds.has(serverId)) this.remove(serverId);
     }
--- a/src/servers/serverDirectory/test.ts
+++ b/src/servers/serverDirectory/test.ts
@@ -79,7 +79,8 @@
   const { clock, directory, availableIds } = setUp();
   await clock.runForMs(10_000);
   directory.apply(fixtures.entry());
-  directory.applyListing([fixtures.entry({ id: "e2", port: 9_001 })]);
+  directory.apply(fixtures.entry({ id: "e2", port: 9_001 }));
+  directory.retainListed(new Set(["e2"]));
   t.same(availableIds(), ["e2"]);
 });
 
--- a/src/servers/serverTrust/index.ts
+++ b/src/servers/serverTrust/index.ts
@@ -43,7 +43,13 @@
   private readonly records = new Map<string, TrustRecord>();
   private readonly reaches = new Map<string, DataCentreReach>();
 
-  constructor(private readonly clock: clocks.Clock) {}
+  /**
+   * @param isSilent - whether the VMs of a data centre have fallen silent
+   */
+  constructor(
+    private readonly clock: clocks.Clock,
+    private readonly isSilent: (dataCentre: string) => boolean = () => false,
+  ) {}
 
   /**
    * Takes in how an attempt ended.
@@ -79,10 +85,11 @@
   }
 
   /**
-   * Whether connections to several servers of a data centre have just failed, and none since then
-   * was answered: the way there is likely cut.
+   * Whether the way to a data centre is likely cut: its VMs are silent, or connections to several
+   * of its servers have just failed and none since then was answered.
    */
   isSuspected(dataCentre: string): boolean {
+    if (this.isSilent(dataCentre)) return true;
     const reach = this.reaches.get(dataCentre);
     if (reach === undefined || reach.failedIds.size < constants.CUT_SERVERS_COUNT) return false;
     return this.clock.nowMs() < reach.failedAtMs + constants.CUT_SUSPICION_MS;
--- a/src/sharedView/_lib/peerTable/index.ts
+++ b/src/sharedView/_lib/peerTable/index.ts
@@ -93,6 +93,12 @@
     return peers;
   }
 
+  /** Whether VMs of a data centre were heard from before, and none is now. */
+  isSilent(dataCentre: string): boolean {
+    const there = [...this.states.values()].filter(({ peer }) => peer?.dataCentre === dataCentre);
+    return there.length > 0 && there.every(({ isSilent }) => isSilent);
+  }
+
   /** Marks peers that have fallen silent since the last call, and forgets those that long are. */
   takeSilent(): readonly types.Peer[] {
     const nowMs = this.clock.nowMs();
--- a/src/sharedView/constants.ts
+++ b/src/sharedView/constants.ts
@@ -11,8 +11,14 @@
 /** Added to that age for each VM that goes before: it reads only if those before it fail to. */
 export const READER_RANK_DELAY_MS = 300;
 
-/** Most that the rank adds, so that a cut-off VM of a large fleet reads for itself in time. */
-export const MAX_RANK_DELAY_MS = 3_000;
+/**
+ * VMs that take turns. Those after them rely on their word: a VM that is cut off from the others
+ * counts none before it, and is the first.
+ */
+export const READER_TURNS_COUNT = 10;
+
+/** Age at which a VM after those reads for itself all the same. */
+export const LAST_TURN_MS = 15_000;
 
 /** How old a peer's word is when it comes, at the most, beside what it says. */
 export const PEER_WORD_LAG_MS = 250;
@@ -22,7 +28,7 @@
 
 /** Pauses after failed calls to the store; they double from the first to the last. */
 export const MIN_STORE_BACKOFF_MS = 150;
-export const MAX_STORE_BACKOFF_MS = 1_000;
+export const MAX_STORE_BACKOFF_MS = 1_500;
 
 /** Interval between a VM's heartbeats, and what each peer adds to it. */
 export const HEARTBEAT_INTERVAL_MS = 250;
--- a/src/sharedView/peerMesh/index.ts
+++ b/src/sharedView/peerMesh/index.ts
@@ -63,6 +63,11 @@
     return this.table.readerRank(this.context.reachesStore());
   }
 
+  /** Whether no VM of a data centre is heard from any more: the way there is likely cut. */
+  isSilent(dataCentre: string): boolean {
+    return this.table.isSilent(dataCentre);
+  }
+
   /** Learns of a VM that may not have been heard from yet. */
   introduce(address: types.VmAddress): void {
     if (this.table.introduce(address)) this.sendHeartbeat(address);
--- a/src/sharedView/topicReader/index.ts
+++ b/src/sharedView/topicReader/index.ts
@@ -94,7 +94,8 @@
   private rankDelayMs(): number {
     const rank = this.context.rank();
     if (rank === 0) return 0;
-    const turnMs = Math.min(constants.MAX_RANK_DELAY_MS, rank * constants.READER_RANK_DELAY_MS);
+    if (rank >= constants.READER_TURNS_COUNT) return constants.LAST_TURN_MS;
+    const turnMs = rank * constants.READER_RANK_DELAY_MS;
     return this.options.waitMs + constants.PEER_WORD_LAG_MS + turnMs;
   }
 
