Keep the stream that goes on until the old one has ended

Ruled out: the copies themselves (all answered 200) and duplicates by event id. Change: the handover is forgotten only where it gave no stream, or once its stream was taken.

--- a/src/gateway/gateway/generations/test.ts
+++ b/src/gateway/gateway/generations/test.ts
@@ -49,6 +49,26 @@
   t.equal(continued?.headers["last-event-id"], "8");
 });
 
+tap.test("a run whose engine leaves goes on from its copy, each event once", async (t) => {
+  const fleet = await testFleets.startReady(t);
+  const script = backendServers.stream({ eventsCount: 60, gapMs: 10 });
+  const first = await fleet.addServer("e1", ENGINE_SERVICE, script);
+  const second = await fleet.addServer("e2", ENGINE_SERVICE, script);
+  await testFleets.untilKnown(fleet, 2);
+  const answer = testFleets.draft(fleet, "d1");
+  await testFleets.until(() => [...first.runs, ...second.runs].includes("d1"));
+  const leaving = first.runs.includes("d1") ? first : second;
+  const other = leaving === first ? second : first;
+  fleet.register(leaving, ENGINE_SERVICE, "draining");
+  const whole = await answer;
+  t.ok(other.runs.includes("d1"), "the run went on at the copy's engine");
+  t.ok(whole.isWhole);
+  t.same(
+    testFleets.eventIds(whole.body),
+    Array.from({ length: 60 }, (_, index) => index + 1),
+  );
+});
+
 tap.test("a run whose copy is not there stays on the engine that leaves", async (t) => {
   const fleet = await testFleets.startReady(t);
   const script = backendServers.stream({ eventsCount: 60, gapMs: 10 });
--- a/src/relay/_lib/generationRun/index.ts
+++ b/src/relay/_lib/generationRun/index.ts
@@ -149,8 +149,10 @@
   private beginHandover(cause: handovers.HandoverCause): void {
     const { stream } = this;
     if (stream === null || this.handover !== null) return;
-    const handover = HANDOVERS[cause](this, stream).finally(() => {
-      if (this.handover === handover) this.handover = null;
+    const handover = HANDOVERS[cause](this, stream).then((next) => {
+      // A stream that goes on stays here until the old one has ended.
+      if (next === null) this.handover = null;
+      return next;
     });
     this.handover = handover;
   }
@@ -237,6 +239,7 @@
       this.context.trust.note(former.server, servers.AttemptVerdict.Broken, 0);
     }
     const next = handover === null ? null : await handover;
+    this.handover = null;
     if (next !== null || former.isClosedHere) return next;
     const target = this.backupTarget();
     return target === null ? null : this.openContinuation(target, () => true);
