Keep servers whose entries lapsed behind a cut, also where a peer tells first

Change: they count from the first word after any interruption of the view. Test: entries that lapsed behind a cut are kept for a while when word comes again; it failed before.

--- a/src/gateway/constants.ts
+++ b/src/gateway/constants.ts
@@ -25,3 +25,9 @@
 
 /** A timer that fires this much later than it should means that the process stood still. */
 export const PAUSE_THRESHOLD_MS = 1_000;
+
+/**
+ * Age past which a view of the servers counts as interrupted: the longest wait at the store and two
+ * heartbeats of a large fleet, with room.
+ */
+export const DATED_VIEW_MS = 2_500;
--- a/src/gateway/currentView/index.ts
+++ b/src/gateway/currentView/index.ts
@@ -2,6 +2,7 @@
 import * as routing from "../../routing/index.js";
 import type * as servers from "../../servers/index.js";
 import * as sharedView from "../../sharedView/index.js";
+import * as constants from "../constants.js";
 import type * as types from "../types.js";
 
 const { Importance, LogEvent } = diagnostics;
@@ -15,7 +16,7 @@
   private table: routing.RoutingTable | null = null;
 
   constructor(
-    private readonly ports: types.GatewayPorts,
+    private readonly ports: Pick<types.GatewayPorts, "clock" | "decoder" | "log">,
     private readonly directory: servers.ServerDirectory,
     private readonly onConfiguration: (configuration: routing.Configuration) => void,
   ) {
@@ -24,15 +25,15 @@
       [
         sharedView.Topic.Configuration,
         new sharedView.TopicReplica(clock, {
-          onRecords: (records, source) => this.takeConfigurations(records, source),
-          onListing: (records, source) => this.takeConfigurations(records, source),
+          onRecords: (records, { source }) => this.takeConfigurations(records, source),
+          onListing: (records, { source }) => this.takeConfigurations(records, source),
         }),
       ],
       [
         sharedView.Topic.Servers,
         new sharedView.TopicReplica(clock, {
-          onRecords: (records) => this.takeServers(records),
-          onListing: (records) => this.takeServerListing(records),
+          onRecords: (records, origin) => this.takeServers(records, origin),
+          onListing: (records, origin) => this.takeServerListing(records, origin),
         }),
       ],
     ]);
@@ -90,7 +91,11 @@
     this.onConfiguration(configuration);
   }
 
-  private takeServers(records: readonly sharedView.ViewRecord[]): void {
+  private takeServers(
+    records: readonly sharedView.ViewRecord[],
+    origin: sharedView.RecordOrigin,
+  ): void {
+    this.noteAge(origin);
     for (const record of records) {
       if (record.value === null) {
         this.directory.remove(record.key);
@@ -112,11 +117,20 @@
     });
   }
 
-  private takeServerListing(records: readonly sharedView.ViewRecord[]): void {
+  private takeServerListing(
+    records: readonly sharedView.ViewRecord[],
+    origin: sharedView.RecordOrigin,
+  ): void {
+    this.noteAge(origin);
     for (const record of records) this.takeServer(record);
     this.directory.retainListed(new Set(records.map(({ key }) => key)));
   }
 
+  /** After a time without the store's word entries may have lapsed of servers that are well. */
+  private noteAge({ viewAgeMs }: sharedView.RecordOrigin): void {
+    if (viewAgeMs > constants.DATED_VIEW_MS) this.directory.noteStoreRegained();
+  }
+
   /** An entry that cannot be read names no server; the others hold. */
   private decodeServer(record: sharedView.ViewRecord): servers.ServerEntry | null {
     const decoded = this.ports.decoder.decodeServer(record);
--- /dev/null
+++ b/src/gateway/currentView/test.ts
@@ -0,0 +1,102 @@
+import * as neverthrow from "neverthrow";
+import tap from "tap";
+
+import * as virtualClocks from "../../_lib/virtualClock/index.js";
+import * as diagnostics from "../../diagnostics/index.js";
+import type * as routing from "../../routing/index.js";
+import * as servers from "../../servers/index.js";
+import * as sharedView from "../../sharedView/index.js";
+import type * as types from "../types.js";
+import * as currentViews from "./index.js";
+
+const { Topic, ViewSource } = sharedView;
+
+const CONFIGURATION: routing.Configuration = {
+  version: 1,
+  routes: [],
+  services: [],
+  accounts: null,
+  limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+};
+
+const ENTRY: servers.ServerEntry = {
+  id: "e1",
+  serviceName: "s",
+  host: "127.0.0.1",
+  port: 9_000,
+  dataCentre: "dc-a",
+  slotsCount: 1,
+  state: servers.ServerState.Ready,
+  coldRemainingMs: 0,
+  bornAtWallMs: 1,
+  sequence: 1,
+};
+
+function setUp(): {
+  readonly clock: virtualClocks.VirtualClock;
+  readonly directory: servers.ServerDirectory;
+  readonly view: currentViews.CurrentView;
+} {
+  const clock = new virtualClocks.VirtualClock();
+  const directory = new servers.ServerDirectory(clock);
+  const decoder: types.ViewDecoder = {
+    decodeConfiguration: ({ value }) => {
+      const version = Number(value?.toString());
+      return neverthrow.ok({ ...CONFIGURATION, version });
+    },
+    decodeServer: ({ key }) => neverthrow.ok({ ...ENTRY, id: key }),
+  };
+  const ports = { clock, decoder, log: diagnostics.SILENT_DECISION_LOG };
+  const view = new currentViews.CurrentView(ports, directory, () => undefined);
+  return { clock, directory, view };
+}
+
+function momentOf(clock: virtualClocks.VirtualClock): { steadyMs: number; wallMs: number } {
+  return { steadyMs: clock.nowMs(), wallMs: clock.wallTimeMs() };
+}
+
+function record(key: string, offset: number, text: string | null): sharedView.ViewRecord {
+  return { key, offset, value: text === null ? null : Buffer.from(text) };
+}
+
+tap.test("configuration never goes back to an older version", async (t) => {
+  const { clock, view } = setUp();
+  const replica = view.replicaOf(Topic.Configuration);
+  const now = momentOf(clock);
+  const listing = { records: [record("config", 3, "7")], endOffset: 4 };
+  replica.applyListing(listing, now, ViewSource.Store);
+  t.equal(view.routingTable?.configuration.version, 7);
+  const older = { records: [record("config", 4, "6")], endOffset: 5 };
+  replica.applyRecords(4, older, now, ViewSource.Peer);
+  t.equal(view.routingTable?.configuration.version, 7);
+});
+
+tap.test(
+  "entries that lapsed behind a cut are kept for a while when word comes again",
+  async (t) => {
+    const { clock, directory, view } = setUp();
+    const replica = view.replicaOf(Topic.Servers);
+    const listing = { records: [record("e1", 0, "x")], endOffset: 1 };
+    replica.applyListing(listing, momentOf(clock), ViewSource.Store);
+    await clock.runForMs(5_500);
+    const lapsed = { records: [record("e1", 1, null)], endOffset: 2 };
+    replica.applyRecords(1, lapsed, momentOf(clock), ViewSource.Peer);
+    t.equal(directory.available("s").length, 1, "the server may be well");
+    await clock.runForMs(2_100);
+    directory.sweep();
+    t.equal(directory.available("s").length, 0, "it did not come back");
+  },
+);
+
+tap.test("an entry that goes while word comes all the time is gone at once", async (t) => {
+  const { clock, directory, view } = setUp();
+  const replica = view.replicaOf(Topic.Servers);
+  const listing = { records: [record("e1", 0, "x")], endOffset: 1 };
+  replica.applyListing(listing, momentOf(clock), ViewSource.Store);
+  await clock.runForMs(5_500);
+  replica.confirm(1, momentOf(clock));
+  await clock.runForMs(600);
+  const gone = { records: [record("e1", 1, null)], endOffset: 2 };
+  replica.applyRecords(1, gone, momentOf(clock), ViewSource.Peer);
+  t.equal(directory.available("s").length, 0);
+});
--- a/src/sharedView/topicReplica/index.ts
+++ b/src/sharedView/topicReplica/index.ts
@@ -10,9 +10,16 @@
 
 /** Hears of records that are new to a replica. */
 export interface ReplicaListener {
-  onRecords(records: readonly types.ViewRecord[], source: ViewSource): void;
+  onRecords(records: readonly types.ViewRecord[], origin: RecordOrigin): void;
   /** A whole topic replaced what was known; keys that it lacks are gone. */
-  onListing(records: readonly types.ViewRecord[], source: ViewSource): void;
+  onListing(records: readonly types.ViewRecord[], origin: RecordOrigin): void;
+}
+
+/** Where records came from, and into how old a view. */
+export interface RecordOrigin {
+  readonly source: ViewSource;
+  /** Age of the view before them; Infinity where nothing was known. */
+  readonly viewAgeMs: number;
 }
 
 /**
@@ -50,6 +57,7 @@
     source: ViewSource,
   ): boolean {
     if (batch.endOffset < this.end) return false;
+    const origin = { source, viewAgeMs: this.ageMs };
     const merged = new Map<string, types.ViewRecord>();
     for (const record of batch.records) {
       if (record.value !== null)
@@ -58,7 +66,7 @@
     this.records = merged;
     this.end = batch.endOffset;
     this.confirm(batch.endOffset, confirmedAt);
-    this.listener.onListing([...merged.values()], source);
+    this.listener.onListing([...merged.values()], origin);
     return true;
   }
 
@@ -74,6 +82,7 @@
     source: ViewSource,
   ): boolean {
     if (!this.isKnown || fromOffset > this.end) return false;
+    const origin = { source, viewAgeMs: this.ageMs };
     const fresh = batch.records.filter(({ offset }) => offset >= this.end);
     for (const record of fresh) {
       if (record.value === null) this.records.delete(record.key);
@@ -81,7 +90,7 @@
     }
     this.end = Math.max(this.end, batch.endOffset);
     this.confirm(batch.endOffset, confirmedAt);
-    if (fresh.length > 0) this.listener.onRecords(fresh, source);
+    if (fresh.length > 0) this.listener.onRecords(fresh, origin);
     return true;
   }
 
