--- a/src/relay/_lib/handover/index.ts
+++ b/src/relay/_lib/handover/index.ts
@@ -1,9 +1,11 @@
+import * as neverthrow from "neverthrow";
+
 import * as diagnostics from "../../../diagnostics/index.js";
 import * as dispatch from "../../../dispatch/index.js";
 import * as servers from "../../../servers/index.js";
 import * as constants from "../../constants.js";
 import type * as relayContext from "../../relayContext.js";
-import type * as types from "../../types.js";
+import * as types from "../../types.js";
 
 const { Importance, LogEvent } = diagnostics;
 
@@ -62,47 +64,86 @@
   context: relayContext.RelayContext,
   request: MoveRequest,
 ): Promise<ContinuationTarget | null> {
-  const { requestId, from, need } = request;
-  const { dispatcher, directory } = context;
-  const candidates = dispatcher.candidates(request.serviceName, new Set([from.id]));
-  const engine = dispatch.selectMoveTarget(need, candidates, from.dataCentre);
-  const target = engine && directory.find(engine.serverId)?.entry;
-  if (target === undefined) return noteFailure(context, request, "no engine has room");
+  const refusedIds = new Set([request.from.id]);
+  while (refusedIds.size <= constants.MAX_MOVE_TARGETS_COUNT) {
+    const target = chooseTarget(context, request, refusedIds);
+    if (target === undefined) return noteFailure(context, request, "no engine has room");
+    const handle = await moveTo(context, request, target);
+    if (handle.isOk()) {
+      const memory = { memoryAddress: servers.addressOf(request.from), memoryHandle: handle.value };
+      return { way: HandoverWay.Move, server: target, memory };
+    }
+    noteFailure(context, request, handle.error.cause);
+    if (handle.error.failure !== types.MoveFailure.NoRoom) return null;
+    refusedIds.add(target.id);
+  }
+  return null;
+}
+
+/** Why a move failed, and at which of its copies. */
+interface MoveError {
+  readonly failure: types.MoveFailure;
+  readonly cause: string;
+}
+
+function chooseTarget(
+  context: relayContext.RelayContext,
+  request: MoveRequest,
+  avoidedIds: ReadonlySet<string>,
+): servers.ServerEntry | undefined {
+  const candidates = context.dispatcher.candidates(request.serviceName, avoidedIds);
+  const { dataCentre } = request.from;
+  const engine = dispatch.selectMoveTarget(request.need, candidates, dataCentre);
+  return engine && context.directory.find(engine.serverId)?.entry;
+}
+
+/** Moves the memory to one engine, whose room is claimed meanwhile; gives the handle of the copy. */
+async function moveTo(
+  context: relayContext.RelayContext,
+  request: MoveRequest,
+  target: servers.ServerEntry,
+): Promise<neverthrow.Result<string, MoveError>> {
+  const { dispatcher, vmName } = context;
+  const { requestId, need } = request;
+  const role = dispatch.ClaimRole.Backup;
   dispatcher.putClaim({
     ...need,
     requestId,
-    role: dispatch.ClaimRole.Backup,
-    vmName: context.vmName,
+    role,
+    vmName,
     serverId: target.id,
     hasFirstEvent: true,
   });
   const handle = await copyTwice(context, request, target);
-  dispatcher.releaseClaim(requestId, dispatch.ClaimRole.Backup);
-  if (handle === null) return null;
-  return {
-    way: HandoverWay.Move,
-    server: target,
-    memory: { memoryAddress: servers.addressOf(from), memoryHandle: handle },
-  };
+  dispatcher.releaseClaim(requestId, role);
+  return handle;
 }
 
 async function copyTwice(
   context: relayContext.RelayContext,
   request: MoveRequest,
   target: servers.ServerEntry,
-): Promise<string | null> {
+): Promise<neverthrow.Result<string, MoveError>> {
   const { control, clock, dispatcher } = context;
   const { from, requestId } = request;
   const timeoutMs = constants.MOVE_TIMEOUT_MS;
   const othersTokens = dispatcher.tokensToMoveFrom(from.id);
   const first = await control.moveRun(from, target, requestId, { stopsRun: false, timeoutMs });
-  if (first.isErr()) return noteFailure(context, request, `first copy: ${first.error}`);
+  if (first.isErr()) return neverthrow.err(moveError(first.error, "first"));
   const lastAtMs = request.noticedAtMs + dispatch.lastCopyDelayMs(othersTokens);
   const waitMs = lastAtMs - clock.nowMs();
   if (waitMs > 0) await clock.sleep(waitMs);
   const last = await control.moveRun(from, target, requestId, { stopsRun: true, timeoutMs });
-  if (last.isErr()) return noteFailure(context, request, `last copy: ${last.error}`);
-  return last.value.handle;
+  return last.map(({ handle }) => handle).mapErr((failure) => moveError(failure, "last"));
+}
+
+function moveError(failure: types.MoveFailure, copy: "first" | "last"): MoveError {
+  // Once the run was stopped no other engine can be tried.
+  const isFinal = copy === "last" && failure === types.MoveFailure.NoRoom;
+  return {
+    failure: isFinal ? types.MoveFailure.NoSuchRun : failure,
+    cause: `${copy} copy: ${failure}`,
+  };
 }
 
 function noteFailure(
--- a/src/relay/constants.ts
+++ b/src/relay/constants.ts
@@ -53,3 +53,6 @@
 
 /** Time in which a stream whose run its engine has stopped closes by itself. */
 export const STOPPED_STREAM_MS = 120;
+
+/** Engines that are asked to take a run's memory before it stays where it is. */
+export const MAX_MOVE_TARGETS_COUNT = 3;
