--- /dev/null
+++ b/src/relay/_lib/handover/test.ts
@@ -0,0 +1,169 @@
+import * as neverthrow from "neverthrow";
+import tap from "tap";
+
+import * as randoms from "../../../_lib/random/index.js";
+import * as virtualClocks from "../../../_lib/virtualClock/index.js";
+import * as diagnostics from "../../../diagnostics/index.js";
+import * as dispatch from "../../../dispatch/index.js";
+import * as servers from "../../../servers/index.js";
+import * as engineDispatchers from "../../engineDispatcher/index.js";
+import type * as relayContext from "../../relayContext.js";
+import * as types from "../../types.js";
+import * as handovers from "./index.js";
+
+type Move = (to: string, stopsRun: boolean) => types.MoveFailure | null;
+
+interface Asked {
+  readonly to: string;
+  readonly stopsRun: boolean;
+  readonly atMs: number;
+}
+
+function serverEntry(id: string, port: number): servers.ServerEntry {
+  return {
+    id,
+    serviceName: "s",
+    host: "10.0.0.1",
+    port,
+    dataCentre: "dc-a",
+    slotsCount: 24,
+    state: servers.ServerState.Ready,
+    coldRemainingMs: 0,
+    bornAtWallMs: 1,
+    sequence: 1,
+  };
+}
+
+const NEED: dispatch.GenerationNeed = {
+  promptTokens: 3_000,
+  unreadTokens: 0,
+  expectedOutputTokens: 900,
+  producedTokens: 300,
+  dataCentre: "dc-a",
+};
+
+function setUp(move: Move): {
+  readonly clock: virtualClocks.VirtualClock;
+  readonly asked: Asked[];
+  readonly claims: dispatch.ClaimTable;
+  readonly start: () => Promise<handovers.ContinuationTarget | null>;
+} {
+  const clock = new virtualClocks.VirtualClock();
+  const directory = new servers.ServerDirectory(clock);
+  const trust = new servers.ServerTrust(clock);
+  const claims = new dispatch.ClaimTable(clock);
+  const random = randoms.createRandom(1);
+  const asked: Asked[] = [];
+  const from = serverEntry("leaving", 1);
+  for (const entry of [from, serverEntry("e2", 2), serverEntry("e3", 3)]) directory.apply(entry);
+  const identity = { vmName: "vm-1", dataCentre: "dc-a" };
+  const dispatcher = new engineDispatchers.EngineDispatcher({
+    ...identity,
+    clock,
+    random,
+    directory,
+    trust,
+    claims,
+    broadcast: { put: () => undefined, release: () => undefined },
+    engineTraits: () => ({
+      slotsCount: 24,
+      memoryTokens: 34_000,
+      tokensPerEvent: 4,
+      canMoveRuns: true,
+      canBackUpRuns: true,
+    }),
+  });
+  const control: types.EngineControl = {
+    moveRun: (_from, to, _id, { stopsRun }) => {
+      asked.push({ to: to.id, stopsRun, atMs: clock.nowMs() });
+      const failure = move(to.id, stopsRun);
+      const moved = { handle: `copy at ${to.id}`, producedEventsCount: 75 };
+      return Promise.resolve(failure === null ? neverthrow.ok(moved) : neverthrow.err(failure));
+    },
+    freeCopy: () => Promise.resolve(),
+  };
+  const context = {
+    ...identity,
+    clock,
+    random,
+    directory,
+    trust,
+    dispatcher,
+    control,
+    log: diagnostics.SILENT_DECISION_LOG,
+    meters: new diagnostics.Meters(),
+  } as unknown as relayContext.RelayContext;
+  const start = (): Promise<handovers.ContinuationTarget | null> =>
+    handovers.moveMemory(context, {
+      requestId: "r1",
+      serviceName: "s",
+      from,
+      need: NEED,
+      noticedAtMs: clock.nowMs(),
+    });
+  return { clock, asked, claims, start };
+}
+
+tap.test("memory is copied while the run goes on, and again once it is stopped", async (t) => {
+  const { clock, asked, start } = setUp(() => null);
+  const target = start();
+  await clock.runForMs(2_000);
+  const moved = await target;
+  t.same(
+    asked.map(({ stopsRun }) => stopsRun),
+    [false, true],
+  );
+  t.equal(moved?.memory.memoryAddress, "10.0.0.1:1", "the memory is asked for at its source");
+  t.equal(moved.memory.memoryHandle, `copy at ${moved.server.id}`);
+});
+
+tap.test("another engine is asked where one has no room", async (t) => {
+  const full = new Set<string>();
+  const { clock, asked, start } = setUp((to) => {
+    if (full.size === 0) full.add(to);
+    return full.has(to) ? types.MoveFailure.NoRoom : null;
+  });
+  const target = start();
+  await clock.runForMs(2_000);
+  const moved = await target;
+  t.ok(moved !== null && !full.has(moved.server.id));
+  t.equal(asked.length, 3);
+});
+
+tap.test("a run that was stopped, or is not there, is moved no further", async (t) => {
+  const stopped = setUp((_to, stopsRun) => (stopsRun ? types.MoveFailure.NoRoom : null));
+  const target = stopped.start();
+  await stopped.clock.runForMs(2_000);
+  t.equal(await target, null);
+  t.equal(stopped.asked.length, 2);
+  const unknown = setUp(() => types.MoveFailure.NoSuchRun);
+  t.equal(await unknown.start(), null);
+  t.equal(unknown.asked.length, 1);
+});
+
+tap.test("the last copy waits for the first ones of the engine's other runs", async (t) => {
+  const { clock, asked, claims, start } = setUp(() => null);
+  for (const requestId of ["r1", "r2", "r3", "r4"]) {
+    claims.put({
+      ...NEED,
+      requestId,
+      role: dispatch.ClaimRole.Run,
+      vmName: `vm of ${requestId}`,
+      serverId: "leaving",
+      hasFirstEvent: true,
+    });
+  }
+  const target = start();
+  await clock.runForMs(2_000);
+  await target;
+  const lastAtMs = asked.at(-1)?.atMs ?? 0;
+  t.ok(lastAtMs > 600 && lastAtMs < 1_200, `the last copy was asked for after ${lastAtMs} ms`);
+});
+
+tap.test("no claim is left behind", async (t) => {
+  const { clock, claims, start } = setUp(() => types.MoveFailure.NoRoom);
+  const target = start();
+  await clock.runForMs(2_000);
+  t.equal(await target, null);
+  t.equal(claims.ofVm("vm-1").length, 0);
+});
