--- a/src/relay/_lib/handover/test.ts
+++ b/src/relay/_lib/handover/test.ts
@@ -114,7 +114,7 @@
     [false, true],
   );
   t.equal(moved?.memory.memoryAddress, "10.0.0.1:1", "the memory is asked for at its source");
-  t.equal(moved.memory.memoryHandle, `copy at ${moved.server.id}`);
+  t.equal(moved?.memory.memoryHandle, `copy at ${moved?.server.id ?? ""}`);
 });
 
 tap.test("another engine is asked where one has no room", async (t) => {
