Soak gateways as processes under random faults

Real gateways as processes, stand-ins of store and servers, faults from outside in two overlapping series: signals, store modes, dropped history, changes, keys, leaving and misbehaving servers. Checked from what callers and servers see: once-only, refused means not run, whole and own answers, order, drain, revocation.

--- /dev/null
+++ b/experiments/soak/callers/index.ts
@@ -0,0 +1,83 @@
+import * as http from "node:http";
+
+import * as names from "../../../platform/names/index.js";
+import type * as randoms from "../../../src/_lib/random/index.js";
+import * as gatewayFleets from "../../../standins/platform/gatewayFleet/index.js";
+import type * as checks from "../checks/index.js";
+import type * as processes from "../processes/index.js";
+
+const { HEADERS } = names;
+
+/** Events of a soak's stream: about a second. */
+export const STREAM_EVENTS_COUNT = 40;
+
+const TIMEOUT_MS = 6_000;
+
+interface Kind {
+  readonly path: string;
+  readonly method: string;
+  readonly isOnceOnly: boolean;
+  readonly eventsCount: number | null;
+}
+
+const KINDS: readonly Kind[] = [
+  { path: "/lookup/", method: "GET", isOnceOnly: false, eventsCount: null },
+  { path: "/file/", method: "POST", isOnceOnly: true, eventsCount: null },
+  { path: "/draft/", method: "POST", isOnceOnly: true, eventsCount: STREAM_EVENTS_COUNT },
+];
+
+/** Makes one call of a random kind at a random VM and tells the checks how it ended. */
+export async function makeCall(
+  id: string,
+  apiKey: string,
+  vms: readonly processes.GatewayProcess[],
+  random: randoms.RandomSource,
+  watch: checks.Checks,
+): Promise<void> {
+  const kind = KINDS[Math.floor(random.next() * KINDS.length)];
+  const vm = vms[Math.floor(random.next() * vms.length)];
+  if (kind === undefined || vm === undefined) return;
+  watch.noteCall(id, kind.isOnceOnly, apiKey);
+  const answer = await send(id, apiKey, vm, kind);
+  watch.noteEnd({ id, isOnceOnly: kind.isOnceOnly, eventsCount: kind.eventsCount, ...answer });
+}
+
+function send(
+  id: string,
+  apiKey: string,
+  vm: processes.GatewayProcess,
+  kind: Kind,
+): Promise<Pick<checks.CallEnd, "status" | "body" | "isWhole">> {
+  const lost = { status: null, body: "", isWhole: false };
+  return new Promise((resolve) => {
+    const request = http.request({
+      host: vm.host,
+      port: vm.callersPort,
+      method: kind.method,
+      path: kind.path,
+      agent: false,
+      timeout: TIMEOUT_MS,
+      headers: {
+        Host: gatewayFleets.HOST,
+        [HEADERS.requestId]: id,
+        [HEADERS.apiKey]: apiKey,
+        [HEADERS.timeLeftMs]: String(TIMEOUT_MS),
+        [HEADERS.tokenCounts]: "300,2000",
+        [HEADERS.lengthHint]: "160",
+        [HEADERS.model]: "m",
+      },
+    });
+    request.once("timeout", () => request.destroy());
+    request.once("error", () => resolve(lost));
+    request.once("response", (message) => {
+      const chunks: Buffer[] = [];
+      message.on("data", (chunk: Buffer) => chunks.push(chunk));
+      message.on("error", () => undefined);
+      message.once("close", () => {
+        const body = Buffer.concat(chunks).toString();
+        resolve({ status: message.statusCode ?? null, body, isWhole: message.complete });
+      });
+    });
+    request.end(kind.method === "POST" ? "body" : undefined);
+  });
+}
