--- a/src/cli/logsCommand/index.ts
+++ b/src/cli/logsCommand/index.ts
@@ -69,6 +69,8 @@
   const unserved = logReading.unservedRequests(await readLines(context, files));
   const rows = unserved.map(({ requestId, outcome, cause }) => [requestId, outcome, cause]);
   context.writeOut(output.formatTable(["REQUEST", "OUTCOME", "CAUSE"], rows));
+  const explainedCount = unserved.filter(({ isExplained }) => isExplained).length;
+  context.writeErr(`${explainedCount} of ${unserved.length} have a cause in these logs\n`);
 }
 
 async function showServer(
--- a/src/cli/logsCommand/test.ts
+++ b/src/cli/logsCommand/test.ts
@@ -61,6 +61,8 @@
 
 tap.test("unserved requests are a table, and help has examples", async (t) => {
   const file = await writeLog(t, "vm-1.log", [REFUSED]);
-  t.match((await run("logs", "unserved", file)).out, /r1 +refused +answered 503/);
+  const unserved = await run("logs", "unserved", file);
+  t.match(unserved.out, /r1 +refused +answered 503/);
+  t.match(unserved.err, /1 of 1 have a cause/);
   t.match((await run("logs", "--help")).out, /chiveferry logs server/);
 });
--- a/src/logReading/explainRequest/index.ts
+++ b/src/logReading/explainRequest/index.ts
@@ -5,7 +5,9 @@
 const { LogEvent } = diagnostics;
 const { RequestOutcome } = types;
 
-type Explain = (line: types.LogLine) => Pick<types.RequestExplanation, "outcome" | "cause">;
+type Explained = Omit<types.RequestExplanation, "requestId">;
+
+type Explain = (line: types.LogLine) => Omit<Explained, "isExplained">;
 
 /** What ends a request, and how each kind of end is told. */
 const ENDS: Readonly<Partial<Record<diagnostics.LogEvent, Explain>>> = {
@@ -46,15 +48,14 @@
   if (last === undefined) return null;
   const end = history.findLast(({ event }) => ENDS[event] !== undefined);
   const explain = end && ENDS[end.event];
-  if (end !== undefined && explain !== undefined) return { requestId, ...explain(end) };
+  if (end !== undefined && explain !== undefined) {
+    return { requestId, isExplained: true, ...explain(end) };
+  }
   return { requestId, ...explainUnfinished(lines, last) };
 }
 
 /** A request without an end was cut with its process, or is still at work. */
-function explainUnfinished(
-  lines: readonly types.LogLine[],
-  last: types.LogLine,
-): Pick<types.RequestExplanation, "outcome" | "cause"> {
+function explainUnfinished(lines: readonly types.LogLine[], last: types.LogLine): Explained {
   const later = lines.filter(
     ({ vmName, atMs, index }) =>
       vmName === last.vmName && (atMs > last.atMs || (atMs === last.atMs && index > last.index)),
@@ -63,13 +64,25 @@
   const restart = later.find(({ event }) => event === LogEvent.Started);
   if (restart !== undefined) {
     const time = new Date(restart.atMs).toISOString();
-    return { outcome, cause: `${last.vmName} was killed; its next process started at ${time}` };
+    return {
+      outcome,
+      isExplained: true,
+      cause: `${last.vmName} was killed; its next process started at ${time}`,
+    };
   }
   const stopped = later.find(({ event }) => event === LogEvent.Stopped);
   if (stopped !== undefined) {
-    return { outcome, cause: `${last.vmName} stopped at the end of its grace period` };
+    return {
+      outcome,
+      isExplained: true,
+      cause: `${last.vmName} stopped at the end of its grace period`,
+    };
   }
-  return { outcome, cause: `still at work at ${last.vmName} when its log ends` };
+  return {
+    outcome,
+    isExplained: false,
+    cause: `still at work at ${last.vmName} when its log ends`,
+  };
 }
 
 function refusalCause(fields: types.LogLine["fields"]): string {
--- a/src/logReading/types.ts
+++ b/src/logReading/types.ts
@@ -29,4 +29,6 @@
   readonly outcome: RequestOutcome;
   /** One sentence that names the cause. */
   readonly cause: string;
+  /** Whether the lines tell the cause; not where they end before the request does. */
+  readonly isExplained: boolean;
 }
