--- a/standins/platform/backendServer/index.ts
+++ b/standins/platform/backendServer/index.ts
@@ -71,6 +71,11 @@
       headers: request.headers,
       body: Buffer.concat(chunks),
     };
+    if (call.target === names.ENGINE_PATHS.move) {
+      // This stand-in moves no memory.
+      response.writeHead(404).end();
+      return;
+    }
     this.calls.push(call);
     const expected = request.headers[HEADERS.expectedServer.toLowerCase()];
     if (expected !== undefined && expected !== this.id) {
