Never say of a lookup that may have run that it has not run

Cause, found by reading: where all servers of a lookup broke off, it was answered 503, which promises that it has not run. The answer is 502 now, as for once-only calls; callers may repeat a lookup after either. Test: a lookup that may have run is not said not to have run; it failed before (503).

--- a/src/gateway/gateway/test.ts
+++ b/src/gateway/gateway/test.ts
@@ -115,6 +115,16 @@
   }
 });
 
+tap.test("a lookup that may have run is not said not to have run", async (t) => {
+  const fleet = await testFleets.startReady(t);
+  const server = await fleet.addServer("s1", PLAIN_SERVICE, backendServers.answerWhole("x"));
+  await testFleets.until(() => testFleets.isServed(fleet));
+  server.behave(backendServers.breakOff());
+  const answer = await fleet.call({ path: "/lookup/", id: "l1" });
+  t.ok(server.runs.includes("l1"));
+  t.equal(answer.status, 502);
+});
+
 tap.test("a call is answered at its route's timeout", async (t) => {
   const fleet = await testFleets.startReady(t);
   const server = await fleet.addServer("s1", PLAIN_SERVICE, backendServers.answerWhole("x"));
--- a/src/relay/plainRelay/index.ts
+++ b/src/relay/plainRelay/index.ts
@@ -218,8 +218,7 @@
 
   private finishWithoutAnswer(reason: types.RefusalReason): void {
     if (this.isSettled) return;
-    const hasRun = this.mayHaveRun && !this.isRepeatable;
-    const shownReason = hasRun ? types.RefusalReason.OutcomeUnknown : reason;
+    const shownReason = this.mayHaveRun ? types.RefusalReason.OutcomeUnknown : reason;
     const retryAfterMs =
       refusals.refusalFor(shownReason).status === 503 ? constants.DEFAULT_RETRY_AFTER_MS : null;
     this.refuse(refusals.refusalFor(shownReason, retryAfterMs));
