--- a/src/diagnostics/boundedWriter/index.ts
+++ b/src/diagnostics/boundedWriter/index.ts
@@ -83,7 +83,7 @@
     this.write(bytes, (error) => {
       this.isWriting = false;
       this.queuedBytes -= bytes.length;
-      // A closed output takes nothing more; the count of dropped lines tells it in the metrics.
+      // What a closed output did not take counts as dropped.
       if (error !== null) this.dropped += 1;
       this.flush();
     });
--- a/src/diagnostics/meters/index.ts
+++ b/src/diagnostics/meters/index.ts
@@ -28,7 +28,6 @@
     "call",
     "outcome",
   ]);
-  readonly droppedLines = this.counter("log_lines_dropped_total", "Log lines dropped.", []);
   readonly firstByte = this.histogram(
     "first_byte_seconds",
     "Time from a request's arrival to the first byte of its answer.",
--- a/src/diagnostics/types.ts
+++ b/src/diagnostics/types.ts
@@ -25,7 +25,6 @@
   ConfigurationTaken = "configuration-taken",
   ServerKnown = "server-known",
   ServerLeaving = "server-leaving",
-  ServerSuspended = "server-suspended",
   ProcessPaused = "process-paused",
   LinesDropped = "lines-dropped",
   RequestRefused = "request-refused",
--- a/src/logReading/beliefsAt/index.ts
+++ b/src/logReading/beliefsAt/index.ts
@@ -7,7 +7,7 @@
 /** Events that change what a VM believes about a backend server. */
 const SERVER_EVENTS: ReadonlySet<diagnostics.LogEvent> = new Set([
   LogEvent.ServerLeaving,
-  LogEvent.ServerSuspended,
+  LogEvent.ServerKnown,
   LogEvent.AttemptEnded,
 ]);
 
--- a/src/relay/_lib/generationRun/index.ts
+++ b/src/relay/_lib/generationRun/index.ts
@@ -171,7 +171,7 @@
       const next = await this.switchToBackup(stream);
       if (next !== null || stream.isClosedHere || this.isFinished) return next;
     }
-    return this.moveOff(stream, noticedAtMs);
+    return this.claims.canMove ? this.moveOff(stream, noticedAtMs) : null;
   }
 
   /** Leaves an engine that has fallen silent and cannot be reached, if the copy's engine can. */
--- a/src/relay/_lib/handover/test.ts
+++ b/src/relay/_lib/handover/test.ts
@@ -80,7 +80,6 @@
       const moved = { handle: `copy at ${to.id}`, producedEventsCount: 75 };
       return Promise.resolve(failure === null ? neverthrow.ok(moved) : neverthrow.err(failure));
     },
-    freeCopy: () => Promise.resolve(),
   };
   const context = {
     ...identity,
--- a/src/relay/_lib/refusals/index.ts
+++ b/src/relay/_lib/refusals/index.ts
@@ -16,7 +16,6 @@
   [types.RefusalReason.TimedOutNotRun]: 503,
   [types.RefusalReason.TimedOut]: 504,
   [types.RefusalReason.OutcomeUnknown]: 502,
-  [types.RefusalReason.BadAnswer]: 502,
 };
 
 /** An answer of the relay's own for a reason. */
--- a/src/relay/_lib/runClaims/index.ts
+++ b/src/relay/_lib/runClaims/index.ts
@@ -14,6 +14,8 @@
   private readonly generation: types.GenerationRequest;
   private readonly tokensPerEvent: number;
   private readonly canBackUp: boolean;
+  /** Whether the service's engines move the memory of runs. */
+  readonly canMove: boolean;
   readonly expectedOutputTokens: number;
 
   constructor(
@@ -24,6 +26,7 @@
     const traits = context.dispatcher.traitsOf(call.serviceName);
     this.tokensPerEvent = traits?.tokensPerEvent ?? 1;
     this.canBackUp = traits?.canBackUpRuns ?? false;
+    this.canMove = traits?.canMoveRuns ?? false;
     this.expectedOutputTokens = expectedOutput(this.generation, context, call.route.name);
   }
 
--- a/src/relay/constants.ts
+++ b/src/relay/constants.ts
@@ -26,9 +26,6 @@
 /** Typical time of one output token on a shared engine, in milliseconds; a step takes 7 and more. */
 export const TOKEN_MS = 12;
 
-/** Time that is kept back from a server so that its last words can still be passed on. */
-export const ANSWER_MARGIN_MS = 30;
-
 /** Time to come back after a refusal that waits for nothing in particular. */
 export const DEFAULT_RETRY_AFTER_MS = 500;
 
--- a/src/relay/types.ts
+++ b/src/relay/types.ts
@@ -78,8 +78,6 @@
   readonly isOtherServer: boolean;
   /** Whether the body is encoded in a way that no server uses. */
   readonly isEncoded: boolean;
-  /** Whether the server says that it closes the connection. */
-  readonly closesConnection: boolean;
   /** Headers to pass on, names and values in turn. */
   readonly forwardedHeaders: readonly string[];
 }
@@ -122,8 +120,6 @@
     requestId: string,
     options: { readonly stopsRun: boolean; readonly timeoutMs: number },
   ): Promise<neverthrow.Result<MovedMemory, MoveFailure>>;
-  /** Frees a copy that will not be used. */
-  freeCopy(at: servers.ServerEntry, handle: string): Promise<void>;
 }
 
 /** Why the relay itself answers a call; each is a reason in logs and metrics. */
@@ -142,7 +138,6 @@
   TimedOutNotRun = "timed-out-not-run",
   TimedOut = "timed-out",
   OutcomeUnknown = "outcome-unknown",
-  BadAnswer = "bad-answer",
 }
 
 /** An answer of the relay's own. */
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -26,8 +26,6 @@
   readonly timeoutMs: number;
   /** The time within which an answer, or its first event, has its full value. */
   readonly objectiveMs: number;
-  /** The longest pause between two events of a stream, where the route declares one. */
-  readonly maxEventGapMs: number | null;
   /** 0 is the most urgent. */
   readonly priority: number;
   /** The most servers to which one attempt of a caller may be sent. */
@@ -52,7 +50,6 @@
 /** A group of interchangeable backend servers. */
 export interface Service {
   readonly name: string;
-  readonly maxConnectionsCount: number;
   /** Absent for services without model engines. */
   readonly engine: EngineTraits | null;
 }
--- a/src/servers/types.ts
+++ b/src/servers/types.ts
@@ -26,7 +26,6 @@
 export enum LeavingSign {
   Announced = "announced",
   EntryGone = "entry-gone",
-  AnswerSaidSo = "answer-said-so",
   ReplacedAtAddress = "replaced-at-address",
 }
 
--- a/src/sharedView/constants.ts
+++ b/src/sharedView/constants.ts
@@ -23,9 +23,6 @@
 /** How old a peer's word is when it comes, at the most, beside what it says. */
 export const PEER_WORD_LAG_MS = 250;
 
-/** Time for an answer of the store, beside what it may wait. */
-export const STORE_TIMEOUT_MS = 1_200;
-
 /** Pauses after failed calls to the store; they double from the first to the last. */
 export const MIN_STORE_BACKOFF_MS = 150;
 export const MAX_STORE_BACKOFF_MS = 1_500;
