Take no plain calls that the end of the process would cut

Change: in the last 1.5 s a call is refused with the time to come back, and one that was taken is answered at the end of the process at the latest. Test: a call that comes near the end of the grace period is refused, and not cut; it failed before.

--- a/src/gateway/callerServer/index.ts
+++ b/src/gateway/callerServer/index.ts
@@ -135,7 +135,6 @@
       return;
     }
     this.context.budget.noteCall(serviceName);
-    const timeLeftMs = Math.min(head.timeLeftMs ?? Infinity, route.timeoutMs);
     const call: relay.Call = {
       head,
       body: collected.body,
@@ -143,7 +142,7 @@
       account,
       serviceName,
       arrivedAtMs,
-      deadlineAtMs: arrivedAtMs + timeLeftMs,
+      deadlineAtMs: this.deadlineOf(head, route, arrivedAtMs),
       callerGone,
     };
     await this.context.relays[route.kind](call, sink);
@@ -182,11 +181,22 @@
     return { route, account: account ?? null, serviceName, limits };
   }
 
-  /** A generation that begins while the process stops would be cut; another VM takes it. */
+  /** What would be cut by the end of the process is left to another VM. */
   private isTooLate(route: routing.Route): boolean {
     const stopsInMs = this.context.stopsInMs();
-    if (stopsInMs === null || route.kind !== routing.RouteKind.Generation) return false;
-    return stopsInMs < route.timeoutMs;
+    if (stopsInMs === null) return false;
+    const isGeneration = route.kind === routing.RouteKind.Generation;
+    const neededMs = isGeneration ? Infinity : constants.LAST_CALL_MS;
+    return stopsInMs < Math.min(route.timeoutMs, neededMs);
+  }
+
+  /** When a call is given up: at the caller's or the route's timeout, and before the process ends. */
+  private deadlineOf(head: relay.CallHead, route: routing.Route, arrivedAtMs: number): number {
+    const timeLeftMs = Math.min(head.timeLeftMs ?? Infinity, route.timeoutMs);
+    const stopsInMs = this.context.stopsInMs();
+    if (stopsInMs === null) return arrivedAtMs + timeLeftMs;
+    const lastMs = Math.max(0, stopsInMs - constants.FINISH_INTERVAL_MS);
+    return arrivedAtMs + Math.min(timeLeftMs, lastMs);
   }
 
   private refuse(
--- a/src/gateway/constants.ts
+++ b/src/gateway/constants.ts
@@ -34,3 +34,9 @@
 
 /** Interval at which a process that stops looks whether its calls are answered. */
 export const FINISH_INTERVAL_MS = 50;
+
+/**
+ * Time before the end of a stopping process in which it takes no more plain calls: a few times the
+ * longest objective of those, 0.4 s.
+ */
+export const LAST_CALL_MS = 1_500;
--- a/src/gateway/gateway/generations/test.ts
+++ b/src/gateway/gateway/generations/test.ts
@@ -132,6 +132,36 @@
   t.pass("the engine saw the connection close");
 });
 
+tap.test(
+  "a call that comes near the end of the grace period is refused, and not cut",
+  async (t) => {
+    const fleet = await testFleets.startReady(t);
+    const long = backendServers.stream({ eventsCount: 200, gapMs: 50 });
+    const engine = await fleet.addServer("e1", ENGINE_SERVICE, long);
+    await fleet.addServer("s1", gatewayFleets.PLAIN_SERVICE, async (call, response, self) => {
+      await new Promise((resolve) => setTimeout(resolve, 1_500));
+      response.writeHead(200, self.answerHeaders(call)).end("x");
+    });
+    await testFleets.untilKnown(fleet, 2);
+    const cut = testFleets.draft(fleet, "d1");
+    await testFleets.until(() => engine.runs.includes("d1"));
+    const stopped = fleet.gateways[0]?.stop();
+    const statuses: number[] = [];
+    const calls: Promise<unknown>[] = [];
+    for (let index = 0; index < 16; index += 1) {
+      const call = fleet.call({ path: "/lookup/", id: `l${index}` });
+      calls.push(call.then(({ status }) => statuses.push(status)).catch(() => statuses.push(0)));
+      await new Promise((resolve) => setTimeout(resolve, 200));
+    }
+    await stopped;
+    await Promise.all(calls);
+    t.notOk((await cut).isWhole, "the stream outlived the grace period");
+    t.equal(statuses.length, 16);
+    t.notOk(statuses.includes(0), "no call ends without an answer");
+    t.ok(statuses.includes(503) && statuses.includes(200));
+  },
+);
+
 tap.test("a VM that stops is not ready and finishes what it has begun", async (t) => {
   const fleet = await testFleets.startReady(t);
   const script = backendServers.stream({ eventsCount: 40, gapMs: 10 });
