--- a/src/diagnostics/meters/index.ts
+++ b/src/diagnostics/meters/index.ts
@@ -48,11 +48,10 @@
     "How late the process's timers fire.",
     [],
   );
-  private readonly gauges = new Map<string, promClient.Gauge>();
 
   /** Shows a value that is read when the metrics are fetched. */
   gauge(name: string, help: string, read: () => number): void {
-    const gauge = new promClient.Gauge({
+    new promClient.Gauge({
       name: `chiveferry_${name}`,
       help,
       registers: [this.registry],
@@ -60,7 +59,6 @@
         this.set(read());
       },
     });
-    this.gauges.set(name, gauge);
   }
 
   /** All metrics as text. */
--- a/src/logReading/parseLogLine/index.ts
+++ b/src/logReading/parseLogLine/index.ts
@@ -1,5 +1,6 @@
 import * as zod from "zod";
 
+import * as jsonText from "../../_lib/parseJson/index.js";
 import * as diagnostics from "../../diagnostics/index.js";
 import type * as types from "../types.js";
 
@@ -31,7 +32,7 @@
  * @returns null where the line holds no decision
  */
 export function parseLogLine(text: string, index: number): types.LogLine | null {
-  const json = parseJson(text.slice(Math.max(0, text.indexOf("{"))));
+  const json = jsonText.parseJson(text.slice(Math.max(0, text.indexOf("{"))));
   const parsed = line.safeParse(json);
   if (!parsed.success) return null;
   const { event, vm, time, requestId } = parsed.data;
@@ -45,12 +46,3 @@
     fields: Object.fromEntries(fields),
   };
 }
-
-/** Undefined for what is no JSON; logs are mixed with other output. */
-function parseJson(text: string): unknown {
-  try {
-    return JSON.parse(text);
-  } catch {
-    return undefined;
-  }
-}
