Move runs where they fit for now rather than let them be cut

Weighed: leaving a tenth of every engine free for moves costs that tenth at all times.

The test "where it is full, memory moves further" named an engine full by its commitments alone; now it is full by use as well, since the former takes runs for now. The check is the same.

--- a/src/dispatch/claimTable/index.ts
+++ b/src/dispatch/claimTable/index.ts
@@ -5,6 +5,7 @@
 
 const NO_LOAD: types.EngineLoad = {
   committedTokens: 0,
+  usedTokens: 0,
   backlogTokens: 0,
   runningCount: 0,
   overdueCount: 0,
@@ -82,17 +83,19 @@
     const claims = this.byServer.get(serverId);
     if (claims === undefined || claims.size === 0) return NO_LOAD;
     let committedTokens = 0;
+    let usedTokens = 0;
     let runningCount = 0;
     let overdueCount = 0;
     const overdueSinceMs = this.clock.nowMs() - constants.OVERDUE_MS;
     for (const claim of claims.values()) {
       committedTokens += committedBy(claim);
+      usedTokens += claim.promptTokens + claim.producedTokens;
       if (claim.role !== types.ClaimRole.Run) continue;
       runningCount += 1;
       if (!claim.hasFirstEvent && claim.sinceMs < overdueSinceMs) overdueCount += 1;
     }
     const backlogTokens = this.backlogOf(claims);
-    return { committedTokens, runningCount, overdueCount, backlogTokens };
+    return { committedTokens, usedTokens, runningCount, overdueCount, backlogTokens };
   }
 
   /** Memory given back lately by the runs of all VMs, in tokens a millisecond. */
--- a/src/dispatch/constants.ts
+++ b/src/dispatch/constants.ts
@@ -13,6 +13,12 @@
 /** Share of an engine's memory up to which new runs are sent there; the rest absorbs longer outputs. */
 export const MAX_COMMITTED_RATIO = 0.95;
 
+/**
+ * Share of an engine's memory in use up to which it takes a run that would else be cut. The rest is
+ * what its runs produce within one summary of claims: some 2,000 tokens of 22,000.
+ */
+export const MAX_USED_RATIO = 0.9;
+
 /** Share of an engine's memory up to which it takes copies of other engines' runs. */
 export const MAX_BACKUP_COMMITTED_RATIO = 0.5;
 
--- a/src/dispatch/selectMoveTarget/test.ts
+++ b/src/dispatch/selectMoveTarget/test.ts
@@ -12,8 +12,25 @@
 });
 
 tap.test("where it is full, memory moves further", async (t) => {
-  const near = fixtures.engine({ serverId: "near", committedTokens: 30_000, runningCount: 5 });
+  const near = fixtures.engine({
+    serverId: "near",
+    committedTokens: 33_000,
+    usedTokens: 30_000,
+    runningCount: 8,
+  });
   const far = fixtures.engine({ serverId: "far", dataCentre: "dc-b" });
   t.equal(dispatch.selectMoveTarget(moving, [far, near], "dc-a")?.serverId, "far");
   t.equal(dispatch.selectMoveTarget(moving, [near], "dc-a"), undefined);
 });
+
+tap.test("a run goes where it fits for now rather than ending cut", async (t) => {
+  const load = { committedTokens: 32_000, runningCount: 8 };
+  const fuller = fixtures.engine({ ...load, serverId: "fuller", usedTokens: 27_000 });
+  const lessFull = fixtures.engine({ ...load, serverId: "less-full", usedTokens: 25_000 });
+  const far = fixtures.engine({ ...load, serverId: "far", dataCentre: "dc-b", usedTokens: 9_000 });
+  const stuck = fixtures.engine({ ...load, serverId: "stuck", usedTokens: 0, overdueCount: 1 });
+  const chosen = dispatch.selectMoveTarget(moving, [far, fuller, stuck, lessFull], "dc-a");
+  t.equal(chosen?.serverId, "less-full", "in the data centre of the engine that leaves");
+  t.equal(dispatch.selectMoveTarget(moving, [far, stuck], "dc-a")?.serverId, "far");
+  t.equal(dispatch.selectMoveTarget(moving, [stuck], "dc-a"), undefined);
+});
--- a/src/dispatch/types.ts
+++ b/src/dispatch/types.ts
@@ -32,6 +32,8 @@
 export interface EngineLoad {
   /** Memory that its runs and copies are expected to take. */
   readonly committedTokens: number;
+  /** Memory that they take by now, by what is known of their outputs. */
+  readonly usedTokens: number;
   /** Prompt tokens that are still to be read before a new prompt. */
   readonly backlogTokens: number;
   readonly runningCount: number;
