Let the runs of an engine that leaves move one after the other

Cause: copies of one engine's runs share its link.

Change: runs move in the order of their ids, which all VMs know from the claims, each with its last copy right after its first one (dispatch/moveTurn). dispatch/lastCopyDelay is gone, and its two tests with it: what they said is said of turns (waiting for those ahead, never past the engine's end).

--- a/src/dispatch/constants.ts
+++ b/src/dispatch/constants.ts
@@ -72,3 +72,6 @@
 
 /** Latest time after a notice for a last copy: reclaimed engines are gone 1.5 s after it. */
 export const LAST_COPY_LIMIT_MS = 1_150;
+
+/** Time that a run waits for those that move before it, over the time that their copies take. */
+export const TURN_MARGIN_RATIO = 1.25;
--- a/src/dispatch/index.ts
+++ b/src/dispatch/index.ts
@@ -3,7 +3,7 @@
 export * from "./estimateFirstEvent/index.js";
 export * from "./estimateOutput/index.js";
 export * from "./estimateRoomWait/index.js";
-export * from "./lastCopyDelay/index.js";
+export * from "./moveTurn/index.js";
 export * from "./outputLengths/index.js";
 export * from "./placementQueue/index.js";
 export * from "./reachableEngines/index.js";
--- a/src/relay/_lib/handover/index.ts
+++ b/src/relay/_lib/handover/index.ts
@@ -53,19 +53,19 @@
 }
 
 /**
- * Moves the memory of a run off an engine that leaves: copies it while the run goes on, waits
- * until the copies of the engine's other runs are likely through, then stops the run and copies
- * what is new. All copies of an engine share its link, so that a last one that came sooner would
- * wait for the first ones of others while its caller sees nothing.
+ * Moves the memory of a run off an engine that leaves: waits for its turn among the engine's runs,
+ * copies the memory while the run goes on, then stops the run and copies what is new.
  *
- * @returns null where no engine has room, or the engine was gone before
+ * @returns null where no engine has room, or the run has ended before
  */
 export async function moveMemory(
   context: relayContext.RelayContext,
   request: MoveRequest,
 ): Promise<ContinuationTarget | null> {
+  await waitForTurn(context, request);
   const refusedIds = new Set([request.from.id]);
   while (refusedIds.size <= constants.MAX_MOVE_TARGETS_COUNT) {
+    if (!isStillThere(context, request)) return null;
     const target = chooseTarget(context, request, refusedIds);
     if (target === undefined) return noteFailure(context, request, "no engine has room");
     const handle = await moveTo(context, request, target);
@@ -80,6 +80,29 @@
   return null;
 }
 
+/** Waits until the runs ahead are seen at other engines, or have had the time for it. */
+async function waitForTurn(
+  context: relayContext.RelayContext,
+  { requestId, from, need, noticedAtMs }: MoveRequest,
+): Promise<void> {
+  const { clock, dispatcher } = context;
+  const usedTokens = need.promptTokens + need.producedTokens;
+  const runsAhead = (): readonly dispatch.MovingRun[] =>
+    dispatch.runsAhead(dispatcher.runsToMoveFrom(from.id), requestId);
+  const untilMs = noticedAtMs + dispatch.longestTurnWaitMs(runsAhead(), usedTokens);
+  while (clock.nowMs() < untilMs && runsAhead().length > 0) {
+    await clock.sleep(Math.min(constants.TURN_CHECK_MS, untilMs - clock.nowMs()));
+  }
+}
+
+/** Whether the run is still on the engine that leaves, and has not ended meanwhile. */
+function isStillThere(
+  { dispatcher }: relayContext.RelayContext,
+  { requestId, from }: MoveRequest,
+): boolean {
+  return dispatcher.claimOf(requestId, dispatch.ClaimRole.Run)?.serverId === from.id;
+}
+
 /** Why a move failed, and at which of its copies. */
 interface MoveError {
   readonly failure: types.MoveFailure;
@@ -124,15 +147,11 @@
   request: MoveRequest,
   target: servers.ServerEntry,
 ): Promise<neverthrow.Result<string, MoveError>> {
-  const { control, clock, dispatcher } = context;
+  const { control } = context;
   const { from, requestId } = request;
   const timeoutMs = constants.MOVE_TIMEOUT_MS;
-  const othersTokens = dispatcher.tokensToMoveFrom(from.id);
   const first = await control.moveRun(from, target, requestId, { stopsRun: false, timeoutMs });
   if (first.isErr()) return neverthrow.err(moveError(first.error, "first"));
-  const lastAtMs = request.noticedAtMs + dispatch.lastCopyDelayMs(othersTokens);
-  const waitMs = lastAtMs - clock.nowMs();
-  if (waitMs > 0) await clock.sleep(waitMs);
   const last = await control.moveRun(from, target, requestId, { stopsRun: true, timeoutMs });
   return last.map(({ handle }) => handle).mapErr((failure) => moveError(failure, "last"));
 }
--- a/src/relay/_lib/handover/test.ts
+++ b/src/relay/_lib/handover/test.ts
@@ -47,6 +47,7 @@
   readonly asked: Asked[];
   readonly claims: dispatch.ClaimTable;
   readonly start: () => Promise<handovers.ContinuationTarget | null>;
+  readonly claimRun: (requestId: string, serverId?: string) => void;
 } {
   const clock = new virtualClocks.VirtualClock();
   const directory = new servers.ServerDirectory(clock);
@@ -100,7 +101,17 @@
       need: NEED,
       noticedAtMs: clock.nowMs(),
     });
-  return { clock, asked, claims, start };
+  const claimRun = (requestId: string, serverId = "leaving"): void =>
+    claims.put({
+      ...NEED,
+      requestId,
+      role: dispatch.ClaimRole.Run,
+      vmName: requestId === "r1" ? "vm-1" : `vm of ${requestId}`,
+      serverId,
+      hasFirstEvent: true,
+    });
+  claimRun("r1");
+  return { clock, asked, claims, start, claimRun };
 }
 
 tap.test("memory is copied while the run goes on, and again once it is stopped", async (t) => {
@@ -140,23 +151,44 @@
   t.equal(unknown.asked.length, 1);
 });
 
-tap.test("the last copy waits for the first ones of the engine's other runs", async (t) => {
-  const { clock, asked, claims, start } = setUp(() => null);
-  for (const requestId of ["r1", "r2", "r3", "r4"]) {
-    claims.put({
-      ...NEED,
-      requestId,
-      role: dispatch.ClaimRole.Run,
-      vmName: `vm of ${requestId}`,
-      serverId: "leaving",
-      hasFirstEvent: true,
-    });
-  }
+tap.test("the runs of an engine that leaves move one after the other", async (t) => {
+  const { clock, asked, claims, start, claimRun } = setUp(() => null);
+  for (const requestId of ["q1", "q2", "r1", "r2"]) claimRun(requestId);
+  const target = start();
+  await clock.runForMs(100);
+  t.equal(asked.length, 0, "two runs are ahead");
+  claims.release("q1", dispatch.ClaimRole.Run);
+  await clock.runForMs(100);
+  t.equal(asked.length, 0, "one is");
+  claimRun("q2", "e3");
+  await clock.runForMs(20);
+  t.same(
+    asked.map(({ stopsRun }) => stopsRun),
+    [false, true],
+    "nothing stands between the copies",
+  );
+  t.ok(await target);
+});
+
+tap.test("a run does not wait for long for one ahead that does not move", async (t) => {
+  const { clock, asked, start, claimRun } = setUp(() => null);
+  for (const requestId of ["q1", "q2", "q3", "q4", "q5", "q6"]) claimRun(requestId);
   const target = start();
   await clock.runForMs(2_000);
-  await target;
-  const lastAtMs = asked.at(-1)?.atMs ?? 0;
-  t.ok(lastAtMs > 600 && lastAtMs < 1_200, `the last copy was asked for after ${lastAtMs} ms`);
+  t.ok(await target);
+  const lastAtMs = asked.at(-1)?.atMs ?? Infinity;
+  t.ok(lastAtMs < 1_200, `the last copy was asked for after ${lastAtMs} ms`);
+});
+
+tap.test("a run that ends while it waits for its turn is not moved", async (t) => {
+  const { clock, asked, claims, start, claimRun } = setUp(() => null);
+  claimRun("q1");
+  const target = start();
+  await clock.runForMs(50);
+  claims.release("r1", dispatch.ClaimRole.Run);
+  await clock.runForMs(2_000);
+  t.equal(await target, null);
+  t.equal(asked.length, 0);
 });
 
 tap.test("no claim is left behind", async (t) => {
@@ -164,5 +196,9 @@
   const target = start();
   await clock.runForMs(2_000);
   t.equal(await target, null);
-  t.equal(claims.ofVm("vm-1").length, 0);
+  t.same(
+    claims.ofVm("vm-1").map(({ role }) => role),
+    [dispatch.ClaimRole.Run],
+    "but that of the run itself",
+  );
 });
--- a/src/relay/constants.ts
+++ b/src/relay/constants.ts
@@ -42,6 +42,9 @@
 export const REPEATABLE_FAILURE_WEIGHT = 2;
 export const ONCE_ONLY_FAILURE_WEIGHT = 6;
 
+/** Interval at which a run that waits for its turn to move looks for those ahead: a twentieth of a copy. */
+export const TURN_CHECK_MS = 10;
+
 /** A run that ends sooner than this stays where it is: reclaimed engines are gone 1.5 s after notice. */
 export const STAY_LIMIT_MS = 500;
 
--- a/src/relay/engineDispatcher/index.ts
+++ b/src/relay/engineDispatcher/index.ts
@@ -116,15 +116,16 @@
     return this.context.claims.loadOf(serverId);
   }
 
-  /** Memory of an engine's runs that have no copy elsewhere, in tokens. */
-  tokensToMoveFrom(serverId: string): number {
-    const claims = this.context.claims.ofServer(serverId);
-    return claims.reduce((sum, claim) => {
-      const isBackedUp =
-        this.context.claims.find(claim.requestId, dispatch.ClaimRole.Backup) !== undefined;
-      const moves = claim.role === dispatch.ClaimRole.Run && !isBackedUp;
-      return moves ? sum + claim.promptTokens + claim.producedTokens : sum;
-    }, 0);
+  /** Runs of an engine that have begun and have no copy elsewhere. */
+  runsToMoveFrom(serverId: string): readonly dispatch.MovingRun[] {
+    const { claims } = this.context;
+    return claims
+      .ofServer(serverId)
+      .filter(({ role, hasFirstEvent }) => role === dispatch.ClaimRole.Run && hasFirstEvent)
+      .filter(({ requestId }) => claims.find(requestId, dispatch.ClaimRole.Backup) === undefined)
+      .map(({ requestId, promptTokens, producedTokens }) => {
+        return { requestId, usedTokens: promptTokens + producedTokens };
+      });
   }
 
   /** A claim that is held, of this VM or another. */
