Pass records on in several datagrams where one does not hold them

Also: what a bundle of work holds is read as word of work only, so that no VM can be made to pass on bundles within bundles.

Test: peerMesh "more records than a datagram holds come in several" failed before (nothing came).

--- a/src/dispatch/types.ts
+++ b/src/dispatch/types.ts
@@ -102,7 +102,7 @@
 }
 
 /** Tells the other VMs of claims and of what waits. */
-export interface ClaimBroadcast {
+export interface WorkBroadcast {
   put(claim: Claim): void;
   release(requestId: string, role: ClaimRole): void;
   putWaiting(waiting: FleetWaiting): void;
--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -192,7 +192,7 @@
       },
       reachesStore: () => this.readers.every((reader) => reader.reachesStore),
       onBehind: (topic, peer, endOffset) => void client.catchUp(topic, peer, endOffset),
-      onClaims: () => this.dispatcher.pump(),
+      onWorkChange: () => this.dispatcher.pump(),
     });
   }
 
--- a/src/relay/engineDispatcher/types.ts
+++ b/src/relay/engineDispatcher/types.ts
@@ -51,6 +51,6 @@
   readonly claims: dispatch.ClaimTable;
   /** What waits at the other VMs. */
   readonly board: dispatch.WaitingBoard;
-  readonly broadcast: dispatch.ClaimBroadcast;
+  readonly broadcast: dispatch.WorkBroadcast;
   readonly engineTraits: (serviceName: string) => routing.EngineTraits | null;
 }
--- a/src/sharedView/_lib/testMesh/index.ts
+++ b/src/sharedView/_lib/testMesh/index.ts
@@ -82,7 +82,7 @@
       log: diagnostics.SILENT_DECISION_LOG,
       reachesStore: () => this.reachesStore,
       onBehind: (topic, peer) => this.behind.push(`${topic} at ${peer.vmName}`),
-      onClaims: () => undefined,
+      onWorkChange: () => undefined,
     });
   }
 
--- a/src/sharedView/_lib/workExchange/index.ts
+++ b/src/sharedView/_lib/workExchange/index.ts
@@ -18,11 +18,11 @@
   /** What waits at this VM. */
   readonly ownWaiting: () => readonly dispatch.FleetWaiting[];
   /** Called after claims of other VMs have changed, or what waits there. */
-  readonly onClaims: () => void;
+  readonly onWorkChange: () => void;
 }
 
 /** Tells the peers of this VM's claims and of what waits here, and takes in theirs. */
-export class WorkExchange implements dispatch.ClaimBroadcast {
+export class WorkExchange implements dispatch.WorkBroadcast {
   constructor(
     private readonly context: WorkContext,
     private readonly broadcast: (message: Buffer) => void,
@@ -58,7 +58,7 @@
     for (const [requestId, role] of released) {
       claims.release(requestId, claimCodec.decodeRole(role));
     }
-    this.context.onClaims();
+    this.context.onWorkChange();
   }
 
   /** Generations wait at a peer, or wait no more. */
@@ -66,7 +66,7 @@
     const { board } = this.context;
     for (const encoded of put) board.put(waitingCodec.decodeWaiting(vmName, encoded));
     for (const requestId of removedIds) board.remove(requestId);
-    if (removedIds.length > 0) this.context.onClaims();
+    if (removedIds.length > 0) this.context.onWorkChange();
   }
 
   /** A VM is gone, and its work with it. */
--- a/src/sharedView/peerMesh/index.ts
+++ b/src/sharedView/peerMesh/index.ts
@@ -4,6 +4,7 @@
 import * as ageClocks from "../_lib/ageClock/index.js";
 import * as datagrams from "../_lib/datagrams/index.js";
 import * as peerTables from "../_lib/peerTable/index.js";
+import * as recordParts from "../_lib/recordParts/index.js";
 import * as workExchanges from "../_lib/workExchange/index.js";
 import * as workRelays from "../_lib/workRelay/index.js";
 import * as constants from "../constants.js";
@@ -82,16 +83,10 @@
   /** Passes on records that this VM has read; what is too large is fetched by those who lack it. */
   shareRecords(topic: types.Topic, fromOffset: number, batch: types.RecordBatch): void {
     if (batch.records.length === 0) return;
-    const message = datagrams.encodeDatagram({
-      kind: DatagramKind.Records,
-      vmName: this.context.self.vmName,
-      topic: types.TOPICS.indexOf(topic),
-      fromOffset,
-      endOffset: batch.endOffset,
-      records: batch.records.map(({ key, offset, value }) => [key, offset, value]),
-    });
-    if (message.length <= constants.MAX_DATAGRAM_BYTES) this.broadcast(message);
-    else this.sendHeartbeats();
+    const { vmName } = this.context.self;
+    const messages = recordParts.encodeRecordParts(vmName, topic, fromOffset, batch);
+    if (messages === null) this.sendHeartbeats();
+    else for (const message of messages) this.broadcast(message);
   }
 
   /** Tells all peers that this VM leaves. */
@@ -174,6 +169,14 @@
     RECEIVERS[message.kind](this, message as never);
   }
 
+  /** What a bundle holds is about work; anything else in it is not passed on by any VM. */
+  private receiveWork(bytes: Uint8Array): void {
+    const message = datagrams.decodeDatagram(bytes);
+    if (message === null || message.vmName === this.context.self.vmName) return;
+    if (message.kind === DatagramKind.Claims) this.onClaims(message);
+    if (message.kind === DatagramKind.Waiting) this.onWaiting(message);
+  }
+
   /** A peer lives, and says how fresh its view is. */
   onHeartbeat(message: datagrams.Heartbeat): void {
     const { peer, isNew, isRestarted } = this.table.note(message);
@@ -220,7 +223,7 @@
   onBundle({ scope, messages }: datagrams.Bundle): void {
     const buffers = messages.map((bytes) => Buffer.from(bytes));
     this.relay.takeBundle(scope, buffers);
-    for (const bytes of buffers) this.receive(bytes);
+    for (const bytes of buffers) this.receiveWork(bytes);
   }
 
   /** A peer leaves. */
--- a/src/sharedView/peerMesh/test.ts
+++ b/src/sharedView/peerMesh/test.ts
@@ -86,6 +86,20 @@
   t.equal(other.configuration.endOffset, 6);
 });
 
+tap.test("more records than a datagram holds come in several", async (t) => {
+  const { clock, vms } = await setUp(["a", "b"]);
+  const [reader, other] = vms as [testMeshes.Vm, testMeshes.Vm];
+  other.confirm(5);
+  const records = Array.from({ length: 23 }, (_, index) => {
+    return { key: `k${index}`, offset: 5 + index, value: Buffer.alloc(200, index) };
+  });
+  reader.mesh.shareRecords(Topic.Configuration, 5, { records, endOffset: 28 });
+  await clock.runForMs(10);
+  t.equal(other.configuration.endOffset, 28);
+  t.equal(other.configuration.snapshot().records.length, 23);
+  t.same(other.behind, [], "nothing has to be fetched");
+});
+
 tap.test("claims are known everywhere at once and end with their VM", async (t) => {
   const { clock, network, vms } = await setUp(["a", "b", "c"]);
   const claim: dispatch.Claim = {
