Hold the room of a moved run until it has gone on there

Cause: found by reading: the claim of a move ended with its last copy, 20 to 40 ms before the run's own claim stood at the new engine; in between another VM could send a prompt into room that the engine had given away already.

Change: the claim is given back once the run has gone on, or cannot. The pace of a stream has a module of its own (relay/_lib/streamPace).

Test: relay/_lib/handover "memory is copied while the run goes on ..." asks for the claim; it failed before.

--- a/src/relay/_lib/generationRun/index.ts
+++ b/src/relay/_lib/generationRun/index.ts
@@ -11,6 +11,7 @@
 import * as openAttempts from "../openAttempt/index.js";
 import * as runClaims from "../runClaims/index.js";
 import * as runLogs from "../runLog/index.js";
+import * as streamPaces from "../streamPace/index.js";
 import * as startRuns from "../startRun/index.js";
 
 /** Events after which the claims of a run are brought up to date. */
@@ -38,11 +39,10 @@
   private forwarding: Promise<engineStreams.StreamEnd> | null = null;
   private handover: Promise<engineStreams.EngineStream | null> | null = null;
   private isFinished = false;
-  private readonly pace = { firstEventAtMs: 0, maxGapMs: 0, carriedCount: 0 };
+  private readonly pace = new streamPaces.StreamPace();
   /** The server on which it was decided whether the run stays, so that it is decided once. */
   private decidedServerId: string | null = null;
   private lastEventId = 0;
-  private lastEventAtMs = 0;
   private isDrained = true;
 
   constructor(
@@ -110,7 +110,7 @@
     if (started === null) return;
     this.scope = scope;
     this.sink.beginStream(started.head.forwardedHeaders);
-    this.lastEventAtMs = this.context.clock.nowMs();
+    this.pace.begin(this.context.clock.nowMs());
     let stream: engineStreams.EngineStream | null = started.stream;
     while (stream !== null) {
       this.stream = stream;
@@ -130,17 +130,9 @@
   }
 
   private noteEvent(isFirst: boolean): void {
-    const { clock, meters } = this.context;
-    const nowMs = clock.nowMs();
-    if (isFirst) {
-      this.pace.firstEventAtMs = nowMs;
-      this.claims.noteFirstEvent();
-    } else {
-      const gapMs = nowMs - this.lastEventAtMs;
-      this.pace.maxGapMs = Math.max(this.pace.maxGapMs, gapMs);
-      meters.eventGap.observe(gapMs / 1_000);
-    }
-    this.lastEventAtMs = nowMs;
+    const gapMs = this.pace.noteEvent(this.context.clock.nowMs());
+    if (isFirst) this.claims.noteFirstEvent();
+    if (gapMs !== null) this.context.meters.eventGap.observe(gapMs / 1_000);
     this.checkLeaving();
     if (this.lastEventId % PROGRESS_EVENTS_COUNT === 0) {
       this.claims.noteProgress(this.lastEventId);
@@ -227,7 +219,10 @@
     const closing = this.context.clock.schedule(constants.STOPPED_STREAM_MS, () => stream.close());
     const end = await this.forwarding;
     closing[Symbol.dispose]();
-    return end === engineStreams.StreamEnd.Whole ? null : this.openContinuation(target, () => true);
+    const isWhole = end === engineStreams.StreamEnd.Whole;
+    const next = isWhole ? null : await this.openContinuation(target, () => true);
+    this.claims.releaseMove();
+    return next;
   }
 
   private backupTarget(): handovers.ContinuationTarget | null {
@@ -269,7 +264,7 @@
       onConnected,
       signal: scope.signal,
     });
-    const gapMs = context.clock.nowMs() - this.lastEventAtMs;
+    const gapMs = this.pace.gapMs(context.clock.nowMs());
     this.runLog.carriedOn(this.position, target, outcome, gapMs);
     if (outcome.kind !== engineStreams.OpenKind.Open) return null;
     this.pace.carriedCount += 1;
--- a/src/relay/_lib/handover/index.ts
+++ b/src/relay/_lib/handover/index.ts
@@ -59,7 +59,8 @@
  * Moves the memory of a run off an engine that leaves: waits for its turn among the engine's runs,
  * copies the memory while the run goes on, then stops the run and copies what is new.
  *
- * @returns null where no engine has room, or the run has ended before
+ * @returns null where no engine has room, or the run has ended before; else the claim of the move
+ *   stands until the run has gone on, so that its room goes to no other
  */
 export async function moveMemory(
   context: relayContext.RelayContext,
@@ -72,11 +73,11 @@
     const target = await claimTarget(context, request, refusedIds);
     if (target === null) return noteFailure(context, request, "no engine has room");
     const handle = await copyTwice(context, request, target);
-    context.dispatcher.releaseClaim(request.requestId, dispatch.ClaimRole.Move);
     if (handle.isOk()) {
       const memory = { memoryAddress: servers.addressOf(request.from), memoryHandle: handle.value };
       return { way: HandoverWay.Move, server: target, memory };
     }
+    context.dispatcher.releaseClaim(request.requestId, dispatch.ClaimRole.Move);
     noteFailure(context, request, handle.error.cause);
     if (handle.error.failure !== types.MoveFailure.NoRoom) return null;
     refusedIds.add(target.id);
--- a/src/relay/_lib/handover/test.ts
+++ b/src/relay/_lib/handover/test.ts
@@ -125,10 +125,15 @@
 }
 
 tap.test("memory is copied while the run goes on, and again once it is stopped", async (t) => {
-  const { clock, asked, start } = setUp(() => null);
+  const { clock, asked, claims, start } = setUp(() => null);
   const target = start();
   await clock.runForMs(2_000);
   const moved = await target;
+  t.equal(
+    claims.find("r1", dispatch.ClaimRole.Move)?.serverId,
+    moved?.server.id,
+    "its room is held",
+  );
   t.same(
     asked.map(({ stopsRun }) => stopsRun),
     [false, true],
--- a/src/relay/_lib/runClaims/index.ts
+++ b/src/relay/_lib/runClaims/index.ts
@@ -105,8 +105,14 @@
     this.context.dispatcher.releaseClaim(this.call.head.id, ClaimRole.Backup);
   }
 
+  /** The run has gone on where its memory was moved, or not at all. */
+  releaseMove(): void {
+    this.context.dispatcher.releaseClaim(this.call.head.id, ClaimRole.Move);
+  }
+
   releaseAll(): void {
     this.releaseBackup();
+    this.releaseMove();
     this.context.dispatcher.releaseClaim(this.call.head.id, ClaimRole.Run);
   }
 
--- a/src/relay/_lib/runLog/index.ts
+++ b/src/relay/_lib/runLog/index.ts
@@ -1,5 +1,6 @@
 import * as diagnostics from "../../../diagnostics/index.js";
 import type * as relayContext from "../../relayContext.js";
+import type * as streamPaces from "../streamPace/index.js";
 import type * as types from "../../types.js";
 import type * as engineStreams from "../engineStream/index.js";
 import type * as handovers from "../handover/index.js";
@@ -12,15 +13,6 @@
   readonly lastEventId: number;
 }
 
-/** How smoothly a run went. */
-export interface RunPace {
-  readonly firstEventAtMs: number;
-  /** Longest pause between two events. */
-  readonly maxGapMs: number;
-  /** Times that the run went on elsewhere. */
-  readonly carriedCount: number;
-}
-
 /** Writes the lines of one generation's run. */
 export class RunLog {
   constructor(
@@ -53,13 +45,16 @@
     });
   }
 
-  served(at: RunPosition, pace: RunPace): void {
+  served(at: RunPosition, pace: streamPaces.StreamPace): void {
     this.context.log.record(Importance.Routine, LogEvent.RequestServed, {
       requestId: this.call.head.id,
       route: this.call.route.name,
       ...at,
       carriedCount: pace.carriedCount,
-      firstEventMs: Math.round(pace.firstEventAtMs - this.call.arrivedAtMs),
+      firstEventMs:
+        pace.firstEventAtMs === null
+          ? null
+          : Math.round(pace.firstEventAtMs - this.call.arrivedAtMs),
       maxGapMs: Math.round(pace.maxGapMs),
       elapsedMs: this.elapsedMs(),
     });
