Test the backoff of a peer on the virtual clock

The test counted on calling again within 50 ms of the wall clock; the failed connection took longer to be told of on a busy machine. The backoff itself is right.

Change: the VMs of that test have a virtual clock; the checks are the same.

--- a/src/peers/tcpPeerNetwork/faults/test.ts
+++ b/src/peers/tcpPeerNetwork/faults/test.ts
@@ -6,6 +6,7 @@
 import * as silencingProxy from "../../../../standins/peers/silencingProxy/index.js";
 import * as tcpFleet from "../../../../standins/peers/tcpFleet/index.js";
 import * as stepError from "../../../_lib/stepError/index.js";
+import * as virtualClocks from "../../../_lib/virtualClock/index.js";
 import * as messageCodec from "../../_lib/messageCodec/index.js";
 import * as constants from "../../constants.js";
 
@@ -21,7 +22,8 @@
 }
 
 tap.test("a VM that cannot be reached: not run, and reached again after the backoff", async (t) => {
-  await using fleet = new tcpFleet.TcpFleet();
+  const clock = new virtualClocks.VirtualClock();
+  await using fleet = new tcpFleet.TcpFleet(clock);
   const a = await fleet.start("a");
   const lost: string[] = [];
   a.onDisconnect((vmName) => lost.push(vmName));
@@ -32,7 +34,7 @@
   t.notOk(a.notify("b", "echo", 2), "refused while the backoff lasts");
   const b = await fleet.start("b");
   b.register("echo", (params) => params);
-  await timers.setTimeout(constants.DEFAULT_PEER_OPTIONS.minBackoffMs + 10);
+  await clock.runForMs(constants.DEFAULT_PEER_OPTIONS.minBackoffMs + 10);
   t.equal((await a.call("b", "echo", 3, CALL))._unsafeUnwrap(), 3);
 });
 
--- a/standins/peers/tcpFleet/index.ts
+++ b/standins/peers/tcpFleet/index.ts
@@ -9,6 +9,8 @@
   readonly endpoints = new Map<string, peers.PeerEndpoint>();
   private readonly networks: peers.TcpPeerNetwork[] = [];
 
+  constructor(private readonly clock: clocks.Clock = new clocks.SystemClock()) {}
+
   /** Starts a VM and enters it in the directory that all of them share. */
   async start(
     vmName: string,
@@ -26,7 +28,7 @@
     const network = new peers.TcpPeerNetwork(
       options,
       directory,
-      new clocks.SystemClock(),
+      this.clock,
       randoms.createRandom(6),
       logging.SILENT_LOGGER,
       new counters.CounterModel(),
