--- a/src/relay/_lib/handover/test.ts
+++ b/src/relay/_lib/handover/test.ts
@@ -9,6 +9,7 @@
 import * as engineDispatchers from "../../engineDispatcher/index.js";
 import type * as relayContext from "../../relayContext.js";
 import * as types from "../../types.js";
+import * as fixtures from "../fixtures/index.js";
 import * as handovers from "./index.js";
 
 type Move = (to: string, stopsRun: boolean) => types.MoveFailure | null;
@@ -19,21 +20,6 @@
   readonly atMs: number;
 }
 
-function serverEntry(id: string, port: number): servers.ServerEntry {
-  return {
-    id,
-    serviceName: "s",
-    host: "10.0.0.1",
-    port,
-    dataCentre: "dc-a",
-    slotsCount: 24,
-    state: servers.ServerState.Ready,
-    coldRemainingMs: 0,
-    bornAtWallMs: 1,
-    sequence: 1,
-  };
-}
-
 const NEED: dispatch.GenerationNeed = {
   promptTokens: 3_000,
   unreadTokens: 0,
@@ -57,8 +43,9 @@
   const claims = new dispatch.ClaimTable(clock);
   const random = randoms.createRandom(1);
   const asked: Asked[] = [];
-  const from = serverEntry("leaving", 1);
-  for (const entry of [from, serverEntry("e2", 2), serverEntry("e3", 3)]) directory.apply(entry);
+  const from = fixtures.serverEntry("leaving", 1);
+  for (const entry of [from, fixtures.serverEntry("e2", 2), fixtures.serverEntry("e3", 3)])
+    directory.apply(entry);
   const identity = { vmName: "vm-1", dataCentre: "dc-a" };
   const dispatcher = new engineDispatchers.EngineDispatcher({
     ...identity,
@@ -104,7 +91,7 @@
   const start = (): Promise<handovers.ContinuationTarget | null> =>
     handovers.moveMemory(context, {
       requestId: "r1",
-      serviceName: "s",
+      serviceName: fixtures.SERVICE_NAME,
       from,
       need: NEED,
       noticedAtMs: clock.nowMs(),
--- a/src/relay/engineDispatcher/test.ts
+++ b/src/relay/engineDispatcher/test.ts
@@ -4,12 +4,12 @@
 import * as virtualClocks from "../../_lib/virtualClock/index.js";
 import * as dispatch from "../../dispatch/index.js";
 import * as servers from "../../servers/index.js";
+import * as fixtures from "../_lib/fixtures/index.js";
 import * as engineDispatchers from "./index.js";
 
 /** One way between VMs; the data centres are a short hop apart. */
 const DATAGRAM_MS = 2;
 
-const SERVICE = "s";
 const MEMORY_TOKENS = 21_790;
 
 const NEED: dispatch.GenerationNeed = {
@@ -20,21 +20,6 @@
   dataCentre: "dc-a",
 };
 
-function serverEntry(id: string, port: number): servers.ServerEntry {
-  return {
-    id,
-    serviceName: SERVICE,
-    host: "10.0.0.1",
-    port,
-    dataCentre: "dc-a",
-    slotsCount: 24,
-    state: servers.ServerState.Ready,
-    coldRemainingMs: 0,
-    bornAtWallMs: 1,
-    sequence: 1,
-  };
-}
-
 /** A VM's dispatcher with its own view of servers, claims and the queue. */
 class Vm {
   readonly directory: servers.ServerDirectory;
@@ -81,7 +66,7 @@
   async place(requestId: string): Promise<void> {
     const placed = await this.dispatcher.place({
       requestId,
-      serviceName: SERVICE,
+      serviceName: fixtures.SERVICE_NAME,
       need: NEED,
       role: dispatch.ClaimRole.Run,
       priority: 1,
@@ -137,7 +122,7 @@
 
 /** Fills the one engine that there is, and lets a generation wait at each VM. */
 async function crowd(fleet: Fleet): Promise<void> {
-  fleet.announce(serverEntry("full", 1));
+  fleet.announce(fixtures.serverEntry("full", 1));
   for (let index = 0; index < FITTING_COUNT; index += 1) {
     void fleet.vms[0]!.place(`running-${index}`);
   }
@@ -152,7 +137,7 @@
   using fleet = new Fleet(12);
   await crowd(fleet);
   t.equal(fleet.placedOn("full"), FITTING_COUNT);
-  fleet.announce(serverEntry("started", 2));
+  fleet.announce(fixtures.serverEntry("started", 2));
   await fleet.clock.runForMs(30);
   t.equal(fleet.placedOn("started"), FITTING_COUNT);
   t.same(
@@ -166,7 +151,7 @@
   using fleet = new Fleet(12);
   await crowd(fleet);
   fleet.vms[0]!.isStill = true;
-  fleet.announce(serverEntry("started", 2));
+  fleet.announce(fixtures.serverEntry("started", 2));
   await fleet.clock.runForMs(30);
   t.equal(fleet.placedOn("started"), FITTING_COUNT - 1);
   await fleet.clock.runForMs(300);
