Log the store's epoch, ignored listings and ignored configuration versions

The hypotheses on the configuration that was not in force in time could not be told apart by logs: a listing that a replica drops, a version that is read and not taken, and a store that came back from a copy left no line, and no metric gave the offset at which a replica stands.

The store's answers now carry the epoch that it states into each batch; the reader logs its change, the reader and the replica client log a listing that is ignored, the view logs a version below the one in force, and each topic's end offset is a gauge. No decision has changed; tests of sharedView, gateway, platform and logReading pass.

--- a/src/gateway/currentView/index.ts
+++ b/src/gateway/currentView/index.ts
@@ -79,7 +79,10 @@
     }
     const configuration = decoded.value;
     const currentVersion = this.table?.configuration.version ?? -Infinity;
-    if (configuration.version <= currentVersion) return;
+    if (configuration.version <= currentVersion) {
+      this.recordIgnoredConfiguration(record, configuration.version, currentVersion, source);
+      return;
+    }
     this.table = routing.createRoutingTable(configuration);
     this.ports.log.record(Importance.StateChange, LogEvent.ConfigurationTaken, {
       version: configuration.version,
@@ -92,6 +95,21 @@
     this.onConfiguration(configuration);
   }
 
+  private recordIgnoredConfiguration(
+    { offset }: sharedView.ViewRecord,
+    version: number,
+    currentVersion: number,
+    source: sharedView.ViewSource,
+  ): void {
+    if (version === currentVersion) return;
+    this.ports.log.record(Importance.Notable, LogEvent.ConfigurationIgnored, {
+      version,
+      currentVersion,
+      source,
+      offset,
+    });
+  }
+
   private applyServers(
     records: readonly sharedView.ViewRecord[],
     origin: sharedView.RecordOrigin,
--- a/src/gateway/currentView/test.ts
+++ b/src/gateway/currentView/test.ts
@@ -63,10 +63,10 @@
   const { clock, view } = setUp();
   const replica = view.replicaOf(Topic.Configuration);
   const now = readClocks(clock);
-  const listing = { records: [record("config", 3, "7")], endOffset: 4 };
+  const listing = { records: [record("config", 3, "7")], endOffset: 4, epoch: 0 };
   replica.applyListing(listing, now, ViewSource.Store);
   t.equal(view.routingTable?.configuration.version, 7);
-  const older = { records: [record("config", 4, "6")], endOffset: 5 };
+  const older = { records: [record("config", 4, "6")], endOffset: 5, epoch: 0 };
   replica.applyRecords(4, older, now, ViewSource.Peer);
   t.equal(view.routingTable?.configuration.version, 7);
 });
@@ -76,10 +76,10 @@
   async (t) => {
     const { clock, directory, view } = setUp();
     const replica = view.replicaOf(Topic.Servers);
-    const listing = { records: [record("e1", 0, "x")], endOffset: 1 };
+    const listing = { records: [record("e1", 0, "x")], endOffset: 1, epoch: 0 };
     replica.applyListing(listing, readClocks(clock), ViewSource.Store);
     await clock.runForMs(5_500);
-    const lapsed = { records: [record("e1", 1, null)], endOffset: 2 };
+    const lapsed = { records: [record("e1", 1, null)], endOffset: 2, epoch: 0 };
     replica.applyRecords(1, lapsed, readClocks(clock), ViewSource.Peer);
     t.equal(directory.listAvailable("s").length, 1, "the server may be healthy");
     await clock.runForMs(2_100);
@@ -91,12 +91,12 @@
 tap.test("an entry removed while the view is current is dropped at once", async (t) => {
   const { clock, directory, view } = setUp();
   const replica = view.replicaOf(Topic.Servers);
-  const listing = { records: [record("e1", 0, "x")], endOffset: 1 };
+  const listing = { records: [record("e1", 0, "x")], endOffset: 1, epoch: 0 };
   replica.applyListing(listing, readClocks(clock), ViewSource.Store);
   await clock.runForMs(5_500);
   replica.confirm(1, readClocks(clock));
   await clock.runForMs(600);
-  const removed = { records: [record("e1", 1, null)], endOffset: 2 };
+  const removed = { records: [record("e1", 1, null)], endOffset: 2, epoch: 0 };
   replica.applyRecords(1, removed, readClocks(clock), ViewSource.Peer);
   t.equal(directory.listAvailable("s").length, 0);
 });
--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -287,6 +287,11 @@
     meters.gauge("configuration_age_seconds", "Age of the configuration in force.", () => {
       return this.view.configurationAgeMs / 1_000;
     });
+    for (const [topic, replica] of this.view.replicas) {
+      meters.gauge(`${topic}_end_offset`, "Offset after the last known record.", () => {
+        return replica.endOffset;
+      });
+    }
     meters.gauge("servers_age_seconds", "Age of what is known of backend servers.", () => {
       return this.view.replicaOf(Topic.Servers).ageMs / 1_000;
     });
--- a/src/sharedView/_lib/encodeRecordParts/index.ts
+++ b/src/sharedView/_lib/encodeRecordParts/index.ts
@@ -33,7 +33,8 @@
     from: number,
     records: readonly types.ViewRecord[],
     endOffset: number,
-  ): readonly Buffer[] | null => encodeRecordParts(vmName, topic, from, { records, endOffset });
+  ): readonly Buffer[] | null =>
+    encodeRecordParts(vmName, topic, from, { ...batch, records, endOffset });
   const leftParts = encodeHalf(fromOffset, left, middleOffset);
   const rightParts = encodeHalf(middleOffset, right, batch.endOffset);
   return leftParts === null || rightParts === null ? null : [...leftParts, ...rightParts];
--- a/src/sharedView/_lib/testMesh/index.ts
+++ b/src/sharedView/_lib/testMesh/index.ts
@@ -101,6 +101,6 @@
   /** Applies an empty listing from the store, which confirms the configuration's end offset. */
   confirm(endOffset: number): void {
     const now = clockReadings.readClocks(this.clock);
-    this.configuration.applyListing({ records: [], endOffset }, now, ViewSource.Store);
+    this.configuration.applyListing({ records: [], endOffset, epoch: 0 }, now, ViewSource.Store);
   }
 }
--- a/src/sharedView/peerMesh/index.ts
+++ b/src/sharedView/peerMesh/index.ts
@@ -209,6 +209,7 @@
     const replica = topic && this.context.replicas.get(topic);
     if (replica === undefined) return;
     const batch = {
+      epoch: 0,
       endOffset: message.endOffset,
       records: message.records.map(([key, offset, value]): types.ViewRecord => {
         return { key, offset, value: value === null ? null : Buffer.from(value) };
--- a/src/sharedView/peerMesh/test.ts
+++ b/src/sharedView/peerMesh/test.ts
@@ -84,7 +84,11 @@
   const [reader, other] = vms as [testMeshes.Vm, testMeshes.Vm];
   other.confirm(5);
   const record = { key: "k", offset: 5, value: Buffer.from("v") };
-  reader.mesh.broadcastRecords(Topic.Configuration, 5, { records: [record], endOffset: 6 });
+  reader.mesh.broadcastRecords(Topic.Configuration, 5, {
+    records: [record],
+    endOffset: 6,
+    epoch: 0,
+  });
   await clock.runForMs(10);
   t.equal(other.configuration.endOffset, 6);
 });
@@ -96,7 +100,7 @@
   const records = Array.from({ length: 23 }, (_, index) => {
     return { key: `k${index}`, offset: 5 + index, value: Buffer.alloc(200, index) };
   });
-  reader.mesh.broadcastRecords(Topic.Configuration, 5, { records, endOffset: 28 });
+  reader.mesh.broadcastRecords(Topic.Configuration, 5, { records, endOffset: 28, epoch: 0 });
   await clock.runForMs(10);
   t.equal(other.configuration.endOffset, 28);
   t.equal(other.configuration.snapshot().records.length, 23);
--- a/src/sharedView/replicaClient/index.ts
+++ b/src/sharedView/replicaClient/index.ts
@@ -69,7 +69,15 @@
     if (fetched.isErr()) return;
     const { batch, ageMs } = fetched.value;
     const confirmedAt = clockReadings.subtractDuration(sentAt, ageMs);
-    replica.applyListing(batch, confirmedAt, topicReplicas.ViewSource.Peer);
+    const source = topicReplicas.ViewSource.Peer;
+    if (replica.applyListing(batch, confirmedAt, source)) return;
+    this.context.log.record(Importance.Notable, LogEvent.ListingIgnored, {
+      topic,
+      source,
+      peer: peer.vmName,
+      endOffset: batch.endOffset,
+      knownEndOffset: replica.endOffset,
+    });
   }
 }
 
@@ -109,5 +117,5 @@
     return { key, offset, value: Buffer.from(value) };
   });
   const { endOffset } = parsed.data;
-  return neverthrow.ok({ batch: { records, endOffset }, ageMs });
+  return neverthrow.ok({ batch: { records, endOffset, epoch: 0 }, ageMs });
 }
--- a/src/sharedView/replicaClient/test.ts
+++ b/src/sharedView/replicaClient/test.ts
@@ -43,7 +43,7 @@
   const clock = new virtualClocks.VirtualClock();
   const listener = { onRecords: () => undefined, onListing: () => undefined };
   const replica = new sharedView.TopicReplica(clock, listener);
-  const batch = { records: [{ key: "config", offset: 14, value }], endOffset: 15 };
+  const batch = { records: [{ key: "config", offset: 14, value }], endOffset: 15, epoch: 0 };
   replica.applyListing(batch, clockReadings.readClocks(clock), sharedView.ViewSource.Store);
   await clock.runForMs(ageMs);
   const server = hapi.server({ host: "127.0.0.1", port: 0 });
--- a/src/sharedView/topicReader/index.ts
+++ b/src/sharedView/topicReader/index.ts
@@ -58,6 +58,8 @@
 export class TopicReader implements Disposable {
   private readonly stopping = new AbortController();
   private failuresCount = 0;
+  /** Epoch of the store's last answer; null before the first one. */
+  private lastEpoch: number | null = null;
 
   constructor(
     private readonly context: ReaderContext,
@@ -126,7 +128,9 @@
     if (result.isErr()) return this.recordFailure(result.error);
     this.recordSuccess();
     const source = topicReplicas.ViewSource.Store;
-    this.context.replica.applyListing(result.value, sentAt, source);
+    this.recordEpoch(result.value);
+    const isApplied = this.context.replica.applyListing(result.value, sentAt, source);
+    if (!isApplied) this.recordIgnoredListing(result.value);
     this.context.onRead(0, result.value);
     return true;
   }
@@ -139,6 +143,7 @@
     if (result.isErr()) return this.recordFailure(result.error);
     this.recordSuccess();
     const batch = result.value;
+    this.recordEpoch(batch);
     const confirmedAt =
       batch.records.length > 0 ? sentAt : this.computeEmptyAnswerConfirmationTime(sentAt);
     const source = topicReplicas.ViewSource.Store;
@@ -159,6 +164,30 @@
     return clockReadings.subtractDuration(sentAt, -waitedMs);
   }
 
+  /** Logs that the store was restored from a copy since its last answer to this reader. */
+  private recordEpoch({ epoch, endOffset }: types.RecordBatch): void {
+    const formerEpoch = this.lastEpoch;
+    this.lastEpoch = epoch;
+    if (formerEpoch === null || formerEpoch === epoch) return;
+    this.context.log.record(Importance.StateChange, LogEvent.StoreRestored, {
+      topic: this.options.topic,
+      epoch,
+      formerEpoch,
+      endOffset,
+      knownEndOffset: this.context.replica.endOffset,
+    });
+  }
+
+  private recordIgnoredListing({ epoch, endOffset }: types.RecordBatch): void {
+    this.context.log.record(Importance.Notable, LogEvent.ListingIgnored, {
+      topic: this.options.topic,
+      source: topicReplicas.ViewSource.Store,
+      epoch,
+      endOffset,
+      knownEndOffset: this.context.replica.endOffset,
+    });
+  }
+
   private recordSuccess(): void {
     this.context.meters.storeCalls.inc({ call: this.options.topic, outcome: "answered" });
     if (this.failuresCount === 0) return;
--- a/src/sharedView/topicReader/test.ts
+++ b/src/sharedView/topicReader/test.ts
@@ -20,7 +20,7 @@
     if (this.failure === StoreFailure.Refused) {
       return Promise.resolve(neverthrow.err(StoreFailure.Refused));
     }
-    return Promise.resolve(neverthrow.ok({ records: [], endOffset: 4 }));
+    return Promise.resolve(neverthrow.ok({ records: [], endOffset: 4, epoch: 0 }));
   }
 
   async readFrom(
@@ -31,7 +31,7 @@
     this.reads.push({ offset, atMs: this.clock.nowMs() });
     if (this.failure !== null) return neverthrow.err(this.failure);
     await this.clock.sleep(waitMs);
-    return neverthrow.ok({ records: [], endOffset: offset });
+    return neverthrow.ok({ records: [], endOffset: offset, epoch: 0 });
   }
 }
 
--- a/src/sharedView/topicReplica/index.ts
+++ b/src/sharedView/topicReplica/index.ts
@@ -112,7 +112,7 @@
 
   /** All known records, to be sent to a peer. */
   snapshot(): types.RecordBatch {
-    return { records: [...this.records.values()], endOffset: this.knownEndOffset };
+    return { records: [...this.records.values()], endOffset: this.knownEndOffset, epoch: 0 };
   }
 }
 
--- a/src/sharedView/topicReplica/test.ts
+++ b/src/sharedView/topicReplica/test.ts
@@ -46,10 +46,14 @@
 tap.test("contiguous records are applied, records after a gap are not", async (t) => {
   const { clock, listener, replica } = setUp();
   const now = clockReadings.readClocks(clock);
-  replica.applyListing({ records: [record("a", 3)], endOffset: 5 }, now, ViewSource.Store);
-  const next = { records: [record("b", 5)], endOffset: 6 };
+  replica.applyListing(
+    { records: [record("a", 3)], endOffset: 5, epoch: 0 },
+    now,
+    ViewSource.Store,
+  );
+  const next = { records: [record("b", 5)], endOffset: 6, epoch: 0 };
   t.ok(replica.applyRecords(5, next, now, ViewSource.Peer));
-  const gapped = { records: [record("c", 8)], endOffset: 9 };
+  const gapped = { records: [record("c", 8)], endOffset: 9, epoch: 0 };
   t.notOk(replica.applyRecords(8, gapped, now, ViewSource.Peer));
   t.same(
     [...listener.values],
@@ -65,15 +69,19 @@
   const { clock, replica } = setUp();
   t.notOk(replica.isKnown);
   t.equal(replica.ageMs, Infinity);
-  const batch = { records: [record("a", 0)], endOffset: 1 };
+  const batch = { records: [record("a", 0)], endOffset: 1, epoch: 0 };
   t.notOk(replica.applyRecords(0, batch, clockReadings.readClocks(clock), ViewSource.Peer));
 });
 
 tap.test("a listing that ends before the known records changes nothing", async (t) => {
   const { clock, listener, replica } = setUp();
   const now = clockReadings.readClocks(clock);
-  replica.applyListing({ records: [record("a", 7)], endOffset: 8 }, now, ViewSource.Store);
-  t.notOk(replica.applyListing({ records: [], endOffset: 7 }, now, ViewSource.Peer));
+  replica.applyListing(
+    { records: [record("a", 7)], endOffset: 8, epoch: 0 },
+    now,
+    ViewSource.Store,
+  );
+  t.notOk(replica.applyListing({ records: [], endOffset: 7, epoch: 0 }, now, ViewSource.Peer));
   t.equal(listener.values.get("a"), 7);
 });
 
@@ -82,7 +90,7 @@
   async (t) => {
     const { clock, replica } = setUp();
     const start = clockReadings.readClocks(clock);
-    replica.applyListing({ records: [], endOffset: 0 }, start, ViewSource.Store);
+    replica.applyListing({ records: [], endOffset: 0, epoch: 0 }, start, ViewSource.Store);
     await clock.runForMs(500);
     t.equal(replica.ageMs, 500);
     replica.confirm(0, clockReadings.readClocks(clock));
@@ -94,7 +102,7 @@
 tap.test("a confirmation of an end offset beyond the known records is ignored", async (t) => {
   const { clock, replica } = setUp();
   replica.applyListing(
-    { records: [], endOffset: 4 },
+    { records: [], endOffset: 4, epoch: 0 },
     clockReadings.readClocks(clock),
     ViewSource.Store,
   );
@@ -107,7 +115,7 @@
   const { clock, replica } = setUp();
   const now = clockReadings.readClocks(clock);
   const suspended = { steadyMs: now.steadyMs, wallMs: now.wallMs - 4_000 };
-  replica.applyListing({ records: [], endOffset: 0 }, suspended, ViewSource.Store);
+  replica.applyListing({ records: [], endOffset: 0, epoch: 0 }, suspended, ViewSource.Store);
   t.equal(replica.ageMs, 4_000);
 });
 
@@ -130,7 +138,7 @@
             replica.applyListing(listingUpTo(endOffset), now, ViewSource.Peer);
           } else {
             const records = recordsBetween(from, endOffset);
-            replica.applyRecords(from, { records, endOffset }, now, ViewSource.Peer);
+            replica.applyRecords(from, { records, endOffset, epoch: 0 }, now, ViewSource.Peer);
           }
           if (replica.endOffset < lastEnd) return false;
           lastEnd = replica.endOffset;
@@ -154,7 +162,7 @@
   const newest = new Map(
     recordsBetween(0, endOffset).map((item): [string, sharedView.ViewRecord] => [item.key, item]),
   );
-  return { records: [...newest.values()], endOffset };
+  return { records: [...newest.values()], endOffset, epoch: 0 };
 }
 
 /** Whether the listener's latest record of each key is the newest before the known end offset. */
--- a/src/sharedView/types.ts
+++ b/src/sharedView/types.ts
@@ -20,6 +20,8 @@
 export interface RecordBatch {
   readonly records: readonly ViewRecord[];
   readonly endOffset: number;
+  /** How often the store has been restored from a copy; offsets of two epochs are unrelated. */
+  readonly epoch: number;
 }
 
 /** Why a call to the store failed. */
