--- a/standins/platform/logStore/index.ts
+++ b/standins/platform/logStore/index.ts
@@ -1,6 +1,8 @@
 import * as http from "node:http";
 import type * as net from "node:net";
 
+import * as names from "../../../platform/names/index.js";
+
 /** How the store answers requests. */
 export enum StoreMode {
   /** Every request is executed and answered. */
@@ -23,10 +25,21 @@
   records: LogRecord[];
   /** Offset of the next record. */
   end: number;
-  readonly newest: Map<string, LogRecord>;
+  newest: Map<string, LogRecord>;
   readonly waiters: Set<() => void>;
 }
 
+/** The store's contents at one moment, to which it can be restored. */
+export type StoreCopy = ReadonlyMap<string, TopicContents>;
+
+type TopicContents = Omit<TopicLog, "waiters">;
+
+/** A record that a restore has removed from the store. */
+export interface LostRecord {
+  readonly topic: string;
+  readonly content: Uint8Array;
+}
+
 const OK = 200;
 const GONE = 410;
 const UNAVAILABLE = 503;
@@ -38,6 +51,8 @@
     void this.handle(request, response);
   });
   private mode = StoreMode.Serves;
+  /** How often the store has been restored. */
+  private era = 0;
 
   /** Number of received requests by path; tests check it against bounds. */
   readonly callCounts = new Map<string, number>();
@@ -75,6 +90,36 @@
     this.topicOf(topic).records = [];
   }
 
+  /** Copies the contents of all topics. */
+  copy(): StoreCopy {
+    return new Map([...this.topics].map(([name, topic]) => [name, copyContents(topic)]));
+  }
+
+  /**
+   * Replaces the contents by a copy, so that offsets are given out again. Reads that wait for a
+   * record keep waiting, at offsets that may no longer exist.
+   *
+   * @returns the records appended since the copy was made, which are no longer in the store
+   */
+  restore(copy: StoreCopy): readonly LostRecord[] {
+    const lost = [...this.topics].flatMap(([topic, { records }]) => {
+      const end = copy.get(topic)?.end ?? 0;
+      return records
+        .filter(({ offset }) => offset >= end)
+        .map(({ content }) => ({ topic, content }));
+    });
+    for (const [name, topic] of this.topics) {
+      Object.assign(topic, copyContents(copy.get(name) ?? EMPTY_CONTENTS));
+    }
+    this.era += 1;
+    return lost;
+  }
+
+  /** Appends lost records again, as their writers do. */
+  rewrite(lost: readonly LostRecord[]): void {
+    for (const { topic, content } of lost) this.append(topic, content);
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     const closed = new Promise<void>((resolve) => this.server.close(() => resolve()));
     this.server.closeAllConnections();
@@ -90,6 +135,7 @@
     const chunks: Buffer[] = [];
     for await (const chunk of request) chunks.push(chunk as Buffer);
     if (this.mode === StoreMode.Silent) return;
+    response.setHeader(names.HEADERS.storeEra, String(this.era));
     if (this.mode === StoreMode.Refuses) {
       response.writeHead(UNAVAILABLE).end();
       return;
@@ -107,25 +153,29 @@
       sendJson(response, { offset, end_offset: offset + 1 });
   }
 
-  /** Answers a read once there is a record from its offset on or `wait_ms` has passed; 410 if the offset was dropped. */
+  /**
+   * Answers a read once there is a record from its offset on or `wait_ms` has passed; 410 if the
+   * store does not have the offset.
+   */
   answerRead(query: URLSearchParams, response: http.ServerResponse): void {
     const topic = this.topicOf(query.get("topic") ?? "");
     const from = Number(query.get("from"));
-    const firstOffset = topic.records[0]?.offset ?? topic.end;
-    if (from < firstOffset) {
-      response.writeHead(GONE, { "content-type": "application/json" });
-      response.end(JSON.stringify({ first_offset: firstOffset }));
+    if (!isReadable(topic, from)) {
+      sendGone(response, topic);
       return;
     }
     const waitMs = Number(query.get("wait_ms") ?? 0);
     if (from < topic.end || waitMs === 0) {
-      sendRecords(response, topic, from, firstOffset);
+      sendRecords(response, topic, from);
       return;
     }
     const finish = (): void => {
       clearTimeout(timer);
       topic.waiters.delete(finish);
-      if (!response.destroyed) sendRecords(response, topic, from, firstOffset);
+      if (response.destroyed) return;
+      response.setHeader(names.HEADERS.storeEra, String(this.era));
+      if (isReadable(topic, from)) sendRecords(response, topic, from);
+      else sendGone(response, topic);
     };
     const timer = setTimeout(finish, waitMs);
     topic.waiters.add(finish);
@@ -184,15 +234,30 @@
   response.writeHead(OK, { "content-type": "application/json" }).end(JSON.stringify(value));
 }
 
-function sendRecords(
-  response: http.ServerResponse,
-  topic: TopicLog,
-  from: number,
-  firstOffset: number,
-): void {
+function firstOffsetOf(topic: TopicLog): number {
+  return topic.records[0]?.offset ?? topic.end;
+}
+
+/** Whether records can be read from an offset, which may be the end. */
+function isReadable(topic: TopicLog, from: number): boolean {
+  return from >= firstOffsetOf(topic) && from <= topic.end;
+}
+
+function sendGone(response: http.ServerResponse, topic: TopicLog): void {
+  response.writeHead(GONE, { "content-type": "application/json" });
+  response.end(JSON.stringify({ first_offset: firstOffsetOf(topic) }));
+}
+
+const EMPTY_CONTENTS: TopicContents = { records: [], end: 0, newest: new Map() };
+
+function copyContents({ records, end, newest }: TopicContents): TopicContents {
+  return { records: [...records], end, newest: new Map(newest) };
+}
+
+function sendRecords(response: http.ServerResponse, topic: TopicLog, from: number): void {
   const head = Buffer.alloc(16);
   head.writeBigUInt64BE(BigInt(topic.end), 0);
-  head.writeBigUInt64BE(BigInt(firstOffset), 8);
+  head.writeBigUInt64BE(BigInt(firstOffsetOf(topic)), 8);
   const parts: Uint8Array[] = [head];
   for (const { offset, content } of topic.records) {
     if (offset < from) continue;
