Compare positions of the store's log by epoch, so that a restored store is followed

What callers saw: after the store came back from a copy some seconds old, a change of the configuration that the store had confirmed was not in force, for good or until the log had grown past its former end.

Cause: a position in the store's log was an offset alone, and every comparison took a higher offset for a later state. A restore gives offsets out again. The listing of the restored topic ended before the replica's known end and was ignored; records at reused offsets were skipped as known; a read beyond the regrown end was taken as a continuation of another history; a peer that held the lost records counted as ahead of all others. Class: a position kept across a change of the history that it belongs to.

Change: a position is the store's epoch and an offset, compared in this order everywhere: listings, records, confirmations, heartbeats, fetched replicas, the cache of encoded replicas. Records of another epoch are never appended to a replica; the reader lists the topic anew, and the peers are told at once. The version in force is retained as a record of its own, ordered by its version and told to peers, so that one that the store has lost stays in force on VMs started later. The missing entries of servers have the grace time of an outage.

--- a/src/gateway/currentView/index.ts
+++ b/src/gateway/currentView/index.ts
@@ -84,6 +84,7 @@
       return;
     }
     this.table = routing.createRoutingTable(configuration);
+    this.replicaOf(sharedView.Topic.Configuration).retain(record, configuration.version);
     this.ports.log.record(Importance.StateChange, LogEvent.ConfigurationTaken, {
       version: configuration.version,
       source,
@@ -145,9 +146,9 @@
     this.directory.retainListed(new Set(records.map(({ key }) => key)));
   }
 
-  /** Reports an outage to the directory, as entries of healthy servers may have lapsed meanwhile. */
-  private reportOutageIfStale({ viewAgeMs }: sharedView.RecordOrigin): void {
-    if (viewAgeMs > constants.STALE_VIEW_AGE_MS) this.directory.recordStoreRecovery();
+  /** Reports an outage to the directory, as entries of healthy servers may be missing for a while. */
+  private reportOutageIfStale({ viewAgeMs, isRestored }: sharedView.RecordOrigin): void {
+    if (isRestored || viewAgeMs > constants.STALE_VIEW_AGE_MS) this.directory.recordStoreRecovery();
   }
 
   /** Decodes a server's entry; returns null for an unreadable one, which does not affect others. */
--- a/src/gateway/currentView/test.ts
+++ b/src/gateway/currentView/test.ts
@@ -94,7 +94,7 @@
   const listing = { records: [record("e1", 0, "x")], endOffset: 1, epoch: 0 };
   replica.applyListing(listing, readClocks(clock), ViewSource.Store);
   await clock.runForMs(5_500);
-  replica.confirm(1, readClocks(clock));
+  replica.confirm({ epoch: 0, endOffset: 1 }, readClocks(clock));
   await clock.runForMs(600);
   const removed = { records: [record("e1", 1, null)], endOffset: 2, epoch: 0 };
   replica.applyRecords(1, removed, readClocks(clock), ViewSource.Peer);
--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -194,7 +194,7 @@
         startedAtWallMs: clock.wallTimeMs(),
       },
       reachesStore: () => this.readers.every((reader) => reader.reachesStore),
-      onReplicaBehind: (topic, peer, endOffset) => void client.catchUp(topic, peer, endOffset),
+      onReplicaBehind: (topic, peer, state) => void client.catchUp(topic, peer, state),
       onWorkChange: () => this.dispatcher.requestScan(),
     });
   }
--- a/src/sharedView/_lib/datagrams/index.ts
+++ b/src/sharedView/_lib/datagrams/index.ts
@@ -48,6 +48,10 @@
   isAnchor: zod.boolean(),
   /** End offset and age in milliseconds of each topic, in the order of TOPICS. */
   topics: zod.array(topicState).max(8),
+  /** Epoch of each topic, in the same order; absent in messages of earlier releases. */
+  topicEpochs: zod.array(count).max(8).default([]),
+  /** Revision of each topic's retained record, in the same order; absent as above. */
+  topicRevisions: zod.array(zod.number()).max(8).default([]),
 });
 
 const record = zod.tuple([name, count, bytes.nullable()]);
@@ -57,6 +61,8 @@
   vmName: name,
   /** Index in TOPICS. */
   topic: count,
+  /** Absent in messages of earlier releases. */
+  epoch: count.default(0),
   fromOffset: count,
   endOffset: count,
   records: zod.array(record),
--- a/src/sharedView/_lib/datagrams/test.ts
+++ b/src/sharedView/_lib/datagrams/test.ts
@@ -20,6 +20,7 @@
     kind: datagrams.DatagramKind.Records,
     vmName: "vm-1",
     topic: 1,
+    epoch: 0,
     fromOffset: 4,
     endOffset: 6,
     records: [
--- a/src/sharedView/_lib/encodeRecordParts/index.ts
+++ b/src/sharedView/_lib/encodeRecordParts/index.ts
@@ -19,6 +19,7 @@
       kind: datagrams.DatagramKind.Records,
       vmName,
       topic: types.TOPICS.indexOf(topic),
+      epoch: batch.epoch,
       fromOffset: from,
       endOffset: end,
       records: records.map(({ key, offset, value }) => [key, offset, value]),
--- a/src/sharedView/peerMesh/index.ts
+++ b/src/sharedView/peerMesh/index.ts
@@ -5,6 +5,7 @@
 import * as datagrams from "../_lib/datagrams/index.js";
 import * as peerTables from "../_lib/peerTable/index.js";
 import * as encodeRecordParts from "../_lib/encodeRecordParts/index.js";
+import * as topicStateCodec from "../_lib/topicStateCodec/index.js";
 import * as workExchanges from "../_lib/workExchange/index.js";
 import * as workAggregators from "../_lib/workAggregator/index.js";
 import * as constants from "../constants.js";
@@ -23,8 +24,12 @@
   readonly log: diagnostics.DecisionLog;
   /** Whether the store answered this VM's last calls. */
   readonly reachesStore: () => boolean;
-  /** Called when a peer reports a higher end offset of a topic than this VM's replica has. */
-  readonly onReplicaBehind: (topic: types.Topic, peer: types.Peer, peerEndOffset: number) => void;
+  /** Called when a peer reports a replica that is ahead of this VM's. */
+  readonly onReplicaBehind: (
+    topic: types.Topic,
+    peer: types.Peer,
+    peerState: types.ReplicaState,
+  ) => void;
 }
 
 /**
@@ -39,6 +44,8 @@
   private readonly subscription: Disposable;
   private timer: Disposable;
   private heartbeatRoundsCount = 0;
+  /** Epoch of the last batch sent to the peers, for each topic. */
+  private readonly sentEpochs = new Map<types.Topic, number>();
   /** Whether this VM is a hub, as of its last heartbeat round. */
   private isHub = false;
 
@@ -84,9 +91,16 @@
 
   /**
    * Sends the live peers records that this VM has read from the store. If a record does not fit a
-   * datagram, heartbeats report the new end offset instead, and the peers fetch the topic.
+   * datagram or continues what the peers hold, as after a restore of the store, heartbeats report
+   * the new state instead, and the peers fetch the topic.
    */
   broadcastRecords(topic: types.Topic, fromOffset: number, batch: types.RecordBatch): void {
+    const isSameEpoch = (this.sentEpochs.get(topic) ?? batch.epoch) === batch.epoch;
+    this.sentEpochs.set(topic, batch.epoch);
+    if (!isSameEpoch) {
+      this.sendHeartbeatsToAll();
+      return;
+    }
     if (batch.records.length === 0) return;
     const { vmName } = this.context.self;
     const messages = encodeRecordParts.encodeRecordParts(vmName, topic, fromOffset, batch);
@@ -142,7 +156,7 @@
   }
 
   private sendHeartbeat(address: types.VmAddress): void {
-    const { self, clock, replicas, reachesStore } = this.context;
+    const { self, clock, reachesStore } = this.context;
     const message: datagrams.Heartbeat = {
       kind: DatagramKind.Heartbeat,
       vmName: self.vmName,
@@ -155,10 +169,7 @@
       echo: this.table.lastClockReadingOf(address.vmName),
       reachesStore: reachesStore(),
       isAnchor: this.isHub,
-      topics: types.TOPICS.map((topic) => {
-        const replica = replicas.get(topic);
-        return [replica?.endOffset ?? -1, Math.min(replica?.ageMs ?? Infinity, 1e9)];
-      }),
+      ...topicStateCodec.encodeTopicStates((topic) => this.replicaOf(topic)),
     };
     this.context.socket.send(datagrams.encodeDatagram(message), address.host, address.port);
   }
@@ -198,18 +209,16 @@
       });
       this.sendHeartbeat(peer);
     }
-    message.topics.forEach(([endOffset, ageMs], index) => {
-      this.applyTopicState(index, endOffset, ageMs, message.echo, peer);
-    });
+    for (const reported of topicStateCodec.decodeTopicStates(message))
+      this.applyReportedReplica(reported, message.echo, peer);
   }
 
   /** Handles records that a peer has read from the store. */
   onRecords(message: datagrams.Records): void {
     const topic = types.TOPICS[message.topic];
-    const replica = topic && this.context.replicas.get(topic);
-    if (replica === undefined) return;
+    if (topic === undefined) return;
     const batch = {
-      epoch: 0,
+      epoch: message.epoch,
       endOffset: message.endOffset,
       records: message.records.map(([key, offset, value]): types.ViewRecord => {
         return { key, offset, value: value === null ? null : Buffer.from(value) };
@@ -218,7 +227,12 @@
     // A peer's records do not renew the view's age; its heartbeats do, as their echo bounds the
     // transfer time.
     const source = topicReplicas.ViewSource.Peer;
-    replica.applyRecords(message.fromOffset, batch, clockReadings.DISTANT_PAST, source);
+    this.replicaOf(topic).applyRecords(
+      message.fromOffset,
+      batch,
+      clockReadings.DISTANT_PAST,
+      source,
+    );
   }
 
   /** Handles a VM's update of its claims; ignored unless its current process sent it. */
@@ -251,23 +265,25 @@
   }
 
   /** Renews the age of a replica by a peer's heartbeat, or reports that the replica lags. */
-  private applyTopicState(
-    index: number,
-    endOffset: number,
-    ageMs: number,
+  private applyReportedReplica(
+    { topic, state, ageMs }: topicStateCodec.ReportedReplica,
     echo: clockReadings.ClockReading | null,
     peer: types.Peer,
   ): void {
-    const topic = types.TOPICS[index];
-    const replica = topic && this.context.replicas.get(topic);
-    if (topic === undefined || replica === undefined || endOffset < 0) return;
-    if (endOffset > replica.endOffset) {
-      this.context.onReplicaBehind(topic, peer, endOffset);
+    const replica = this.replicaOf(topic);
+    if (replica.isBehind(state)) {
+      this.context.onReplicaBehind(topic, peer, state);
       return;
     }
     // The peer sent this after receiving the heartbeat that this VM sent at the echoed time, so
     // its view was confirmed no earlier than its age before that time.
-    if (echo !== null) replica.confirm(endOffset, clockReadings.subtractDuration(echo, ageMs));
+    if (echo !== null) replica.confirm(state, clockReadings.subtractDuration(echo, ageMs));
+  }
+
+  private replicaOf(topic: types.Topic): topicReplicas.TopicReplica {
+    const replica = this.context.replicas.get(topic);
+    if (replica === undefined) throw new Error(`no replica of ${topic}`);
+    return replica;
   }
 }
 
--- a/src/sharedView/replicaClient/index.ts
+++ b/src/sharedView/replicaClient/index.ts
@@ -17,9 +17,14 @@
 
 const bytes = zod.custom<Uint8Array>((value) => value instanceof Uint8Array);
 
+const replicaRecord = zod.tuple([zod.string(), zod.number().int().nonnegative(), bytes]);
+
 const replicaMessage = zod.object({
   endOffset: zod.number().int().nonnegative(),
-  records: zod.array(zod.tuple([zod.string(), zod.number().int().nonnegative(), bytes])),
+  records: zod.array(replicaRecord),
+  // Absent in replicas of earlier releases.
+  epoch: zod.number().int().nonnegative().default(0),
+  retained: replicaRecord.nullish(),
 });
 
 /** Dependencies of the replica client. */
@@ -39,15 +44,19 @@
    * Fetches a topic from a peer, unless its records arrive by datagram within a short delay. While
    * a fetch of the topic is in progress, further calls do nothing.
    *
-   * @param peerEndOffset - the topic's end offset that the peer reported
+   * @param peerState - the state of its replica that the peer reported
    */
-  async catchUp(topic: types.Topic, peer: types.VmAddress, peerEndOffset: number): Promise<void> {
+  async catchUp(
+    topic: types.Topic,
+    peer: types.VmAddress,
+    peerState: types.ReplicaState,
+  ): Promise<void> {
     const replica = this.context.replicas.get(topic);
     if (replica === undefined || this.fetching.has(topic)) return;
     this.fetching.add(topic);
     try {
       await this.context.clock.sleep(replica.isKnown ? constants.CATCH_UP_DELAY_MS : 0);
-      if (replica.endOffset < peerEndOffset) await this.fetch(topic, peer, replica);
+      if (replica.isBehind(peerState)) await this.fetch(topic, peer, replica);
     } finally {
       this.fetching.delete(topic);
     }
@@ -63,6 +72,7 @@
     this.context.log.record(Importance.Routine, LogEvent.ReplicaFetched, {
       topic,
       peer: peer.vmName,
+      epoch: fetched.isOk() ? fetched.value.batch.epoch : null,
       endOffset: fetched.isOk() ? fetched.value.batch.endOffset : null,
       cause: fetched.isErr() ? fetched.error : null,
     });
@@ -70,12 +80,15 @@
     const { batch, ageMs } = fetched.value;
     const confirmedAt = clockReadings.subtractDuration(sentAt, ageMs);
     const source = topicReplicas.ViewSource.Peer;
+    if (batch.retained !== null) replica.applyRetained(batch.retained);
     if (replica.applyListing(batch, confirmedAt, source)) return;
+    const { epoch, endOffset } = batch;
     this.context.log.record(Importance.Notable, LogEvent.ListingIgnored, {
       topic,
       source,
       peer: peer.vmName,
-      endOffset: batch.endOffset,
+      epoch,
+      endOffset,
       knownEndOffset: replica.endOffset,
     });
   }
@@ -83,7 +96,7 @@
 
 /** A peer's replica of a topic, and its age. */
 export interface FetchedReplica {
-  readonly batch: types.RecordBatch;
+  readonly batch: types.ReplicaSnapshot;
   readonly ageMs: number;
 }
 
@@ -113,9 +126,16 @@
   const parsed = replicaMessage.safeParse(msgpackr.unpack(unpacked));
   if (!parsed.success || !(ageMs >= 0))
     return neverthrow.err(`invalid replica: ${payload.length} bytes, age ${ageMs} ms`);
-  const records = parsed.data.records.map(([key, offset, value]): types.ViewRecord => {
-    return { key, offset, value: Buffer.from(value) };
-  });
-  const { endOffset } = parsed.data;
-  return neverthrow.ok({ batch: { records, endOffset, epoch: 0 }, ageMs });
+  const { epoch, endOffset, retained } = parsed.data;
+  const batch = {
+    epoch,
+    endOffset,
+    records: parsed.data.records.map(toViewRecord),
+    retained: retained ? toViewRecord(retained) : null,
+  };
+  return neverthrow.ok({ batch, ageMs });
+}
+
+function toViewRecord([key, offset, value]: zod.infer<typeof replicaRecord>): types.ViewRecord {
+  return { key, offset, value: Buffer.from(value) };
 }
--- a/src/sharedView/replicaServer/index.ts
+++ b/src/sharedView/replicaServer/index.ts
@@ -1,3 +1,4 @@
+import * as util from "node:util";
 import * as zlib from "node:zlib";
 
 import type * as hapi from "@hapi/hapi";
@@ -18,7 +19,7 @@
 const COMPRESSION_LEVEL = 2;
 
 interface EncodedReplica {
-  readonly endOffset: number;
+  readonly state: types.ReplicaState;
   readonly body: Buffer;
 }
 
@@ -46,7 +47,7 @@
 }
 
 /**
- * Encodes and compresses a replica, and caches the result until its end offset changes. After a
+ * Encodes and compresses a replica, and caches the result until the replica's state changes. After a
  * change of a large configuration all VMs may fetch it from one VM, whose link limits the transfer;
  * hence the compression.
  */
@@ -55,14 +56,21 @@
   topic: types.Topic,
   replica: topicReplicas.TopicReplica,
 ): Buffer {
-  const { records, endOffset } = replica.snapshot();
+  const { state } = replica;
   const cached = cache.get(topic);
-  if (cached?.endOffset === endOffset) return cached.body;
+  if (cached !== undefined && util.isDeepStrictEqual(cached.state, state)) return cached.body;
+  const { epoch, endOffset, records, retained } = replica.snapshot();
   const packed = msgpackr.pack({
+    epoch,
     endOffset,
-    records: records.map(({ key, offset, value }) => [key, offset, value]),
+    records: records.map(toTuple),
+    retained: retained === null ? null : toTuple(retained),
   });
   const body = zlib.gzipSync(packed, { level: COMPRESSION_LEVEL });
-  cache.set(topic, { endOffset, body });
+  cache.set(topic, { state, body });
   return body;
 }
+
+function toTuple({ key, offset, value }: types.ViewRecord): readonly unknown[] {
+  return [key, offset, value];
+}
--- a/src/sharedView/topicReader/index.ts
+++ b/src/sharedView/topicReader/index.ts
@@ -60,6 +60,8 @@
   private failuresCount = 0;
   /** Epoch of the store's last answer; null before the first one. */
   private lastEpoch: number | null = null;
+  /** Whether the last records read do not continue the replica, so that the topic has to be listed. */
+  private isListingDue = false;
 
   constructor(
     private readonly context: ReaderContext,
@@ -91,7 +93,7 @@
   /** Time until the replica's age reaches its limit; not positive if a poll is due. */
   private computeTimeToNextReadMs(): number {
     const { replica } = this.context;
-    if (!replica.isKnown) return 0;
+    if (!replica.isKnown || this.isListingDue) return 0;
     return this.options.pollAgeMs + this.computeRankDelayMs() - replica.ageMs;
   }
 
@@ -107,12 +109,18 @@
     return this.options.waitMs + constants.PEER_REPORT_LAG_MS + rankMs;
   }
 
-  /** Reads the next records, or the whole topic if none is known or the next are trimmed. */
+  /**
+   * Reads the next records, or the whole topic if none is known or the next are not available.
+   *
+   * @returns whether the store answered with something that the replica could use
+   */
   private async readOnce(): Promise<boolean> {
     const { replica, store, clock } = this.context;
     const sentAt = clockReadings.readClocks(clock);
     const { topic, waitMs } = this.options;
-    if (!replica.isKnown) return this.applyListingResult(await store.readNewest(topic), sentAt);
+    if (!replica.isKnown || this.isListingDue) {
+      return this.applyListingResult(await store.readNewest(topic), sentAt);
+    }
     const fromOffset = replica.endOffset;
     const result = await store.readFrom(topic, fromOffset, waitMs);
     if (result.isErr() && result.error === types.StoreFailure.Trimmed) {
@@ -130,9 +138,10 @@
     const source = topicReplicas.ViewSource.Store;
     this.recordEpoch(result.value);
     const isApplied = this.context.replica.applyListing(result.value, sentAt, source);
+    this.isListingDue = false;
     if (!isApplied) this.recordIgnoredListing(result.value);
     this.context.onRead(0, result.value);
-    return true;
+    return isApplied;
   }
 
   private applyRecordsResult(
@@ -147,8 +156,9 @@
     const confirmedAt =
       batch.records.length > 0 ? sentAt : this.computeEmptyAnswerConfirmationTime(sentAt);
     const source = topicReplicas.ViewSource.Store;
-    this.context.replica.applyRecords(fromOffset, batch, confirmedAt, source);
-    this.context.onRead(fromOffset, batch);
+    const isApplied = this.context.replica.applyRecords(fromOffset, batch, confirmedAt, source);
+    this.isListingDue = !isApplied;
+    if (isApplied) this.context.onRead(fromOffset, batch);
     return true;
   }
 
--- a/src/sharedView/topicReplica/index.ts
+++ b/src/sharedView/topicReplica/index.ts
@@ -1,5 +1,6 @@
 import type * as clocks from "../../_lib/clock/index.js";
 import * as clockReadings from "../_lib/clockReading/index.js";
+import * as comparePositions from "../_lib/comparePositions/index.js";
 import type * as types from "../types.js";
 
 /** Where records of a replica came from. */
@@ -21,15 +22,27 @@
   readonly source: ViewSource;
   /** Age of the view before the records were applied; Infinity if nothing was known. */
   readonly viewAgeMs: number;
+  /** Whether the store has been restored since the records known before. */
+  readonly isRestored: boolean;
+}
+
+/** The position of a replica that knows nothing. */
+const UNKNOWN_POSITION: types.LogPosition = { epoch: 0, endOffset: -1 };
+
+interface RetainedRecord {
+  readonly record: types.ViewRecord;
+  readonly revision: number;
 }
 
 /**
  * This VM's local copy of a topic, read from the store or received from peers, with the time at
- * which the store last confirmed it. A record is never replaced by an older one.
+ * which the store last confirmed it. Within an epoch a record is never replaced by an older one; a
+ * listing of a later epoch replaces all records.
  */
 export class TopicReplica {
   private records = new Map<string, types.ViewRecord>();
-  private knownEndOffset = -1;
+  private position = UNKNOWN_POSITION;
+  private retained: RetainedRecord | null = null;
   private confirmedAt = clockReadings.DISTANT_PAST;
 
   constructor(
@@ -39,12 +52,17 @@
 
   /** The offset after the last known record; -1 before anything is known. */
   get endOffset(): number {
-    return this.knownEndOffset;
+    return this.position.endOffset;
+  }
+
+  /** Position and revision, which peers compare with their own. */
+  get state(): types.ReplicaState {
+    return { ...this.position, revision: this.retained?.revision ?? 0 };
   }
 
   /** Whether a listing of the topic has been applied. */
   get isKnown(): boolean {
-    return this.knownEndOffset >= 0;
+    return this.position.endOffset >= 0;
   }
 
   /** Time since the store confirmed the replica, in milliseconds; Infinity if it never did. */
@@ -52,6 +70,12 @@
     return clockReadings.ageMs(this.confirmedAt, this.clock);
   }
 
+  /** Whether another replica is ahead of this one. */
+  isBehind(other: types.ReplicaState): boolean {
+    const { state } = this;
+    return comparePositions.comparePositions(other, state) > 0 || other.revision > state.revision;
+  }
+
   /**
    * Applies a whole topic.
    *
@@ -62,16 +86,17 @@
     confirmedAt: clockReadings.ClockReading,
     source: ViewSource,
   ): boolean {
-    if (batch.endOffset < this.knownEndOffset) return false;
-    const origin = { source, viewAgeMs: this.ageMs };
+    if (comparePositions.comparePositions(batch, this.position) < 0) return false;
+    const isRestored = this.isKnown && batch.epoch > this.position.epoch;
+    const origin = { source, viewAgeMs: this.ageMs, isRestored };
+    const known = isRestored ? new Map<string, types.ViewRecord>() : this.records;
     const merged = new Map<string, types.ViewRecord>();
     for (const record of batch.records) {
-      if (record.value !== null)
-        merged.set(record.key, selectNewer(this.records.get(record.key), record));
+      if (record.value !== null) merged.set(record.key, selectNewer(known.get(record.key), record));
     }
     this.records = merged;
-    this.knownEndOffset = batch.endOffset;
-    this.confirm(batch.endOffset, confirmedAt);
+    this.position = { epoch: batch.epoch, endOffset: batch.endOffset };
+    this.confirm(batch, confirmedAt);
     this.listener.onListing([...merged.values()], origin);
     return true;
   }
@@ -79,7 +104,8 @@
   /**
    * Applies the records from an offset on.
    *
-   * @returns false if records before that offset are missing here, in which case nothing changes
+   * @returns false if records before that offset are missing here or belong to another epoch, in
+   *   which case nothing changes
    */
   applyRecords(
     fromOffset: number,
@@ -87,32 +113,56 @@
     confirmedAt: clockReadings.ClockReading,
     source: ViewSource,
   ): boolean {
-    if (!this.isKnown || fromOffset > this.knownEndOffset) return false;
-    const origin = { source, viewAgeMs: this.ageMs };
-    const fresh = batch.records.filter(({ offset }) => offset >= this.knownEndOffset);
+    const { epoch, endOffset } = this.position;
+    if (!this.isKnown || batch.epoch !== epoch || fromOffset > endOffset) return false;
+    const origin = { source, viewAgeMs: this.ageMs, isRestored: false };
+    const fresh = batch.records.filter(({ offset }) => offset >= endOffset);
     for (const record of fresh) {
       if (record.value === null) this.records.delete(record.key);
       else this.records.set(record.key, record);
     }
-    this.knownEndOffset = Math.max(this.knownEndOffset, batch.endOffset);
-    this.confirm(batch.endOffset, confirmedAt);
+    this.position = { epoch, endOffset: Math.max(endOffset, batch.endOffset) };
+    this.confirm(batch, confirmedAt);
     if (fresh.length > 0) this.listener.onRecords(fresh, origin);
     return true;
   }
 
   /**
-   * Renews the replica's age: the topic ended at an offset when the given clocks were read, as
-   * reported by the store or a peer. Ignored if the replica lacks records before that offset, or
-   * if a later confirmation is known.
+   * Keeps a record for the peers, also if the store loses it, until one of a higher revision is
+   * retained.
+   *
+   * @param revision - positive; orders the record's versions whatever their epochs and offsets are
+   */
+  retain(record: types.ViewRecord, revision: number): void {
+    if (revision > (this.retained?.revision ?? 0)) this.retained = { record, revision };
+  }
+
+  /** Passes on a record that a peer has retained; the listener decides whether it is newer. */
+  applyRetained(record: types.ViewRecord): void {
+    const origin = { source: ViewSource.Peer, viewAgeMs: this.ageMs, isRestored: false };
+    this.listener.onRecords([record], origin);
+  }
+
+  /**
+   * Renews the replica's age: the topic ended at a position when the given clocks were read, as
+   * reported by the store or a peer. Ignored if the position is of another epoch or beyond the
+   * known records, or if a later confirmation is known.
    */
-  confirm(endOffset: number, confirmedAt: clockReadings.ClockReading): void {
-    if (endOffset > this.knownEndOffset || !this.isKnown) return;
+  confirm(position: types.LogPosition, confirmedAt: clockReadings.ClockReading): void {
+    const { epoch, endOffset } = this.position;
+    if (!this.isKnown || position.epoch !== epoch || position.endOffset > endOffset) return;
     if (confirmedAt.steadyMs > this.confirmedAt.steadyMs) this.confirmedAt = confirmedAt;
   }
 
   /** All known records, to be sent to a peer. */
-  snapshot(): types.RecordBatch {
-    return { records: [...this.records.values()], endOffset: this.knownEndOffset, epoch: 0 };
+  snapshot(): types.ReplicaSnapshot {
+    const retained = this.retained?.record ?? null;
+    const isListed = retained !== null && this.records.get(retained.key) === retained;
+    return {
+      ...this.position,
+      records: [...this.records.values()],
+      retained: isListed ? null : retained,
+    };
   }
 }
 
--- a/src/sharedView/topicReplica/test.ts
+++ b/src/sharedView/topicReplica/test.ts
@@ -93,8 +93,8 @@
     replica.applyListing({ records: [], endOffset: 0, epoch: 0 }, start, ViewSource.Store);
     await clock.runForMs(500);
     t.equal(replica.ageMs, 500);
-    replica.confirm(0, clockReadings.readClocks(clock));
-    replica.confirm(0, start);
+    replica.confirm({ epoch: 0, endOffset: 0 }, clockReadings.readClocks(clock));
+    replica.confirm({ epoch: 0, endOffset: 0 }, start);
     t.equal(replica.ageMs, 0);
   },
 );
@@ -107,7 +107,7 @@
     ViewSource.Store,
   );
   await clock.runForMs(300);
-  replica.confirm(5, clockReadings.readClocks(clock));
+  replica.confirm({ epoch: 0, endOffset: 5 }, clockReadings.readClocks(clock));
   t.equal(replica.ageMs, 300);
 });
 
--- a/src/sharedView/types.ts
+++ b/src/sharedView/types.ts
@@ -16,12 +16,29 @@
   readonly value: Buffer | null;
 }
 
-/** Records of a topic, and the offset after the last one. */
-export interface RecordBatch {
-  readonly records: readonly ViewRecord[];
-  readonly endOffset: number;
+/** A position in a topic's log. */
+export interface LogPosition {
   /** How often the store has been restored from a copy; offsets of two epochs are unrelated. */
   readonly epoch: number;
+  /** The offset after the last record. */
+  readonly endOffset: number;
+}
+
+/** Records of a topic, and the position after the last one. */
+export interface RecordBatch extends LogPosition {
+  readonly records: readonly ViewRecord[];
+}
+
+/** How far a replica has got, as VMs tell each other. */
+export interface ReplicaState extends LogPosition {
+  /** Revision of the replica's retained record; 0 if there is none. */
+  readonly revision: number;
+}
+
+/** A replica of a whole topic, as sent to a peer. */
+export interface ReplicaSnapshot extends RecordBatch {
+  /** The retained record, if the records do not contain it. */
+  readonly retained: ViewRecord | null;
 }
 
 /** Why a call to the store failed. */
