Test random histories of configurations, servers and restores of the store

Random histories on the virtual clock: four VMs with their readers, mesh and view before a modelled store that is restored from copies up to 5 s old, alone, after outages and twice in a row, while versions are published before, during and after, reads wait in long polls, and VMs are restarted, isolated or cut from the store. Checked: no process goes back to an older version; 3 s after the last disturbance a confirmed version is in force within 2 s; in the end all VMs know the same servers and have a confirmed view.

--- /dev/null
+++ b/src/gateway/_lib/virtualFleet/index.ts
@@ -0,0 +1,201 @@
+import * as neverthrow from "neverthrow";
+
+import * as datagramHubs from "../../../../standins/datagrams/hub/index.js";
+import * as disposableStore from "../../../_lib/disposableStore/index.js";
+import * as randoms from "../../../_lib/random/index.js";
+import type * as virtualClocks from "../../../_lib/virtualClock/index.js";
+import * as diagnostics from "../../../diagnostics/index.js";
+import * as dispatch from "../../../dispatch/index.js";
+import type * as routing from "../../../routing/index.js";
+import * as servers from "../../../servers/index.js";
+import * as sharedView from "../../../sharedView/index.js";
+import * as constants from "../../constants.js";
+import * as currentViews from "../../currentView/index.js";
+import type * as types from "../../types.js";
+import type * as virtualStores from "../virtualStore/index.js";
+
+const { Topic } = sharedView;
+
+/** Port of every VM; their host names differ. */
+const PORT = 1;
+
+/** Time that a peer takes to send a whole topic. */
+const FETCH_MS = 5;
+
+const EMPTY_CONFIGURATION: Omit<routing.Configuration, "version"> = {
+  routes: [],
+  services: [],
+  accounts: null,
+  limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+};
+
+/** Decodes a configuration, whose value is its version, and a server's entry, whose value is its sequence. */
+const DECODER: types.ViewDecoder = {
+  decodeConfiguration: ({ value }) =>
+    neverthrow.ok({ ...EMPTY_CONFIGURATION, version: Number(value?.toString()) }),
+  decodeServer: ({ key, value }) =>
+    neverthrow.ok({
+      id: key,
+      serviceName: "s",
+      host: key,
+      port: PORT,
+      dataCentre: "dc-a",
+      slotsCount: 1,
+      state: servers.ServerState.Ready,
+      coldRemainingMs: 0,
+      bornAtWallMs: 1,
+      sequence: Number(value?.toString()),
+    }),
+};
+
+/** The view of one process of a VM, with the readers and the mesh that keep it up to date. */
+export class VirtualVm implements AsyncDisposable {
+  readonly directory: servers.ServerDirectory;
+  readonly view: currentViews.CurrentView;
+  private readonly resources = new disposableStore.DisposableStore();
+  private readonly mesh: sharedView.PeerMesh;
+  private readonly readers: readonly sharedView.TopicReader[];
+  private sweepTimer: Disposable;
+
+  constructor(
+    readonly name: string,
+    private readonly fleet: VirtualFleet,
+    store: sharedView.ViewStore,
+  ) {
+    const { clock } = fleet;
+    const log = diagnostics.NOOP_DECISION_LOG;
+    this.directory = new servers.ServerDirectory(clock);
+    this.view = new currentViews.CurrentView(
+      { clock, decoder: DECODER, log },
+      this.directory,
+      () => undefined,
+    );
+    const { replicas } = this.view;
+    const fetch: typeof sharedView.fetchReplica = (topic, peer) =>
+      fleet.fetchReplica(topic, peer.vmName, name);
+    const client = new sharedView.ReplicaClient({ clock, log, replicas, fetch });
+    this.mesh = new sharedView.PeerMesh({
+      clock,
+      log,
+      socket: this.resources.add(fleet.hub.open(name, PORT)),
+      self: {
+        vmName: name,
+        host: name,
+        port: PORT,
+        dataCentre: "dc-a",
+        coresCount: 1,
+        startedAtWallMs: clock.wallTimeMs(),
+      },
+      replicas,
+      claims: new dispatch.ClaimTable(clock),
+      fleetQueue: new dispatch.FleetQueue(clock),
+      listOwnWaiting: () => [],
+      reachesStore: () => this.readers.every(({ reachesStore }) => reachesStore),
+      onReplicaBehind: (topic, peer, state) => void client.catchUp(topic, peer, state),
+      onWorkChange: () => undefined,
+    });
+    this.resources.add(this.mesh);
+    this.sweepTimer = this.scheduleSweep();
+    const options = [sharedView.CONFIGURATION_READER, sharedView.SERVERS_READER];
+    this.readers = options.map((option) => this.startReader(option, store));
+    this.resources.defer(() => this.sweepTimer[Symbol.dispose]());
+  }
+
+  /** Version in force; 0 before the first one. */
+  get version(): number {
+    return this.view.routingTable?.configuration.version ?? 0;
+  }
+
+  /** Adds the address of another VM. */
+  addPeer(vmName: string): void {
+    this.mesh.addPeerAddress({ vmName, host: vmName, port: PORT });
+  }
+
+  async [Symbol.asyncDispose](): Promise<void> {
+    await this.resources[Symbol.asyncDispose]();
+  }
+
+  private scheduleSweep(): Disposable {
+    return this.fleet.clock.schedule(constants.SWEEP_INTERVAL_MS, () => {
+      this.directory.sweep();
+      this.sweepTimer = this.scheduleSweep();
+    });
+  }
+
+  private startReader(
+    options: sharedView.ReaderOptions,
+    store: sharedView.ViewStore,
+  ): sharedView.TopicReader {
+    const reader = new sharedView.TopicReader(
+      {
+        clock: this.fleet.clock,
+        store,
+        log: diagnostics.NOOP_DECISION_LOG,
+        meters: new diagnostics.Meters(),
+        replica: this.view.replicaOf(options.topic),
+        rank: () => this.mesh.readerRank,
+        onRead: (from, batch) => this.mesh.broadcastRecords(options.topic, from, batch),
+        onStoreRegained: () => this.directory.recordStoreRecovery(),
+      },
+      options,
+    );
+    this.resources.add(reader);
+    void reader.run();
+    return reader;
+  }
+}
+
+/** VMs on the virtual clock that read a modelled store and tell each other what they read. */
+export class VirtualFleet {
+  readonly hub: datagramHubs.DatagramHub;
+  readonly vms = new Map<string, VirtualVm>();
+  /** VMs that do not reach the store. */
+  readonly storeless = new Set<string>();
+  /** VMs that reach neither the store nor other VMs. */
+  readonly isolated = new Set<string>();
+
+  constructor(
+    readonly clock: virtualClocks.VirtualClock,
+    readonly store: virtualStores.VirtualStore,
+  ) {
+    this.hub = new datagramHubs.DatagramHub(clock, randoms.createRandom(1));
+    this.hub.partitionWhere((from, to) => this.isCut(from) || this.isCut(to));
+  }
+
+  /** Starts a VM, or replaces its process by a new one. */
+  start(name: string): void {
+    this.stop(name);
+    const store = this.store.connect(() => !this.storeless.has(name) && !this.isolated.has(name));
+    const vm = new VirtualVm(name, this, store);
+    for (const peer of this.vms.keys()) vm.addPeer(peer);
+    this.vms.set(name, vm);
+  }
+
+  /** Stops a VM's process, if it runs. */
+  stop(name: string): void {
+    void this.vms.get(name)?.[Symbol.asyncDispose]();
+    this.vms.delete(name);
+  }
+
+  /** Sends a VM's replica of a topic to another one. */
+  async fetchReplica(
+    topic: sharedView.Topic,
+    fromName: string,
+    toName: string,
+  ): ReturnType<typeof sharedView.fetchReplica> {
+    await this.clock.sleep(FETCH_MS);
+    const replica = this.vms.get(fromName)?.view.replicaOf(topic);
+    if (replica?.isKnown !== true || this.isolated.has(fromName) || this.isolated.has(toName))
+      return neverthrow.err("unreachable");
+    return neverthrow.ok({ batch: replica.snapshot(), ageMs: replica.ageMs });
+  }
+
+  /** Publishes a version of the configuration. */
+  publish(version: number): void {
+    this.store.append(Topic.Configuration, "config", String(version));
+  }
+
+  private isCut(endpoint: string): boolean {
+    return this.isolated.has(endpoint.slice(0, endpoint.lastIndexOf(":")));
+  }
+}
--- a/src/gateway/currentView/test.ts
+++ b/src/gateway/currentView/test.ts
@@ -100,3 +100,18 @@
   replica.applyRecords(1, removed, readClocks(clock), ViewSource.Peer);
   t.equal(directory.listAvailable("s").length, 0);
 });
+
+tap.test("entries that a restore of the store has lost are kept for a grace time", async (t) => {
+  const { clock, directory, view } = setUp();
+  const replica = view.replicaOf(Topic.Servers);
+  const listing = { records: [record("e1", 3, "x")], endOffset: 4, epoch: 0 };
+  replica.applyListing(listing, readClocks(clock), ViewSource.Store);
+  await clock.runForMs(5_500);
+  replica.confirm(listing, readClocks(clock));
+  const restored = { records: [], endOffset: 2, epoch: 1 };
+  replica.applyListing(restored, readClocks(clock), ViewSource.Store);
+  t.equal(directory.listAvailable("s").length, 1);
+  await clock.runForMs(2_500);
+  directory.sweep();
+  t.equal(directory.listAvailable("s").length, 0);
+});
--- a/src/sharedView/replicaClient/index.ts
+++ b/src/sharedView/replicaClient/index.ts
@@ -32,6 +32,8 @@
   readonly clock: clocks.Clock;
   readonly replicas: ReadonlyMap<types.Topic, topicReplicas.TopicReplica>;
   readonly log: diagnostics.DecisionLog;
+  /** Fetches a whole topic from a peer; by default over HTTP. */
+  readonly fetch?: typeof fetchReplica;
 }
 
 /** Fetches whole topics from peers whose replicas are ahead of this VM's. */
@@ -68,7 +70,7 @@
     replica: topicReplicas.TopicReplica,
   ): Promise<void> {
     const sentAt = clockReadings.readClocks(this.context.clock);
-    const fetched = await fetchReplica(topic, peer);
+    const fetched = await (this.context.fetch ?? fetchReplica)(topic, peer);
     this.context.log.record(Importance.Routine, LogEvent.ReplicaFetched, {
       topic,
       peer: peer.vmName,
--- a/src/sharedView/topicReplica/test.ts
+++ b/src/sharedView/topicReplica/test.ts
@@ -174,3 +174,50 @@
     expected.every(({ key, offset }) => listener.values.get(key) === offset)
   );
 }
+
+tap.test("a listing of a later epoch replaces records of higher offsets", async (t) => {
+  const { clock, listener, replica } = setUp();
+  const now = clockReadings.readClocks(clock);
+  const before = { records: [record("a", 7), record("b", 8)], endOffset: 9, epoch: 0 };
+  replica.applyListing(before, now, ViewSource.Store);
+  const restored = { records: [record("a", 2)], endOffset: 3, epoch: 1 };
+  t.ok(replica.applyListing(restored, now, ViewSource.Store));
+  t.same([...listener.values], [["a", 2]]);
+  t.notOk(replica.applyListing(before, now, ViewSource.Peer), "the former epoch is over");
+});
+
+tap.test("records of another epoch are not appended", async (t) => {
+  const { clock, replica } = setUp();
+  const now = clockReadings.readClocks(clock);
+  replica.applyListing({ records: [], endOffset: 4, epoch: 1 }, now, ViewSource.Store);
+  for (const epoch of [0, 2]) {
+    const batch = { records: [record("a", 4)], endOffset: 5, epoch };
+    t.notOk(replica.applyRecords(4, batch, now, ViewSource.Peer));
+  }
+  t.equal(replica.endOffset, 4);
+});
+
+tap.test("a confirmation of another epoch does not renew the age", async (t) => {
+  const { clock, replica } = setUp();
+  const start = clockReadings.readClocks(clock);
+  replica.applyListing({ records: [], endOffset: 4, epoch: 1 }, start, ViewSource.Store);
+  await clock.runForMs(300);
+  replica.confirm({ epoch: 0, endOffset: 4 }, clockReadings.readClocks(clock));
+  replica.confirm({ epoch: 2, endOffset: 4 }, clockReadings.readClocks(clock));
+  t.equal(replica.ageMs, 300);
+});
+
+tap.test("a retained record is sent to peers after the store has lost it", async (t) => {
+  const { clock, replica } = setUp();
+  const now = clockReadings.readClocks(clock);
+  const retained = record("a", 5);
+  replica.applyListing({ records: [retained], endOffset: 6, epoch: 0 }, now, ViewSource.Store);
+  replica.retain(retained, 2);
+  replica.retain(record("a", 4), 1);
+  t.equal(replica.snapshot().retained, null, "it is among the records");
+  replica.applyListing({ records: [], endOffset: 3, epoch: 1 }, now, ViewSource.Store);
+  t.equal(replica.snapshot().retained, retained);
+  const { epoch, endOffset } = replica.state;
+  t.ok(replica.isBehind({ epoch, endOffset, revision: 3 }));
+  t.notOk(replica.isBehind({ epoch, endOffset, revision: 2 }));
+});
