Restore the store in the soak, and check that configurations neither lag nor revert

The soak could not play the kind of trouble behind the configuration that was not in force. Two checks are new: a process that has served the newest key never refuses it as unknown, and at the end every VM serves a call with the newest key.

The check of leaving servers is narrower in one case: the 2 s now begin when the store serves again.

--- a/experiments/soak/callers/index.ts
+++ b/experiments/soak/callers/index.ts
@@ -20,12 +20,26 @@
   readonly eventsCount: number | null;
 }
 
+const LOOKUP: CallKind = { path: "/lookup/", method: "GET", isOnceOnly: false, eventsCount: null };
+
 const CALL_KINDS: readonly CallKind[] = [
-  { path: "/lookup/", method: "GET", isOnceOnly: false, eventsCount: null },
+  LOOKUP,
   { path: "/file/", method: "POST", isOnceOnly: true, eventsCount: null },
   { path: "/draft/", method: "POST", isOnceOnly: true, eventsCount: STREAM_EVENTS_COUNT },
 ];
 
+/** Makes one lookup at a VM and returns its status; null if the connection failed. */
+export async function makeLookup(
+  id: string,
+  apiKey: string,
+  vm: processes.GatewayProcess,
+  checker: checks.InvariantChecker,
+): Promise<number | null> {
+  checker.recordCall(id, false, apiKey);
+  const { status } = await send(id, apiKey, vm, LOOKUP);
+  return status;
+}
+
 /** Makes one call of a random kind at a random VM and reports its start and end to the checker. */
 export async function makeCall(
   id: string,
@@ -38,7 +52,10 @@
   const vm = vms[Math.floor(random.next() * vms.length)];
   if (kind === undefined || vm === undefined) return;
   checker.recordCall(id, kind.isOnceOnly, apiKey);
+  const process = `${vm.index}/${vm.startsCount}`;
+  const hadServedKey = checker.hasServedKey(process, apiKey);
   const answer = await send(id, apiKey, vm, kind);
+  checker.recordKeyOutcome({ id, process, apiKey, hadServedKey, status: answer.status });
   checker.recordEnd({ id, isOnceOnly: kind.isOnceOnly, eventsCount: kind.eventsCount, ...answer });
 }
 
--- a/experiments/soak/main.ts
+++ b/experiments/soak/main.ts
@@ -59,6 +59,7 @@
   await Promise.all([1, 2].map(() => injectFaults(fleet, faultRandom, endsAtMs, injectedFaults)));
   await calling;
   await pause(SETTLE_MS);
+  await fleet.checkConfigurationInForce(seed);
   printReport(seed, checker, injectedFaults, directory);
   return checker.violations.length === 0;
 }
--- a/experiments/soak/processes/index.ts
+++ b/experiments/soak/processes/index.ts
@@ -19,6 +19,8 @@
 /** A gateway that runs as a child process and can be started, signalled and stopped. */
 export class GatewayProcess {
   readonly host: string;
+  /** Number of starts, which tells the VM's processes apart. */
+  startsCount = 0;
   private child: childProcess.ChildProcess | null = null;
   private isRestartEnabled = false;
 
@@ -38,6 +40,7 @@
   /** Starts the process; it is restarted whenever it exits, until `stop` is called. */
   start(): void {
     this.isRestartEnabled = true;
+    this.startsCount += 1;
     const log = fs.openSync(path.join(this.directory, `vm-${this.index}.log`), "a");
     const child = childProcess.spawn(process.execPath, [GATEWAY_SCRIPT_PATH], {
       env: { ...process.env, CHIVEFERRY_CONFIG: this.writeSettings() },
--- a/experiments/soak/soakFleet/index.ts
+++ b/experiments/soak/soakFleet/index.ts
@@ -1,7 +1,7 @@
 import type * as randoms from "../../../src/_lib/random/index.js";
 import * as backendServers from "../../../standins/platform/backendServer/index.js";
 import * as gatewayFleets from "../../../standins/platform/gatewayFleet/index.js";
-import type * as platformLogStores from "../../../standins/platform/logStore/index.js";
+import * as platformLogStores from "../../../standins/platform/logStore/index.js";
 import * as callers from "../callers/index.js";
 import type * as checks from "../checks/index.js";
 import * as faults from "../faults/index.js";
@@ -9,6 +9,10 @@
 
 const { ENGINE_SERVICE, PLAIN_SERVICE } = gatewayFleets;
 
+/** Interval at which the store is copied, and the number of copies that are kept. */
+const COPY_INTERVAL_MS = 250;
+const COPIES_COUNT = 20;
+
 /** Time between a server's leave announcement and its removal. */
 const SERVER_DRAIN_MS = 2_500;
 
@@ -24,6 +28,9 @@
   private readonly platform = new gatewayFleets.GatewayFleet();
   private readonly services = new Map<string, string>();
   private serversCount = 0;
+  /** Recent copies of the store, the oldest first. */
+  private readonly copies: platformLogStores.StoreCopy[] = [];
+  private copyTimer: NodeJS.Timeout | null = null;
 
   constructor(
     private readonly checker: checks.InvariantChecker,
@@ -38,6 +45,10 @@
   /** Starts the store, three servers of each service and the given number of gateways. */
   async start(vmsCount: number): Promise<void> {
     await this.platform.start();
+    this.copyTimer = setInterval(() => {
+      this.copies.push(this.store.copy());
+      if (this.copies.length > COPIES_COUNT) this.copies.shift();
+    }, COPY_INTERVAL_MS);
     this.publishConfiguration();
     for (const service of [PLAIN_SERVICE, PLAIN_SERVICE, PLAIN_SERVICE])
       await this.addServer(service);
@@ -63,6 +74,37 @@
     this.checker.recordKeyRemoval(removed);
   }
 
+  /**
+   * Restores the store from a random copy. The lost records are written again after a delay, like
+   * their writers do.
+   */
+  restoreStore(random: randoms.RandomSource, rewriteDelayMs: number): void {
+    this.checker.recordStoreDisturbance();
+    const restore = this.store.restore(faults.drawOne(this.copies, random));
+    setTimeout(() => {
+      this.store.rewrite(restore);
+      this.checker.recordStoreRecovery();
+    }, rewriteDelayMs);
+  }
+
+  /** Lets the store answer in another way for a while. */
+  async disturbStore(mode: platformLogStores.StoreMode, durationMs: number): Promise<void> {
+    this.checker.recordStoreDisturbance();
+    this.store.setMode(mode);
+    await new Promise((resolve) => setTimeout(resolve, durationMs));
+    this.store.setMode(platformLogStores.StoreMode.Serves);
+    this.checker.recordStoreRecovery();
+  }
+
+  /** Checks that every VM serves a call with the API key of the newest configuration. */
+  async checkConfigurationInForce(seed: number): Promise<void> {
+    for (const vm of this.vms) {
+      const id = `s${seed}-final-${vm.index}`;
+      const status = await callers.makeLookup(id, this.apiKey, vm, this.checker);
+      this.checker.checkInForce(vm.index, this.apiKey, status);
+    }
+  }
+
   /** Compacts the history of the topics that the gateways follow. */
   compactTopics(): void {
     this.store.compact("keyed.op");
@@ -103,6 +145,7 @@
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
+    if (this.copyTimer !== null) clearInterval(this.copyTimer);
     await Promise.all(this.vms.map((vm) => vm.stop()));
     await this.platform[Symbol.asyncDispose]();
   }
--- a/src/gateway/storeRestore/test.ts
+++ b/src/gateway/storeRestore/test.ts
@@ -61,8 +61,7 @@
   const copy = fleet.store.copy();
   configureKey(fleet, "lost-1");
   await waitUntil(() => isAccepted(fleet, "lost-1"));
-  const lost = fleet.store.restore(copy);
-  fleet.store.rewrite(lost);
+  fleet.store.rewrite(fleet.store.restore(copy));
   fleet.store.restore(copy);
   configureKey(fleet, "new");
   await waitUntil(() => isAccepted(fleet, "new"));
