Do not take a restored copy of a removed entry for a server that is back

After a restore of the store the copy still has the entry, so that VMs would send new work to a server that has left.

A listing that begins an epoch now revives a removed entry only if the server has written since, which its sequence tells; records appended later revive it as before.

Measured: the new test of serverDirectory fails on the code before (the removed server was available again) and passes; all others of serverDirectory and currentView pass.

--- a/src/gateway/currentView/index.ts
+++ b/src/gateway/currentView/index.ts
@@ -125,9 +125,9 @@
     }
   }
 
-  private applyServer(record: sharedView.ViewRecord): void {
+  private applyServer(record: sharedView.ViewRecord, isRestoredCopy = false): void {
     const entry = this.decodeServer(record);
-    if (entry === null || !this.directory.apply(entry)) return;
+    if (entry === null || !this.directory.apply(entry, { isRestoredCopy })) return;
     this.ports.log.record(Importance.StateChange, LogEvent.ServerKnown, {
       serverId: entry.id,
       service: entry.serviceName,
@@ -142,7 +142,7 @@
     origin: sharedView.RecordOrigin,
   ): void {
     this.reportOutageIfStale(origin);
-    for (const record of records) this.applyServer(record);
+    for (const record of records) this.applyServer(record, origin.isRestored);
     this.directory.retainListed(new Set(records.map(({ key }) => key)));
   }
 
--- a/src/servers/serverDirectory/index.ts
+++ b/src/servers/serverDirectory/index.ts
@@ -21,15 +21,21 @@
   /**
    * Applies an entry; ignores older messages and older starts of the same server.
    *
+   * @param options - `isRestoredCopy`: the entry may stem from before its removal, as the store has
+   *   been restored from a copy
    * @returns whether the entry belongs to a start that was not known
    */
-  apply(entry: types.ServerEntry): boolean {
+  apply(entry: types.ServerEntry, options = { isRestoredCopy: false }): boolean {
     const known = this.servers.get(entry.id);
     this.lapsedUntilMs.delete(entry.id);
     if (known !== undefined && isOlder(entry, known.entry)) return false;
     const isSameStart = known?.entry.bornAtWallMs === entry.bornAtWallMs;
     const receivedAtMs = this.clock.nowMs();
-    const isBackAfterLapse = isSameStart && known.leaving === types.LeavingReason.EntryRemoved;
+    const isNewer = known !== undefined && entry.sequence > known.entry.sequence;
+    const isBackAfterLapse =
+      isSameStart &&
+      known.leaving === types.LeavingReason.EntryRemoved &&
+      (isNewer || !options.isRestoredCopy);
     const isLeavingKept = isSameStart && !isBackAfterLapse;
     this.servers.set(entry.id, {
       entry,
--- a/src/servers/serverDirectory/test.ts
+++ b/src/servers/serverDirectory/test.ts
@@ -133,3 +133,19 @@
     { seed: 11, numRuns: 500 },
   );
 });
+
+tap.test(
+  "a restored copy of a removed entry does not make its server available again",
+  async (t) => {
+    const { clock, directory, availableIds } = setUp();
+    await clock.runForMs(constants.LAPSED_ENTRY_GRACE_MS);
+    directory.apply(fixtures.entry({ sequence: 5 }));
+    directory.remove("e1");
+    for (const sequence of [4, 5]) {
+      directory.apply(fixtures.entry({ sequence }), { isRestoredCopy: true });
+      t.same(availableIds(), []);
+    }
+    directory.apply(fixtures.entry({ sequence: 6 }), { isRestoredCopy: true });
+    t.same(availableIds(), ["e1"], "the server has written since");
+  },
+);
