Register a VM again at once after the store has been restored

A restore can lose a VM's entry, which was found out only at the next reading of the list, up to 30 s later; a VM that started meanwhile found no others, read the store alone and took the whole retry budget for its own.

The discovery registers and reads the list at once when the view reports a restore.

--- /dev/null
+++ b/src/gateway/_lib/registerGauges/index.ts
@@ -0,0 +1,38 @@
+import type * as diagnostics from "../../../diagnostics/index.js";
+import type * as dispatch from "../../../dispatch/index.js";
+import type * as relay from "../../../relay/index.js";
+import * as sharedView from "../../../sharedView/index.js";
+import type * as currentViews from "../../currentView/index.js";
+
+/** The parts of a gateway whose state the gauges show. */
+export interface GaugeSources {
+  readonly view: currentViews.CurrentView;
+  readonly mesh: sharedView.PeerMesh;
+  readonly dispatcher: relay.EngineDispatcher;
+  readonly fleetQueue: dispatch.FleetQueue;
+  readonly activeCallsCount: () => number;
+}
+
+/** Registers the gauges of a gateway. */
+export function registerGauges(meters: diagnostics.Meters, sources: GaugeSources): void {
+  const { view, mesh, dispatcher, fleetQueue, activeCallsCount } = sources;
+  meters.gauge("active_calls", "Calls being served.", activeCallsCount);
+  meters.gauge("waiting_generations", "Generations that wait for room.", () => {
+    return dispatcher.waitingCount;
+  });
+  meters.gauge("peers_waiting_generations", "Generations that wait at other VMs.", () => {
+    return fleetQueue.waitingCount;
+  });
+  meters.gauge("live_vms", "VMs that are up, this one included.", () => mesh.liveVmsCount);
+  meters.gauge("configuration_age_seconds", "Age of the configuration in force.", () => {
+    return view.configurationAgeMs / 1_000;
+  });
+  meters.gauge("servers_age_seconds", "Age of what is known of backend servers.", () => {
+    return view.replicaOf(sharedView.Topic.Servers).ageMs / 1_000;
+  });
+  for (const [topic, replica] of view.replicas) {
+    meters.gauge(`${topic}_end_offset`, "Offset after the last known record.", () => {
+      return replica.endOffset;
+    });
+  }
+}
--- a/src/gateway/_lib/virtualFleet/index.ts
+++ b/src/gateway/_lib/virtualFleet/index.ts
@@ -65,11 +65,10 @@
     const { clock } = fleet;
     const log = diagnostics.NOOP_DECISION_LOG;
     this.directory = new servers.ServerDirectory(clock);
-    this.view = new currentViews.CurrentView(
-      { clock, decoder: DECODER, log },
-      this.directory,
-      () => undefined,
-    );
+    this.view = new currentViews.CurrentView({ clock, decoder: DECODER, log }, this.directory, {
+      onConfiguration: () => undefined,
+      onStoreRestored: () => undefined,
+    });
     const { replicas } = this.view;
     const fetch: typeof sharedView.fetchReplica = (topic, peer) =>
       fleet.fetchReplica(topic, peer.vmName, name);
--- a/src/gateway/_lib/vmDiscovery/index.ts
+++ b/src/gateway/_lib/vmDiscovery/index.ts
@@ -22,6 +22,8 @@
 export class VmDiscovery implements Disposable {
   private readonly stopping = new AbortController();
   private isAnnounced = false;
+  /** Interrupts the pause before the next synchronization. */
+  private pause = new AbortController();
 
   constructor(private readonly context: DiscoveryContext) {}
 
@@ -29,14 +31,22 @@
   async run(): Promise<void> {
     const { signal } = this.stopping;
     while (!signal.aborted) {
+      this.pause = new AbortController();
       const isSynchronized = await this.synchronize();
-      // Rejects only after an abort, which ends the loop.
+      const pauseSignal = AbortSignal.any([signal, this.pause.signal]);
+      // Rejects only after an abort, which ends the pause or the loop.
       await this.context.clock
-        .sleep(isSynchronized ? REFRESH_INTERVAL_MS : RETRY_DELAY_MS, signal)
+        .sleep(isSynchronized ? REFRESH_INTERVAL_MS : RETRY_DELAY_MS, pauseSignal)
         .catch(() => null);
     }
   }
 
+  /** Registers this VM again and reads the registry at once, as the store may have lost entries. */
+  refresh(): void {
+    this.isAnnounced = false;
+    this.pause.abort();
+  }
+
   /** Removes this VM from the registry and stops the discovery. */
   async withdraw(): Promise<void> {
     this.stopping.abort();
--- a/src/gateway/currentView/index.ts
+++ b/src/gateway/currentView/index.ts
@@ -7,6 +7,14 @@
 
 const { Importance, LogEvent } = diagnostics;
 
+/** Receives changes of the view. */
+export interface ViewListener {
+  /** Called when a configuration takes effect. */
+  readonly onConfiguration: (configuration: routing.Configuration) => void;
+  /** Called when the store has been restored from a copy, and so may have lost entries. */
+  readonly onStoreRestored: () => void;
+}
+
 /**
  * The decoded view of the platform's store: the configuration in force, whose version never
  * decreases, and the backend servers.
@@ -19,7 +27,7 @@
   constructor(
     private readonly ports: Pick<types.GatewayPorts, "clock" | "decoder" | "log">,
     private readonly directory: servers.ServerDirectory,
-    private readonly onConfiguration: (configuration: routing.Configuration) => void,
+    private readonly listener: ViewListener,
   ) {
     const { clock } = ports;
     this.replicas = new Map([
@@ -93,7 +101,7 @@
       routesCount: configuration.routes.length,
       accountsCount: configuration.accounts?.length ?? null,
     });
-    this.onConfiguration(configuration);
+    this.listener.onConfiguration(configuration);
   }
 
   private recordIgnoredConfiguration(
@@ -149,6 +157,7 @@
   /** Reports an outage to the directory, as entries of healthy servers may be missing for a while. */
   private reportOutageIfStale({ viewAgeMs, isRestored }: sharedView.RecordOrigin): void {
     if (isRestored || viewAgeMs > constants.STALE_VIEW_AGE_MS) this.directory.recordStoreRecovery();
+    if (isRestored) this.listener.onStoreRestored();
   }
 
   /** Decodes a server's entry; returns null for an unreadable one, which does not affect others. */
--- a/src/gateway/currentView/test.ts
+++ b/src/gateway/currentView/test.ts
@@ -47,7 +47,10 @@
     decodeServer: ({ key }) => neverthrow.ok({ ...ENTRY, id: key }),
   };
   const ports = { clock, decoder, log: diagnostics.NOOP_DECISION_LOG };
-  const view = new currentViews.CurrentView(ports, directory, () => undefined);
+  const view = new currentViews.CurrentView(ports, directory, {
+    onConfiguration: () => undefined,
+    onStoreRestored: () => undefined,
+  });
   return { clock, directory, view };
 }
 
--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -6,6 +6,7 @@
 import * as servers from "../../servers/index.js";
 import * as sharedView from "../../sharedView/index.js";
 import * as pauseMonitors from "../_lib/pauseMonitor/index.js";
+import * as registerGauges from "../_lib/registerGauges/index.js";
 import * as statusServers from "../_lib/statusServers/index.js";
 import * as vmDiscoveries from "../_lib/vmDiscovery/index.js";
 import * as callerServers from "../callerServer/index.js";
@@ -55,9 +56,10 @@
     );
     this.claims = new dispatch.ClaimTable(clock);
     this.fleetQueue = new dispatch.FleetQueue(clock);
-    this.view = new currentViews.CurrentView(ports, this.directory, ({ limits }) =>
-      this.callerServer.applyLimits(limits),
-    );
+    this.view = new currentViews.CurrentView(ports, this.directory, {
+      onConfiguration: ({ limits }) => this.callerServer.applyLimits(limits),
+      onStoreRestored: () => this.discovery.refresh(),
+    });
     this.mesh = this.createMesh();
     this.dispatcher = new relay.EngineDispatcher({
       clock,
@@ -114,7 +116,13 @@
     void this.discovery.run();
     this.scheduleSweep();
     this.resources.defer(() => this.sweepTimer?.[Symbol.dispose]());
-    this.addGauges();
+    registerGauges.registerGauges(ports.meters, {
+      view: this.view,
+      mesh: this.mesh,
+      dispatcher: this.dispatcher,
+      fleetQueue: this.fleetQueue,
+      activeCallsCount: () => this.activeCallsCount,
+    });
     ports.log.record(Importance.StateChange, LogEvent.Started, {
       callersPort: settings.callers.port,
       peersPort: settings.peers.port,
@@ -273,27 +281,4 @@
       this.scheduleSweep();
     });
   }
-
-  private addGauges(): void {
-    const { meters } = this.ports;
-    meters.gauge("active_calls", "Calls being served.", () => this.activeCallsCount);
-    meters.gauge("waiting_generations", "Generations that wait for room.", () => {
-      return this.dispatcher.waitingCount;
-    });
-    meters.gauge("peers_waiting_generations", "Generations that wait at other VMs.", () => {
-      return this.fleetQueue.waitingCount;
-    });
-    meters.gauge("live_vms", "VMs that are up, this one included.", () => this.mesh.liveVmsCount);
-    meters.gauge("configuration_age_seconds", "Age of the configuration in force.", () => {
-      return this.view.configurationAgeMs / 1_000;
-    });
-    for (const [topic, replica] of this.view.replicas) {
-      meters.gauge(`${topic}_end_offset`, "Offset after the last known record.", () => {
-        return replica.endOffset;
-      });
-    }
-    meters.gauge("servers_age_seconds", "Age of what is known of backend servers.", () => {
-      return this.view.replicaOf(Topic.Servers).ageMs / 1_000;
-    });
-  }
 }
