--- a/experiments/soak/faults/index.ts
+++ b/experiments/soak/faults/index.ts
@@ -41,7 +41,12 @@
   },
   "store restored": async (fleet, random) => {
     await fleet.disturbStore(StoreMode.Refuses, 1_000 * random.next());
-    fleet.restoreStore(random, 1_500 * random.next());
+    // A change just before a restore is lost; one just after it gets a reused offset.
+    if (random.next() < 0.5) fleet.replaceKey();
+    await sleepMs(200 * random.next());
+    fleet.restoreStore(fleet.drawCopy(random), 1_500 * random.next());
+    await sleepMs(200 * random.next());
+    if (random.next() < 0.5) fleet.replaceKey();
     await sleepMs(500 * random.next());
   },
   "configuration changed": async (fleet) => {
--- a/experiments/soak/main.ts
+++ b/experiments/soak/main.ts
@@ -24,6 +24,9 @@
 
 const CALL_INTERVAL_MS = 12;
 
+/** Time within which all VMs read a change. */
+const REPLICATION_MS = 2_000;
+
 const program = new commander.Command("soak")
   .description("Runs gateways as processes, injects random faults and checks invariants meanwhile.")
   .option("--seed <number>", "seed of calls and faults", "1")
@@ -58,6 +61,7 @@
   const faultRandom = random.fork();
   await Promise.all([1, 2].map(() => injectFaults(fleet, faultRandom, endsAtMs, injectedFaults)));
   await calling;
+  await restoreBetweenChanges(fleet);
   await pause(SETTLE_MS);
   await fleet.checkConfigurationInForce(seed);
   printReport(seed, checker, injectedFaults, directory);
@@ -93,6 +97,16 @@
   }
 }
 
+/** Restores the store between two changes, so that the second one gets the offset of the first. */
+async function restoreBetweenChanges(fleet: soakFleets.SoakFleet): Promise<void> {
+  await pause(REPLICATION_MS);
+  const copy = fleet.store.copy();
+  fleet.replaceKey();
+  await pause(REPLICATION_MS);
+  fleet.restoreStore(copy, REPLICATION_MS);
+  fleet.replaceKey();
+}
+
 function injectDetectableFault(fleet: soakFleets.SoakFleet): void {
   for (const server of fleet.servers) {
     fleet.setFaultyBehaviour(server, (call, response, self) => {
--- a/experiments/soak/soakFleet/index.ts
+++ b/experiments/soak/soakFleet/index.ts
@@ -74,13 +74,15 @@
     this.checker.recordKeyRemoval(removed);
   }
 
-  /**
-   * Restores the store from a random copy. The lost records are written again after a delay, like
-   * their writers do.
-   */
-  restoreStore(random: randoms.RandomSource, rewriteDelayMs: number): void {
+  /** Draws one of the recent copies of the store. */
+  drawCopy(random: randoms.RandomSource): platformLogStores.StoreCopy {
+    return faults.drawOne(this.copies, random);
+  }
+
+  /** Restores the store. The lost records are written again after a delay, like their writers do. */
+  restoreStore(copy: platformLogStores.StoreCopy, rewriteDelayMs: number): void {
     this.checker.recordStoreDisturbance();
-    const restore = this.store.restore(faults.drawOne(this.copies, random));
+    const restore = this.store.restore(copy);
     setTimeout(() => {
       this.store.rewrite(restore);
       this.checker.recordStoreRecovery();
