Read and log the limits that servers name

Logs could not tell whether an answer had named a limit. Each answer's head now passes one hook of the relay, and the gateway logs server-limit-changed with the server and the requests a second whenever a server begins, changes or ends its limit.

--- a/src/diagnostics/types.ts
+++ b/src/diagnostics/types.ts
@@ -28,6 +28,7 @@
   ConfigurationIgnored = "configuration-ignored",
   ServerKnown = "server-known",
   ServerLeaving = "server-leaving",
+  ServerLimitChanged = "server-limit-changed",
   ProcessPaused = "process-paused",
   LinesDropped = "lines-dropped",
   RequestRefused = "request-refused",
--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -33,6 +33,7 @@
   private readonly resources = new disposableStore.DisposableStore();
   private readonly directory: servers.ServerDirectory;
   private readonly trust: servers.ServerTrust;
+  private readonly rateLimits: servers.ServerRateLimits;
   private readonly claims: dispatch.ClaimTable;
   private readonly fleetQueue: dispatch.FleetQueue;
   private readonly view: currentViews.CurrentView;
@@ -54,6 +55,7 @@
     this.trust = new servers.ServerTrust(clock, (dataCentre) =>
       this.mesh.isDataCentreSilent(dataCentre),
     );
+    this.rateLimits = new servers.ServerRateLimits(clock);
     this.claims = new dispatch.ClaimTable(clock);
     this.fleetQueue = new dispatch.FleetQueue(clock);
     this.view = new currentViews.CurrentView(ports, this.directory, {
@@ -241,6 +243,7 @@
       dispatcher: this.dispatcher,
       lengths: new dispatch.OutputLengths(),
       budget,
+      onAnswerHead: (server, head) => this.recordAnswerHead(server, head),
     };
     const plain = new relay.PlainRelay(context);
     const generations = this.resources.add(new relay.GenerationRelay(context));
@@ -260,6 +263,15 @@
     });
   }
 
+  private recordAnswerHead(server: servers.ServerEntry, { ratePerSecond }: relay.AnswerHead): void {
+    if (!this.rateLimits.record(server.id, ratePerSecond)) return;
+    this.ports.log.record(Importance.StateChange, LogEvent.ServerLimitChanged, {
+      serverId: server.id,
+      service: server.serviceName,
+      ratePerSecond,
+    });
+  }
+
   private onServerLeaving(server: servers.KnownServer): void {
     const { entry, leaving, receivedAtMs } = server;
     this.ports.log.record(Importance.StateChange, LogEvent.ServerLeaving, {
@@ -277,7 +289,9 @@
       this.directory.sweep();
       this.claims.dropStale(this.settings.vmName, CLAIM_SILENCE_TIMEOUT_MS);
       this.fleetQueue.dropStale(CLAIM_SILENCE_TIMEOUT_MS);
-      this.trust.retain(new Set(this.directory.listAll().map(({ entry }) => entry.id)));
+      const serverIds = new Set(this.directory.listAll().map(({ entry }) => entry.id));
+      this.trust.retain(serverIds);
+      this.rateLimits.retain(serverIds);
       this.scheduleSweep();
     });
   }
--- a/src/relay/_lib/engineStream/index.ts
+++ b/src/relay/_lib/engineStream/index.ts
@@ -3,6 +3,7 @@
 import type * as clocks from "../../../_lib/clock/index.js";
 import type * as servers from "../../../servers/index.js";
 import * as constants from "../../constants.js";
+import type * as relayContext from "../../relayContext.js";
 import type * as types from "../../types.js";
 import * as headFaults from "../findHeadFault/index.js";
 import * as collectBodies from "../collectBody/index.js";
@@ -67,7 +68,7 @@
 
 /** Requests a stream from an engine; resolves with the outcome, also of a failure. */
 export async function openStream(
-  codec: types.WireCodec,
+  { codec, onAnswerHead }: Pick<relayContext.RelayContext, "codec" | "onAnswerHead">,
   call: types.Call,
   { server, options, onConnected, signal }: OpenRequest,
 ): Promise<OpenOutcome> {
@@ -89,6 +90,7 @@
     return { kind: OpenKind.Unknown, cause: opening.cause };
   }
   const head = codec.decodeAnswer(opening.message);
+  onAnswerHead(server, head);
   if (head.isNotRun) {
     opening.close();
     const cause = `status ${head.status}`;
--- a/src/relay/_lib/generationRun/index.ts
+++ b/src/relay/_lib/generationRun/index.ts
@@ -257,7 +257,7 @@
     if (scope === null) return null;
     const server = context.directory.find(target.server.id)?.entry ?? target.server;
     const backup = this.claims.selectBackup(server.id, this.lastEventId);
-    const outcome = await engineStreams.openStream(context.codec, call, {
+    const outcome = await engineStreams.openStream(context, call, {
       server,
       options: () => ({
         server,
--- a/src/relay/_lib/sendBuffered/index.ts
+++ b/src/relay/_lib/sendBuffered/index.ts
@@ -1,5 +1,6 @@
 import * as servers from "../../../servers/index.js";
 import * as constants from "../../constants.js";
+import type * as relayContext from "../../relayContext.js";
 import type * as types from "../../types.js";
 import * as headFaults from "../findHeadFault/index.js";
 import * as collectBodies from "../collectBody/index.js";
@@ -40,11 +41,12 @@
 
 /** Sends a call to a plain server and buffers its answer; resolves with the outcome, also of a failure. */
 export async function sendBuffered(
-  codec: types.WireCodec,
+  context: Pick<relayContext.RelayContext, "codec" | "onAnswerHead">,
   call: types.Call,
   options: types.AttemptOptions,
   signal: AbortSignal,
 ): Promise<SendOutcome> {
+  const { codec, onAnswerHead } = context;
   const opening = await openAttempts.openAttempt({
     host: options.server.host,
     port: options.server.port,
@@ -62,6 +64,7 @@
     return { kind: SendKind.Unknown, cause: opening.cause };
   }
   const head = codec.decodeAnswer(opening.message);
+  onAnswerHead(options.server, head);
   const collected = await collectBodies.collectBody(opening.message, constants.MAX_ANSWER_BYTES);
   const isTruncated = await opening.isTruncatedByReset();
   opening.close();
--- a/src/relay/_lib/startRun/index.ts
+++ b/src/relay/_lib/startRun/index.ts
@@ -114,7 +114,7 @@
     backupAddress: backup === null ? null : servers.addressOf(backup.entry),
     continuation: null,
   };
-  const outcome = await engineStreams.openStream(context.codec, call, {
+  const outcome = await engineStreams.openStream(context, call, {
     server,
     options: () => options,
     signal: scope.signal,
--- a/src/relay/plainRelay/index.ts
+++ b/src/relay/plainRelay/index.ts
@@ -100,7 +100,7 @@
     });
     const timeLeftMs = call.deadlineAtMs - startedAtMs;
     const options = { server, timeLeftMs, priority: null, backupAddress: null, continuation: null };
-    const outcome = await sends.sendBuffered(context.codec, call, options, this.scope.signal);
+    const outcome = await sends.sendBuffered(context, call, options, this.scope.signal);
     this.changePendingCount(server.id, -1);
     this.pendingCount -= 1;
     if (this.isSettled || this.scope.signal.aborted) return;
--- a/src/relay/relayContext.ts
+++ b/src/relay/relayContext.ts
@@ -23,4 +23,6 @@
   readonly budget: retryBudgets.RetryBudget;
   readonly log: diagnostics.DecisionLog;
   readonly meters: diagnostics.Meters;
+  /** Called with the head of each answer of a server, whatever becomes of the answer. */
+  readonly onAnswerHead: (server: servers.ServerEntry, head: types.AnswerHead) => void;
 }
