--- a/standins/platform/backendServer/index.ts
+++ b/standins/platform/backendServer/index.ts
@@ -27,6 +27,8 @@
   readonly runs: string[] = [];
   /** Received requests in order of arrival, except those to transfer memory. */
   readonly calls: ReceivedCall[] = [];
+  /** Limit of requests a second from all VMs, which each answer names; null for none. */
+  ratePerSecond: number | null = null;
   private behaviour: Behaviour = answerCompletely("ok");
   private readonly http = http.createServer((request, response) => {
     void this.handle(request, response);
@@ -51,7 +53,9 @@
 
   /** Creates the headers of an answer to a request. */
   createAnswerHeaders(call: ReceivedCall): http.OutgoingHttpHeaders {
-    return { [HEADERS.requestId]: call.id, [HEADERS.signature]: `${this.id}.${call.id}` };
+    const headers = { [HEADERS.requestId]: call.id, [HEADERS.signature]: `${this.id}.${call.id}` };
+    if (this.ratePerSecond === null) return headers;
+    return { ...headers, [HEADERS.rateLimit]: String(this.ratePerSecond) };
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
