Keep to the rate of requests that a server names, all VMs together

Cause: no VM read the limit, so that nothing depended on it. Class: a signal of a back end that is dropped at the edge, although it is an input of the decision where to send. Neither could a VM have kept it alone, as it holds for all.

Change: the VMs that rank first for a server share its rate equally, at most as many as requests a second, since the single requests of many small shares could coincide. Each spaces its requests evenly. VMs tell each other what servers stated with their heartbeats, so that a VM without a share knows when the limit ends; a rate of zero leaves one request in 4 s for the same reason. Repeats, hedges, generations, migrations and continuations count. A plain call goes to the server with the shortest wait; it waits for its turn only while its objective can be kept, and is refused at once otherwise, with the time to come back. The call of a plain service moves to a module of its own.

--- a/src/dispatch/selectPlainServer/index.ts
+++ b/src/dispatch/selectPlainServer/index.ts
@@ -10,7 +10,7 @@
 /**
  * Selects a plain server for a call: the one with the lowest expected time until its calls in
  * progress and this one are answered, plus costs for failures, suspected partitions and other data
- * centres. Once-only calls use a higher failure weight, since they cannot be retried.
+ * centres. A server that takes no request of this VM is not selected. Once-only calls use a higher failure weight, since they cannot be retried.
  *
  * @param options - `avoidedIds` are servers that have received this call already, used only where
  * no other is left; `failureWeight` is the cost of a server whose answers all fail, in call times
@@ -32,6 +32,7 @@
   for (const server of candidates) {
     const callMs = server.typicalMs ?? constants.DEFAULT_CALL_TIME_MS;
     const costMs =
+      server.admissionDelayMs +
       callMs * (1 + server.pendingCount) +
       options.failureWeight * server.failureRatio * callMs +
       (server.isPartitioned ? constants.PARTITION_COST_MS : 0) +
--- a/src/dispatch/selectPlainServer/test.ts
+++ b/src/dispatch/selectPlainServer/test.ts
@@ -11,6 +11,7 @@
     failureRatio: 0,
     isPartitioned: false,
     typicalMs: 20,
+    admissionDelayMs: 0,
     ...overrides,
   };
 }
--- a/src/dispatch/types.ts
+++ b/src/dispatch/types.ts
@@ -92,6 +92,8 @@
   readonly isPartitioned: boolean;
   /** Moving average of the server's answer time; null before the first answer. */
   readonly typicalMs: number | null;
+  /** Time until the server takes another request of this VM; Infinity if it takes none. */
+  readonly admissionDelayMs: number;
 }
 
 /** A generation that waits for engine capacity. */
--- a/src/gateway/_lib/virtualFleet/index.ts
+++ b/src/gateway/_lib/virtualFleet/index.ts
@@ -92,6 +92,8 @@
       reachesStore: () => this.readers.every(({ reachesStore }) => reachesStore),
       onReplicaBehind: (topic, peer, state) => void client.catchUp(topic, peer, state),
       onWorkChange: () => undefined,
+      listRateStatements: () => [],
+      onRateStatement: () => undefined,
     });
     this.resources.add(this.mesh);
     this.sweepTimer = this.scheduleSweep();
--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -5,6 +5,7 @@
 import * as routing from "../../routing/index.js";
 import * as servers from "../../servers/index.js";
 import * as sharedView from "../../sharedView/index.js";
+import * as answerObservers from "../_lib/observeAnswerHeads/index.js";
 import * as pauseMonitors from "../_lib/pauseMonitor/index.js";
 import * as registerGauges from "../_lib/registerGauges/index.js";
 import * as statusServers from "../_lib/statusServers/index.js";
@@ -55,7 +56,7 @@
     this.trust = new servers.ServerTrust(clock, (dataCentre) =>
       this.mesh.isDataCentreSilent(dataCentre),
     );
-    this.rateLimits = new servers.ServerRateLimits(clock);
+    this.rateLimits = new servers.ServerRateLimits(clock, (id) => this.mesh.rankFor(id));
     this.claims = new dispatch.ClaimTable(clock);
     this.fleetQueue = new dispatch.FleetQueue(clock);
     this.view = new currentViews.CurrentView(ports, this.directory, {
@@ -70,6 +71,7 @@
       dataCentre: settings.dataCentre,
       directory: this.directory,
       trust: this.trust,
+      rateLimits: this.rateLimits,
       claims: this.claims,
       fleetQueue: this.fleetQueue,
       broadcast: this.mesh.work,
@@ -206,6 +208,8 @@
       reachesStore: () => this.readers.every((reader) => reader.reachesStore),
       onReplicaBehind: (topic, peer, state) => void client.catchUp(topic, peer, state),
       onWorkChange: () => this.dispatcher.requestScan(),
+      listRateStatements: () => this.rateLimits.listOwnStatements(),
+      onRateStatement: (statement) => this.rateLimits.recordPeerStatement(statement),
     });
   }
 
@@ -243,7 +247,8 @@
       dispatcher: this.dispatcher,
       lengths: new dispatch.OutputLengths(),
       budget,
-      onAnswerHead: (server, head) => this.recordAnswerHead(server, head),
+      rateLimits: this.rateLimits,
+      onAnswerHead: answerObservers.observeAnswerHeads(ports.log, this.rateLimits),
     };
     const plain = new relay.PlainRelay(context);
     const generations = this.resources.add(new relay.GenerationRelay(context));
@@ -263,15 +268,6 @@
     });
   }
 
-  private recordAnswerHead(server: servers.ServerEntry, { ratePerSecond }: relay.AnswerHead): void {
-    if (!this.rateLimits.record(server.id, ratePerSecond)) return;
-    this.ports.log.record(Importance.StateChange, LogEvent.ServerLimitChanged, {
-      serverId: server.id,
-      service: server.serviceName,
-      ratePerSecond,
-    });
-  }
-
   private onServerLeaving(server: servers.KnownServer): void {
     const { entry, leaving, receivedAtMs } = server;
     this.ports.log.record(Importance.StateChange, LogEvent.ServerLeaving, {
--- a/src/relay/_lib/createRefusal/index.ts
+++ b/src/relay/_lib/createRefusal/index.ts
@@ -12,6 +12,7 @@
   [types.RefusalReason.NoServer]: 503,
   [types.RefusalReason.NoCapacity]: 503,
   [types.RefusalReason.ServersRefused]: 503,
+  [types.RefusalReason.RateLimited]: 503,
   [types.RefusalReason.Stopping]: 503,
   [types.RefusalReason.TimedOutNotRun]: 503,
   [types.RefusalReason.TimedOut]: 504,
--- a/src/relay/_lib/generationRun/index.ts
+++ b/src/relay/_lib/generationRun/index.ts
@@ -14,9 +14,6 @@
 import * as streamTimings from "../streamTiming/index.js";
 import * as startRuns from "../startRun/index.js";
 
-/** Number of events between two updates of a run's claim. */
-const PROGRESS_EVENTS_COUNT = 8;
-
 type Handover = (
   run: GenerationRun,
   stream: engineStreams.EngineStream,
@@ -135,7 +132,7 @@
     if (isFirst) this.claims.recordFirstEvent();
     if (gapMs !== null) this.context.meters.eventGap.observe(gapMs / 1_000);
     this.handOverIfLeaving();
-    if (this.lastEventId % PROGRESS_EVENTS_COUNT === 0) {
+    if (this.lastEventId % constants.PROGRESS_EVENTS_COUNT === 0) {
       this.claims.recordProgress(this.lastEventId);
     }
   }
@@ -257,6 +254,7 @@
     if (scope === null) return null;
     const server = context.directory.find(target.server.id)?.entry ?? target.server;
     const backup = this.claims.selectBackup(server.id, this.lastEventId);
+    handovers.reserveContinuation(context, target);
     const outcome = await engineStreams.openStream(context, call, {
       server,
       options: () => ({
--- a/src/relay/_lib/handover/index.ts
+++ b/src/relay/_lib/handover/index.ts
@@ -59,6 +59,15 @@
   };
 }
 
+/** Counts a continuation on a backup against its engine's rate; a broken run does not wait for it. */
+export function reserveContinuation(
+  { rateLimits }: relayContext.RelayContext,
+  { method, server }: ContinuationTarget,
+): void {
+  // A migration has been counted at its placement.
+  if (method === HandoverMethod.Backup) rateLimits.reserve(server.id);
+}
+
 /**
  * Migrates the memory of a run from a leaving engine: waits until its predecessors in the migration
  * order are done, copies the memory while the run executes, then stops the run and makes the final
--- /dev/null
+++ b/src/relay/_lib/selectPlainTarget/index.ts
@@ -0,0 +1,52 @@
+import * as dispatch from "../../../dispatch/index.js";
+import type * as servers from "../../../servers/index.js";
+import * as constants from "../../constants.js";
+import type * as relayContext from "../../relayContext.js";
+
+/** State of a call that the selection of its next server takes into account. */
+export interface PlainTargetQuery {
+  readonly serviceName: string;
+  /** Calls of this VM in progress, by server. */
+  readonly pendingCounts: ReadonlyMap<string, number>;
+  /** Servers that have received the call. */
+  readonly triedIds: ReadonlySet<string>;
+  /** Servers that may have executed the call. */
+  readonly possiblyRanIds: ReadonlySet<string>;
+  /** Whether the call may be sent to a server that has not executed it. */
+  readonly canUseNewServer: boolean;
+  readonly isIdempotent: boolean;
+}
+
+/** Selects the server to which a call is sent next; undefined if none takes it. */
+export function selectPlainTarget(
+  context: relayContext.RelayContext,
+  query: PlainTargetQuery,
+): servers.KnownServer | undefined {
+  const { directory, trust, rateLimits } = context;
+  const available = directory.listAvailable(query.serviceName);
+  const reachable = available.filter(({ entry }) => !trust.isSuspended(entry.id));
+  const selectable = reachable.length > 0 ? reachable : available;
+  const allowed = query.canUseNewServer
+    ? selectable
+    : selectable.filter(({ entry }) => query.possiblyRanIds.has(entry.id));
+  const candidates = allowed.map(({ entry }): dispatch.PlainCandidate => {
+    return {
+      serverId: entry.id,
+      dataCentre: entry.dataCentre,
+      pendingCount: query.pendingCounts.get(entry.id) ?? 0,
+      failureRatio: trust.failureRatio(entry.id),
+      typicalMs: trust.typicalMs(entry.id),
+      isPartitioned: trust.isPartitionSuspected(entry.dataCentre),
+      admissionDelayMs: rateLimits.delayMs(entry.id),
+    };
+  });
+  const chosen = dispatch.selectPlainServer(candidates, {
+    dataCentre: context.dataCentre,
+    avoidedIds: query.triedIds,
+    failureWeight: query.isIdempotent
+      ? constants.IDEMPOTENT_FAILURE_WEIGHT
+      : constants.ONCE_ONLY_FAILURE_WEIGHT,
+    random: context.random,
+  });
+  return chosen && directory.find(chosen.serverId);
+}
--- a/src/relay/constants.ts
+++ b/src/relay/constants.ts
@@ -73,3 +73,6 @@
 
 /** Number of engines that are tried as targets of a migration before the run stays on its engine. */
 export const MAX_MIGRATION_TARGETS_COUNT = 3;
+
+/** Number of events between two updates of a run's claim. */
+export const PROGRESS_EVENTS_COUNT = 8;
--- a/src/relay/engineDispatcher/index.ts
+++ b/src/relay/engineDispatcher/index.ts
@@ -3,6 +3,7 @@
 import * as dispatch from "../../dispatch/index.js";
 import type * as routing from "../../routing/index.js";
 import type * as servers from "../../servers/index.js";
+import * as createClaims from "../_lib/createClaim/index.js";
 import * as engineSlowness from "../_lib/engineSlowness/index.js";
 import * as constants from "../constants.js";
 import type * as types from "./types.js";
@@ -70,7 +71,7 @@
     if (traits === null) return [];
     const usable = context.directory
       .listAvailable(serviceName)
-      .filter(({ entry }) => !avoidedIds.has(entry.id) && !context.trust.isSuspended(entry.id));
+      .filter(({ entry }) => !avoidedIds.has(entry.id) && this.isUsable(entry.id));
     return usable.map((server) => this.createCandidate(server, traits));
   }
 
@@ -199,8 +200,10 @@
   ): void {
     const { request } = waiting;
     const server = this.context.directory.find(engine.serverId);
-    if (server === undefined) return;
-    this.setClaim(createClaim(request, engine.serverId, this.context.vmName));
+    // One scan may allocate several generations to an engine that takes only one at a time.
+    if (server === undefined || !this.isUsable(engine.serverId)) return;
+    this.context.rateLimits.reserve(engine.serverId);
+    this.setClaim(createClaims.createClaim(request, engine.serverId, this.context.vmName));
     waiting.settle(
       neverthrow.ok({
         server,
@@ -264,6 +267,11 @@
     };
   }
 
+  private isUsable(serverId: string): boolean {
+    const { trust, rateLimits } = this.context;
+    return !trust.isSuspended(serverId) && rateLimits.delayMs(serverId) === 0;
+  }
+
   private scheduleScan(): void {
     if (this.waiting.size === 0 || this.scanTimer !== null) return;
     this.scanTimer = this.context.clock.schedule(constants.QUEUE_SCAN_INTERVAL_MS, () => {
@@ -273,24 +281,6 @@
   }
 }
 
-function createClaim(
-  request: types.PlacementRequest,
-  serverId: string,
-  vmName: string,
-): dispatch.Claim {
-  return {
-    requestId: request.requestId,
-    role: request.role,
-    vmName,
-    serverId,
-    unreadTokens: request.need.unreadTokens,
-    promptTokens: request.need.promptTokens,
-    expectedOutputTokens: request.need.expectedOutputTokens,
-    producedTokens: request.need.producedTokens,
-    hasFirstEvent: request.need.unreadTokens === 0,
-  };
-}
-
 function createRefusal(
   kind: types.PlacementRefusal["kind"],
   expectedWaitMs: number,
--- a/src/relay/relayContext.ts
+++ b/src/relay/relayContext.ts
@@ -18,6 +18,8 @@
   readonly directory: servers.ServerDirectory;
   readonly trust: servers.ServerTrust;
   readonly dispatcher: engineDispatcher.EngineDispatcher;
+  /** Limits on the rate of requests that servers name. */
+  readonly rateLimits: servers.ServerRateLimits;
   /** Output lengths learned from complete outputs. */
   readonly lengths: dispatch.OutputLengths;
   readonly budget: retryBudgets.RetryBudget;
--- a/src/relay/types.ts
+++ b/src/relay/types.ts
@@ -140,6 +140,7 @@
   NoServer = "no-server",
   NoCapacity = "no-room",
   ServersRefused = "servers-refused",
+  RateLimited = "rate-limited",
   Stopping = "stopping",
   TimedOutNotRun = "timed-out-not-run",
   TimedOut = "timed-out",
--- a/src/servers/constants.ts
+++ b/src/servers/constants.ts
@@ -30,3 +30,12 @@
  * the data centre is tried again.
  */
 export const PARTITION_SUSPICION_MS = 800;
+
+/** How long a server's statement on its rate is told to the peers. */
+export const RATE_STATEMENT_RETENTION_MS = 10_000;
+
+/** Most statements in one message to the peers, so that it fits a datagram. */
+export const MAX_SHARED_RATE_STATEMENTS_COUNT = 8;
+
+/** Lowest rate at which a limited server is still sent requests, as only its answers end a limit. */
+export const MIN_RATE_PER_SECOND = 0.25;
--- a/src/sharedView/_lib/datagrams/index.ts
+++ b/src/sharedView/_lib/datagrams/index.ts
@@ -31,6 +31,13 @@
 /** A reading of a VM's monotonic clock (`steadyMs`) and of its wall clock. */
 const clockReading = zod.object({ steadyMs: zod.number(), wallMs: zod.number() });
 
+/** What a server stated about its rate, as the sender has received it. */
+const rateStatement = zod.object({
+  serverId: name,
+  ratePerSecond: zod.number().nonnegative().nullable(),
+  ageMs: zod.number().nonnegative(),
+});
+
 const heartbeat = zod.object({
   kind: zod.literal(DatagramKind.Heartbeat),
   vmName: name,
@@ -52,6 +59,8 @@
   topicEpochs: zod.array(count).max(8).default([]),
   /** Revision of each topic's retained record, in the same order; absent as above. */
   topicRevisions: zod.array(zod.number()).max(8).default([]),
+  /** Absent in messages of earlier releases. */
+  rateStatements: zod.array(rateStatement).max(64).readonly().default([]),
 });
 
 const record = zod.tuple([name, count, bytes.nullable()]);
--- a/src/sharedView/_lib/peerTable/index.ts
+++ b/src/sharedView/_lib/peerTable/index.ts
@@ -1,4 +1,6 @@
 import type * as clocks from "../../../_lib/clock/index.js";
+import * as fleet from "../../../fleet/index.js";
+import type * as servers from "../../../servers/index.js";
 import * as constants from "../../constants.js";
 import type * as types from "../../types.js";
 import type * as clockReadings from "../clockReading/index.js";
@@ -206,6 +208,14 @@
     this.states.delete(vmName);
   }
 
+  /** Place of this VM among all live VMs, in an order that depends on the key. */
+  rankFor(key: string): servers.VmRank {
+    const names = [this.self, ...this.livePeers()].map(({ vmName }) => ({ name: vmName }));
+    const ranked = fleet.rankByRendezvous(key, names);
+    const rank = ranked.findIndex(({ name }) => name === this.self.vmName);
+    return { rank, vmsCount: ranked.length };
+  }
+
   /**
    * Number of live VMs that read the store before this one: those that reach it go first, then
    * the larger ones.
--- a/src/sharedView/_lib/testMesh/index.ts
+++ b/src/sharedView/_lib/testMesh/index.ts
@@ -88,6 +88,8 @@
       reachesStore: () => this.reachesStore,
       onReplicaBehind: (topic, peer) => this.behindReports.push(`${topic} at ${peer.vmName}`),
       onWorkChange: () => undefined,
+      listRateStatements: () => [],
+      onRateStatement: () => undefined,
     });
   }
 
--- a/src/sharedView/peerMesh/index.ts
+++ b/src/sharedView/peerMesh/index.ts
@@ -1,6 +1,5 @@
-import type * as clocks from "../../_lib/clock/index.js";
 import * as diagnostics from "../../diagnostics/index.js";
-import type * as fleet from "../../fleet/index.js";
+import type * as servers from "../../servers/index.js";
 import * as clockReadings from "../_lib/clockReading/index.js";
 import * as datagrams from "../_lib/datagrams/index.js";
 import * as peerTables from "../_lib/peerTable/index.js";
@@ -11,26 +10,12 @@
 import * as constants from "../constants.js";
 import * as topicReplicas from "../topicReplica/index.js";
 import * as types from "../types.js";
+import type * as meshTypes from "./types.js";
 
 const { Importance, LogEvent } = diagnostics;
 const { DatagramKind } = datagrams;
 
-/** Dependencies of the peer mesh. */
-export interface MeshContext extends workExchanges.WorkContext {
-  readonly clock: clocks.Clock;
-  readonly socket: fleet.DatagramSocket;
-  readonly self: types.MeshIdentity;
-  readonly replicas: ReadonlyMap<types.Topic, topicReplicas.TopicReplica>;
-  readonly log: diagnostics.DecisionLog;
-  /** Whether the store answered this VM's last calls. */
-  readonly reachesStore: () => boolean;
-  /** Called when a peer reports a replica that is ahead of this VM's. */
-  readonly onReplicaBehind: (
-    topic: types.Topic,
-    peer: types.Peer,
-    peerState: types.ReplicaState,
-  ) => void;
-}
+export type * from "./types.js";
 
 /**
  * Exchanges datagrams between VMs: heartbeats with the age of each VM's view of the store, records
@@ -49,7 +34,7 @@
   /** Whether this VM is a hub, as of its last heartbeat round. */
   private isHub = false;
 
-  constructor(private readonly context: MeshContext) {
+  constructor(private readonly context: meshTypes.MeshContext) {
     this.table = new peerTables.PeerTable(context.clock, context.self);
     this.aggregator = new workAggregators.WorkAggregator({
       clock: context.clock,
@@ -79,6 +64,11 @@
     return this.table.readerRank(this.context.reachesStore());
   }
 
+  /** Place of this VM among all live VMs, in an order that depends on the key. */
+  rankFor(key: string): servers.VmRank {
+    return this.table.rankFor(key);
+  }
+
   /** Whether a data centre's VMs have fallen silent, which suggests a network partition. */
   isDataCentreSilent(dataCentre: string): boolean {
     return this.table.isDataCentreSilent(dataCentre);
@@ -170,6 +160,7 @@
       reachesStore: reachesStore(),
       isAnchor: this.isHub,
       ...topicStateCodec.encodeTopicStates((topic) => this.replicaOf(topic)),
+      rateStatements: this.context.listRateStatements(),
     };
     this.context.socket.send(datagrams.encodeDatagram(message), address.host, address.port);
   }
@@ -209,6 +200,7 @@
       });
       this.sendHeartbeat(peer);
     }
+    message.rateStatements.forEach(this.context.onRateStatement);
     for (const reported of topicStateCodec.decodeTopicStates(message))
       this.applyReportedReplica(reported, message.echo, peer);
   }
