Send nothing new to a server that says in an answer that it leaves

New rule: an engine that leaves says so in all its answers. Nothing read that statement, so that a VM which hears of the leaving in no other way (cut from the store, or before the entry arrives) went on sending.

An answer with the statement marks the server as leaving, as its entry would: no new calls or generations, its runs are handed over, and only a new start ends it. What another server answers at the address is not held against the expected one.

--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -231,7 +231,7 @@
   }
 
   private createCallerServer(): callerServers.CallerServer {
-    const { settings, ports } = this;
+    const { settings, ports, directory, rateLimits } = this;
     const budget = new relay.RetryBudget(
       ports.clock,
       settings.retryBudget,
@@ -242,13 +242,13 @@
       random: ports.random.fork(),
       vmName: settings.vmName,
       dataCentre: settings.dataCentre,
-      directory: this.directory,
+      directory,
       trust: this.trust,
       dispatcher: this.dispatcher,
       lengths: new dispatch.OutputLengths(),
       budget,
-      rateLimits: this.rateLimits,
-      onAnswerHead: answerObservers.observeAnswerHeads(ports.log, this.rateLimits),
+      rateLimits,
+      onAnswerHead: answerObservers.observeAnswerHeads({ log: ports.log, directory, rateLimits }),
     };
     const plain = new relay.PlainRelay(context);
     const generations = this.resources.add(new relay.GenerationRelay(context));
--- a/src/relay/types.ts
+++ b/src/relay/types.ts
@@ -78,6 +78,8 @@
   readonly isOtherServer: boolean;
   /** Whether the body has a content encoding, which no server uses. */
   readonly isEncoded: boolean;
+  /** Whether the server states that it terminates. */
+  readonly isLeaving: boolean;
   /** Requests a second that the server takes from all VMs together; null if it names no limit. */
   readonly ratePerSecond: number | null;
   /** Headers to forward, as alternating names and values. */
--- a/src/servers/types.ts
+++ b/src/servers/types.ts
@@ -27,6 +27,8 @@
 export enum LeavingReason {
   /** The server announced its termination. */
   Announced = "announced",
+  /** The server stated in an answer that it terminates. */
+  StatedInAnswer = "stated-in-answer",
   /** The server's entry was removed from the store. */
   EntryRemoved = "entry-gone",
   /** Another server uses the address. */
--- a/standins/platform/backendServer/index.ts
+++ b/standins/platform/backendServer/index.ts
@@ -29,6 +29,8 @@
   readonly calls: ReceivedCall[] = [];
   /** Limit of requests a second from all VMs, which each answer names; null for none. */
   ratePerSecond: number | null = null;
+  /** Whether each answer states that the server leaves. */
+  isLeaving = false;
   private behaviour: Behaviour = answerCompletely("ok");
   private readonly http = http.createServer((request, response) => {
     void this.handle(request, response);
@@ -53,9 +55,12 @@
 
   /** Creates the headers of an answer to a request. */
   createAnswerHeaders(call: ReceivedCall): http.OutgoingHttpHeaders {
-    const headers = { [HEADERS.requestId]: call.id, [HEADERS.signature]: `${this.id}.${call.id}` };
-    if (this.ratePerSecond === null) return headers;
-    return { ...headers, [HEADERS.rateLimit]: String(this.ratePerSecond) };
+    return {
+      [HEADERS.requestId]: call.id,
+      [HEADERS.signature]: `${this.id}.${call.id}`,
+      ...(this.ratePerSecond === null ? {} : { [HEADERS.rateLimit]: String(this.ratePerSecond) }),
+      ...(this.isLeaving ? { [HEADERS.leaving]: "1" } : {}),
+    };
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
@@ -102,10 +107,12 @@
   };
 }
 
-/** Refuses the request with 503 and states that it was not run. */
-export function refuse(): Behaviour {
+/** Refuses the request with 503 and states that it was not run, and when to come back if given. */
+export function refuse(retryAfterS?: number): Behaviour {
   return (call, response) => {
-    response.writeHead(503, { [HEADERS.requestId]: call.id, [HEADERS.notRun]: "1" }).end();
+    const retryAfter = retryAfterS === undefined ? {} : { [HEADERS.retryAfter]: retryAfterS };
+    const headers = { [HEADERS.requestId]: call.id, [HEADERS.notRun]: "1", ...retryAfter };
+    response.writeHead(503, headers).end();
   };
 }
 
