Send nothing to a server for as long as its Retry-After says

New rule: an engine that turns a request away with 503 and Retry-After wants nothing from that VM for so long. The header was passed on to callers and read by nothing on the platform's path.

The limits on rates become the backpressure of servers: rates for all VMs, and pauses for this one. A paused server is no candidate; a call that all servers want later is refused at once with that time. What a server asked for ends with its start, since a new start knows nothing of before.

Measured: the two tests of gateway/serverStatements on Retry-After failed before (calls went on to the paused server; a refusal named 0.5 s instead of 8) and pass, three runs of three; all eight of serverBackpressure pass.

--- a/src/diagnostics/types.ts
+++ b/src/diagnostics/types.ts
@@ -29,6 +29,7 @@
   ServerKnown = "server-known",
   ServerLeaving = "server-leaving",
   ServerLimitChanged = "server-limit-changed",
+  ServerPaused = "server-paused",
   ProcessPaused = "process-paused",
   LinesDropped = "lines-dropped",
   RequestRefused = "request-refused",
--- a/src/gateway/_lib/observeAnswerHeads/index.ts
+++ b/src/gateway/_lib/observeAnswerHeads/index.ts
@@ -8,21 +8,29 @@
 export interface ObserverContext {
   readonly log: diagnostics.DecisionLog;
   readonly directory: servers.ServerDirectory;
-  readonly rateLimits: servers.ServerRateLimits;
+  readonly backpressure: servers.ServerBackpressure;
 }
 
 /** Returns a function that takes up what servers state of themselves in the heads of their answers. */
 export function observeAnswerHeads({
   log,
   directory,
-  rateLimits,
+  backpressure,
 }: ObserverContext): relay.RelayContext["onAnswerHead"] {
-  return (server, { isOtherServer, isLeaving, ratePerSecond }) => {
+  return (server, { isOtherServer, isLeaving, retryAfterMs, ratePerSecond }) => {
     // Whichever server answered, it speaks for itself.
     if (isOtherServer) return;
     if (isLeaving && directory.find(server.id)?.entry.bornAtWallMs === server.bornAtWallMs)
       directory.markLeaving(server.id, servers.LeavingReason.StatedInAnswer);
-    if (!rateLimits.record(server.id, ratePerSecond)) return;
+    if (retryAfterMs !== null) {
+      backpressure.pause(server, retryAfterMs);
+      log.record(Importance.Notable, LogEvent.ServerPaused, {
+        serverId: server.id,
+        service: server.serviceName,
+        retryAfterMs,
+      });
+    }
+    if (!backpressure.record(server, ratePerSecond)) return;
     log.record(Importance.StateChange, LogEvent.ServerLimitChanged, {
       serverId: server.id,
       service: server.serviceName,
--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -34,7 +34,7 @@
   private readonly resources = new disposableStore.DisposableStore();
   private readonly directory: servers.ServerDirectory;
   private readonly trust: servers.ServerTrust;
-  private readonly rateLimits: servers.ServerRateLimits;
+  private readonly backpressure: servers.ServerBackpressure;
   private readonly claims: dispatch.ClaimTable;
   private readonly fleetQueue: dispatch.FleetQueue;
   private readonly view: currentViews.CurrentView;
@@ -56,7 +56,7 @@
     this.trust = new servers.ServerTrust(clock, (dataCentre) =>
       this.mesh.isDataCentreSilent(dataCentre),
     );
-    this.rateLimits = new servers.ServerRateLimits(clock, (id) => this.mesh.rankFor(id));
+    this.backpressure = new servers.ServerBackpressure(clock, (id) => this.mesh.rankFor(id));
     this.claims = new dispatch.ClaimTable(clock);
     this.fleetQueue = new dispatch.FleetQueue(clock);
     this.view = new currentViews.CurrentView(ports, this.directory, {
@@ -71,7 +71,7 @@
       dataCentre: settings.dataCentre,
       directory: this.directory,
       trust: this.trust,
-      rateLimits: this.rateLimits,
+      backpressure: this.backpressure,
       claims: this.claims,
       fleetQueue: this.fleetQueue,
       broadcast: this.mesh.work,
@@ -208,8 +208,8 @@
       reachesStore: () => this.readers.every((reader) => reader.reachesStore),
       onReplicaBehind: (topic, peer, state) => void client.catchUp(topic, peer, state),
       onWorkChange: () => this.dispatcher.requestScan(),
-      listRateStatements: () => this.rateLimits.listOwnStatements(),
-      onRateStatement: (statement) => this.rateLimits.recordPeerStatement(statement),
+      listRateStatements: () => this.backpressure.listOwnStatements(),
+      onRateStatement: (statement) => this.backpressure.recordPeerStatement(statement),
     });
   }
 
@@ -231,7 +231,7 @@
   }
 
   private createCallerServer(): callerServers.CallerServer {
-    const { settings, ports, directory, rateLimits } = this;
+    const { settings, ports, directory, backpressure } = this;
     const budget = new relay.RetryBudget(
       ports.clock,
       settings.retryBudget,
@@ -247,8 +247,8 @@
       dispatcher: this.dispatcher,
       lengths: new dispatch.OutputLengths(),
       budget,
-      rateLimits,
-      onAnswerHead: answerObservers.observeAnswerHeads({ log: ports.log, directory, rateLimits }),
+      backpressure,
+      onAnswerHead: answerObservers.observeAnswerHeads({ log: ports.log, directory, backpressure }),
     };
     const plain = new relay.PlainRelay(context);
     const generations = this.resources.add(new relay.GenerationRelay(context));
@@ -287,7 +287,7 @@
       this.fleetQueue.dropStale(CLAIM_SILENCE_TIMEOUT_MS);
       const serverIds = new Set(this.directory.listAll().map(({ entry }) => entry.id));
       this.trust.retain(serverIds);
-      this.rateLimits.retain(serverIds);
+      this.backpressure.retain(serverIds);
       this.scheduleSweep();
     });
   }
--- a/src/relay/_lib/handover/index.ts
+++ b/src/relay/_lib/handover/index.ts
@@ -61,11 +61,11 @@
 
 /** Counts a continuation on a backup against its engine's rate; a broken run does not wait for it. */
 export function reserveContinuation(
-  { rateLimits }: relayContext.RelayContext,
+  { backpressure }: relayContext.RelayContext,
   { method, server }: ContinuationTarget,
 ): void {
   // A migration has been counted at its placement.
-  if (method === HandoverMethod.Backup) rateLimits.reserve(server.id);
+  if (method === HandoverMethod.Backup) backpressure.reserve(server);
 }
 
 /**
--- a/src/relay/_lib/handover/test.ts
+++ b/src/relay/_lib/handover/test.ts
@@ -57,7 +57,7 @@
     random,
     directory,
     trust,
-    rateLimits: new servers.ServerRateLimits(clock, () => ({ rank: 0, vmsCount: 1 })),
+    backpressure: new servers.ServerBackpressure(clock, () => ({ rank: 0, vmsCount: 1 })),
     claims,
     fleetQueue: new dispatch.FleetQueue(clock),
     broadcast: {
--- a/src/relay/_lib/plainCall/index.ts
+++ b/src/relay/_lib/plainCall/index.ts
@@ -53,7 +53,7 @@
 
   private send(): void {
     const server = this.selectServer();
-    const delayMs = server === undefined ? 0 : this.context.rateLimits.delayMs(server.entry.id);
+    const delayMs = server === undefined ? 0 : this.context.backpressure.delayMs(server.entry);
     const canSendNow = server !== undefined && delayMs === 0;
     // Another attempt is still pending, so a hedge that cannot be sent now is dropped.
     if (!canSendNow && this.pendingCount > 0) return;
@@ -62,7 +62,7 @@
     } else if (delayMs > 0) {
       void this.sendWhenDue(server, delayMs);
     } else {
-      this.context.rateLimits.reserve(server.entry.id);
+      this.context.backpressure.reserve(server.entry);
       this.sendNow(server.entry);
     }
   }
@@ -158,7 +158,7 @@
    * be answered within its objective; otherwise its caller is told at once when to come back.
    */
   private async sendWhenDue(server: servers.KnownServer, delayMs: number): Promise<void> {
-    const { clock, directory, rateLimits, trust } = this.context;
+    const { clock, directory, backpressure, trust } = this.context;
     const { id } = server.entry;
     const objectiveLeftMs = this.call.arrivedAtMs + this.call.route.objectiveMs - clock.nowMs();
     if (delayMs > objectiveLeftMs - (trust.typicalMs(id) ?? 0)) {
@@ -166,7 +166,7 @@
       this.finishUnsent(types.RefusalReason.RateLimited, retryAfterMs);
       return;
     }
-    rateLimits.reserve(id);
+    backpressure.reserve(server.entry);
     // Rejects only if the call has ended.
     await clock.sleep(delayMs, this.scope.signal).catch(() => null);
     if (this.isSettled || this.scope.signal.aborted) return;
--- a/src/relay/_lib/selectPlainTarget/index.ts
+++ b/src/relay/_lib/selectPlainTarget/index.ts
@@ -22,7 +22,7 @@
   context: relayContext.RelayContext,
   query: PlainTargetQuery,
 ): servers.KnownServer | undefined {
-  const { directory, trust, rateLimits } = context;
+  const { directory, trust, backpressure } = context;
   const available = directory.listAvailable(query.serviceName);
   const reachable = available.filter(({ entry }) => !trust.isSuspended(entry.id));
   const selectable = reachable.length > 0 ? reachable : available;
@@ -37,7 +37,7 @@
       failureRatio: trust.failureRatio(entry.id),
       typicalMs: trust.typicalMs(entry.id),
       isPartitioned: trust.isPartitionSuspected(entry.dataCentre),
-      admissionDelayMs: rateLimits.delayMs(entry.id),
+      admissionDelayMs: backpressure.delayMs(entry),
     };
   });
   const chosen = dispatch.selectPlainServer(candidates, {
--- a/src/relay/engineDispatcher/index.ts
+++ b/src/relay/engineDispatcher/index.ts
@@ -71,7 +71,7 @@
     if (traits === null) return [];
     const usable = context.directory
       .listAvailable(serviceName)
-      .filter(({ entry }) => !avoidedIds.has(entry.id) && this.isUsable(entry.id));
+      .filter(({ entry }) => !avoidedIds.has(entry.id) && this.isUsable(entry));
     return usable.map((server) => this.createCandidate(server, traits));
   }
 
@@ -201,8 +201,8 @@
     const { request } = waiting;
     const server = this.context.directory.find(engine.serverId);
     // One scan may allocate several generations to an engine that takes only one at a time.
-    if (server === undefined || !this.isUsable(engine.serverId)) return;
-    this.context.rateLimits.reserve(engine.serverId);
+    if (server === undefined || !this.isUsable(server.entry)) return;
+    this.context.backpressure.reserve(server.entry);
     this.setClaim(createClaims.createClaim(request, engine.serverId, this.context.vmName));
     waiting.settle(
       neverthrow.ok({
@@ -267,9 +267,9 @@
     };
   }
 
-  private isUsable(serverId: string): boolean {
-    const { trust, rateLimits } = this.context;
-    return !trust.isSuspended(serverId) && rateLimits.delayMs(serverId) === 0;
+  private isUsable(entry: servers.ServerEntry): boolean {
+    const { trust, backpressure } = this.context;
+    return !trust.isSuspended(entry.id) && backpressure.delayMs(entry) === 0;
   }
 
   private scheduleScan(): void {
--- a/src/relay/engineDispatcher/test.ts
+++ b/src/relay/engineDispatcher/test.ts
@@ -45,7 +45,7 @@
       dataCentre: "dc-a",
       directory: this.directory,
       trust: new servers.ServerTrust(clock),
-      rateLimits: new servers.ServerRateLimits(clock, () => ({ rank: 0, vmsCount: 1 })),
+      backpressure: new servers.ServerBackpressure(clock, () => ({ rank: 0, vmsCount: 1 })),
       claims: this.claims,
       fleetQueue: this.fleetQueue,
       broadcast: {
--- a/src/relay/engineDispatcher/types.ts
+++ b/src/relay/engineDispatcher/types.ts
@@ -51,7 +51,7 @@
   readonly dataCentre: string;
   readonly directory: servers.ServerDirectory;
   readonly trust: servers.ServerTrust;
-  readonly rateLimits: servers.ServerRateLimits;
+  readonly backpressure: servers.ServerBackpressure;
   readonly claims: dispatch.ClaimTable;
   /** Generations that wait at the other VMs. */
   readonly fleetQueue: dispatch.FleetQueue;
--- a/src/relay/relayContext.ts
+++ b/src/relay/relayContext.ts
@@ -19,7 +19,7 @@
   readonly trust: servers.ServerTrust;
   readonly dispatcher: engineDispatcher.EngineDispatcher;
   /** Limits on the rate of requests that servers name. */
-  readonly rateLimits: servers.ServerRateLimits;
+  readonly backpressure: servers.ServerBackpressure;
   /** Output lengths learned from complete outputs. */
   readonly lengths: dispatch.OutputLengths;
   readonly budget: retryBudgets.RetryBudget;
--- a/src/relay/types.ts
+++ b/src/relay/types.ts
@@ -80,6 +80,8 @@
   readonly isEncoded: boolean;
   /** Whether the server states that it terminates. */
   readonly isLeaving: boolean;
+  /** Time for which the server wants no request, as it states with a status of 503; else null. */
+  readonly retryAfterMs: number | null;
   /** Requests a second that the server takes from all VMs together; null if it names no limit. */
   readonly ratePerSecond: number | null;
   /** Headers to forward, as alternating names and values. */
--- a/src/servers/index.ts
+++ b/src/servers/index.ts
@@ -1,5 +1,5 @@
 export * from "./addressOf/index.js";
 export * from "./serverDirectory/index.js";
-export * from "./serverRateLimits/index.js";
+export * from "./serverBackpressure/index.js";
 export * from "./serverTrust/index.js";
 export * from "./types.js";
--- a/src/sharedView/_lib/datagrams/index.ts
+++ b/src/sharedView/_lib/datagrams/index.ts
@@ -34,6 +34,7 @@
 /** What a server stated about its rate, as the sender has received it. */
 const rateStatement = zod.object({
   serverId: name,
+  bornAtWallMs: zod.number(),
   ratePerSecond: zod.number().nonnegative().nullable(),
   ageMs: zod.number().nonnegative(),
 });
