--- a/src/relay/_lib/engineStream/index.ts
+++ b/src/relay/_lib/engineStream/index.ts
@@ -154,8 +154,8 @@
   }
 
   private handleChunk(chunk: Buffer, consumer: EventConsumer): void {
-    for (const event of this.splitter.push(chunk)) {
-      if (consumer.handleEvent(event)) continue;
+    const areValid = this.splitter.push(chunk).every((event) => consumer.handleEvent(event));
+    if (!areValid || this.splitter.isOverflowing) {
       this.hasSequenceFault = true;
       this.opening.close();
       return;
--- a/src/relay/_lib/eventSplitter/index.ts
+++ b/src/relay/_lib/eventSplitter/index.ts
@@ -1,3 +1,5 @@
+import * as constants from "../../constants.js";
+
 const SEPARATOR = Buffer.from("\n\n");
 const ID_LINE = /^id: ?(\d+)$/m;
 
@@ -11,25 +13,34 @@
 /** Splits a byte stream into complete events and buffers an incomplete one. */
 export class EventSplitter {
   private incompleteBytes: Buffer = Buffer.alloc(0);
+  private hasOverflowed = false;
 
   /** Whether the buffer holds an incomplete event. */
   get hasIncompleteEvent(): boolean {
     return this.incompleteBytes.length > 0;
   }
 
+  /** Whether an event exceeded the limit; nothing is read after it. */
+  get isOverflowing(): boolean {
+    return this.hasOverflowed;
+  }
+
   /** Adds received bytes and returns the events that they complete. */
   push(chunk: Buffer): readonly StreamEvent[] {
+    if (this.hasOverflowed) return [];
     this.incompleteBytes =
       this.incompleteBytes.length === 0 ? chunk : Buffer.concat([this.incompleteBytes, chunk]);
     const events: StreamEvent[] = [];
     for (;;) {
       const separatorAt = this.incompleteBytes.indexOf(SEPARATOR);
-      if (separatorAt < 0) return events;
+      if (separatorAt < 0) break;
       const endAt = separatorAt + SEPARATOR.length;
       const bytes = this.incompleteBytes.subarray(0, endAt);
       events.push({ id: parseEventId(bytes), bytes });
       this.incompleteBytes = this.incompleteBytes.subarray(endAt);
     }
+    this.hasOverflowed = this.incompleteBytes.length > constants.MAX_EVENT_BYTES;
+    return events;
   }
 }
 
--- a/src/relay/_lib/openAttempt/index.ts
+++ b/src/relay/_lib/openAttempt/index.ts
@@ -1,6 +1,8 @@
 import * as http from "node:http";
 import * as net from "node:net";
 
+import * as constants from "../../constants.js";
+
 const EMPTY_BUFFER = Buffer.alloc(0);
 
 /** The kinds of outcome of opening an attempt at a server. */
@@ -124,6 +126,12 @@
     const close = (): void => void outgoing.destroy();
     request.signal.addEventListener("abort", close, { once: true });
     outgoing.once("close", () => request.signal.removeEventListener("abort", close));
+    let informationCount = 0;
+    outgoing.on("information", () => {
+      informationCount += 1;
+      if (informationCount > constants.MAX_INFORMATIONAL_ANSWERS_COUNT)
+        outgoing.destroy(new Error(`${informationCount} informational answers before the answer`));
+    });
     outgoing.once("response", (message) => {
       // The reader of the body detects errors by "close" without "complete".
       message.on("error", () => undefined);
--- a/src/relay/constants.ts
+++ b/src/relay/constants.ts
@@ -76,3 +76,9 @@
 
 /** Number of events between two updates of a run's claim. */
 export const PROGRESS_EVENTS_COUNT = 8;
+
+/** Most informational answers (1xx) that a server may send before its answer. */
+export const MAX_INFORMATIONAL_ANSWERS_COUNT = 8;
+
+/** Largest event of a stream; an event holds a few tokens. */
+export const MAX_EVENT_BYTES = 64 * 1024;
