Ignore echoes that a peer sends to a VM's former process

What callers saw: a VM that was restarted could refuse all calls with keys (503, stale view) and stay not ready for as long as its former process had run, although it reached the store and its peers.

Cause: peers echo the clocks of a VM's last heartbeat. After a restart the first heartbeats still echo the former process, whose monotonic clock had another origin. Its later reading was taken for the latest confirmation of the view, and all true ones were older than it. Class: a value of one process's clock compared with another's; the claims were tied to the process already, the echo was not.

An echo now names the start of the process that it belongs to, and counts for that process alone.

Measured: the new test of peerMesh failed before (age 1,100 ms instead of 0) and passes; all tests of sharedView and gateway pass.

--- a/src/sharedView/_lib/datagrams/index.ts
+++ b/src/sharedView/_lib/datagrams/index.ts
@@ -51,6 +51,8 @@
   sentAt: clockReading,
   /** `sentAt` of the last heartbeat that the sender received from this receiver; null if none. */
   echo: clockReading.nullable(),
+  /** Start of the receiver's process that sent `echo`; absent in messages of earlier releases. */
+  echoStartedAtWallMs: zod.number().nullable().optional(),
   reachesStore: zod.boolean(),
   /** Whether the sender is a hub, which exchanges every heartbeat with the whole fleet. */
   isAnchor: zod.boolean(),
--- a/src/sharedView/_lib/peerTable/index.ts
+++ b/src/sharedView/_lib/peerTable/index.ts
@@ -192,9 +192,13 @@
     return [...this.states.values()].map(({ address }) => address);
   }
 
-  /** The clock reading in a peer's last heartbeat, to be echoed to it; null if none is known. */
-  lastClockReadingOf(vmName: string): clockReadings.ClockReading | null {
-    return this.states.get(vmName)?.lastClockReading ?? null;
+  /** The clock reading in a peer's last heartbeat and the start of its process, to be echoed to it. */
+  createEcho(vmName: string): Pick<datagrams.Heartbeat, "echo" | "echoStartedAtWallMs"> {
+    const state = this.states.get(vmName);
+    return {
+      echo: state?.lastClockReading ?? null,
+      echoStartedAtWallMs: state?.peer?.startedAtWallMs ?? null,
+    };
   }
 
   /** Whether a message comes from the process that sent the VM's last heartbeat. */
--- a/src/sharedView/peerMesh/index.ts
+++ b/src/sharedView/peerMesh/index.ts
@@ -4,6 +4,7 @@
 import * as datagrams from "../_lib/datagrams/index.js";
 import * as peerTables from "../_lib/peerTable/index.js";
 import * as encodeRecordParts from "../_lib/encodeRecordParts/index.js";
+import * as ownEchoes from "../_lib/readOwnEcho/index.js";
 import * as topicStateCodec from "../_lib/topicStateCodec/index.js";
 import * as workExchanges from "../_lib/workExchange/index.js";
 import * as workAggregators from "../_lib/workAggregator/index.js";
@@ -156,7 +157,7 @@
       coresCount: self.coresCount,
       startedAtWallMs: self.startedAtWallMs,
       sentAt: clockReadings.readClocks(clock),
-      echo: this.table.lastClockReadingOf(address.vmName),
+      ...this.table.createEcho(address.vmName),
       reachesStore: reachesStore(),
       isAnchor: this.isHub,
       ...topicStateCodec.encodeTopicStates((topic) => this.replicaOf(topic)),
@@ -201,8 +202,10 @@
       this.sendHeartbeat(peer);
     }
     message.rateStatements.forEach(this.context.onRateStatement);
+    const { clock, self } = this.context;
+    const echo = ownEchoes.readOwnEcho(message, self.startedAtWallMs, clock);
     for (const reported of topicStateCodec.decodeTopicStates(message))
-      this.applyReportedReplica(reported, message.echo, peer);
+      this.applyReportedReplica(reported, echo, peer);
   }
 
   /** Handles records that a peer has read from the store. */
--- a/src/sharedView/peerMesh/test.ts
+++ b/src/sharedView/peerMesh/test.ts
@@ -2,6 +2,7 @@
 
 import * as virtualClocks from "../../_lib/virtualClock/index.js";
 import * as dispatch from "../../dispatch/index.js";
+import * as datagrams from "../_lib/datagrams/index.js";
 import * as testMeshes from "../_lib/testMesh/index.js";
 import * as sharedView from "../index.js";
 
@@ -182,3 +183,35 @@
   await clock.runForMs(10);
   t.equal(vms[1]!.mesh.liveVmsCount, 1);
 });
+
+tap.test(
+  "an echo of a VM's former process does not keep its view from being renewed",
+  async (t) => {
+    const { clock, vms } = await setUp(["a", "b"]);
+    const [restarted, peer] = vms as [testMeshes.Vm, testMeshes.Vm];
+    restarted.confirm(5);
+    // The monotonic clock of the former process had advanced further.
+    const formerReading = { steadyMs: clock.nowMs() + 60_000, wallMs: clock.wallTimeMs() - 1_000 };
+    restarted.mesh.onHeartbeat({
+      kind: datagrams.DatagramKind.Heartbeat,
+      vmName: peer.name,
+      host: peer.name,
+      port: 1,
+      dataCentre: "dc-a",
+      coresCount: 1,
+      startedAtWallMs: 1,
+      sentAt: formerReading,
+      echo: formerReading,
+      echoStartedAtWallMs: 0,
+      reachesStore: true,
+      isAnchor: false,
+      topics: [[5, 0]],
+      topicEpochs: [],
+      topicRevisions: [],
+      rateStatements: [],
+    });
+    await clock.runForMs(100);
+    restarted.confirm(5);
+    t.equal(restarted.configuration.ageMs, 0);
+  },
+);
