Play limits, pauses and leaving servers in the soak, and let it end its processes

The stand-ins could play none of what servers state in their answers, so that the soak could not either. Servers now name a limit for some seconds, turn calls away with Retry-After, and say in their answers that they leave; a check counts a limited server's calls against one and a half times its limit and five, from 3 s after the naming and after the last signal to a VM.

A restart is now dropped once the VM is stopped, and the network depends on more of the process id.

--- a/experiments/soak/checks/index.ts
+++ b/experiments/soak/checks/index.ts
@@ -1,3 +1,4 @@
+import * as rateChecks from "../rateCheck/index.js";
 import type * as backendServers from "../../../standins/platform/backendServer/index.js";
 
 /** A violated invariant. */
@@ -47,6 +48,7 @@
   private readonly refusedIds = new Set<string>();
   private readonly executionsCountById = new Map<string, number>();
   private readonly drainingSinceMsByServer = new Map<string, number>();
+  private readonly rates = new rateChecks.RateCheck();
   private storeDisturbancesCount = 0;
   private storeRecoveredAtMs = 0;
   private readonly servedKeysByProcess = new Map<string, Set<string>>();
@@ -90,6 +92,18 @@
     if (!this.keyByCallId.has(id)) this.recordViolation("only what was asked runs", id);
     this.checkKey(id, Date.now());
     this.checkDraining(id, server.id, Date.now());
+    const excess = this.rates.recordCall(server.id);
+    if (excess !== null) this.recordViolation("servers get no more than they take", excess);
+  }
+
+  /** Records that a server begins to name a limit of requests a second, or ends it. */
+  recordLimit(serverId: string, ratePerSecond: number | null): void {
+    this.rates.recordLimit(serverId, ratePerSecond);
+  }
+
+  /** Records a signal to a VM, or its start. */
+  recordVmDisturbance(): void {
+    this.rates.recordVmDisturbance();
   }
 
   /** Records that the store stops to serve every VM, until `recordStoreRecovery` is called as often. */
--- a/experiments/soak/faults/index.ts
+++ b/experiments/soak/faults/index.ts
@@ -61,6 +61,19 @@
     await fleet.replaceServer(random);
     await sleepMs(500);
   },
+  "server names a limit": async (fleet, random) => {
+    const server = drawOne(fleet.servers, random);
+    fleet.limitServer(server, 2 + 6 * random.next());
+    await sleepMs(5_000 + 4_000 * random.next());
+    fleet.limitServer(server, null);
+  },
+  "server asks for a pause": (fleet, random) =>
+    injectServerFault(fleet, random, backendServers.refuse(0.5 + 2 * random.next())),
+  "server says that it leaves": async (fleet, random) => {
+    drawOne(fleet.servers, random).isLeaving = true;
+    await fleet.replaceServer(random);
+    await sleepMs(500);
+  },
   "server resets": (fleet, random) =>
     injectServerFault(fleet, random, backendServers.resetWithoutAnswer()),
   "server refuses": (fleet, random) => injectServerFault(fleet, random, backendServers.refuse()),
--- a/experiments/soak/processes/index.ts
+++ b/experiments/soak/processes/index.ts
@@ -8,11 +8,8 @@
 const READY_PORT = 18_749;
 const PEERS_PORT = 17_200;
 
-/**
- * Number of loopback networks; the process id selects one, so that concurrent soak tests do not
- * collide.
- */
-const LOOPBACK_NETWORKS_COUNT = 250;
+/** Values that the second and the third number of a loopback address can take. */
+const LOOPBACK_NUMBERS_COUNT = 250;
 
 const GATEWAY_SCRIPT_PATH = path.resolve(import.meta.dirname, "../../../platform/main.js");
 
@@ -28,8 +25,9 @@
     readonly index: number,
     private readonly storePort: number,
     private readonly directory: string,
+    private readonly onDisturbed: () => void,
   ) {
-    this.host = `127.0.${1 + (process.pid % LOOPBACK_NETWORKS_COUNT)}.${index + 1}`;
+    this.host = `127.${selectLoopbackNetwork(process.pid)}.${index + 1}`;
   }
 
   /** The port on which the gateway accepts callers. */
@@ -39,6 +37,7 @@
 
   /** Starts the process; it is restarted whenever it exits, until `stop` is called. */
   start(): void {
+    this.onDisturbed();
     this.isRestartEnabled = true;
     this.startsCount += 1;
     const log = fs.openSync(path.join(this.directory, `vm-${this.index}.log`), "a");
@@ -49,13 +48,18 @@
     fs.closeSync(log);
     this.child = child;
     child.once("exit", () => {
-      if (this.child === child && this.isRestartEnabled)
-        setTimeout(() => this.start(), RESTART_DELAY_MS);
+      if (this.child === child) setTimeout(() => this.restart(), RESTART_DELAY_MS);
     });
   }
 
+  /** Starts the process again, unless it was stopped since its exit. */
+  private restart(): void {
+    if (this.isRestartEnabled) this.start();
+  }
+
   /** Sends a signal to the process, if there is one. */
   signal(signal: NodeJS.Signals): void {
+    this.onDisturbed();
     this.child?.kill(signal);
   }
 
@@ -95,6 +99,12 @@
   }
 }
 
+/** Selects a loopback network by process id, so that concurrent soak tests do not collide. */
+function selectLoopbackNetwork(pid: number): string {
+  const second = 1 + (Math.floor(pid / LOOPBACK_NUMBERS_COUNT) % LOOPBACK_NUMBERS_COUNT);
+  return `${second}.${1 + (pid % LOOPBACK_NUMBERS_COUNT)}`;
+}
+
 /** Delay before an exited process is restarted. */
 const RESTART_DELAY_MS = 300;
 
--- a/experiments/soak/soakFleet/index.ts
+++ b/experiments/soak/soakFleet/index.ts
@@ -55,7 +55,9 @@
     for (const service of [ENGINE_SERVICE, ENGINE_SERVICE, ENGINE_SERVICE])
       await this.addServer(service);
     for (let index = 0; index < vmsCount; index += 1) {
-      const vm = new processes.GatewayProcess(index, this.store.port, this.directory);
+      const vm = new processes.GatewayProcess(index, this.store.port, this.directory, () =>
+        this.checker.recordVmDisturbance(),
+      );
       vm.start();
       this.vms.push(vm);
     }
@@ -129,6 +131,12 @@
     await this.addServer(service);
   }
 
+  /** Lets a server name a limit of requests a second in its answers, or none. */
+  limitServer(server: backendServers.BackendServer, ratePerSecond: number | null): void {
+    server.ratePerSecond = ratePerSecond;
+    this.checker.recordLimit(server.id, ratePerSecond);
+  }
+
   /** Replaces a server's behaviour, for example by a faulty one. */
   setFaultyBehaviour(
     server: backendServers.BackendServer,
