--- a/src/diagnostics/types.ts
+++ b/src/diagnostics/types.ts
@@ -28,7 +28,7 @@
   ConfigurationIgnored = "configuration-ignored",
   ServerKnown = "server-known",
   ServerLeaving = "server-leaving",
-  ServerLimitChanged = "server-limit-changed",
+  ServerRateChanged = "server-rate-changed",
   ServerPaused = "server-paused",
   ProcessPaused = "process-paused",
   LinesDropped = "lines-dropped",
--- a/src/gateway/_lib/observeAnswerHeads/index.ts
+++ b/src/gateway/_lib/observeAnswerHeads/index.ts
@@ -31,7 +31,7 @@
       });
     }
     if (!backpressure.record(server, ratePerSecond)) return;
-    log.record(Importance.StateChange, LogEvent.ServerLimitChanged, {
+    log.record(Importance.StateChange, LogEvent.ServerRateChanged, {
       serverId: server.id,
       service: server.serviceName,
       ratePerSecond,
