--- a/experiments/soak/soakFleet/index.ts
+++ b/experiments/soak/soakFleet/index.ts
@@ -83,21 +83,19 @@
 
   /** Restores the store. The lost records are written again after a delay, like their writers do. */
   restoreStore(copy: platformLogStores.StoreCopy, rewriteDelayMs: number): void {
-    this.checker.recordStoreDisturbance();
     const restore = this.store.restore(copy);
-    setTimeout(() => {
-      this.store.rewrite(restore);
-      this.checker.recordStoreRecovery();
-    }, rewriteDelayMs);
+    setTimeout(() => this.store.rewrite(restore), rewriteDelayMs);
   }
 
   /** Lets the store answer in another way for a while. */
   async disturbStore(mode: platformLogStores.StoreMode, durationMs: number): Promise<void> {
-    this.checker.recordStoreDisturbance();
+    // A store that only loses answers to writes still tells the VMs of leaving servers.
+    const isUnreadable = mode !== platformLogStores.StoreMode.LosesAnswers;
+    if (isUnreadable) this.checker.recordStoreDisturbance();
     this.store.setMode(mode);
     await new Promise((resolve) => setTimeout(resolve, durationMs));
     this.store.setMode(platformLogStores.StoreMode.Serves);
-    this.checker.recordStoreRecovery();
+    if (isUnreadable) this.checker.recordStoreRecovery();
   }
 
   /** Checks that every VM serves a call with the API key of the newest configuration. */
