Log the end of a server with the work that began on it

A run is now watched from its sending until a second after its first byte. If its connection breaks before that, the server's address is probed once: server-ended is logged if the host refuses connections, with the parts of the prompt. A server that still listens or is silent, one that was leaving, and a VM that has been paused give no such line. What is sent where does not change.

--- /dev/null
+++ b/src/crashes/_lib/probeListener/index.ts
@@ -0,0 +1,26 @@
+import * as net from "node:net";
+
+import * as types from "../../types.js";
+
+const REFUSED_CODE = "ECONNREFUSED";
+
+/** Opens a connection to find out whether a process listens at an address; sends nothing. */
+export function probeListener(
+  host: string,
+  port: number,
+  timeoutMs: number,
+): Promise<types.ListenerState> {
+  return new Promise((resolve) => {
+    const socket = net.connect({ host, port });
+    const finish = (state: types.ListenerState): void => {
+      clearTimeout(timer);
+      socket.destroy();
+      resolve(state);
+    };
+    const timer = setTimeout(() => finish(types.ListenerState.Silent), timeoutMs);
+    socket.once("connect", () => finish(types.ListenerState.Listens));
+    socket.on("error", ({ code }: NodeJS.ErrnoException) =>
+      finish(code === REFUSED_CODE ? types.ListenerState.Refuses : types.ListenerState.Silent),
+    );
+  });
+}
--- /dev/null
+++ b/src/crashes/crashMonitor/index.ts
@@ -0,0 +1,80 @@
+import type * as clocks from "../../_lib/clock/index.js";
+import * as diagnostics from "../../diagnostics/index.js";
+import * as probeListeners from "../_lib/probeListener/index.js";
+import * as watchedRuns from "../_lib/watchedRun/index.js";
+import * as constants from "../constants.js";
+import * as types from "../types.js";
+
+const { Importance, LogEvent } = diagnostics;
+
+export type { WatchedRun } from "../_lib/watchedRun/index.js";
+
+/** Dependencies of the monitor. */
+export interface CrashMonitorContext {
+  readonly clock: clocks.Clock;
+  readonly log: diagnostics.DecisionLog;
+  /** Whether a server's end is expected, as when it has announced its termination. */
+  readonly isLeaving: (server: types.ServerStart) => boolean;
+  /** Replaced in tests. */
+  readonly probe?: typeof probeListeners.probeListener;
+}
+
+/**
+ * Watches the runs of this VM, and finds out whether a server has ended while work began on it. A
+ * broken connection alone is no sign of that: only a host that refuses connections is, unless the
+ * server was leaving or this VM has been paused.
+ */
+export class CrashMonitor {
+  private readonly probes = new Map<string, Promise<types.ListenerState>>();
+  private pauseEndedAtMs = -Infinity;
+
+  constructor(private readonly context: CrashMonitorContext) {}
+
+  /** Starts to watch work that is being sent to a server; the signal ends the watch. */
+  watch(server: types.ServerStart, work: types.Work, signal: AbortSignal): watchedRuns.WatchedRun {
+    const run = new watchedRuns.WatchedRun(this.context.clock, {
+      onSurvived: () => undefined,
+      onBroken: (times) => this.examineBreak(server, work, times),
+    });
+    signal.addEventListener("abort", () => run[Symbol.dispose](), { once: true });
+    return run;
+  }
+
+  /** Records that this VM was paused until now. */
+  recordPause(): void {
+    this.pauseEndedAtMs = this.context.clock.nowMs();
+  }
+
+  private async examineBreak(
+    server: types.ServerStart,
+    work: types.Work,
+    { sentAtMs, begunAtMs }: watchedRuns.RunTimes,
+  ): Promise<void> {
+    const { clock, log, isLeaving } = this.context;
+    const brokenAtMs = clock.nowMs();
+    if (isLeaving(server)) return;
+    const state = await this.probeOnce(server);
+    const isExcused = clock.nowMs() < this.pauseEndedAtMs + constants.PAUSE_EXCUSE_MS;
+    if (state !== types.ListenerState.Refuses || isExcused) return;
+    log.record(Importance.StateChange, LogEvent.ServerEnded, {
+      serverId: server.id,
+      service: server.serviceName,
+      requestId: work.requestId,
+      sentAgoMs: Math.round(brokenAtMs - sentAtMs),
+      begunAgoMs: begunAtMs === null ? null : Math.round(brokenAtMs - begunAtMs),
+      suspects: work.suspects.map(({ key }) => key).join(","),
+    });
+  }
+
+  /** Probes a server once for all runs that broke on it at the same time. */
+  private probeOnce(server: types.ServerStart): Promise<types.ListenerState> {
+    const { clock, probe = probeListeners.probeListener } = this.context;
+    const id = `${server.id}@${server.bornAtWallMs}`;
+    const pending = this.probes.get(id);
+    if (pending !== undefined) return pending;
+    const started = probe(server.host, server.port, constants.PROBE_TIMEOUT_MS);
+    this.probes.set(id, started);
+    clock.schedule(constants.PROBE_RETENTION_MS, () => void this.probes.delete(id));
+    return started;
+  }
+}
--- /dev/null
+++ b/src/crashes/index.ts
@@ -0,0 +1,3 @@
+export * from "./crashMonitor/index.js";
+export * from "./listSuspects/index.js";
+export * from "./types.js";
--- a/src/diagnostics/types.ts
+++ b/src/diagnostics/types.ts
@@ -30,6 +30,7 @@
   ServerLeaving = "server-leaving",
   ServerRateChanged = "server-rate-changed",
   ServerPaused = "server-paused",
+  ServerEnded = "server-ended",
   ProcessPaused = "process-paused",
   LinesDropped = "lines-dropped",
   RequestRefused = "request-refused",
--- a/src/gateway/_lib/pauseMonitor/index.ts
+++ b/src/gateway/_lib/pauseMonitor/index.ts
@@ -4,11 +4,12 @@
 
 const { Importance, LogEvent } = diagnostics;
 
-/** Measures the delay of timers, and logs pauses of the process or of the VM. */
+/** Measures the delay of timers, and reports and logs pauses of the process or of the VM. */
 export function monitorPauses(
   clock: clocks.Clock,
   log: diagnostics.DecisionLog,
   meters: diagnostics.Meters,
+  onPause: () => void,
 ): Disposable {
   let timer: Disposable;
   const scheduleMeasurement = (): void => {
@@ -19,6 +20,7 @@
       const wallLateMs = clock.wallTimeMs() - scheduledAtWallMs - constants.SWEEP_INTERVAL_MS;
       meters.loopDelay.observe(Math.max(0, steadyLateMs) / 1_000);
       if (Math.max(steadyLateMs, wallLateMs) > constants.PAUSE_THRESHOLD_MS) {
+        onPause();
         log.record(Importance.StateChange, LogEvent.ProcessPaused, {
           steadyLateMs: Math.round(steadyLateMs),
           wallLateMs: Math.round(wallLateMs),
--- a/src/gateway/callerServer/index.ts
+++ b/src/gateway/callerServer/index.ts
@@ -1,6 +1,7 @@
 import * as http from "node:http";
 import type * as net from "node:net";
 
+import * as crashes from "../../crashes/index.js";
 import * as diagnostics from "../../diagnostics/index.js";
 import * as relay from "../../relay/index.js";
 import * as routing from "../../routing/index.js";
@@ -145,6 +146,7 @@
       arrivedAtMs,
       deadlineAtMs: this.computeDeadline(head, route, arrivedAtMs),
       callerDisconnected,
+      suspects: crashes.listSuspects(head.generation?.promptPartIds ?? []),
     };
     await this.context.relays[route.kind](call, sink);
     this.recordEnd(call, sink, response);
--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -1,4 +1,5 @@
 import * as disposableStore from "../../_lib/disposableStore/index.js";
+import * as crashes from "../../crashes/index.js";
 import * as diagnostics from "../../diagnostics/index.js";
 import * as dispatch from "../../dispatch/index.js";
 import * as relay from "../../relay/index.js";
@@ -7,6 +8,7 @@
 import * as sharedView from "../../sharedView/index.js";
 import * as answerObservers from "../_lib/observeAnswerHeads/index.js";
 import * as pauseMonitors from "../_lib/pauseMonitor/index.js";
+import * as recordServerLeaving from "../_lib/recordServerLeaving/index.js";
 import * as registerGauges from "../_lib/registerGauges/index.js";
 import * as statusServers from "../_lib/statusServers/index.js";
 import * as vmDiscoveries from "../_lib/vmDiscovery/index.js";
@@ -16,7 +18,6 @@
 import type * as types from "../types.js";
 
 const { Importance, LogEvent } = diagnostics;
-const { Topic } = sharedView;
 
 /** Claims and waiting generations of other VMs are dropped after this time without an update. */
 const CLAIM_SILENCE_TIMEOUT_MS = 6_000;
@@ -35,6 +36,7 @@
   private readonly directory: servers.ServerDirectory;
   private readonly trust: servers.ServerTrust;
   private readonly backpressure: servers.ServerBackpressure;
+  private readonly crashMonitor: crashes.CrashMonitor;
   private readonly claims: dispatch.ClaimTable;
   private readonly fleetQueue: dispatch.FleetQueue;
   private readonly view: currentViews.CurrentView;
@@ -57,6 +59,11 @@
       this.mesh.isDataCentreSilent(dataCentre),
     );
     this.backpressure = new servers.ServerBackpressure(clock, (id) => this.mesh.rankFor(id));
+    this.crashMonitor = new crashes.CrashMonitor({
+      clock,
+      log: ports.log,
+      isLeaving: (server) => this.directory.isLeaving(server),
+    });
     this.claims = new dispatch.ClaimTable(clock);
     this.fleetQueue = new dispatch.FleetQueue(clock);
     this.view = new currentViews.CurrentView(ports, this.directory, {
@@ -112,7 +119,8 @@
     this.resources.add(this.mesh);
     this.resources.add(this.discovery);
     this.resources.add(this.directory.onLeaving((server) => this.onServerLeaving(server)));
-    this.resources.add(pauseMonitors.monitorPauses(ports.clock, ports.log, ports.meters));
+    const onPause = (): void => this.crashMonitor.recordPause();
+    this.resources.add(pauseMonitors.monitorPauses(ports.clock, ports.log, ports.meters, onPause));
     for (const reader of this.readers) {
       this.resources.add(reader);
       void reader.run();
@@ -248,6 +256,7 @@
       lengths: new dispatch.OutputLengths(),
       budget,
       backpressure,
+      crashMonitor: this.crashMonitor,
       onAnswerHead: answerObservers.observeAnswerHeads({ log: ports.log, directory, backpressure }),
     };
     const plain = new relay.PlainRelay(context);
@@ -269,14 +278,7 @@
   }
 
   private onServerLeaving(server: servers.KnownServer): void {
-    const { entry, leaving, receivedAtMs } = server;
-    this.ports.log.record(Importance.StateChange, LogEvent.ServerLeaving, {
-      serverId: entry.id,
-      service: entry.serviceName,
-      sign: leaving,
-      entryAgeMs: Math.round(this.ports.clock.nowMs() - receivedAtMs),
-      viewAgeMs: Math.round(this.view.replicaOf(Topic.Servers).ageMs),
-    });
+    recordServerLeaving.recordServerLeaving(this.ports, this.view, server);
     this.dispatcher.requestScan();
   }
 
--- a/src/relay/_lib/engineStream/index.ts
+++ b/src/relay/_lib/engineStream/index.ts
@@ -1,6 +1,7 @@
 import type * as http from "node:http";
 
 import type * as clocks from "../../../_lib/clock/index.js";
+import type * as crashes from "../../../crashes/index.js";
 import type * as servers from "../../../servers/index.js";
 import * as constants from "../../constants.js";
 import type * as relayContext from "../../relayContext.js";
@@ -66,12 +67,20 @@
   readonly signal: AbortSignal;
 }
 
+interface WatchedOpening {
+  readonly server: servers.ServerEntry;
+  readonly opening: openAttempts.AnsweredOpening;
+  readonly watched: crashes.WatchedRun;
+}
+
 /** Requests a stream from an engine; resolves with the outcome, also of a failure. */
 export async function openStream(
-  { codec, onAnswerHead }: Pick<relayContext.RelayContext, "codec" | "onAnswerHead">,
+  context: Pick<relayContext.RelayContext, "codec" | "crashMonitor" | "onAnswerHead">,
   call: types.Call,
   { server, options, onConnected, signal }: OpenRequest,
 ): Promise<OpenOutcome> {
+  const { codec, crashMonitor } = context;
+  const watched = crashMonitor.watch(server, createWork(call), signal);
   const opening = await openAttempts.openAttempt({
     host: server.host,
     port: server.port,
@@ -84,28 +93,48 @@
     ...(onConnected === undefined ? {} : { onConnected }),
   });
   if (opening.kind === openAttempts.OpeningKind.NotSent) {
+    watched[Symbol.dispose]();
     return { kind: OpenKind.NotRun, cause: opening.cause, wasSent: false, isOtherServer: false };
   }
   if (opening.kind === openAttempts.OpeningKind.Lost) {
+    await watched.recordBreak();
     return { kind: OpenKind.Unknown, cause: opening.cause };
   }
+  return classifyOpening(context, call, { server, opening, watched });
+}
+
+function createWork({ head, suspects }: types.Call): crashes.Work {
+  return { requestId: head.id, suspects };
+}
+
+async function classifyOpening(
+  { codec, onAnswerHead }: Pick<relayContext.RelayContext, "codec" | "onAnswerHead">,
+  call: types.Call,
+  { server, opening, watched }: WatchedOpening,
+): Promise<OpenOutcome> {
   const head = codec.decodeAnswer(opening.message);
   onAnswerHead(server, head);
   if (head.isNotRun) {
+    watched[Symbol.dispose]();
     opening.close();
     const cause = `status ${head.status}`;
     return { kind: OpenKind.NotRun, cause, wasSent: true, isOtherServer: head.isOtherServer };
   }
   const fault = headFaults.findHeadFault(call, head);
   if (fault !== null) {
+    watched[Symbol.dispose]();
     opening.close();
     return { kind: OpenKind.Unknown, cause: fault };
   }
   if (head.status === OK_STATUS) {
-    const stream = new EngineStream(server, opening);
+    watched.recordBegin();
+    const stream = new EngineStream(server, opening, watched);
     return { kind: OpenKind.Open, stream, head };
   }
-  return readWholeAnswer(head, opening);
+  const outcome = await readWholeAnswer(head, opening);
+  if (outcome.kind === OpenKind.Answered) watched.recordSurvival();
+  else await watched.recordBreak();
+  return outcome;
 }
 
 /** A stream of events from an engine. */
@@ -118,6 +147,7 @@
   constructor(
     readonly server: servers.ServerEntry,
     private readonly opening: openAttempts.AnsweredOpening,
+    private readonly watched: crashes.WatchedRun,
   ) {
     this.message = opening.message;
   }
@@ -130,6 +160,7 @@
   /** Closes the connection, which makes the engine stop the run. */
   close(): void {
     this.isClosed = true;
+    this.watched[Symbol.dispose]();
     this.opening.close();
   }
 
@@ -182,7 +213,13 @@
     if (this.isClosed) return StreamEnd.Closed;
     const isComplete = this.message.complete && !(await this.opening.isTruncatedByReset());
     const isUndamaged = isComplete && !this.splitter.hasIncompleteEvent && !this.hasSequenceFault;
-    return isUndamaged ? StreamEnd.Complete : StreamEnd.Truncated;
+    if (!isUndamaged) {
+      // Awaited, so that what is learned of the work counts before it is sent to another engine.
+      await this.watched.recordBreak();
+      return StreamEnd.Truncated;
+    }
+    this.watched.recordSurvival();
+    return StreamEnd.Complete;
   }
 }
 
--- a/src/relay/_lib/runClaims/index.ts
+++ b/src/relay/_lib/runClaims/index.ts
@@ -141,6 +141,7 @@
   promptTokens: 0,
   maxOutputTokens: 0,
   hintedOutputTokens: null,
+  promptPartIds: [],
 };
 
 function estimateOutputTokens(
--- a/src/relay/_lib/sendBuffered/index.ts
+++ b/src/relay/_lib/sendBuffered/index.ts
@@ -41,12 +41,27 @@
 
 /** Sends a call to a plain server and buffers its answer; resolves with the outcome, also of a failure. */
 export async function sendBuffered(
-  context: Pick<relayContext.RelayContext, "codec" | "onAnswerHead">,
+  context: Pick<relayContext.RelayContext, "codec" | "crashMonitor" | "onAnswerHead">,
+  call: types.Call,
+  options: types.AttemptOptions,
+  signal: AbortSignal,
+): Promise<SendOutcome> {
+  const { crashMonitor } = context;
+  const work = { requestId: call.head.id, suspects: call.suspects };
+  const watched = crashMonitor.watch(options.server, work, signal);
+  const outcome = await send(context, call, options, signal);
+  if (outcome.kind === SendKind.Answered) watched.recordSurvival();
+  else if (outcome.kind === SendKind.Unknown) await watched.recordBreak();
+  else watched[Symbol.dispose]();
+  return outcome;
+}
+
+async function send(
+  { codec, onAnswerHead }: Pick<relayContext.RelayContext, "codec" | "onAnswerHead">,
   call: types.Call,
   options: types.AttemptOptions,
   signal: AbortSignal,
 ): Promise<SendOutcome> {
-  const { codec, onAnswerHead } = context;
   const opening = await openAttempts.openAttempt({
     host: options.server.host,
     port: options.server.port,
--- a/src/relay/relayContext.ts
+++ b/src/relay/relayContext.ts
@@ -1,5 +1,6 @@
 import type * as clocks from "../_lib/clock/index.js";
 import type * as randoms from "../_lib/random/index.js";
+import type * as crashes from "../crashes/index.js";
 import type * as diagnostics from "../diagnostics/index.js";
 import type * as dispatch from "../dispatch/index.js";
 import type * as servers from "../servers/index.js";
@@ -22,6 +23,8 @@
   readonly backpressure: servers.ServerBackpressure;
   /** Output lengths learned from complete outputs. */
   readonly lengths: dispatch.OutputLengths;
+  /** Finds out which work makes servers crash. */
+  readonly crashMonitor: crashes.CrashMonitor;
   readonly budget: retryBudgets.RetryBudget;
   readonly log: diagnostics.DecisionLog;
   readonly meters: diagnostics.Meters;
--- a/src/relay/types.ts
+++ b/src/relay/types.ts
@@ -2,6 +2,7 @@
 
 import type * as neverthrow from "neverthrow";
 
+import type * as crashes from "../crashes/index.js";
 import type * as routing from "../routing/types.js";
 import type * as servers from "../servers/types.js";
 
@@ -12,6 +13,8 @@
   readonly maxOutputTokens: number;
   /** The caller's estimate of the output length: accurate at the median, but often far off. */
   readonly hintedOutputTokens: number | null;
+  /** Ids of the parts of the prompt, in order; requests may share all but the last. */
+  readonly promptPartIds: readonly string[];
 }
 
 /** A caller's decoded request, without its body. */
@@ -42,6 +45,8 @@
   readonly deadlineAtMs: number;
   /** Aborted when the caller disconnects. */
   readonly callerDisconnected: AbortSignal;
+  /** What the call may have in common with others that made a server crash. */
+  readonly suspects: readonly crashes.Suspect[];
 }
 
 /** The state from which a run continues: its memory on an engine and its last event. */
--- a/src/servers/serverDirectory/index.ts
+++ b/src/servers/serverDirectory/index.ts
@@ -109,6 +109,12 @@
     return this.servers.get(serverId);
   }
 
+  /** Whether a start of a server is leaving, or is no longer known. */
+  isLeaving({ id, bornAtWallMs }: Pick<types.ServerEntry, "id" | "bornAtWallMs">): boolean {
+    const known = this.servers.get(id);
+    return known?.entry.bornAtWallMs !== bornAtWallMs || known.leaving !== null;
+  }
+
   /** Lists the servers of a service that accept new work. */
   listAvailable(serviceName: string): readonly types.KnownServer[] {
     return [...this.servers.values()].filter(
