--- a/standins/platform/backendServer/index.ts
+++ b/standins/platform/backendServer/index.ts
@@ -32,11 +32,17 @@
   /** Whether each answer states that the server leaves. */
   isLeaving = false;
   private behaviour: Behaviour = answerCompletely("ok");
+  private readonly sockets = new Set<net.Socket>();
   private readonly http = http.createServer((request, response) => {
     void this.handle(request, response);
   });
 
-  constructor(readonly id: string) {}
+  constructor(readonly id: string) {
+    this.http.on("connection", (socket) => {
+      this.sockets.add(socket);
+      socket.once("close", () => this.sockets.delete(socket));
+    });
+  }
 
   /** The port on which the server listens. */
   get port(): number {
@@ -53,6 +59,12 @@
     this.behaviour = behaviour;
   }
 
+  /** Ends like a process that is killed: resets all connections and refuses new ones. */
+  crash(): void {
+    this.http.close();
+    for (const socket of this.sockets) socket.resetAndDestroy();
+  }
+
   /** Creates the headers of an answer to a request. */
   createAnswerHeaders(call: ReceivedCall): http.OutgoingHttpHeaders {
     return {
@@ -171,3 +183,17 @@
     response.end();
   };
 }
+
+/** Begins an answer, and crashes the server a little later. */
+export function crashAfterBegin(delayMs: number): Behaviour {
+  return async (call, response, server) => {
+    server.runs.push(call.id);
+    response.writeHead(200, {
+      ...server.createAnswerHeaders(call),
+      "Content-Type": "text/event-stream",
+    });
+    response.flushHeaders();
+    await new Promise((resolve) => setTimeout(resolve, delayMs));
+    server.crash();
+  };
+}
--- a/standins/platform/gatewayFleet/index.ts
+++ b/standins/platform/gatewayFleet/index.ts
@@ -96,6 +96,27 @@
     return server;
   }
 
+  /**
+   * Removes the entry of a crashed server after a while, and later starts a server with a new id in
+   * its place, with the same behaviour.
+   */
+  async replaceCrashedServer(
+    crashed: backendServers.BackendServer,
+    replacement: {
+      readonly id: string;
+      readonly serviceName: string;
+      readonly behaviour: backendServers.Behaviour;
+      readonly lapseMs: number;
+      readonly downMs: number;
+    },
+  ): Promise<backendServers.BackendServer> {
+    const { id, serviceName, behaviour, lapseMs, downMs } = replacement;
+    await pause(lapseMs);
+    this.store.put(names.TOPIC_NAMES.servers, crashed.id, null);
+    await pause(Math.max(0, downMs - lapseMs));
+    return this.addServer(id, serviceName, behaviour);
+  }
+
   /** Writes a server's registration to the store. */
   register(server: backendServers.BackendServer, service: string, state: string): void {
     this.sequence += 1;
@@ -229,6 +250,10 @@
   idle_timeout_ms: 15_000,
 };
 
+function pause(durationMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, durationMs));
+}
+
 function request(port: number, options: CallerRequest): Promise<CallerAnswer> {
   const { HEADERS } = names;
   const headers: http.OutgoingHttpHeaders = {
