Keep work that makes servers end from them

Callers saw engines end one after the other and their streams break: requests with one part in their prompts crashed each engine that began to answer, and were placed on the next engine as if nothing had happened.

Cause: a failure counted against the server alone, and nothing linked the ends of several servers to what ran on them.

A part of prompts is now blamed if three servers ended under it, apart in time, and no run with it survived in between. One survival clears a part, since such work crashes each server; parts that always occurred together are told apart by one trial. The VMs broadcast ends, survivals and trials, and send summaries to VMs that start or were cut off. Blamed work is refused before it is placed and again before each send, with the time to its next trial. The two functions through which all sends pass withhold it, so that repeats, hedges, continuations and waiting calls obey too.

--- a/src/crashes/_lib/watchedRun/index.ts
+++ b/src/crashes/_lib/watchedRun/index.ts
@@ -32,8 +32,12 @@
 
   /** Records that the server has begun to answer. */
   recordBegin(): void {
-    if (this.isDecided || this.begunAtMs !== null) return;
-    this.begunAtMs = this.clock.nowMs();
+    this.begunAtMs ??= this.clock.nowMs();
+  }
+
+  /** Records that the server has produced output, which starts its start phase. */
+  recordOutput(): void {
+    if (this.isDecided || this.survivalTimer !== null) return;
     this.survivalTimer = this.clock.schedule(constants.START_PHASE_MS, () => this.recordSurvival());
   }
 
--- a/src/crashes/crashMonitor/index.ts
+++ b/src/crashes/crashMonitor/index.ts
@@ -3,6 +3,7 @@
 import * as probeListeners from "../_lib/probeListener/index.js";
 import * as watchedRuns from "../_lib/watchedRun/index.js";
 import * as constants from "../constants.js";
+import * as crashLedgers from "../crashLedger/index.js";
 import * as types from "../types.js";
 
 const { Importance, LogEvent } = diagnostics;
@@ -13,6 +14,9 @@
 export interface CrashMonitorContext {
   readonly clock: clocks.Clock;
   readonly log: diagnostics.DecisionLog;
+  readonly vmName: string;
+  /** Sends the other VMs what this one has learned. */
+  readonly announce: (reports: readonly types.SuspectReport[]) => void;
   /** Whether a server's end is expected, as when it has announced its termination. */
   readonly isLeaving: (server: types.ServerStart) => boolean;
   /** Replaced in tests. */
@@ -20,20 +24,52 @@
 }
 
 /**
- * Watches the runs of this VM, and finds out whether a server has ended while work began on it. A
- * broken connection alone is no sign of that: only a host that refuses connections is, unless the
- * server was leaving or this VM has been paused.
+ * Finds out which work makes servers end, and keeps it from them. It watches the runs of this VM,
+ * and exchanges with the other VMs what it sees. A broken connection alone is no sign of a server's
+ * end: only a host that refuses connections is, unless the server was leaving or this VM has been
+ * paused.
  */
 export class CrashMonitor {
+  private readonly ledger: crashLedgers.CrashLedger;
   private readonly probes = new Map<string, Promise<types.ListenerState>>();
   private pauseEndedAtMs = -Infinity;
 
-  constructor(private readonly context: CrashMonitorContext) {}
+  constructor(private readonly context: CrashMonitorContext) {
+    this.ledger = new crashLedgers.CrashLedger(context.clock, (...change) =>
+      this.logBlameChange(...change),
+    );
+  }
+
+  /** Number of suspects whose work is not sent to any server. */
+  get blamedCount(): number {
+    return this.ledger.blamedCount;
+  }
+
+  /** Returns why work must not be sent to any server; null if it may be. */
+  findBlame({ suspects }: Pick<types.Work, "suspects">): types.Blame | null {
+    return this.ledger.findBlame(suspects);
+  }
+
+  /** Lists what this VM knows, for a peer. */
+  listReports(): readonly types.SuspectReport[] {
+    return this.ledger.listReports();
+  }
+
+  /** Merges what a peer knows. */
+  applyReports(reports: readonly types.SuspectReport[]): void {
+    this.ledger.applyReports(reports);
+  }
+
+  /** Forgets what is old. Has to be called periodically. */
+  sweep(): void {
+    this.ledger.sweep();
+  }
 
   /** Starts to watch work that is being sent to a server; the signal ends the watch. */
   watch(server: types.ServerStart, work: types.Work, signal: AbortSignal): watchedRuns.WatchedRun {
+    this.announce(this.ledger.startTrial(work.suspects));
     const run = new watchedRuns.WatchedRun(this.context.clock, {
-      onSurvived: () => undefined,
+      onSurvived: () => this.announce(this.ledger.recordSurvival(work.suspects)),
       onBroken: (times) => this.examineBreak(server, work, times),
     });
     signal.addEventListener("abort", () => run[Symbol.dispose](), { once: true });
@@ -64,6 +100,26 @@
       begunAgoMs: begunAtMs === null ? null : Math.round(brokenAtMs - begunAtMs),
       suspects: work.suspects.map(({ key }) => key).join(","),
     });
+    const { id: serverId, bornAtWallMs } = server;
+    const end = { serverId, bornAtWallMs, vmName: this.context.vmName, endedAtMs: brokenAtMs };
+    this.announce(this.ledger.recordEnd(work.suspects, end));
+  }
+
+  private announce(reports: readonly types.SuspectReport[]): void {
+    if (reports.length > 0) this.context.announce(reports);
+  }
+
+  private logBlameChange(
+    { kind, key }: types.Suspect,
+    ends: readonly types.ServerEnd[],
+    isBlamed: boolean,
+  ): void {
+    const { clock, log } = this.context;
+    const event = isBlamed ? LogEvent.SuspectBlamed : LogEvent.SuspectCleared;
+    const servers = ends.map(({ serverId, vmName, endedAtMs }) => {
+      return `${serverId} ${Math.round(clock.nowMs() - endedAtMs)} ms ago seen by ${vmName}`;
+    });
+    log.record(Importance.StateChange, event, { kind, key, servers: servers.join(", ") });
   }
 
   /** Probes a server once for all runs that broke on it at the same time. */
--- a/src/crashes/crashMonitor/test.ts
+++ b/src/crashes/crashMonitor/test.ts
@@ -33,6 +33,8 @@
   const monitor = new crashMonitors.CrashMonitor({
     clock,
     log,
+    vmName: "vm-1",
+    announce: () => undefined,
     isLeaving: () => isLeaving,
     probe: () => Promise.resolve(state),
   });
@@ -84,7 +86,7 @@
 tap.test("a run that has outlived its start is not linked to a later end", async (t) => {
   const { clock, monitor, lines } = createMonitor();
   const run = watch(monitor);
-  run.recordBegin();
+  run.recordOutput();
   await clock.runForMs(constants.START_PHASE_MS);
   await run.recordBreak();
   t.same(lines, []);
--- a/src/crashes/types.ts
+++ b/src/crashes/types.ts
@@ -12,6 +12,33 @@
   readonly key: string;
 }
 
+/** The end of a server under work that had begun on it. */
+export interface ServerEnd {
+  readonly serverId: string;
+  readonly bornAtWallMs: number;
+  /** The VM that observed the end. */
+  readonly vmName: string;
+  /** On this VM's monotonic clock. */
+  readonly endedAtMs: number;
+}
+
+/** What a VM knows of a suspect, as it tells its peers; times are ages, as clocks differ. */
+export interface SuspectReport extends Suspect {
+  /** Time since a run with the suspect survived; null if none did. */
+  readonly clearedAgeMs: number | null;
+  /** Time since the start of the last trial; null if there was none. */
+  readonly trialAgeMs: number | null;
+  readonly ends: readonly (Omit<ServerEnd, "endedAtMs"> & { readonly ageMs: number })[];
+}
+
+/** Why work must not be sent to any server. */
+export interface Blame {
+  readonly suspect: Suspect;
+  readonly endsCount: number;
+  /** Time until the work may be tried again. */
+  readonly retryAfterMs: number;
+}
+
 /** Work that is sent to a server. */
 export interface Work {
   readonly requestId: string;
--- a/src/diagnostics/types.ts
+++ b/src/diagnostics/types.ts
@@ -31,6 +31,8 @@
   ServerRateChanged = "server-rate-changed",
   ServerPaused = "server-paused",
   ServerEnded = "server-ended",
+  SuspectBlamed = "suspect-blamed",
+  SuspectCleared = "suspect-cleared",
   ProcessPaused = "process-paused",
   LinesDropped = "lines-dropped",
   RequestRefused = "request-refused",
--- a/src/gateway/_lib/registerGauges/index.ts
+++ b/src/gateway/_lib/registerGauges/index.ts
@@ -1,3 +1,4 @@
+import type * as crashes from "../../../crashes/index.js";
 import type * as diagnostics from "../../../diagnostics/index.js";
 import type * as dispatch from "../../../dispatch/index.js";
 import type * as relay from "../../../relay/index.js";
@@ -10,12 +11,13 @@
   readonly mesh: sharedView.PeerMesh;
   readonly dispatcher: relay.EngineDispatcher;
   readonly fleetQueue: dispatch.FleetQueue;
+  readonly crashMonitor: crashes.CrashMonitor;
   readonly activeCallsCount: () => number;
 }
 
 /** Registers the gauges of a gateway. */
 export function registerGauges(meters: diagnostics.Meters, sources: GaugeSources): void {
-  const { view, mesh, dispatcher, fleetQueue, activeCallsCount } = sources;
+  const { view, mesh, dispatcher, fleetQueue, crashMonitor, activeCallsCount } = sources;
   meters.gauge("active_calls", "Calls being served.", activeCallsCount);
   meters.gauge("waiting_generations", "Generations that wait for room.", () => {
     return dispatcher.waitingCount;
@@ -23,6 +25,9 @@
   meters.gauge("peers_waiting_generations", "Generations that wait at other VMs.", () => {
     return fleetQueue.waitingCount;
   });
+  meters.gauge("blamed_suspects", "What ends servers and is kept from them.", () => {
+    return crashMonitor.blamedCount;
+  });
   meters.gauge("live_vms", "VMs that are up, this one included.", () => mesh.liveVmsCount);
   meters.gauge("configuration_age_seconds", "Age of the configuration in force.", () => {
     return view.configurationAgeMs / 1_000;
--- a/src/gateway/_lib/virtualFleet/index.ts
+++ b/src/gateway/_lib/virtualFleet/index.ts
@@ -94,6 +94,8 @@
       onWorkChange: () => undefined,
       listRateStatements: () => [],
       onRateStatement: () => undefined,
+      listSuspects: () => [],
+      onSuspects: () => undefined,
     });
     this.resources.add(this.mesh);
     this.sweepTimer = this.scheduleSweep();
--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -1,5 +1,6 @@
 import * as disposableStore from "../../_lib/disposableStore/index.js";
 import * as crashes from "../../crashes/index.js";
+import * as repeats from "../../_lib/repeat/index.js";
 import * as diagnostics from "../../diagnostics/index.js";
 import * as dispatch from "../../dispatch/index.js";
 import * as relay from "../../relay/index.js";
@@ -47,7 +48,6 @@
   private readonly readers: readonly sharedView.TopicReader[];
   private stopAtMs: number | null = null;
   private wasReady = false;
-  private sweepTimer: Disposable | null = null;
 
   constructor(
     private readonly settings: types.GatewaySettings,
@@ -62,6 +62,8 @@
     this.crashMonitor = new crashes.CrashMonitor({
       clock,
       log: ports.log,
+      vmName: settings.vmName,
+      announce: (reports) => this.mesh.crashes.announce(reports),
       isLeaving: (server) => this.directory.isLeaving(server),
     });
     this.claims = new dispatch.ClaimTable(clock);
@@ -126,13 +128,15 @@
       void reader.run();
     }
     void this.discovery.run();
-    this.scheduleSweep();
-    this.resources.defer(() => this.sweepTimer?.[Symbol.dispose]());
+    this.resources.add(
+      repeats.repeat(ports.clock, constants.SWEEP_INTERVAL_MS, () => this.sweep()),
+    );
     registerGauges.registerGauges(ports.meters, {
       view: this.view,
       mesh: this.mesh,
       dispatcher: this.dispatcher,
       fleetQueue: this.fleetQueue,
+      crashMonitor: this.crashMonitor,
       activeCallsCount: () => this.activeCallsCount,
     });
     ports.log.record(Importance.StateChange, LogEvent.Started, {
@@ -218,6 +222,8 @@
       onWorkChange: () => this.dispatcher.requestScan(),
       listRateStatements: () => this.backpressure.listOwnStatements(),
       onRateStatement: (statement) => this.backpressure.recordPeerStatement(statement),
+      listSuspects: () => this.crashMonitor.listReports(),
+      onSuspects: (reports) => this.crashMonitor.applyReports(reports),
     });
   }
 
@@ -282,15 +288,13 @@
     this.dispatcher.requestScan();
   }
 
-  private scheduleSweep(): void {
-    this.sweepTimer = this.ports.clock.schedule(constants.SWEEP_INTERVAL_MS, () => {
-      this.directory.sweep();
-      this.claims.dropStale(this.settings.vmName, CLAIM_SILENCE_TIMEOUT_MS);
-      this.fleetQueue.dropStale(CLAIM_SILENCE_TIMEOUT_MS);
-      const serverIds = new Set(this.directory.listAll().map(({ entry }) => entry.id));
-      this.trust.retain(serverIds);
-      this.backpressure.retain(serverIds);
-      this.scheduleSweep();
-    });
+  private sweep(): void {
+    this.directory.sweep();
+    this.claims.dropStale(this.settings.vmName, CLAIM_SILENCE_TIMEOUT_MS);
+    this.fleetQueue.dropStale(CLAIM_SILENCE_TIMEOUT_MS);
+    this.crashMonitor.sweep();
+    const serverIds = new Set(this.directory.listAll().map(({ entry }) => entry.id));
+    this.trust.retain(serverIds);
+    this.backpressure.retain(serverIds);
   }
 }
--- a/src/relay/_lib/createRefusal/index.ts
+++ b/src/relay/_lib/createRefusal/index.ts
@@ -1,3 +1,5 @@
+import type * as crashes from "../../../crashes/index.js";
+import type * as diagnostics from "../../../diagnostics/index.js";
 import * as types from "../../types.js";
 
 /** HTTP status of each refusal. 503 guarantees that the call was not and will not be executed. */
@@ -13,6 +15,7 @@
   [types.RefusalReason.NoCapacity]: 503,
   [types.RefusalReason.ServersRefused]: 503,
   [types.RefusalReason.RateLimited]: 503,
+  [types.RefusalReason.EndsServers]: 503,
   [types.RefusalReason.Stopping]: 503,
   [types.RefusalReason.TimedOutNotRun]: 503,
   [types.RefusalReason.TimedOut]: 504,
@@ -26,3 +29,13 @@
 ): types.Refusal {
   return { reason, status: STATUS_BY_REASON[reason], retryAfterMs };
 }
+
+/** Creates the refusal of work under which servers have ended. */
+export function createBlameRefusal(blame: crashes.Blame): types.Refusal {
+  return createRefusal(types.RefusalReason.EndsServers, blame.retryAfterMs);
+}
+
+/** Describes in log fields what the work has in common with others under which servers ended. */
+export function describeBlame({ suspect, endsCount }: crashes.Blame): diagnostics.LogFields {
+  return { suspectKind: suspect.kind, suspect: suspect.key, endsCount };
+}
--- a/src/relay/_lib/engineStream/index.ts
+++ b/src/relay/_lib/engineStream/index.ts
@@ -30,6 +30,8 @@
   Answered = "answered",
   /** The call may have been executed; no readable answer was received. */
   Unknown = "unknown",
+  /** Nothing was sent, as servers have ended under such work. */
+  Withheld = "withheld",
 }
 
 /** The outcome of requesting a stream from an engine. */
@@ -43,7 +45,8 @@
       readonly isOtherServer: boolean;
     }
   | { readonly kind: OpenKind.Answered; readonly head: types.AnswerHead; readonly body: Buffer }
-  | { readonly kind: OpenKind.Unknown; readonly cause: string };
+  | { readonly kind: OpenKind.Unknown; readonly cause: string }
+  | { readonly kind: OpenKind.Withheld; readonly blame: crashes.Blame };
 
 /** Receives the events of a stream. */
 export interface EventConsumer {
@@ -80,7 +83,10 @@
   { server, options, onConnected, signal }: OpenRequest,
 ): Promise<OpenOutcome> {
   const { codec, crashMonitor } = context;
-  const watched = crashMonitor.watch(server, createWork(call), signal);
+  const work = { requestId: call.head.id, suspects: call.suspects };
+  const blame = crashMonitor.findBlame(work);
+  if (blame !== null) return { kind: OpenKind.Withheld, blame };
+  const watched = crashMonitor.watch(server, work, signal);
   const opening = await openAttempts.openAttempt({
     host: server.host,
     port: server.port,
@@ -103,10 +109,6 @@
   return classifyOpening(context, call, { server, opening, watched });
 }
 
-function createWork({ head, suspects }: types.Call): crashes.Work {
-  return { requestId: head.id, suspects };
-}
-
 async function classifyOpening(
   { codec, onAnswerHead }: Pick<relayContext.RelayContext, "codec" | "onAnswerHead">,
   call: types.Call,
@@ -132,7 +134,8 @@
     return { kind: OpenKind.Open, stream, head };
   }
   const outcome = await readWholeAnswer(head, opening);
-  if (outcome.kind === OpenKind.Answered) watched.recordSurvival();
+  // A failure may have been answered without running the work.
+  if (outcome.kind === OpenKind.Answered) watched[Symbol.dispose]();
   else await watched.recordBreak();
   return outcome;
 }
@@ -185,7 +188,9 @@
   }
 
   private handleChunk(chunk: Buffer, consumer: EventConsumer): void {
-    const areValid = this.splitter.push(chunk).every((event) => consumer.handleEvent(event));
+    const events = this.splitter.push(chunk);
+    if (events.length > 0) this.watched.recordOutput();
+    const areValid = events.every((event) => consumer.handleEvent(event));
     if (!areValid || this.splitter.isOverflowing) {
       this.hasSequenceFault = true;
       this.opening.close();
--- a/src/relay/_lib/plainCall/index.ts
+++ b/src/relay/_lib/plainCall/index.ts
@@ -6,6 +6,7 @@
 import * as attemptScopes from "../attemptScope/index.js";
 import type * as callSink from "../callSink/index.js";
 import * as refusals from "../createRefusal/index.js";
+import * as plainAttempts from "../recordPlainAttempt/index.js";
 import * as plainTargets from "../selectPlainTarget/index.js";
 import * as sends from "../sendBuffered/index.js";
 import * as constants from "../../constants.js";
@@ -88,7 +89,8 @@
     this.changePendingCount(server.id, -1);
     this.pendingCount -= 1;
     if (this.isSettled || this.scope.signal.aborted) return;
-    this.recordOutcome(server, outcome, context.clock.nowMs() - startedAtMs);
+    const elapsedMs = context.clock.nowMs() - startedAtMs;
+    plainAttempts.recordPlainAttempt(context, call, { server, outcome, elapsedMs });
     HANDLER_BY_OUTCOME[outcome.kind](this, outcome as never, server);
   }
 
@@ -108,6 +110,16 @@
     this.retryOrFinish(outcome.wasSent);
   }
 
+  /** Handles an attempt that was not sent, as servers have ended under such work. */
+  onWithheld({ blame }: sends.Withheld, server: servers.ServerEntry): void {
+    this.possiblyRanIds.delete(server.id);
+    if (this.pendingCount > 0) return;
+    const refusal = refusals.createBlameRefusal(blame);
+    if (this.lastAnswer !== null) this.forwardAnswer(this.lastAnswer);
+    else if (this.mayHaveRun) this.finishWithoutAnswer(refusal.reason);
+    else this.refuse(refusal, refusals.describeBlame(blame));
+  }
+
   /** Handles an attempt with an unknown outcome: only an idempotent call is retried. */
   onUnknown(): void {
     this.mayHaveRun = true;
@@ -247,9 +259,9 @@
     this.refuse(refusals.createRefusal(reason));
   }
 
-  private refuse(refusal: types.Refusal): void {
-    const { sendsCount } = this;
-    answerRefusals.answerRefusal(this.context, this.call, this.sink, refusal, { sendsCount });
+  private refuse(refusal: types.Refusal, details: diagnostics.LogFields = {}): void {
+    const { context, call, sink, sendsCount } = this;
+    answerRefusals.answerRefusal(context, call, sink, refusal, { sendsCount, ...details });
     this.finish();
   }
 
@@ -258,27 +270,6 @@
     this.settle();
   }
 
-  private recordOutcome(
-    server: servers.ServerEntry,
-    outcome: sends.SendOutcome,
-    elapsedMs: number,
-  ): void {
-    const { context, call } = this;
-    const verdict = sends.verdictOf(outcome);
-    context.trust.recordOutcome(server, verdict, elapsedMs);
-    context.meters.attempts.inc({ service: call.serviceName, outcome: verdict });
-    if (verdict === servers.AttemptVerdict.Served) return;
-    context.log.record(Importance.Notable, LogEvent.AttemptEnded, {
-      requestId: call.head.id,
-      serverId: server.id,
-      verdict,
-      status: outcome.kind === sends.SendKind.Answered ? outcome.head.status : null,
-      cause: outcome.kind === sends.SendKind.Answered ? null : outcome.cause,
-      failureRatio: Number(context.trust.failureRatio(server.id).toFixed(2)),
-      elapsedMs: Math.round(elapsedMs),
-    });
-  }
-
   private markServerReplaced(server: servers.ServerEntry): void {
     this.context.directory.markLeaving(server.id, servers.LeavingReason.ReplacedAtAddress);
   }
@@ -296,4 +287,6 @@
   [sends.SendKind.Answered]: (call, outcome: sends.BufferedAnswer) => call.onAnswered(outcome),
   [sends.SendKind.NotRun]: (call, outcome: sends.NotRun, server) => call.onNotRun(outcome, server),
   [sends.SendKind.Unknown]: (call) => call.onUnknown(),
+  [sends.SendKind.Withheld]: (call, outcome: sends.Withheld, server) =>
+    call.onWithheld(outcome, server),
 };
--- /dev/null
+++ b/src/relay/_lib/recordPlainAttempt/index.ts
@@ -0,0 +1,36 @@
+import * as diagnostics from "../../../diagnostics/index.js";
+import * as servers from "../../../servers/index.js";
+import type * as relayContext from "../../relayContext.js";
+import type * as types from "../../types.js";
+import * as sends from "../sendBuffered/index.js";
+
+const { Importance, LogEvent } = diagnostics;
+
+/** One attempt of a plain call. */
+export interface PlainAttempt {
+  readonly server: servers.ServerEntry;
+  readonly outcome: sends.SendOutcome;
+  readonly elapsedMs: number;
+}
+
+/** Records the outcome of an attempt as evidence about the server, and logs and counts it. */
+export function recordPlainAttempt(
+  { trust, meters, log }: relayContext.RelayContext,
+  call: types.Call,
+  { server, outcome, elapsedMs }: PlainAttempt,
+): void {
+  if (outcome.kind === sends.SendKind.Withheld) return;
+  const verdict = sends.verdictOf(outcome);
+  trust.recordOutcome(server, verdict, elapsedMs);
+  meters.attempts.inc({ service: call.serviceName, outcome: verdict });
+  if (verdict === servers.AttemptVerdict.Served) return;
+  log.record(Importance.Notable, LogEvent.AttemptEnded, {
+    requestId: call.head.id,
+    serverId: server.id,
+    verdict,
+    status: outcome.kind === sends.SendKind.Answered ? outcome.head.status : null,
+    cause: outcome.kind === sends.SendKind.Answered ? null : outcome.cause,
+    failureRatio: Number(trust.failureRatio(server.id).toFixed(2)),
+    elapsedMs: Math.round(elapsedMs),
+  });
+}
--- a/src/relay/_lib/sendBuffered/index.ts
+++ b/src/relay/_lib/sendBuffered/index.ts
@@ -1,3 +1,4 @@
+import type * as crashes from "../../../crashes/index.js";
 import * as servers from "../../../servers/index.js";
 import * as constants from "../../constants.js";
 import type * as relayContext from "../../relayContext.js";
@@ -14,6 +15,8 @@
   NotRun = "not-run",
   /** The call may have been executed; no answer that can be forwarded was received. */
   Unknown = "unknown",
+  /** Nothing was sent, as servers have ended under such work. */
+  Withheld = "withheld",
 }
 
 /** A server's answer, buffered until it was complete. */
@@ -33,9 +36,15 @@
   readonly isOtherServer: boolean;
 }
 
+/** A call that was not sent, as servers have ended under such work. */
+export interface Withheld {
+  readonly kind: SendKind.Withheld;
+  readonly blame: crashes.Blame;
+}
+
 /** The outcome of sending a call whose answer is buffered. */
 export type SendOutcome =
-  BufferedAnswer | NotRun | { readonly kind: SendKind.Unknown; readonly cause: string };
+  BufferedAnswer | NotRun | Withheld | { readonly kind: SendKind.Unknown; readonly cause: string };
 
 const SERVER_ERROR_STATUS = 500;
 
@@ -48,9 +57,11 @@
 ): Promise<SendOutcome> {
   const { crashMonitor } = context;
   const work = { requestId: call.head.id, suspects: call.suspects };
+  const blame = crashMonitor.findBlame(work);
+  if (blame !== null) return { kind: SendKind.Withheld, blame };
   const watched = crashMonitor.watch(options.server, work, signal);
   const outcome = await send(context, call, options, signal);
-  if (outcome.kind === SendKind.Answered) watched.recordSurvival();
+  if (verdictOf(outcome) === servers.AttemptVerdict.Served) watched.recordSurvival();
   else if (outcome.kind === SendKind.Unknown) await watched.recordBreak();
   else watched[Symbol.dispose]();
   return outcome;
@@ -94,6 +105,7 @@
 /** Returns the verdict on the server that follows from an outcome. */
 export function verdictOf(outcome: SendOutcome): servers.AttemptVerdict {
   if (outcome.kind === SendKind.Unknown) return servers.AttemptVerdict.Broken;
+  if (outcome.kind === SendKind.Withheld) return servers.AttemptVerdict.Refused;
   if (outcome.kind === SendKind.NotRun) {
     return outcome.wasSent ? servers.AttemptVerdict.Refused : servers.AttemptVerdict.Unreachable;
   }
--- a/src/relay/_lib/startRun/index.ts
+++ b/src/relay/_lib/startRun/index.ts
@@ -1,3 +1,4 @@
+import type * as crashes from "../../../crashes/index.js";
 import * as diagnostics from "../../../diagnostics/index.js";
 import * as dispatch from "../../../dispatch/index.js";
 import * as servers from "../../../servers/index.js";
@@ -20,6 +21,11 @@
   readonly head: types.AnswerHead;
 }
 
+type SentOutcome = Exclude<
+  engineStreams.OpenOutcome,
+  { readonly kind: engineStreams.OpenKind.Withheld }
+>;
+
 interface StartContext {
   readonly scope: attemptScopes.AttemptScope;
   readonly claims: runClaims.RunClaims;
@@ -41,6 +47,11 @@
   sink: callSink.CallSink,
   { scope, claims }: StartContext,
 ): Promise<StartedRun | null> {
+  const blame = context.crashMonitor.findBlame(call);
+  if (blame !== null) {
+    withhold(context, call, sink, blame);
+    return null;
+  }
   const avoidedIds = new Set<string>();
   for (let sendsCount = 0; sendsCount < constants.MAX_SENDS_COUNT;) {
     const placed = await place(context, call, { scope, claims }, avoidedIds);
@@ -59,6 +70,10 @@
       logFailure(context, call, placed.value.server.entry.id, outcome.head.status);
       return null;
     }
+    if (outcome.kind === engineStreams.OpenKind.Withheld) {
+      withhold(context, call, sink, outcome.blame);
+      return null;
+    }
     if (outcome.kind === engineStreams.OpenKind.Unknown) {
       refuse(context, call, sink, refusals.createRefusal(types.RefusalReason.OutcomeUnknown));
       return null;
@@ -119,6 +134,7 @@
     options: () => options,
     signal: scope.signal,
   });
+  if (outcome.kind === engineStreams.OpenKind.Withheld) return outcome;
   const elapsedMs = clock.nowMs() - startedAtMs;
   if (outcome.kind === engineStreams.OpenKind.Open) {
     context.dispatcher.recordFirstEvent(server.id, placement.expectedFirstEventMs, elapsedMs);
@@ -186,7 +202,7 @@
   });
 }
 
-function verdictOf(outcome: engineStreams.OpenOutcome): servers.AttemptVerdict {
+function verdictOf(outcome: SentOutcome): servers.AttemptVerdict {
   if (outcome.kind === engineStreams.OpenKind.Open) return servers.AttemptVerdict.Served;
   if (outcome.kind === engineStreams.OpenKind.Answered) return servers.AttemptVerdict.Failed;
   if (outcome.kind === engineStreams.OpenKind.Unknown) return servers.AttemptVerdict.Broken;
@@ -248,11 +264,24 @@
     logCallerDisconnected(context, call);
     return;
   }
-  const wasSent = outcome.kind !== engineStreams.OpenKind.NotRun;
+  const { kind } = outcome;
+  const wasSent =
+    kind !== engineStreams.OpenKind.NotRun && kind !== engineStreams.OpenKind.Withheld;
   const reason = wasSent ? types.RefusalReason.TimedOut : types.RefusalReason.TimedOutNotRun;
   refuse(context, call, sink, refusals.createRefusal(reason));
 }
 
+/** Refuses a call under whose like servers have ended. */
+function withhold(
+  context: relayContext.RelayContext,
+  call: types.Call,
+  sink: callSink.CallSink,
+  blame: crashes.Blame,
+): void {
+  const refusal = refusals.createBlameRefusal(blame);
+  answerRefusals.answerRefusal(context, call, sink, refusal, refusals.describeBlame(blame));
+}
+
 function refuse(
   context: relayContext.RelayContext,
   call: types.Call,
--- a/src/relay/types.ts
+++ b/src/relay/types.ts
@@ -150,6 +150,8 @@
   NoCapacity = "no-room",
   ServersRefused = "servers-refused",
   RateLimited = "rate-limited",
+  /** Servers have ended under work that has something in common with the call. */
+  EndsServers = "ends-servers",
   Stopping = "stopping",
   TimedOutNotRun = "timed-out-not-run",
   TimedOut = "timed-out",
--- /dev/null
+++ b/src/sharedView/_lib/createHeartbeat/index.ts
@@ -0,0 +1,39 @@
+import type * as clocks from "../../../_lib/clock/index.js";
+import type * as servers from "../../../servers/index.js";
+import type * as topicReplicas from "../../topicReplica/index.js";
+import type * as types from "../../types.js";
+import * as clockReadings from "../clockReading/index.js";
+import * as datagrams from "../datagrams/index.js";
+import * as topicStateCodec from "../topicStateCodec/index.js";
+
+/** What a heartbeat reports besides the sender's identity. */
+export interface HeartbeatState {
+  readonly clock: clocks.Clock;
+  readonly echo: Pick<datagrams.Heartbeat, "echo" | "echoStartedAtWallMs">;
+  readonly reachesStore: boolean;
+  readonly isHub: boolean;
+  readonly replicaOf: (topic: types.Topic) => topicReplicas.TopicReplica;
+  readonly rateStatements: readonly servers.RateStatement[];
+}
+
+/** Creates a heartbeat for one peer. */
+export function createHeartbeat(
+  self: types.MeshIdentity,
+  state: HeartbeatState,
+): datagrams.Heartbeat {
+  return {
+    kind: datagrams.DatagramKind.Heartbeat,
+    vmName: self.vmName,
+    host: self.host,
+    port: self.port,
+    dataCentre: self.dataCentre,
+    coresCount: self.coresCount,
+    startedAtWallMs: self.startedAtWallMs,
+    sentAt: clockReadings.readClocks(state.clock),
+    ...state.echo,
+    reachesStore: state.reachesStore,
+    isAnchor: state.isHub,
+    ...topicStateCodec.encodeTopicStates(state.replicaOf),
+    rateStatements: state.rateStatements,
+  };
+}
--- a/src/sharedView/_lib/datagrams/index.ts
+++ b/src/sharedView/_lib/datagrams/index.ts
@@ -9,6 +9,7 @@
   Leave = 4,
   Waiting = 5,
   Bundle = 6,
+  Crashes = 7,
 }
 
 /** The stage of a bundle's distribution, which decides where the receiver forwards its messages. */
@@ -146,6 +147,20 @@
   messages: zod.array(bytes).max(1_000),
 });
 
+/** The end of a server: its id, the wall time of its start, the VM that observed it, its age. */
+const encodedEnd = zod.tuple([name, zod.number(), name, zod.number().nonnegative()]);
+
+const age = zod.number().nonnegative().nullable();
+
+/** A suspect: kind, key, time since a run survived, time since the last trial, ends of servers. */
+const encodedSuspect = zod.tuple([count, name, age, age, zod.array(encodedEnd).max(64)]);
+
+const crashes = zod.object({
+  kind: zod.literal(DatagramKind.Crashes),
+  vmName: name,
+  suspects: zod.array(encodedSuspect).max(64),
+});
+
 const leave = zod.object({ kind: zod.literal(DatagramKind.Leave), vmName: name });
 
 const datagram = zod.discriminatedUnion("kind", [
@@ -154,6 +169,7 @@
   claims,
   waiting,
   bundle,
+  crashes,
   leave,
 ]);
 
@@ -171,6 +187,10 @@
 export type Bundle = zod.infer<typeof bundle>;
 /** A message with generations that wait at the sender, or no longer do. */
 export type Waiting = zod.infer<typeof waiting>;
+/** A message with what the sender knows of work that ends servers. */
+export type Crashes = zod.infer<typeof crashes>;
+/** A suspect in a message. */
+export type EncodedSuspect = zod.infer<typeof encodedSuspect>;
 /** A waiting generation in a message. */
 export type EncodedWaiting = zod.infer<typeof encodedWaiting>;
 
--- a/src/sharedView/_lib/testMesh/index.ts
+++ b/src/sharedView/_lib/testMesh/index.ts
@@ -1,4 +1,5 @@
 import type * as virtualClocks from "../../../_lib/virtualClock/index.js";
+import type * as crashes from "../../../crashes/index.js";
 import * as diagnostics from "../../../diagnostics/index.js";
 import * as dispatch from "../../../dispatch/index.js";
 import type * as fleet from "../../../fleet/index.js";
@@ -51,6 +52,10 @@
   readonly queue: dispatch.FleetQueue;
   /** Generations that wait at this VM, which its summaries contain. */
   readonly waiting: dispatch.FleetWaiting[] = [];
+  /** What this VM knows of work that ends servers, which its summaries contain. */
+  readonly suspects: crashes.SuspectReport[] = [];
+  /** What its peers have told it. */
+  readonly receivedSuspects: crashes.SuspectReport[] = [];
   readonly mesh: sharedView.PeerMesh;
   /** Topics of which a peer reported a higher end offset, with the peer's name. */
   readonly behindReports: string[] = [];
@@ -60,9 +65,13 @@
     readonly name: string,
     network: Network,
     private readonly clock: virtualClocks.VirtualClock,
-    options: { readonly coresCount?: number; readonly dataCentre?: string } = {},
+    options: {
+      readonly coresCount?: number;
+      readonly dataCentre?: string;
+      readonly startedAtWallMs?: number;
+    } = {},
   ) {
-    const { coresCount = 1, dataCentre = "dc-a" } = options;
+    const { coresCount = 1, dataCentre = "dc-a", startedAtWallMs = 1 } = options;
     const listener = { onRecords: () => undefined, onListing: () => undefined };
     this.replicas = new Map(
       sharedView.TOPICS.map((topic) => [topic, new sharedView.TopicReplica(clock, listener)]),
@@ -78,7 +87,7 @@
         port: 1,
         dataCentre,
         coresCount,
-        startedAtWallMs: 1,
+        startedAtWallMs,
       },
       replicas: this.replicas,
       claims: this.claims,
@@ -90,6 +99,8 @@
       onWorkChange: () => undefined,
       listRateStatements: () => [],
       onRateStatement: () => undefined,
+      listSuspects: () => this.suspects,
+      onSuspects: (reports) => this.receivedSuspects.push(...reports),
     });
   }
 
--- a/src/sharedView/constants.ts
+++ b/src/sharedView/constants.ts
@@ -85,3 +85,9 @@
 
 /** Heartbeat rounds between summaries of a VM's claims and waiting generations. */
 export const WORK_SUMMARY_HEARTBEAT_ROUNDS = 4;
+
+/** Peers that are sent a summary of suspects in each round of summaries. */
+export const CRASH_SUMMARY_PEERS_COUNT = 2;
+
+/** Suspects in one datagram, so that it mostly fits the usual MTU. */
+export const SUSPECTS_PER_DATAGRAM_COUNT = 4;
--- a/src/sharedView/peerMesh/index.ts
+++ b/src/sharedView/peerMesh/index.ts
@@ -1,6 +1,8 @@
 import * as diagnostics from "../../diagnostics/index.js";
 import type * as servers from "../../servers/index.js";
 import * as clockReadings from "../_lib/clockReading/index.js";
+import * as crashExchanges from "../_lib/crashExchange/index.js";
+import * as heartbeats from "../_lib/createHeartbeat/index.js";
 import * as datagrams from "../_lib/datagrams/index.js";
 import * as peerTables from "../_lib/peerTable/index.js";
 import * as encodeRecordParts from "../_lib/encodeRecordParts/index.js";
@@ -25,6 +27,8 @@
 export class PeerMesh implements Disposable {
   /** Sends claims on engines and waiting generations to the peers, and applies theirs. */
   readonly work: workExchanges.WorkExchange;
+  /** Tells the peers what work has ended servers. */
+  readonly crashes: crashExchanges.CrashExchange;
   private readonly table: peerTables.PeerTable;
   private readonly aggregator: workAggregators.WorkAggregator;
   private readonly subscription: Disposable;
@@ -37,15 +41,25 @@
 
   constructor(private readonly context: meshTypes.MeshContext) {
     this.table = new peerTables.PeerTable(context.clock, context.self);
+    const { vmName } = context.self;
+    const send = (message: Buffer, { host, port }: types.VmAddress): void =>
+      context.socket.send(message, host, port);
     this.aggregator = new workAggregators.WorkAggregator({
       clock: context.clock,
-      vmName: context.self.vmName,
+      vmName,
       routes: () => this.table.selectWorkRoutes(),
-      send: (message, { host, port }) => this.context.socket.send(message, host, port),
+      send,
     });
     this.work = new workExchanges.WorkExchange(context, (message) =>
       this.aggregator.broadcast(message),
     );
+    this.crashes = new crashExchanges.CrashExchange({
+      vmName,
+      livePeers: () => this.table.livePeers(),
+      send,
+      listReports: context.listSuspects,
+      onReports: context.onSuspects,
+    });
     this.subscription = context.socket.onMessage((bytes) => this.receive(bytes));
     this.timer = context.clock.schedule(0, () => this.runHeartbeatRound());
   }
@@ -116,8 +130,10 @@
     this.isHub = this.table.isHub(this.context.reachesStore());
     this.dropWorkOfSilentPeers();
     this.sendDueHeartbeats();
-    if (this.heartbeatRoundsCount % constants.WORK_SUMMARY_HEARTBEAT_ROUNDS === 0)
+    if (this.heartbeatRoundsCount % constants.WORK_SUMMARY_HEARTBEAT_ROUNDS === 0) {
       this.work.sendSummary();
+      this.crashes.sendDueSummaries();
+    }
     this.timer = this.context.clock.schedule(this.table.heartbeatIntervalMs(), () =>
       this.runHeartbeatRound(),
     );
@@ -125,13 +141,14 @@
 
   /** Marks peers as silent, removes their claims and waiting generations, and logs them. */
   private dropWorkOfSilentPeers(): void {
-    for (const peer of this.table.markSilentPeers(this.isHub)) {
-      this.work.dropVm(peer.vmName);
-      this.context.log.record(Importance.StateChange, LogEvent.PeerDown, {
-        peer: peer.vmName,
-        silentMs: Math.round(this.context.clock.nowMs() - peer.lastHeartbeatAtMs),
-      });
-    }
+    for (const { vmName, lastHeartbeatAtMs } of this.table.markSilentPeers(this.isHub))
+      this.dropWork(vmName, this.context.clock.nowMs() - lastHeartbeatAtMs);
+  }
+
+  private dropWork(vmName: string, silentMs: number): void {
+    this.work.dropVm(vmName);
+    const fields = { peer: vmName, silentMs: Math.round(silentMs) };
+    this.context.log.record(Importance.StateChange, LogEvent.PeerDown, fields);
   }
 
   private sendDueHeartbeats(): void {
@@ -147,22 +164,15 @@
   }
 
   private sendHeartbeat(address: types.VmAddress): void {
-    const { self, clock, reachesStore } = this.context;
-    const message: datagrams.Heartbeat = {
-      kind: DatagramKind.Heartbeat,
-      vmName: self.vmName,
-      host: self.host,
-      port: self.port,
-      dataCentre: self.dataCentre,
-      coresCount: self.coresCount,
-      startedAtWallMs: self.startedAtWallMs,
-      sentAt: clockReadings.readClocks(clock),
-      ...this.table.createEcho(address.vmName),
+    const { self, clock, reachesStore, listRateStatements } = this.context;
+    const message = heartbeats.createHeartbeat(self, {
+      clock,
+      echo: this.table.createEcho(address.vmName),
       reachesStore: reachesStore(),
-      isAnchor: this.isHub,
-      ...topicStateCodec.encodeTopicStates((topic) => this.replicaOf(topic)),
-      rateStatements: this.context.listRateStatements(),
-    };
+      isHub: this.isHub,
+      replicaOf: (topic) => this.replicaOf(topic),
+      rateStatements: listRateStatements(),
+    });
     this.context.socket.send(datagrams.encodeDatagram(message), address.host, address.port);
   }
 
@@ -194,6 +204,7 @@
   onHeartbeat(message: datagrams.Heartbeat): void {
     const { peer, isNew, isRestarted } = this.table.applyHeartbeat(message);
     if (isRestarted) this.work.dropVm(peer.vmName);
+    if (isNew || isRestarted) this.crashes.sendSummary(peer);
     if (isNew) {
       this.context.log.record(Importance.StateChange, LogEvent.PeerUp, {
         peer: peer.vmName,
@@ -212,9 +223,10 @@
   onRecords(message: datagrams.Records): void {
     const topic = types.TOPICS[message.topic];
     if (topic === undefined) return;
+    const { epoch, endOffset, fromOffset } = message;
     const batch = {
-      epoch: message.epoch,
-      endOffset: message.endOffset,
+      epoch,
+      endOffset,
       records: message.records.map(([key, offset, value]): types.ViewRecord => {
         return { key, offset, value: value === null ? null : Buffer.from(value) };
       }),
@@ -222,12 +234,8 @@
     // A peer's records do not renew the view's age; its heartbeats do, as their echo bounds the
     // transfer time.
     const source = topicReplicas.ViewSource.Peer;
-    this.replicaOf(topic).applyRecords(
-      message.fromOffset,
-      batch,
-      clockReadings.DISTANT_PAST,
-      source,
-    );
+    const confirmedAt = clockReadings.DISTANT_PAST;
+    this.replicaOf(topic).applyRecords(fromOffset, batch, confirmedAt, source);
   }
 
   /** Handles a VM's update of its claims; ignored unless its current process sent it. */
@@ -252,11 +260,7 @@
   /** Handles the leave message of a peer. */
   onLeave(message: { readonly vmName: string }): void {
     this.table.removePeer(message.vmName);
-    this.work.dropVm(message.vmName);
-    this.context.log.record(Importance.StateChange, LogEvent.PeerDown, {
-      peer: message.vmName,
-      silentMs: 0,
-    });
+    this.dropWork(message.vmName, 0);
   }
 
   /** Renews the age of a replica by a peer's heartbeat, or reports that the replica lags. */
@@ -290,5 +294,6 @@
   [DatagramKind.Claims]: (mesh, message) => mesh.onClaims(message),
   [DatagramKind.Waiting]: (mesh, message) => mesh.onWaiting(message),
   [DatagramKind.Bundle]: (mesh, message) => mesh.onBundle(message),
+  [DatagramKind.Crashes]: (mesh, message) => mesh.crashes.receive(message),
   [DatagramKind.Leave]: (mesh, message) => mesh.onLeave(message),
 };
--- a/src/sharedView/peerMesh/types.ts
+++ b/src/sharedView/peerMesh/types.ts
@@ -1,4 +1,5 @@
 import type * as clocks from "../../_lib/clock/index.js";
+import type * as crashes from "../../crashes/index.js";
 import type * as diagnostics from "../../diagnostics/index.js";
 import type * as fleet from "../../fleet/index.js";
 import type * as servers from "../../servers/index.js";
@@ -25,4 +26,8 @@
   readonly listRateStatements: () => readonly servers.RateStatement[];
   /** Called with each statement that a peer has received. */
   readonly onRateStatement: (statement: servers.RateStatement) => void;
+  /** Lists what this VM knows of work that ends servers. */
+  readonly listSuspects: () => readonly crashes.SuspectReport[];
+  /** Called with what a peer knows of it. */
+  readonly onSuspects: (reports: readonly crashes.SuspectReport[]) => void;
 }
