Name the request in the log of a server's end

server-ended named the attempt, which is another one each time that a request comes again, so that it could not be told whether one request ended several servers.

--- a/src/crashes/crashMonitor/index.ts
+++ b/src/crashes/crashMonitor/index.ts
@@ -96,6 +96,7 @@
       serverId: server.id,
       service: server.serviceName,
       requestId: work.requestId,
+      fingerprint: work.fingerprint,
       sentAgoMs: Math.round(brokenAtMs - sentAtMs),
       begunAgoMs: begunAtMs === null ? null : Math.round(brokenAtMs - begunAtMs),
       suspects: work.suspects.map(({ key }) => key).join(","),
--- a/src/crashes/crashMonitor/test.ts
+++ b/src/crashes/crashMonitor/test.ts
@@ -10,6 +10,7 @@
 
 const WORK: types.Work = {
   requestId: "r1",
+  fingerprint: "f1",
   suspects: [{ kind: types.SuspectKind.PromptPart, key: "p1" }],
 };
 
@@ -53,7 +54,14 @@
   await clock.runForMs(80);
   await run.recordBreak();
   t.match(lines, [
-    { serverId: "e1", requestId: "r1", sentAgoMs: 380, begunAgoMs: 80, suspects: "p1" },
+    {
+      serverId: "e1",
+      requestId: "r1",
+      fingerprint: "f1",
+      sentAgoMs: 380,
+      begunAgoMs: 80,
+      suspects: "p1",
+    },
   ]);
 });
 
--- a/src/crashes/index.ts
+++ b/src/crashes/index.ts
@@ -1,3 +1,4 @@
+export * from "./createFingerprint/index.js";
 export * from "./crashLedger/index.js";
 export * from "./crashMonitor/index.js";
 export * from "./listSuspects/index.js";
--- a/src/crashes/types.ts
+++ b/src/crashes/types.ts
@@ -42,6 +42,8 @@
 /** Work that is sent to a server. */
 export interface Work {
   readonly requestId: string;
+  /** Equal for all attempts of one request, at any VM. */
+  readonly fingerprint: string;
   readonly suspects: readonly Suspect[];
 }
 
--- a/src/gateway/callerServer/index.ts
+++ b/src/gateway/callerServer/index.ts
@@ -5,6 +5,7 @@
 import * as diagnostics from "../../diagnostics/index.js";
 import * as relay from "../../relay/index.js";
 import * as routing from "../../routing/index.js";
+import * as headBytes from "../_lib/measureHeadBytes/index.js";
 import * as constants from "../constants.js";
 import type * as currentView from "../currentView/index.js";
 import type * as types from "../types.js";
@@ -146,6 +147,11 @@
       arrivedAtMs,
       deadlineAtMs: this.computeDeadline(head, route, arrivedAtMs),
       callerDisconnected,
+      fingerprint: crashes.createFingerprint({
+        ...head,
+        accountName: account?.name ?? null,
+        body: collected.body,
+      }),
       suspects: crashes.listSuspects(head.generation?.promptPartIds ?? []),
     };
     await this.context.relays[route.kind](call, sink);
@@ -157,7 +163,7 @@
     const table = view.routingTable;
     if (table === null) return createDenial(RefusalReason.NoConfiguration, null);
     const { limits } = table.configuration;
-    if (measureHeadBytes(request) > limits.maxHeaderBytes) {
+    if (headBytes.measureHeadBytes(request) > limits.maxHeaderBytes) {
       return createDenial(RefusalReason.HeadersTooLarge, null);
     }
     const ageMs = view.configurationAgeMs;
@@ -282,12 +288,6 @@
   return { refusal: relay.createRefusal(reason, RETRY_AFTER_MS[reason] ?? null), detail };
 }
 
-function measureHeadBytes(request: http.IncomingMessage): number {
-  const separatorsBytes = 2 * request.rawHeaders.length;
-  const namesAndValuesBytes = request.rawHeaders.reduce((sum, text) => sum + text.length, 0);
-  return (request.url?.length ?? 0) + namesAndValuesBytes + separatorsBytes;
-}
-
 /** Creates a signal that is aborted if the caller's connection closes before the answer is sent. */
 function createDisconnectSignal(response: http.ServerResponse): AbortSignal {
   const controller = new AbortController();
--- a/src/relay/_lib/engineStream/index.ts
+++ b/src/relay/_lib/engineStream/index.ts
@@ -83,10 +83,9 @@
   { server, options, onConnected, signal }: OpenRequest,
 ): Promise<OpenOutcome> {
   const { codec, crashMonitor } = context;
-  const work = { requestId: call.head.id, suspects: call.suspects };
-  const blame = crashMonitor.findBlame(work);
+  const blame = crashMonitor.findBlame(call);
   if (blame !== null) return { kind: OpenKind.Withheld, blame };
-  const watched = crashMonitor.watch(server, work, signal);
+  const watched = crashMonitor.watch(server, { ...call, requestId: call.head.id }, signal);
   const opening = await openAttempts.openAttempt({
     host: server.host,
     port: server.port,
--- a/src/relay/_lib/sendBuffered/index.ts
+++ b/src/relay/_lib/sendBuffered/index.ts
@@ -56,10 +56,9 @@
   signal: AbortSignal,
 ): Promise<SendOutcome> {
   const { crashMonitor } = context;
-  const work = { requestId: call.head.id, suspects: call.suspects };
-  const blame = crashMonitor.findBlame(work);
+  const blame = crashMonitor.findBlame(call);
   if (blame !== null) return { kind: SendKind.Withheld, blame };
-  const watched = crashMonitor.watch(options.server, work, signal);
+  const watched = crashMonitor.watch(options.server, { ...call, requestId: call.head.id }, signal);
   const outcome = await send(context, call, options, signal);
   if (verdictOf(outcome) === servers.AttemptVerdict.Served) watched.recordSurvival();
   else if (outcome.kind === SendKind.Unknown) await watched.recordBreak();
