--- a/src/gateway/_lib/testFleet/index.ts
+++ b/src/gateway/_lib/testFleet/index.ts
@@ -31,6 +31,16 @@
   return fleet;
 }
 
+/** Adds gateways until there are as many as given, and waits until all are ready. */
+export async function addReadyGateways(
+  fleet: gatewayFleets.GatewayFleet,
+  gatewaysCount: number,
+): Promise<void> {
+  while (fleet.gateways.length < gatewaysCount) await fleet.addGateway();
+  for (let index = 0; index < gatewaysCount; index += 1)
+    await waitUntil(() => fleet.isReady(index));
+}
+
 /** Polls until a condition is met; the bound on checks only ends a test that would hang. */
 export async function waitUntil(isConditionMet: () => boolean | Promise<boolean>): Promise<void> {
   for (let checksCount = 0; checksCount < MAX_CHECKS_COUNT; checksCount += 1) {
--- a/standins/platform/backendServer/index.ts
+++ b/standins/platform/backendServer/index.ts
@@ -197,3 +197,20 @@
     server.crash();
   };
 }
+
+/** Runs the request, and crashes the server without an answer a little later. */
+export function crashWithoutAnswer(delayMs: number): Behaviour {
+  return async (call, _response, server) => {
+    server.runs.push(call.id);
+    await new Promise((resolve) => setTimeout(resolve, delayMs));
+    server.crash();
+  };
+}
+
+/** Runs the request for a while, and then sends a complete answer. */
+export function answerLater(body: string, delayMs: number): Behaviour {
+  return async (call, response, server) => {
+    await new Promise((resolve) => setTimeout(resolve, delayMs));
+    if (!response.destroyed) await answerCompletely(body)(call, response, server);
+  };
+}
--- a/standins/platform/gatewayFleet/index.ts
+++ b/standins/platform/gatewayFleet/index.ts
@@ -75,6 +75,7 @@
   private readonly resources = new disposableStore.DisposableStore();
   private version = 0;
   private sequence = 0;
+  private isDisposed = false;
 
   /** Starts the platform's store. */
   async start(): Promise<void> {
@@ -92,13 +93,14 @@
     await server.start();
     server.setBehaviour(behaviour);
     this.resources.add(server);
-    this.register(server, serviceName, "ready");
+    if (this.isDisposed) await server[Symbol.asyncDispose]();
+    else this.register(server, serviceName, "ready");
     return server;
   }
 
   /**
    * Removes the entry of a crashed server after a while, and later starts a server with a new id in
-   * its place, with the same behaviour.
+   * its place, unless the fleet is disposed of meanwhile.
    */
   async replaceCrashedServer(
     crashed: backendServers.BackendServer,
@@ -109,12 +111,12 @@
       readonly lapseMs: number;
       readonly downMs: number;
     },
-  ): Promise<backendServers.BackendServer> {
+  ): Promise<void> {
     const { id, serviceName, behaviour, lapseMs, downMs } = replacement;
     await pause(lapseMs);
     this.store.put(names.TOPIC_NAMES.servers, crashed.id, null);
     await pause(Math.max(0, downMs - lapseMs));
-    return this.addServer(id, serviceName, behaviour);
+    if (!this.isDisposed) await this.addServer(id, serviceName, behaviour);
   }
 
   /** Writes a server's registration to the store. */
@@ -145,6 +147,7 @@
       version: this.version,
       routes: [
         route("lookup", "idempotent", { max_attempts: 2 }),
+        route("status", "idempotent", { max_attempts: 3 }),
         route("file", "non_idempotent", {}),
         route("draft", "streaming", { target_gap_ms: 180 }),
         route("short", "idempotent", { timeout_ms: 200 }),
@@ -205,6 +208,7 @@
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
+    this.isDisposed = true;
     await this.resources[Symbol.asyncDispose]();
   }
 
