Recognise a request that makes servers end when it comes again

Callers saw the whole permit service go down every few seconds: one lookup ended each server that ran it, came again under another attempt id at any VM, and its own repeats ended the second and the third server.

Cause: nothing connected the attempts of one request, and a repeat was decided whatever had become of the server before.

The digest of method, host, target, client account and body is now a suspect in the ledger of crashes, beside the parts of prompts. Ends count apart if the work was sent after the end before, as repeats follow within 50 ms. A call is not repeated after two servers have verifiably ended under it; its last answer is forwarded if there is one.

--- a/src/crashes/_lib/crashingFleet/index.ts
+++ b/src/crashes/_lib/crashingFleet/index.ts
@@ -10,6 +10,7 @@
 interface Run {
   readonly vmIndex: number;
   readonly suspects: readonly types.Suspect[];
+  readonly sentAtMs: number;
 }
 
 interface Engine {
@@ -72,7 +73,7 @@
     const engine = upEngines[Math.floor(this.random.next() * upEngines.length)];
     if (!isSent || engine === undefined) return;
     this.broadcast(vmIndex, this.ledgerOf(vmIndex).startTrial(suspects));
-    this.start(engine, { vmIndex, suspects }, isCrashing);
+    this.start(engine, { vmIndex, suspects, sentAtMs: this.clock.nowMs() }, isCrashing);
   }
 
   /** Replaces the process of a random VM by one that knows nothing and is told by its peers. */
@@ -110,8 +111,8 @@
     engine.isUp = false;
     const endedAtMs = this.clock.nowMs();
     this.crashesAtMs.push(endedAtMs);
-    for (const { vmIndex, suspects } of engine.starting) {
-      const end = { serverId: id, bornAtWallMs: 1, vmName: `vm-${vmIndex}`, endedAtMs };
+    for (const { vmIndex, suspects, sentAtMs } of engine.starting) {
+      const end = { serverId: id, bornAtWallMs: 1, vmName: `vm-${vmIndex}`, sentAtMs, endedAtMs };
       this.broadcast(vmIndex, this.ledgerOf(vmIndex).recordEnd(suspects, end));
     }
     engine.starting.clear();
--- a/src/crashes/_lib/suspectRecord/index.ts
+++ b/src/crashes/_lib/suspectRecord/index.ts
@@ -28,8 +28,11 @@
   get isBlamed(): boolean {
     let count = 0;
     let countedAtMs = -Infinity;
-    for (const { endedAtMs } of this.ends) {
-      if (endedAtMs - countedAtMs < constants.COMMON_CAUSE_MS) continue;
+    for (const { sentAtMs, endedAtMs } of this.ends) {
+      // Work that was sent after an end did not share its cause.
+      const isCommonCause =
+        sentAtMs < countedAtMs && endedAtMs - countedAtMs < constants.COMMON_CAUSE_MS;
+      if (isCommonCause) continue;
       countedAtMs = endedAtMs;
       count += 1;
     }
@@ -89,7 +92,7 @@
       ...this.suspect,
       clearedAgeMs: toAge(nowMs, this.clearedAtMs),
       trialAgeMs: toAge(nowMs, this.trialStartedAtMs),
-      ends: latest.map(({ endedAtMs, ...end }) => ({ ...end, ageMs: nowMs - endedAtMs })),
+      ends: latest.map((end) => toReportedEnd(end, nowMs)),
     };
   }
 
@@ -101,3 +104,19 @@
 function toAge(nowMs: number, atMs: number): number | null {
   return Number.isFinite(atMs) ? nowMs - atMs : null;
 }
+
+/** Converts the end of a server for a report to other VMs. */
+export function toReportedEnd(
+  { sentAtMs, endedAtMs, ...end }: types.ServerEnd,
+  nowMs: number,
+): types.ReportedEnd {
+  return { ...end, ageMs: nowMs - endedAtMs, ranMs: endedAtMs - sentAtMs };
+}
+
+/** Converts the end of a server in a peer's report to the clock of this VM. */
+export function fromReportedEnd(
+  { ageMs, ranMs, ...end }: types.ReportedEnd,
+  nowMs: number,
+): types.ServerEnd {
+  return { ...end, endedAtMs: nowMs - ageMs, sentAtMs: nowMs - ageMs - ranMs };
+}
--- a/src/crashes/_lib/watchedRun/index.ts
+++ b/src/crashes/_lib/watchedRun/index.ts
@@ -5,8 +5,8 @@
 export interface RunListener {
   /** The server has run the work beyond its start. */
   onSurvived(): void;
-  /** The connection broke before that. Resolves when the cause has been looked into. */
-  onBroken(times: RunTimes): Promise<void>;
+  /** The connection broke before that. Resolves with whether the server has ended. */
+  onBroken(times: RunTimes): Promise<boolean>;
 }
 
 /** When a run started, on the monotonic clock. */
@@ -48,12 +48,12 @@
     this.listener.onSurvived();
   }
 
-  /** Records that the connection broke. Resolves when the cause has been looked into. */
-  async recordBreak(): Promise<void> {
-    if (this.isDecided) return;
+  /** Records that the connection broke. Resolves with whether the server ended in the start phase. */
+  async recordBreak(): Promise<boolean> {
+    if (this.isDecided) return false;
     this[Symbol.dispose]();
     const { sentAtMs, begunAtMs } = this;
-    await this.listener.onBroken({ sentAtMs, begunAtMs });
+    return this.listener.onBroken({ sentAtMs, begunAtMs });
   }
 
   /** Ends the watch without a result, as when the work was not run or its caller disconnected. */
--- a/src/crashes/crashLedger/index.ts
+++ b/src/crashes/crashLedger/index.ts
@@ -50,9 +50,9 @@
     const changed = recorded.map((suspect) => this.getOrCreate(suspect));
     const added = changed.filter((record) => record.addEnd(end));
     for (const record of added) this.updateBlame(record);
-    const { endedAtMs, ...reported } = end;
-    const ends = [{ ...reported, ageMs: this.clock.nowMs() - endedAtMs }];
-    return added.map((record) => ({ ...record.toReport(this.clock.nowMs()), ends }));
+    const nowMs = this.clock.nowMs();
+    const ends = [suspectRecords.toReportedEnd(end, nowMs)];
+    return added.map((record) => ({ ...record.toReport(nowMs), ends }));
   }
 
   /** Records that a run survived its start; returns what the other VMs have to learn. */
@@ -74,7 +74,7 @@
       const record = this.getOrCreate({ kind, key });
       if (clearedAgeMs !== null) record.clear(nowMs - clearedAgeMs);
       if (trialAgeMs !== null) record.startTrial(nowMs - trialAgeMs);
-      for (const { ageMs, ...end } of ends) record.addEnd({ ...end, endedAtMs: nowMs - ageMs });
+      for (const end of ends) record.addEnd(suspectRecords.fromReportedEnd(end, nowMs));
       this.updateBlame(record);
     }
   }
--- a/src/crashes/crashLedger/test.ts
+++ b/src/crashes/crashLedger/test.ts
@@ -9,6 +9,9 @@
 /** Time between two ends of servers that have no common cause. */
 const APART_MS = 500;
 
+/** Time for which work runs on a server until its end. */
+const RUN_MS = 80;
+
 function suspectsOf(...keys: readonly string[]): readonly types.Suspect[] {
   return keys.map((key) => ({ kind: types.SuspectKind.PromptPart, key }));
 }
@@ -23,11 +26,14 @@
   endServer(
     requests: readonly (readonly types.Suspect[])[],
     afterMs = APART_MS,
+    ranMs = RUN_MS,
   ): readonly types.SuspectReport[] {
     this.clock.advanceToMs(this.clock.nowMs() + afterMs);
     this.endsCount += 1;
     const serverId = `e${this.endsCount}`;
-    const end = { serverId, bornAtWallMs: 1, vmName: "vm-1", endedAtMs: this.clock.nowMs() };
+    const endedAtMs = this.clock.nowMs();
+    const sentAtMs = endedAtMs - ranMs;
+    const end = { serverId, bornAtWallMs: 1, vmName: "vm-1", sentAtMs, endedAtMs };
     return requests.flatMap((suspects) => this.ledger.recordEnd(suspects, end));
   }
 
@@ -62,6 +68,12 @@
   t.ok(run.isSent("part"));
 });
 
+tap.test("ends under work that was sent after the end before count each", async (t) => {
+  const run = new Fixture();
+  for (let index = 0; index < 3; index += 1) run.endServer([suspectsOf("bad")], 45, 40);
+  t.notOk(run.isSent("bad"));
+});
+
 tap.test("parts that always occur together are told apart by one trial", async (t) => {
   const run = new Fixture();
   for (let index = 0; index < 3; index += 1) run.endServer([suspectsOf("bad", "sound")]);
--- a/src/crashes/crashMonitor/index.ts
+++ b/src/crashes/crashMonitor/index.ts
@@ -85,25 +85,26 @@
     server: types.ServerStart,
     work: types.Work,
     { sentAtMs, begunAtMs }: watchedRuns.RunTimes,
-  ): Promise<void> {
+  ): Promise<boolean> {
     const { clock, log, isLeaving } = this.context;
     const brokenAtMs = clock.nowMs();
-    if (isLeaving(server)) return;
+    if (isLeaving(server)) return false;
     const state = await this.probeOnce(server);
     const isExcused = clock.nowMs() < this.pauseEndedAtMs + constants.PAUSE_EXCUSE_MS;
-    if (state !== types.ListenerState.Refuses || isExcused) return;
+    if (state !== types.ListenerState.Refuses || isExcused) return false;
     log.record(Importance.StateChange, LogEvent.ServerEnded, {
       serverId: server.id,
       service: server.serviceName,
       requestId: work.requestId,
-      fingerprint: work.fingerprint,
       sentAgoMs: Math.round(brokenAtMs - sentAtMs),
       begunAgoMs: begunAtMs === null ? null : Math.round(brokenAtMs - begunAtMs),
-      suspects: work.suspects.map(({ key }) => key).join(","),
+      suspects: work.suspects.map(({ kind, key }) => `${kind} ${key}`).join(", "),
     });
     const { id: serverId, bornAtWallMs } = server;
-    const end = { serverId, bornAtWallMs, vmName: this.context.vmName, endedAtMs: brokenAtMs };
+    const { vmName } = this.context;
+    const end = { serverId, bornAtWallMs, vmName, sentAtMs, endedAtMs: brokenAtMs };
     this.announce(this.ledger.recordEnd(work.suspects, end));
+    return true;
   }
 
   private announce(reports: readonly types.SuspectReport[]): void {
--- a/src/crashes/crashMonitor/test.ts
+++ b/src/crashes/crashMonitor/test.ts
@@ -10,7 +10,6 @@
 
 const WORK: types.Work = {
   requestId: "r1",
-  fingerprint: "f1",
   suspects: [{ kind: types.SuspectKind.PromptPart, key: "p1" }],
 };
 
@@ -57,10 +56,9 @@
     {
       serverId: "e1",
       requestId: "r1",
-      fingerprint: "f1",
       sentAgoMs: 380,
       begunAgoMs: 80,
-      suspects: "p1",
+      suspects: "prompt-part p1",
     },
   ]);
 });
--- a/src/crashes/listSuspects/index.ts
+++ b/src/crashes/listSuspects/index.ts
@@ -6,14 +6,21 @@
 const MAX_PLAIN_ID_CHARS = 64;
 
 /**
- * Lists what a request may have in common with others that made a server crash: the parts of its
- * prompt. The last part is omitted, as it belongs to the request alone.
+ * Lists what an attempt may have in common with others that made a server crash: the request and the
+ * parts of its prompt. The last part is omitted, as it belongs to the request alone.
  *
+ * @param fingerprint - equal for all attempts of the request
  * @param promptPartIds - ids of the parts of the prompt, in order; empty for other requests
  */
-export function listSuspects(promptPartIds: readonly string[]): readonly types.Suspect[] {
-  const sharedIds = new Set(promptPartIds.slice(0, -1));
-  return [...sharedIds].map((id) => ({ kind: types.SuspectKind.PromptPart, key: shorten(id) }));
+export function listSuspects(
+  fingerprint: string,
+  promptPartIds: readonly string[],
+): readonly types.Suspect[] {
+  const partIds = new Set(promptPartIds.slice(0, -1));
+  return [
+    { kind: types.SuspectKind.Request, key: fingerprint },
+    ...[...partIds].map((id) => ({ kind: types.SuspectKind.PromptPart, key: shorten(id) })),
+  ];
 }
 
 function shorten(id: string): string {
--- a/src/crashes/types.ts
+++ b/src/crashes/types.ts
@@ -3,6 +3,8 @@
 /** What requests can have in common that makes servers crash. */
 export enum SuspectKind {
   PromptPart = "prompt-part",
+  /** The whole request, whatever its attempt. */
+  Request = "request",
 }
 
 /** Something that several requests can have in common and that may make servers crash. */
@@ -18,17 +20,26 @@
   readonly bornAtWallMs: number;
   /** The VM that observed the end. */
   readonly vmName: string;
+  /** When the work was sent to the server, on this VM's monotonic clock. */
+  readonly sentAtMs: number;
   /** On this VM's monotonic clock. */
   readonly endedAtMs: number;
 }
 
+/** The end of a server, as VMs tell each other. */
+export interface ReportedEnd extends Omit<ServerEnd, "endedAtMs" | "sentAtMs"> {
+  readonly ageMs: number;
+  /** Time from the sending of the work to the end. */
+  readonly ranMs: number;
+}
+
 /** What a VM knows of a suspect, as it tells its peers; times are ages, as clocks differ. */
 export interface SuspectReport extends Suspect {
   /** Time since a run with the suspect survived; null if none did. */
   readonly clearedAgeMs: number | null;
   /** Time since the start of the last trial; null if there was none. */
   readonly trialAgeMs: number | null;
-  readonly ends: readonly (Omit<ServerEnd, "endedAtMs"> & { readonly ageMs: number })[];
+  readonly ends: readonly ReportedEnd[];
 }
 
 /** Why work must not be sent to any server. */
@@ -42,8 +53,6 @@
 /** Work that is sent to a server. */
 export interface Work {
   readonly requestId: string;
-  /** Equal for all attempts of one request, at any VM. */
-  readonly fingerprint: string;
   readonly suspects: readonly Suspect[];
 }
 
--- a/src/gateway/callerServer/index.ts
+++ b/src/gateway/callerServer/index.ts
@@ -138,21 +138,19 @@
       return;
     }
     this.context.budget.recordCall(serviceName);
+    const { body } = collected;
+    const accountName = account?.name ?? null;
+    const fingerprint = crashes.createFingerprint({ ...head, accountName, body });
     const call: relay.Call = {
       head,
-      body: collected.body,
+      body,
       route,
       account,
       serviceName,
       arrivedAtMs,
       deadlineAtMs: this.computeDeadline(head, route, arrivedAtMs),
       callerDisconnected,
-      fingerprint: crashes.createFingerprint({
-        ...head,
-        accountName: account?.name ?? null,
-        body: collected.body,
-      }),
-      suspects: crashes.listSuspects(head.generation?.promptPartIds ?? []),
+      suspects: crashes.listSuspects(fingerprint, head.generation?.promptPartIds ?? []),
     };
     await this.context.relays[route.kind](call, sink);
     this.recordEnd(call, sink, response);
--- a/src/relay/_lib/plainCall/index.ts
+++ b/src/relay/_lib/plainCall/index.ts
@@ -24,6 +24,7 @@
   private readonly maxServersCount: number;
   private sendsCount = 0;
   private pendingCount = 0;
+  private endedServersCount = 0;
   private lastAnswer: sends.BufferedAnswer | null = null;
   private mayHaveRun = false;
   private hedgeTimer: Disposable | null = null;
@@ -120,11 +121,13 @@
     else this.refuse(refusal, refusals.describeBlame(blame));
   }
 
-  /** Handles an attempt with an unknown outcome: only an idempotent call is retried. */
-  onUnknown(): void {
+  /** Handles an attempt with an unknown outcome: only an idempotent call is retried, while few servers ended. */
+  onUnknown({ hasServerEnded }: sends.Unknown): void {
     this.mayHaveRun = true;
-    if (this.isIdempotent) this.retryOrFinish();
-    else if (this.pendingCount === 0) this.finishWithoutAnswer(types.RefusalReason.OutcomeUnknown);
+    if (hasServerEnded) this.endedServersCount += 1;
+    const canRepeat = this.endedServersCount < constants.MAX_ENDED_SERVERS_COUNT;
+    if (this.isIdempotent && canRepeat) this.retryOrFinish();
+    else if (this.pendingCount === 0) this.finishUnsent(types.RefusalReason.OutcomeUnknown);
   }
 
   /** Retries the call, or finishes it. A retry of an unsent attempt does not use the retry budget. */
@@ -286,7 +289,7 @@
 const HANDLER_BY_OUTCOME: Readonly<Record<sends.SendKind, Handler>> = {
   [sends.SendKind.Answered]: (call, outcome: sends.BufferedAnswer) => call.onAnswered(outcome),
   [sends.SendKind.NotRun]: (call, outcome: sends.NotRun, server) => call.onNotRun(outcome, server),
-  [sends.SendKind.Unknown]: (call) => call.onUnknown(),
+  [sends.SendKind.Unknown]: (call, outcome: sends.Unknown) => call.onUnknown(outcome),
   [sends.SendKind.Withheld]: (call, outcome: sends.Withheld, server) =>
     call.onWithheld(outcome, server),
 };
--- a/src/relay/_lib/sendBuffered/index.ts
+++ b/src/relay/_lib/sendBuffered/index.ts
@@ -42,9 +42,16 @@
   readonly blame: crashes.Blame;
 }
 
+/** A call that may have been executed, without an answer that can be forwarded. */
+export interface Unknown {
+  readonly kind: SendKind.Unknown;
+  readonly cause: string;
+  /** Whether the server has ended while it ran the call. */
+  readonly hasServerEnded: boolean;
+}
+
 /** The outcome of sending a call whose answer is buffered. */
-export type SendOutcome =
-  BufferedAnswer | NotRun | Withheld | { readonly kind: SendKind.Unknown; readonly cause: string };
+export type SendOutcome = BufferedAnswer | NotRun | Withheld | Unknown;
 
 const SERVER_ERROR_STATUS = 500;
 
@@ -61,7 +68,8 @@
   const watched = crashMonitor.watch(options.server, { ...call, requestId: call.head.id }, signal);
   const outcome = await send(context, call, options, signal);
   if (verdictOf(outcome) === servers.AttemptVerdict.Served) watched.recordSurvival();
-  else if (outcome.kind === SendKind.Unknown) await watched.recordBreak();
+  else if (outcome.kind === SendKind.Unknown)
+    return { ...outcome, hasServerEnded: await watched.recordBreak() };
   else watched[Symbol.dispose]();
   return outcome;
 }
@@ -86,7 +94,7 @@
     return { kind: SendKind.NotRun, cause: opening.cause, wasSent: false, isOtherServer: false };
   }
   if (opening.kind === openAttempts.OpeningKind.Lost) {
-    return { kind: SendKind.Unknown, cause: opening.cause };
+    return { kind: SendKind.Unknown, cause: opening.cause, hasServerEnded: false };
   }
   const head = codec.decodeAnswer(opening.message);
   onAnswerHead(options.server, head);
@@ -123,7 +131,7 @@
     return { kind: SendKind.NotRun, cause: `status ${head.status}`, wasSent: true, isOtherServer };
   }
   const fault = findAnswerFault(call, head, collected);
-  if (fault !== null) return { kind: SendKind.Unknown, cause: fault };
+  if (fault !== null) return { kind: SendKind.Unknown, cause: fault, hasServerEnded: false };
   return { kind: SendKind.Answered, serverId, head, body: collected.body };
 }
 
--- a/src/relay/constants.ts
+++ b/src/relay/constants.ts
@@ -24,6 +24,9 @@
 /** Maximum number of attempts of one call if the last one could not connect and sent nothing. */
 export const MAX_TRIES_COUNT = 5;
 
+/** Servers that may end under one call; it is not repeated after that, as it may be the cause. */
+export const MAX_ENDED_SERVERS_COUNT = 2;
+
 /** Retry delay given to a caller when no better estimate exists. */
 export const DEFAULT_RETRY_AFTER_MS = 500;
 
--- a/src/relay/types.ts
+++ b/src/relay/types.ts
@@ -45,8 +45,6 @@
   readonly deadlineAtMs: number;
   /** Aborted when the caller disconnects. */
   readonly callerDisconnected: AbortSignal;
-  /** Equal for all attempts of one request, at any VM. */
-  readonly fingerprint: string;
   /** What the call may have in common with others that made a server crash. */
   readonly suspects: readonly crashes.Suspect[];
 }
--- a/src/sharedView/_lib/datagrams/index.ts
+++ b/src/sharedView/_lib/datagrams/index.ts
@@ -147,10 +147,15 @@
   messages: zod.array(bytes).max(1_000),
 });
 
-/** The end of a server: its id, the wall time of its start, the VM that observed it, its age. */
-const encodedEnd = zod.tuple([name, zod.number(), name, zod.number().nonnegative()]);
+const duration = zod.number().nonnegative();
 
-const age = zod.number().nonnegative().nullable();
+/**
+ * The end of a server: its id, the wall time of its start, the VM that observed it, its age, and the
+ * time from the sending of the work to the end.
+ */
+const encodedEnd = zod.tuple([name, zod.number(), name, duration, duration]);
+
+const age = duration.nullable();
 
 /** A suspect: kind, key, time since a run survived, time since the last trial, ends of servers. */
 const encodedSuspect = zod.tuple([count, name, age, age, zod.array(encodedEnd).max(64)]);
--- a/src/sharedView/peerMesh/suspects/test.ts
+++ b/src/sharedView/peerMesh/suspects/test.ts
@@ -9,7 +9,7 @@
   key: "bad",
   clearedAgeMs: null,
   trialAgeMs: 12,
-  ends: [{ serverId: "e1", bornAtWallMs: 1_000, vmName: "a", ageMs: 40 }],
+  ends: [{ serverId: "e1", bornAtWallMs: 1_000, vmName: "a", ageMs: 40, ranMs: 5 }],
 };
 
 async function startMesh(vmsCount: number): Promise<{
