Treat a stream that ends before its first event as broken off

A server that crashes as it begins to answer may end its connection in order. If the answer has neither a length nor chunks, nothing else shows the crash, and the caller got an empty stream as a complete one; in chunks it got the same.

A generation whose stream ends without any event counts as truncated now: it is continued if a backup exists, and the caller's connection is closed otherwise. A continuation may be empty, as all events may have been forwarded before.

--- a/src/relay/_lib/engineStream/index.ts
+++ b/src/relay/_lib/engineStream/index.ts
@@ -70,6 +70,11 @@
   readonly signal: AbortSignal;
 }
 
+/** Returns the end of a generation's stream: one without any event is not complete. */
+export function requireEvents(end: StreamEnd, lastEventId: number): StreamEnd {
+  return end === StreamEnd.Complete && lastEventId === 0 ? StreamEnd.Truncated : end;
+}
+
 interface WatchedOpening {
   readonly server: servers.ServerEntry;
   readonly opening: openAttempts.AnsweredOpening;
@@ -145,6 +150,7 @@
   private readonly message: http.IncomingMessage;
   private isClosed = false;
   private hasSequenceFault = false;
+  private hasEvents = false;
 
   constructor(
     readonly server: servers.ServerEntry,
@@ -188,7 +194,10 @@
 
   private handleChunk(chunk: Buffer, consumer: EventConsumer): void {
     const events = this.splitter.push(chunk);
-    if (events.length > 0) this.watched.recordOutput();
+    if (events.length > 0) {
+      this.hasEvents = true;
+      this.watched.recordOutput();
+    }
     const areValid = events.every((event) => consumer.handleEvent(event));
     if (!areValid || this.splitter.isOverflowing) {
       this.hasSequenceFault = true;
@@ -217,13 +226,13 @@
     if (this.isClosed) return StreamEnd.Closed;
     const isComplete = this.message.complete && !(await this.opening.isTruncatedByReset());
     const isUndamaged = isComplete && !this.splitter.hasIncompleteEvent && !this.hasSequenceFault;
-    if (!isUndamaged) {
+    if (isUndamaged && this.hasEvents) {
+      this.watched.recordSurvival();
+    } else {
       // Awaited, so that what is learned of the work counts before it is sent to another engine.
       await this.watched.recordBreak();
-      return StreamEnd.Truncated;
     }
-    this.watched.recordSurvival();
-    return StreamEnd.Complete;
+    return isUndamaged ? StreamEnd.Complete : StreamEnd.Truncated;
   }
 }
 
--- a/src/relay/_lib/generationRun/index.ts
+++ b/src/relay/_lib/generationRun/index.ts
@@ -113,7 +113,7 @@
     while (stream !== null) {
       this.stream = stream;
       this.forwarding = stream.forward(this, this.context.clock);
-      const end = await this.forwarding;
+      const end = engineStreams.requireEvents(await this.forwarding, this.lastEventId);
       if (end === engineStreams.StreamEnd.Complete) {
         this.finish();
         return;
--- a/standins/platform/backendServer/index.ts
+++ b/standins/platform/backendServer/index.ts
@@ -214,3 +214,21 @@
     if (!response.destroyed) await answerCompletely(body)(call, response, server);
   };
 }
+
+/** How an answer's head says where the body ends. */
+export enum Framing {
+  Chunked = "chunked",
+  /** Neither a length nor chunks: the body ends with the connection. */
+  None = "none",
+}
+
+/** Runs the request and sends an answer in the given framing, which ends in order. */
+export function answerFramed(body: string, framing: Framing): Behaviour {
+  return (call, response, server) => {
+    server.runs.push(call.id);
+    response.useChunkedEncodingByDefault = framing === Framing.Chunked;
+    const connection = framing === Framing.None ? { Connection: "close" } : {};
+    response.writeHead(200, { ...server.createAnswerHeaders(call), ...connection });
+    response.end(body);
+  };
+}
