Keep what makes servers end known when all VMs end

If all VMs are killed, as at a loss of power, they had to learn anew what makes servers end: up to five more servers ended, and more requests than allowed reached engines. Found by asking how each VM's knowledge can get lost.

What is blamed is appended to a topic of its own in the platform's store, all suspects of a run in one call, by the VM that saw the server end; a survival removes it. Each VM reads the topic once when it starts. The stand-in of the store reads several records in one append now, as the protocol allows.

--- a/src/crashes/crashLedger/index.ts
+++ b/src/crashes/crashLedger/index.ts
@@ -88,10 +88,17 @@
       .map((record) => record.toReport(nowMs));
   }
 
+  /** Lists what this VM knows of blamed suspects: of the given ones, or of all. */
+  listBlamed(suspects?: readonly types.Suspect[]): readonly types.SuspectReport[] {
+    const ids = suspects?.map(toId).filter((id) => this.blamedKeys.has(id)) ?? this.blamedKeys;
+    const records = [...ids].flatMap((id) => this.records.peek(id) ?? []);
+    return records.map((record) => record.toReport(this.clock.nowMs()));
+  }
+
   /** Returns why work must not be sent; null if it may be, also as a trial. */
   findBlame(suspects: readonly types.Suspect[]): types.Blame | null {
     if (this.blamedKeys.size === 0) return null;
-    const blamed = this.listBlamed(suspects);
+    const blamed = this.findBlamed(suspects);
     const alternatives = this.listAlternatives(suspects);
     const barred = blamed.filter((record) => !this.isTrialDue(record, alternatives));
     const waits = barred.map((record) => this.createBlame(record, alternatives));
@@ -102,7 +109,7 @@
   startTrial(suspects: readonly types.Suspect[]): readonly types.SuspectReport[] {
     if (this.blamedKeys.size === 0) return [];
     const nowMs = this.clock.nowMs();
-    return this.listBlamed(suspects).map((record) => {
+    return this.findBlamed(suspects).map((record) => {
       record.startTrial(nowMs);
       return { ...record.toReport(nowMs), ends: [] };
     });
@@ -116,7 +123,7 @@
     }
   }
 
-  private listBlamed(suspects: readonly types.Suspect[]): readonly suspectRecords.SuspectRecord[] {
+  private findBlamed(suspects: readonly types.Suspect[]): readonly suspectRecords.SuspectRecord[] {
     const ids = suspects.map(toId).filter((id) => this.blamedKeys.has(id));
     return ids.flatMap((id) => this.records.peek(id) ?? []);
   }
--- a/src/crashes/crashMonitor/index.ts
+++ b/src/crashes/crashMonitor/index.ts
@@ -1,5 +1,6 @@
 import type * as clocks from "../../_lib/clock/index.js";
 import * as diagnostics from "../../diagnostics/index.js";
+import * as archiveWriters from "../_lib/archiveWriter/index.js";
 import * as probeListeners from "../_lib/probeListener/index.js";
 import * as watchedRuns from "../_lib/watchedRun/index.js";
 import * as constants from "../constants.js";
@@ -15,6 +16,7 @@
   readonly clock: clocks.Clock;
   readonly log: diagnostics.DecisionLog;
   readonly vmName: string;
+  readonly archive: types.SuspectArchive;
   /** Sends the other VMs what this one has learned. */
   readonly announce: (reports: readonly types.SuspectReport[]) => void;
   /** Whether a server's end is expected, as when it has announced its termination. */
@@ -31,6 +33,7 @@
  */
 export class CrashMonitor {
   private readonly ledger: crashLedgers.CrashLedger;
+  private readonly writer: archiveWriters.ArchiveWriter;
   private readonly probes = new Map<string, Promise<types.ListenerState>>();
   private pauseEndedAtMs = -Infinity;
 
@@ -38,6 +41,9 @@
     this.ledger = new crashLedgers.CrashLedger(context.clock, (...change) =>
       this.logBlameChange(...change),
     );
+    this.writer = new archiveWriters.ArchiveWriter(context.clock, context.archive, (reports) =>
+      this.ledger.applyReports(reports),
+    );
   }
 
   /** Number of suspects whose work is not sent to any server. */
@@ -60,16 +66,24 @@
     this.ledger.applyReports(reports);
   }
 
-  /** Forgets what is old. Has to be called periodically. */
+  /** Forgets what is old, and exchanges with the archive. Has to be called periodically. */
   sweep(): void {
     this.ledger.sweep();
+    void this.writer.flush();
+  }
+
+  /** Saves again what this VM has observed last, as the store may have lost it. */
+  restoreArchive(): void {
+    const { vmName } = this.context;
+    const blamed = this.ledger.listBlamed();
+    this.writer.save(blamed.filter(({ ends }) => ends.at(-1)?.vmName === vmName));
   }
 
   /** Starts to watch work that is being sent to a server; the signal ends the watch. */
   watch(server: types.ServerStart, work: types.Work, signal: AbortSignal): watchedRuns.WatchedRun {
     this.announce(this.ledger.startTrial(work.suspects));
     const run = new watchedRuns.WatchedRun(this.context.clock, {
-      onSurvived: () => this.announce(this.ledger.recordSurvival(work.suspects)),
+      onSurvived: () => this.recordSurvival(work),
       onBroken: (times) => this.examineBreak(server, work, times),
     });
     signal.addEventListener("abort", () => run[Symbol.dispose](), { once: true });
@@ -104,9 +118,16 @@
     const { vmName } = this.context;
     const end = { serverId, bornAtWallMs, vmName, sentAtMs, endedAtMs: brokenAtMs };
     this.announce(this.ledger.recordEnd(work.suspects, end));
+    this.writer.save(this.ledger.listBlamed(work.suspects));
     return true;
   }
 
+  private recordSurvival({ suspects }: types.Work): void {
+    const blamed = this.ledger.listBlamed(suspects);
+    this.announce(this.ledger.recordSurvival(suspects));
+    this.writer.remove(blamed);
+  }
+
   private announce(reports: readonly types.SuspectReport[]): void {
     if (reports.length > 0) this.context.announce(reports);
   }
--- a/src/crashes/crashMonitor/test.ts
+++ b/src/crashes/crashMonitor/test.ts
@@ -1,5 +1,6 @@
 import tap, { type Test } from "tap";
 
+import * as suspectArchives from "../../../standins/suspectArchive/index.js";
 import * as virtualClocks from "../../_lib/virtualClock/index.js";
 import * as diagnostics from "../../diagnostics/index.js";
 import * as constants from "../constants.js";
@@ -14,11 +15,16 @@
 };
 
 interface Options {
+  readonly archive?: suspectArchives.MemoryArchive;
   readonly state?: types.ListenerState;
   readonly isLeaving?: boolean;
 }
 
-function createMonitor({ state = types.ListenerState.Refuses, isLeaving = false }: Options = {}): {
+function createMonitor({
+  state = types.ListenerState.Refuses,
+  isLeaving = false,
+  archive = new suspectArchives.MemoryArchive(),
+}: Options = {}): {
   readonly clock: virtualClocks.VirtualClock;
   readonly monitor: crashMonitors.CrashMonitor;
   readonly lines: diagnostics.LogFields[];
@@ -35,6 +41,7 @@
     log,
     vmName: "vm-1",
     announce: () => undefined,
+    archive,
     isLeaving: () => isLeaving,
     probe: () => Promise.resolve(state),
   });
@@ -106,3 +113,64 @@
   await run.recordBreak();
   t.same(lines, []);
 });
+
+/** Ends servers under the work until it is blamed. */
+async function blame(
+  clock: virtualClocks.VirtualClock,
+  monitor: crashMonitors.CrashMonitor,
+): Promise<void> {
+  for (let index = 0; index < constants.BLAME_ENDS_COUNT; index += 1) {
+    const server = { ...SERVER, id: `e${index}` };
+    await monitor.watch(server, WORK, new AbortController().signal).recordBreak();
+    await clock.runForMs(constants.COMMON_CAUSE_MS);
+  }
+}
+
+tap.test("what is blamed is still known after all VMs have ended", async (t) => {
+  const archive = new suspectArchives.MemoryArchive();
+  const { clock, monitor } = createMonitor({ archive });
+  await blame(clock, monitor);
+  t.not(monitor.findBlame(WORK), null);
+  const next = createMonitor({ archive });
+  next.monitor.sweep();
+  await next.clock.runForMs(1);
+  t.not(next.monitor.findBlame(WORK), null);
+});
+
+tap.test("what is no longer blamed is removed from the archive", async (t) => {
+  const archive = new suspectArchives.MemoryArchive();
+  const { clock, monitor } = createMonitor({ archive });
+  await blame(clock, monitor);
+  t.equal(archive.suspects.size, 1);
+  watch(monitor).recordSurvival();
+  await clock.runForMs(1);
+  t.equal(archive.suspects.size, 0);
+});
+
+tap.test("an archive that cannot be reached is written and read later", async (t) => {
+  const archive = new suspectArchives.MemoryArchive();
+  archive.isReachable = false;
+  const { clock, monitor } = createMonitor({ archive });
+  await blame(clock, monitor);
+  const next = createMonitor({ archive });
+  next.monitor.sweep();
+  await next.clock.runForMs(1);
+  t.equal(next.monitor.findBlame(WORK), null);
+  archive.isReachable = true;
+  monitor.sweep();
+  await clock.runForMs(1);
+  t.equal(archive.suspects.size, 1);
+  next.monitor.sweep();
+  await next.clock.runForMs(1);
+  t.not(next.monitor.findBlame(WORK), null);
+});
+
+tap.test("a store that was restored gets again what was blamed", async (t) => {
+  const archive = new suspectArchives.MemoryArchive();
+  const { clock, monitor } = createMonitor({ archive });
+  await blame(clock, monitor);
+  archive.suspects.clear();
+  monitor.restoreArchive();
+  await clock.runForMs(1);
+  t.equal(archive.suspects.size, 1);
+});
--- a/src/crashes/types.ts
+++ b/src/crashes/types.ts
@@ -1,3 +1,5 @@
+import type * as neverthrow from "neverthrow";
+
 import type * as servers from "../servers/index.js";
 
 /** What requests can have in common that makes servers crash. */
@@ -70,3 +72,24 @@
   servers.ServerEntry,
   "id" | "bornAtWallMs" | "serviceName" | "host" | "port"
 >;
+
+/** A suspect as the archive holds it, and when it was saved. */
+export interface ArchivedSuspect {
+  readonly report: SuspectReport;
+  readonly savedAtWallMs: number;
+}
+
+/** A change of the archive. */
+export interface ArchiveChange {
+  readonly suspect: Suspect;
+  /** What replaces the suspect's entry; null removes it. */
+  readonly saved: ArchivedSuspect | null;
+}
+
+/** Keeps blamed suspects beyond the end of all VMs. */
+export interface SuspectArchive {
+  /** Lists the suspects that were saved and not removed. */
+  load(): Promise<neverthrow.Result<readonly ArchivedSuspect[], string>>;
+  /** Makes all of the changes, or none. */
+  write(changes: readonly ArchiveChange[]): Promise<neverthrow.Result<null, string>>;
+}
--- a/src/gateway/crashingPromptPart/test.ts
+++ b/src/gateway/crashingPromptPart/test.ts
@@ -1,5 +1,6 @@
 import tap, { type Test } from "tap";
 
+import * as names from "../../../platform/names/index.js";
 import * as randoms from "../../_lib/random/index.js";
 import * as backendServers from "../../../standins/platform/backendServer/index.js";
 import * as gatewayFleets from "../../../standins/platform/gatewayFleet/index.js";
@@ -95,3 +96,30 @@
     );
   },
 );
+
+tap.test(
+  "a prompt part that crashes engines is still known when all VMs have restarted",
+  async (t) => {
+    const { fleet, engines } = await startFleet(t);
+    const sendCrashing = createSender(fleet, randoms.createRandom(8), "crashing", [CRASHING_PART]);
+    let index = 0;
+    await testFleets.waitUntil(async () => {
+      index += 1;
+      return (await sendCrashing(index).catch(() => null))?.status === 503;
+    });
+    await testFleets.waitUntil(() => fleet.store.copy().has(names.TOPIC_NAMES.suspects));
+    for (const gateway of fleet.gateways) await gateway[Symbol.asyncDispose]();
+    await fleet.addGateway();
+    const restartedIndex = fleet.gateways.length - 1;
+    await testFleets.waitUntil(() => fleet.isReady(restartedIndex));
+    const arrivalsCount = engines.arrivalsAtMs.length;
+    const headers = {
+      ...testFleets.DRAFT_REQUEST.headers,
+      "X-Prefix-Hash": `${CRASHING_PART}:9,x:1`,
+    };
+    const request = { ...testFleets.DRAFT_REQUEST, path: "/draft/", id: "again", headers };
+    const answer = await fleet.call(request, restartedIndex);
+    t.equal(answer.status, 503);
+    t.equal(engines.arrivalsAtMs.length, arrivalsCount);
+  },
+);
--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -9,6 +9,7 @@
 import * as sharedView from "../../sharedView/index.js";
 import * as answerObservers from "../_lib/observeAnswerHeads/index.js";
 import * as pauseMonitors from "../_lib/pauseMonitor/index.js";
+import * as readiness from "../_lib/recordReadiness/index.js";
 import * as recordServerLeaving from "../_lib/recordServerLeaving/index.js";
 import * as registerGauges from "../_lib/registerGauges/index.js";
 import * as statusServers from "../_lib/statusServers/index.js";
@@ -63,6 +64,7 @@
       clock,
       log: ports.log,
       vmName: settings.vmName,
+      archive: ports.archive,
       announce: (reports) => this.mesh.crashes.announce(reports),
       isLeaving: (server) => this.directory.isLeaving(server),
     });
@@ -70,7 +72,10 @@
     this.fleetQueue = new dispatch.FleetQueue(clock);
     this.view = new currentViews.CurrentView(ports, this.directory, {
       onConfiguration: ({ limits }) => this.callerServer.applyLimits(limits),
-      onStoreRestored: () => this.discovery.refresh(),
+      onStoreRestored: () => {
+        this.discovery.refresh();
+        this.crashMonitor.restoreArchive();
+      },
     });
     this.mesh = this.createMesh();
     this.dispatcher = new relay.EngineDispatcher({
@@ -128,9 +133,9 @@
       void reader.run();
     }
     void this.discovery.run();
-    this.resources.add(
-      repeats.repeat(ports.clock, constants.SWEEP_INTERVAL_MS, () => this.sweep()),
-    );
+    this.crashMonitor.sweep();
+    const sweep = (): void => this.sweep();
+    this.resources.add(repeats.repeat(ports.clock, constants.SWEEP_INTERVAL_MS, sweep));
     registerGauges.registerGauges(ports.meters, {
       view: this.view,
       mesh: this.mesh,
@@ -187,21 +192,16 @@
 
   private updateReadiness(): boolean {
     const isReady = this.isReady();
-    if (isReady !== this.wasReady) {
-      this.wasReady = isReady;
-      this.ports.log.record(Importance.StateChange, LogEvent.ReadinessChanged, {
-        isReady,
-        isStopping: this.stopAtMs !== null,
-        isViewComplete: this.view.isComplete,
-        configurationAgeMs: Math.round(Math.min(1e9, this.view.configurationAgeMs)),
-      });
-    }
+    if (isReady === this.wasReady) return isReady;
+    this.wasReady = isReady;
+    const isStopping = this.stopAtMs !== null;
+    readiness.recordReadiness(this.ports.log, this.view, { isReady, isStopping });
     return isReady;
   }
 
   private createMesh(): sharedView.PeerMesh {
     const { clock, log, socket } = this.ports;
-    const replicas = this.view.replicas;
+    const { replicas } = this.view;
     const client = new sharedView.ReplicaClient({ clock, log, replicas });
     return new sharedView.PeerMesh({
       clock,
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -2,6 +2,7 @@
 
 import type * as clocks from "../_lib/clock/index.js";
 import type * as randoms from "../_lib/random/index.js";
+import type * as crashes from "../crashes/index.js";
 import type * as diagnostics from "../diagnostics/index.js";
 import type * as fleet from "../fleet/index.js";
 import type * as relay from "../relay/index.js";
@@ -51,6 +52,7 @@
   readonly random: randoms.RandomSource;
   readonly store: sharedView.ViewStore;
   readonly registry: sharedView.VmRegistry;
+  readonly archive: crashes.SuspectArchive;
   readonly codec: relay.WireCodec;
   readonly control: relay.EngineControl;
   readonly decoder: ViewDecoder;
--- a/standins/platform/gatewayFleet/index.ts
+++ b/standins/platform/gatewayFleet/index.ts
@@ -172,6 +172,7 @@
       random: randoms.createRandom(this.gateways.length + 1),
       store,
       registry: store,
+      archive: store,
       codec: wireCodecs.WIRE_CODEC,
       control: this.resources.add(new engineControls.HttpEngineControl()),
       decoder: {
--- a/standins/platform/logStore/index.ts
+++ b/standins/platform/logStore/index.ts
@@ -2,6 +2,7 @@
 import type * as net from "node:net";
 
 import * as names from "../../../platform/names/index.js";
+import * as recordSplitters from "../../_lib/splitRecords/index.js";
 
 /** How the store answers requests. */
 export enum StoreMode {
@@ -160,10 +161,13 @@
 
   /** Executes an append, whose body is one record with a length prefix, and answers with its offset. */
   answerAppend(query: URLSearchParams, body: Buffer, response: http.ServerResponse): void {
-    const offset = this.append(query.get("topic") ?? "", body.subarray(4));
+    const topic = query.get("topic") ?? "";
+    const offsets = recordSplitters
+      .splitRecords(body)
+      .map((content) => this.append(topic, content));
     // When answers are lost, the connection stays open without a response.
     if (this.mode !== StoreMode.LosesAnswers)
-      sendJson(response, { offset, end_offset: offset + 1 });
+      sendJson(response, { offset: offsets[0], end_offset: this.topicOf(topic).end });
   }
 
   /**
