Judge what makes servers end for each service by itself

A part that made engines end was also withheld from the servers of plain services, and a run that survived there cleared it for the engines. Found by the soak, whose lookups carried parts of prompts: all VMs refused them after engines had ended.

The keys of suspects name the service.

--- a/src/crashes/listSuspects/index.ts
+++ b/src/crashes/listSuspects/index.ts
@@ -2,8 +2,8 @@
 
 import * as types from "../types.js";
 
-/** Longest identifier of a prompt part that is used as it is; longer ones are hashed. */
-const MAX_PLAIN_ID_CHARS = 64;
+/** Longest key that is used as it is; longer ones are hashed. */
+const MAX_PLAIN_KEY_CHARS = 128;
 
 /**
  * Lists what an attempt may have in common with others that made a server crash: the request and the
@@ -13,17 +13,19 @@
  * @param promptPartIds - ids of the parts of the prompt, in order; empty for other requests
  */
 export function listSuspects(
+  serviceName: string,
   fingerprint: string,
   promptPartIds: readonly string[],
 ): readonly types.Suspect[] {
   const partIds = new Set(promptPartIds.slice(0, -1));
+  const createKey = (id: string): string => shorten(`${serviceName}/${id}`);
   return [
-    { kind: types.SuspectKind.Request, key: fingerprint },
-    ...[...partIds].map((id) => ({ kind: types.SuspectKind.PromptPart, key: shorten(id) })),
+    { kind: types.SuspectKind.Request, key: createKey(fingerprint) },
+    ...[...partIds].map((id) => ({ kind: types.SuspectKind.PromptPart, key: createKey(id) })),
   ];
 }
 
-function shorten(id: string): string {
-  if (id.length <= MAX_PLAIN_ID_CHARS) return id;
-  return crypto.createHash("sha256").update(id).digest("base64url");
+function shorten(key: string): string {
+  if (key.length <= MAX_PLAIN_KEY_CHARS) return key;
+  return crypto.createHash("sha256").update(key).digest("base64url");
 }
--- a/src/gateway/callerServer/index.ts
+++ b/src/gateway/callerServer/index.ts
@@ -140,6 +140,7 @@
     this.context.budget.recordCall(serviceName);
     const { body } = collected;
     const accountName = account?.name ?? null;
+    const partIds = head.generation?.promptPartIds ?? [];
     const fingerprint = crashes.createFingerprint({ ...head, accountName, body });
     const call: relay.Call = {
       head,
@@ -150,7 +151,7 @@
       arrivedAtMs,
       deadlineAtMs: this.computeDeadline(head, route, arrivedAtMs),
       callerDisconnected,
-      suspects: crashes.listSuspects(fingerprint, head.generation?.promptPartIds ?? []),
+      suspects: crashes.listSuspects(serviceName, fingerprint, partIds),
     };
     await this.context.relays[route.kind](call, sink);
     this.recordEnd(call, sink, response);
