Tell a part apart that occurs with one of several causes

With two parts that crash engines at a time, a sound part that occurred with one of them each time was blamed, and no request without them was let through to clear it: neither cause alone accounts for all ends under the sound part.

The ends under a suspect may now be explained by several others together. A ledger test covers it.

--- a/src/crashes/_lib/suspectRecord/index.ts
+++ b/src/crashes/_lib/suspectRecord/index.ts
@@ -80,9 +80,11 @@
     return this.lastEndedAtMs + Math.min(delayMs, constants.MAX_TRIAL_DELAY_MS);
   }
 
-  /** Whether each server that ended under another suspect also ended under this one. */
-  explains(other: SuspectRecord): boolean {
-    return [...other.endsByStart.keys()].every((start) => this.endsByStart.has(start));
+  /** Whether each server that ended under this suspect also ended under one of the others. */
+  isExplainedBy(others: readonly SuspectRecord[]): boolean {
+    return [...this.endsByStart.keys()].every((start) =>
+      others.some(({ endsByStart }) => endsByStart.has(start)),
+    );
   }
 
   /** Creates a report for other VMs. */
--- a/src/crashes/crashLedger/index.ts
+++ b/src/crashes/crashLedger/index.ts
@@ -144,7 +144,7 @@
   ): boolean {
     const nowMs = this.clock.nowMs();
     if (record.isOnTrial(nowMs)) return false;
-    return isDoubtful(record, alternatives) || nowMs >= record.trialDueAtMs;
+    return record.isExplainedBy(alternatives) || nowMs >= record.trialDueAtMs;
   }
 
   private createBlame(
@@ -152,7 +152,7 @@
     alternatives: readonly suspectRecords.SuspectRecord[],
   ): types.Blame {
     const { suspect, endsCount } = record;
-    const isClearedSoon = isDoubtful(record, alternatives);
+    const isClearedSoon = record.isExplainedBy(alternatives);
     const untilTrialMs = record.trialDueAtMs - this.clock.nowMs();
     const retryAfterMs = isClearedSoon
       ? constants.TRIAL_RETRY_AFTER_MS
@@ -179,14 +179,6 @@
   }
 }
 
-/** Whether a suspect that is not at hand accounts for all ends under the given one. */
-function isDoubtful(
-  record: suspectRecords.SuspectRecord,
-  alternatives: readonly suspectRecords.SuspectRecord[],
-): boolean {
-  return alternatives.some((alternative) => alternative.explains(record));
-}
-
 function toId({ kind, key }: types.Suspect): string {
   return `${kind}:${key}`;
 }
--- a/src/crashes/crashLedger/test.ts
+++ b/src/crashes/crashLedger/test.ts
@@ -87,6 +87,16 @@
   t.notOk(run.isSent("bad", "sound"));
 });
 
+tap.test("a part that always occurs with one of two causes is told apart by a trial", async (t) => {
+  const run = new Fixture();
+  for (let index = 0; index < 3; index += 1) {
+    run.endServer([suspectsOf("bad-1", "sound")]);
+    run.endServer([suspectsOf("bad-2", "sound")]);
+  }
+  t.notOk(run.isSent("bad-1", "sound"));
+  t.ok(run.isSent("sound"));
+});
+
 tap.test(
   "a blamed part is tried by one run at a time, and more rarely after each end",
   async (t) => {
