Play work that crashes servers in the soak

Stand-ins and soak had no server that ends under its work and comes back under a new id, and no check of what reaches servers afterwards, so that neither matter could show.

Two faults make calls with one part, or the same request, at random VMs; servers crash under them. The check counts the calls that reach servers from 3 s after the fifth (third) crash on: more than three are a violation, unless the VM that sent the call or the store was disturbed in the last 3 s.

--- a/experiments/soak/callers/index.ts
+++ b/experiments/soak/callers/index.ts
@@ -3,6 +3,7 @@
 import * as names from "../../../platform/names/index.js";
 import type * as randoms from "../../../src/_lib/random/index.js";
 import * as gatewayFleets from "../../../standins/platform/gatewayFleet/index.js";
+import * as crashCauses from "../crashCauses/index.js";
 import type * as checks from "../checks/index.js";
 import type * as processes from "../processes/index.js";
 
@@ -22,10 +23,17 @@
 
 const LOOKUP: CallKind = { path: "/lookup/", method: "GET", isOnceOnly: false, eventsCount: null };
 
+const DRAFT: CallKind = {
+  path: "/draft/",
+  method: "POST",
+  isOnceOnly: true,
+  eventsCount: STREAM_EVENTS_COUNT,
+};
+
 const CALL_KINDS: readonly CallKind[] = [
   LOOKUP,
   { path: "/file/", method: "POST", isOnceOnly: true, eventsCount: null },
-  { path: "/draft/", method: "POST", isOnceOnly: true, eventsCount: STREAM_EVENTS_COUNT },
+  DRAFT,
 ];
 
 /** Makes one lookup at a VM and returns its status; null if the connection failed. */
@@ -36,7 +44,7 @@
   checker: checks.InvariantChecker,
 ): Promise<number | null> {
   checker.recordCall(id, false, apiKey);
-  const { status } = await send(id, apiKey, vm, LOOKUP);
+  const { status } = await send(id, apiKey, vm, createSoundRequest(id, LOOKUP));
   return status;
 }
 
@@ -54,16 +62,49 @@
   checker.recordCall(id, kind.isOnceOnly, apiKey);
   const process = `${vm.index}/${vm.startsCount}`;
   const hadServedKey = checker.hasServedKey(process, apiKey);
-  const answer = await send(id, apiKey, vm, kind);
+  const answer = await send(id, apiKey, vm, createSoundRequest(id, kind));
   checker.recordKeyOutcome({ id, process, apiKey, hadServedKey, status: answer.status });
   checker.recordEnd({ id, isOnceOnly: kind.isOnceOnly, eventsCount: kind.eventsCount, ...answer });
 }
 
+/** Makes a call at a random VM that makes its server crash. */
+export async function makeCrashingCall(
+  id: string,
+  cause: crashCauses.CrashCause,
+  fleet: { readonly apiKey: string; readonly vms: readonly processes.GatewayProcess[] },
+  random: randoms.RandomSource,
+  checker: checks.InvariantChecker,
+): Promise<void> {
+  const vm = fleet.vms[Math.floor(random.next() * fleet.vms.length)];
+  if (vm === undefined) return;
+  const isPart = cause.kind === crashCauses.CrashKind.PromptPart;
+  const request = isPart
+    ? { kind: DRAFT, path: DRAFT.path, promptParts: ["first", cause.name, "other-1", id], body: id }
+    : { kind: LOOKUP, path: `${LOOKUP.path}${cause.name}`, promptParts: [], body: "" };
+  checker.recordCall(id, isPart, fleet.apiKey);
+  checker.crashes.recordCall(id, vm.index);
+  await send(id, fleet.apiKey, vm, request);
+}
+
+/** A request without its id and key. */
+interface SoakRequest {
+  readonly kind: CallKind;
+  readonly path: string;
+  readonly promptParts: readonly string[];
+  readonly body: string;
+}
+
+/** Creates a request that differs from all others, and shares parts of its prompt with some. */
+function createSoundRequest(id: string, kind: CallKind): SoakRequest {
+  const promptParts = kind === DRAFT ? ["first", `other-${id.length % 3}`, id] : [];
+  return { kind, path: `${kind.path}${id}`, promptParts, body: id };
+}
+
 function send(
   id: string,
   apiKey: string,
   vm: processes.GatewayProcess,
-  kind: CallKind,
+  { kind, path, promptParts, body }: SoakRequest,
 ): Promise<Pick<checks.CallEnd, "status" | "body" | "isWhole">> {
   const connectionLost = { status: null, body: "", isWhole: false };
   return new Promise((resolve) => {
@@ -71,7 +112,7 @@
       host: vm.host,
       port: vm.callersPort,
       method: kind.method,
-      path: kind.path,
+      path,
       agent: false,
       timeout: CALL_TIMEOUT_MS,
       headers: {
@@ -82,6 +123,7 @@
         [HEADERS.tokenCounts]: "300,2000",
         [HEADERS.lengthHint]: "160",
         [HEADERS.model]: "m",
+        [HEADERS.promptParts]: promptParts.map((part) => `${part}:50`).join(","),
       },
     });
     request.once("timeout", () => request.destroy());
@@ -95,6 +137,6 @@
         resolve({ status: message.statusCode ?? null, body, isWhole: message.complete });
       });
     });
-    request.end(kind.method === "POST" ? "body" : undefined);
+    request.end(kind.method === "POST" ? body : undefined);
   });
 }
--- a/experiments/soak/checks/index.ts
+++ b/experiments/soak/checks/index.ts
@@ -1,3 +1,4 @@
+import * as crashChecks from "../crashCheck/index.js";
 import * as rateChecks from "../rateCheck/index.js";
 import type * as backendServers from "../../../standins/platform/backendServer/index.js";
 
@@ -49,6 +50,7 @@
   private readonly executionsCountById = new Map<string, number>();
   private readonly drainingSinceMsByServer = new Map<string, number>();
   private readonly rates = new rateChecks.RateCheck();
+  readonly crashes = new crashChecks.CrashCheck();
   private storeDisturbancesCount = 0;
   private storeRecoveredAtMs = 0;
   private readonly servedKeysByProcess = new Map<string, Set<string>>();
@@ -101,9 +103,18 @@
     this.rates.recordLimit(serverId, ratePerSecond);
   }
 
+  /** Records that a call with work that makes servers crash reached a server. */
+  recordCrashArrival(causeName: string, callId: string): void {
+    const isStoreDisturbed = this.storeDisturbancesCount > 0;
+    const storeDisturbedAtMs = isStoreDisturbed ? Date.now() : this.storeRecoveredAtMs;
+    const excess = this.crashes.recordArrival(causeName, callId, storeDisturbedAtMs);
+    if (excess !== null) this.recordViolation("work that crashes servers is withheld", excess);
+  }
+
   /** Records a signal to a VM, or its start. */
-  recordVmDisturbance(): void {
+  recordVmDisturbance(vmIndex: number): void {
     this.rates.recordVmDisturbance();
+    this.crashes.recordVmDisturbance(vmIndex);
   }
 
   /** Records that the store stops to serve every VM, until `recordStoreRecovery` is called as often. */
--- a/experiments/soak/faults/index.ts
+++ b/experiments/soak/faults/index.ts
@@ -1,6 +1,7 @@
 import type * as randoms from "../../../src/_lib/random/index.js";
 import * as backendServers from "../../../standins/platform/backendServer/index.js";
 import * as platformLogStores from "../../../standins/platform/logStore/index.js";
+import * as crashCauses from "../crashCauses/index.js";
 import type * as soakFleets from "../soakFleet/index.js";
 
 /** Injects a fault into the fleet from outside; resolves after the fault's duration. */
@@ -74,6 +75,14 @@
     await fleet.replaceServer(random);
     await sleepMs(500);
   },
+  "prompt part crashes engines": (fleet, random) =>
+    fleet.makeCrashingCalls(
+      crashCauses.CrashKind.PromptPart,
+      random,
+      7_000 + 2_000 * random.next(),
+    ),
+  "request crashes servers": (fleet, random) =>
+    fleet.makeCrashingCalls(crashCauses.CrashKind.Request, random, 7_000 + 2_000 * random.next()),
   "server resets": (fleet, random) =>
     injectServerFault(fleet, random, backendServers.resetWithoutAnswer()),
   "server refuses": (fleet, random) => injectServerFault(fleet, random, backendServers.refuse()),
--- a/experiments/soak/main.ts
+++ b/experiments/soak/main.ts
@@ -12,10 +12,16 @@
   readonly seeds?: string;
   readonly seconds: string;
   readonly vms: string;
+  readonly faults?: string;
   /** Makes servers execute calls that they refuse, a fault that the checks must detect. */
   readonly plant?: boolean;
 }
 
+interface FaultOptions extends Pick<SoakOptions, "faults"> {
+  /** Receives the name of each injected fault. */
+  readonly injectedFaults: string[];
+}
+
 /** Time for the fleet to start before faults are injected. */
 const WARM_UP_MS = 2_500;
 
@@ -33,6 +39,7 @@
   .option("--seeds <from..to>", "range of seeds, run one after another")
   .option("--seconds <number>", "duration of the fault injection for each seed", "20")
   .option("--vms <number>", "number of gateways", "4")
+  .option("--faults <names>", "only these faults, separated by commas")
   .option("--plant", "inject a fault that the checks must detect; exits with 0 if they do")
   .action(runSeeds);
 
@@ -59,7 +66,9 @@
   const endsAtMs = Date.now() + Number(options.seconds) * 1_000;
   const calling = makeCalls(seed, fleet, checker, random.fork(), endsAtMs + SETTLE_MS / 2);
   const faultRandom = random.fork();
-  await Promise.all([1, 2].map(() => injectFaults(fleet, faultRandom, endsAtMs, injectedFaults)));
+  await Promise.all(
+    [1, 2].map(() => injectFaults(fleet, faultRandom, endsAtMs, { injectedFaults, ...options })),
+  );
   await calling;
   await restoreBetweenChanges(fleet);
   await pause(SETTLE_MS);
@@ -87,10 +96,14 @@
   fleet: soakFleets.SoakFleet,
   random: randoms.RandomSource,
   endsAtMs: number,
-  injectedFaults: string[],
+  { injectedFaults, faults: names }: FaultOptions,
 ): Promise<void> {
+  const selectedNames = names?.split(",");
+  const candidates = Object.entries(faults.FAULTS).filter(
+    ([name]) => selectedNames?.includes(name) !== false,
+  );
   while (Date.now() < endsAtMs) {
-    const [name, inject] = faults.drawOne(Object.entries(faults.FAULTS), random);
+    const [name, inject] = faults.drawOne(candidates, random);
     injectedFaults.push(name);
     await inject(fleet, random);
     await pause(400 * random.next());
--- a/experiments/soak/soakFleet/index.ts
+++ b/experiments/soak/soakFleet/index.ts
@@ -1,9 +1,12 @@
+import type * as http from "node:http";
+
 import type * as randoms from "../../../src/_lib/random/index.js";
 import * as backendServers from "../../../standins/platform/backendServer/index.js";
 import * as gatewayFleets from "../../../standins/platform/gatewayFleet/index.js";
 import * as platformLogStores from "../../../standins/platform/logStore/index.js";
 import * as callers from "../callers/index.js";
 import type * as checks from "../checks/index.js";
+import * as crashCauses from "../crashCauses/index.js";
 import * as faults from "../faults/index.js";
 import * as processes from "../processes/index.js";
 
@@ -18,6 +21,12 @@
 
 const EVENT_INTERVAL_MS = 25;
 
+/** Time from the begin of work that makes a server crash until the crash, and until its replacement. */
+const CRASH_DELAY_MS = 50;
+const SERVER_DOWN_MS = 1_500;
+
+const CRASHING_CALL_INTERVAL_MS = 150;
+
 /**
  * The fleet of a soak test: gateway processes with in-process fakes of the store and the servers.
  */
@@ -28,6 +37,7 @@
   private readonly platform = new gatewayFleets.GatewayFleet();
   private readonly services = new Map<string, string>();
   private serversCount = 0;
+  private causesCount = 0;
   /** Recent copies of the store, the oldest first. */
   private readonly copies: platformLogStores.StoreCopy[] = [];
   private copyTimer: NodeJS.Timeout | null = null;
@@ -56,7 +66,7 @@
       await this.addServer(service);
     for (let index = 0; index < vmsCount; index += 1) {
       const vm = new processes.GatewayProcess(index, this.store.port, this.directory, () =>
-        this.checker.recordVmDisturbance(),
+        this.checker.recordVmDisturbance(index),
       );
       vm.start();
       this.vms.push(vm);
@@ -129,6 +139,23 @@
     await this.addServer(service);
   }
 
+  /** Makes calls with work that makes servers crash, at random VMs, for a while. */
+  async makeCrashingCalls(
+    kind: crashCauses.CrashKind,
+    random: randoms.RandomSource,
+    durationMs: number,
+  ): Promise<void> {
+    this.causesCount += 1;
+    const cause = crashCauses.createCause(kind, this.causesCount);
+    this.checker.crashes.recordCause(cause);
+    const endsAtMs = Date.now() + durationMs;
+    for (let index = 0; Date.now() < endsAtMs; index += 1) {
+      const id = `${cause.name}-call-${index}`;
+      void callers.makeCrashingCall(id, cause, this, random, this.checker);
+      await pause(CRASHING_CALL_INTERVAL_MS);
+    }
+  }
+
   /** Lets a server name a limit of requests a second in its answers, or none. */
   limitServer(server: backendServers.BackendServer, ratePerSecond: number | null): void {
     server.ratePerSecond = ratePerSecond;
@@ -167,9 +194,39 @@
     this.servers.push(server);
   }
 
+  /** Lets a server crash under a call, and adds one with a new id in its place a little later. */
+  private async crash(
+    causeName: string,
+    call: backendServers.ReceivedCall,
+    response: http.ServerResponse,
+    server: backendServers.BackendServer,
+  ): Promise<void> {
+    this.checker.recordCrashArrival(causeName, call.id);
+    const isEngine = this.services.get(server.id) === ENGINE_SERVICE;
+    // No engine has a copy of a run that had not begun.
+    if (call.headers["kv-from"] !== undefined) {
+      await backendServers.refuse()(call, response, server);
+      return;
+    }
+    this.checker.recordExecution(server, call);
+    const behaviour = isEngine
+      ? backendServers.crashAfterBegin(CRASH_DELAY_MS)
+      : backendServers.crashWithoutAnswer(CRASH_DELAY_MS);
+    await behaviour(call, response, server);
+    const at = this.servers.indexOf(server);
+    if (at < 0) return;
+    this.servers.splice(at, 1);
+    this.checker.crashes.recordCrash(causeName);
+    await pause(SERVER_DOWN_MS);
+    this.store.put("keyed.servers", server.id, null);
+    await this.addServer(this.services.get(server.id) ?? PLAIN_SERVICE);
+  }
+
   /** Wraps a behaviour so that each execution that it starts is reported to the checker. */
   private withExecutionChecks(behaviour: backendServers.Behaviour): backendServers.Behaviour {
     return (call, response, server) => {
+      const causeName = crashCauses.findCauseName(call);
+      if (causeName !== null) return this.crash(causeName, call, response, server);
       const countBefore = server.runs.length;
       const done = behaviour(call, response, server);
       if (server.runs.length > countBefore) this.checker.recordExecution(server, call);
@@ -177,3 +234,7 @@
     };
   }
 }
+
+function pause(durationMs: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, durationMs));
+}
