--- a/src/crashes/constants.ts
+++ b/src/crashes/constants.ts
@@ -5,7 +5,7 @@
 export const START_PHASE_MS = 1_000;
 
 /** Timeout for finding out whether a server still listens after its connections broke. */
-export const PROBE_TIMEOUT_MS = 100;
+export const PROBE_TIMEOUT_MS = 40;
 
 /** Time for which the result of a probe holds for the other runs of the same server. */
 export const PROBE_RETENTION_MS = 500;
--- a/src/crashes/crashLedger/index.ts
+++ b/src/crashes/crashLedger/index.ts
@@ -99,6 +99,7 @@
   findBlame(suspects: readonly types.Suspect[]): types.Blame | null {
     if (this.blamedKeys.size === 0) return null;
     const blamed = this.findBlamed(suspects);
+    if (blamed.length === 0) return null;
     const alternatives = this.listAlternatives(suspects);
     const barred = blamed.filter((record) => !this.isTrialDue(record, alternatives));
     const waits = barred.map((record) => this.createBlame(record, alternatives));
