Probe a server again that still listened a moment before

The result of a probe was shared for half a second by all runs that broke on the server. If the server reset one of them while it still listened and ended within that time, its end was not seen.

Only the result that a server refuses connections is shared now; a test covers the order. server-ended names at most 16 suspects, as a prompt may have hundreds of parts, and the time to the next trial is a whole number of milliseconds.

--- a/src/crashes/constants.ts
+++ b/src/crashes/constants.ts
@@ -54,3 +54,6 @@
 
 /** Ends of servers that a report for another VM names, the latest ones. */
 export const MAX_REPORTED_ENDS_COUNT = 5;
+
+/** Suspects of one run that a log line names. */
+export const MAX_LOGGED_SUSPECTS_COUNT = 16;
--- a/src/crashes/crashLedger/index.ts
+++ b/src/crashes/crashLedger/index.ts
@@ -157,7 +157,7 @@
     const untilTrialMs = record.trialDueAtMs - this.clock.nowMs();
     const retryAfterMs = isClearedSoon
       ? constants.TRIAL_RETRY_AFTER_MS
-      : Math.max(constants.TRIAL_RETRY_AFTER_MS, untilTrialMs);
+      : Math.max(constants.TRIAL_RETRY_AFTER_MS, Math.ceil(untilTrialMs));
     return { suspect, endsCount, retryAfterMs };
   }
 
--- a/src/crashes/crashMonitor/index.ts
+++ b/src/crashes/crashMonitor/index.ts
@@ -112,7 +112,7 @@
       requestId: work.requestId,
       sentAgoMs: Math.round(brokenAtMs - sentAtMs),
       begunAgoMs: begunAtMs === null ? null : Math.round(brokenAtMs - begunAtMs),
-      suspects: work.suspects.map(({ kind, key }) => `${kind} ${key}`).join(", "),
+      suspects: describeSuspects(work.suspects),
     });
     const { id: serverId, bornAtWallMs } = server;
     const { vmName } = this.context;
@@ -151,9 +151,20 @@
     const id = `${server.id}@${server.bornAtWallMs}`;
     const pending = this.probes.get(id);
     if (pending !== undefined) return pending;
-    const started = probe(server.host, server.port, constants.PROBE_TIMEOUT_MS);
+    const started = probe(server.host, server.port, constants.PROBE_TIMEOUT_MS).then((state) => {
+      // A server that still listens may end a moment later.
+      if (state !== types.ListenerState.Refuses) this.probes.delete(id);
+      return state;
+    });
     this.probes.set(id, started);
     clock.schedule(constants.PROBE_RETENTION_MS, () => void this.probes.delete(id));
     return started;
   }
 }
+
+function describeSuspects(suspects: readonly types.Suspect[]): string {
+  const logged = suspects.slice(0, constants.MAX_LOGGED_SUSPECTS_COUNT);
+  const omittedCount = suspects.length - logged.length;
+  const texts = logged.map(({ kind, key }) => `${kind} ${key}`);
+  return [...texts, ...(omittedCount > 0 ? [`${omittedCount} more`] : [])].join(", ");
+}
--- a/src/crashes/crashMonitor/test.ts
+++ b/src/crashes/crashMonitor/test.ts
@@ -84,6 +84,25 @@
   testWithoutEvidence(t, { state: types.ListenerState.Silent }),
 );
 
+tap.test("a server that still listened a moment before is probed again", async (t) => {
+  const clock = new virtualClocks.VirtualClock();
+  const states = [types.ListenerState.Listens, types.ListenerState.Refuses];
+  let endsCount = 0;
+  const monitor = new crashMonitors.CrashMonitor({
+    clock,
+    log: { record: () => (endsCount += 1) },
+    vmName: "vm-1",
+    announce: () => undefined,
+    archive: new suspectArchives.MemoryArchive(),
+    isLeaving: () => false,
+    probe: () => Promise.resolve(states.shift() ?? types.ListenerState.Silent),
+  });
+  await watch(monitor).recordBreak();
+  t.equal(endsCount, 0);
+  await watch(monitor).recordBreak();
+  t.equal(endsCount, 1);
+});
+
 tap.test("the end of a server that was leaving is expected", (t) =>
   testWithoutEvidence(t, { isLeaving: true }),
 );
