Keep late timers from slowing the stand-in of an engine down

scenarios/engine-leaving failed now and then on a busy machine, as the run had not produced its tokens in time. Suspected: each step of the stand-in was scheduled from the end of the one before, so that every delay of a timer added up.

A step now starts when the one before was due, unless that is over a second ago.

--- a/standins/engine/model/index.ts
+++ b/standins/engine/model/index.ts
@@ -6,6 +6,7 @@
 import type * as randoms from "../../../src/_lib/random/index.js";
 import * as stepError from "../../../src/_lib/stepError/index.js";
 import * as batches from "../batch/index.js";
+import * as engineCounters from "../createCounters/index.js";
 import * as orderExecutors from "../orderExecutor/index.js";
 import * as prefixCaches from "../prefixCache/index.js";
 import * as reportHistories from "../reportHistory/index.js";
@@ -16,18 +17,12 @@
 /** Time for which a finished stream can still be resumed. */
 const FINISHED_STREAM_RETENTION_MS = 60_000;
 
-type MutableCounters = { -readonly [K in keyof types.EngineCounters]: types.EngineCounters[K] };
+/** Delay of timers up to which the engine catches up; after longer ones, as in a pause, it does not. */
+const MAX_TIMER_DELAY_MS = 1_000;
 
 /** Simulates a model engine on an injected clock, without a wire format. */
 export class EngineModel {
-  readonly counters: MutableCounters = {
-    preemptionsCount: 0,
-    tokensProducedCount: 0,
-    tokensRecomputedCount: 0,
-    startedCount: 0,
-    finishedCount: 0,
-    cancelledCount: 0,
-  };
+  readonly counters = engineCounters.createCounters();
   readonly cache: prefixCaches.PrefixCache;
   readonly orders: orderExecutors.OrderExecutor;
   readonly batch: batches.Batch;
@@ -154,7 +149,7 @@
   }
 
   /** Schedules the next step, unless one is in progress or no stream can run. */
-  private scheduleStep(): void {
+  private scheduleStep(startsAtMs = this.clock.nowMs()): void {
     if (this.isStepping || this.isHalted()) return;
     this.batch.admitWaiting();
     if (this.batch.running.size === 0) return;
@@ -169,10 +164,12 @@
       prefillTokens: prefilled.tokens,
     });
     this.lastStepMs = durationMs;
-    this.clock.schedule(durationMs, () => {
+    const endsAtMs = startsAtMs + durationMs;
+    this.clock.schedule(Math.max(0, endsAtMs - this.clock.nowMs()), () => {
       this.isStepping = false;
       this.completeStep(decoding);
-      this.scheduleStep();
+      // Starts at the time at which this step was due, so that late timers do not add up.
+      this.scheduleStep(Math.max(endsAtMs, this.clock.nowMs() - MAX_TIMER_DELAY_MS));
     });
   }
 
--- a/standins/engine/model/test.ts
+++ b/standins/engine/model/test.ts
@@ -137,3 +137,26 @@
   t.ok(engine.start(REQUEST, sink).isErr());
   t.end();
 });
+
+/** A clock on which each timer fires late, as on a busy machine. */
+class LateClock extends virtualClocks.VirtualClock {
+  constructor(private readonly lateMs: number) {
+    super();
+  }
+
+  override schedule(delayMs: number, callback: () => void): Disposable {
+    return super.schedule(delayMs + this.lateMs, callback);
+  }
+}
+
+tap.test("the delays of late timers do not add up over the steps of a run", (t) => {
+  const clock = new LateClock(6);
+  const engine = new models.EngineModel(OPTIONS, clock, randoms.createRandom(1));
+  const sink = new CollectingSink();
+  engine.start(REQUEST, sink);
+  // 400 steps of 11 ms, and a little for the prompt.
+  clock.advanceToMs(400 * 11 + 100);
+  t.equal(sink.tokens.length, 400);
+  t.equal(sink.finishReason, "stop");
+  t.end();
+});
