--- a/src/crashes/crashLedger/index.ts
+++ b/src/crashes/crashLedger/index.ts
@@ -98,7 +98,7 @@
   /** Returns why work must not be sent; null if it may be, also as a trial. */
   findBlame(suspects: readonly types.Suspect[]): types.Blame | null {
     if (this.blamedKeys.size === 0) return null;
-    const blamed = this.findBlamed(suspects);
+    const blamed = this.listBlamedRecords(suspects);
     if (blamed.length === 0) return null;
     const alternatives = this.listAlternatives(suspects);
     const barred = blamed.filter((record) => !this.isTrialDue(record, alternatives));
@@ -110,7 +110,7 @@
   startTrial(suspects: readonly types.Suspect[]): readonly types.SuspectReport[] {
     if (this.blamedKeys.size === 0) return [];
     const nowMs = this.clock.nowMs();
-    return this.findBlamed(suspects).map((record) => {
+    return this.listBlamedRecords(suspects).map((record) => {
       record.startTrial(nowMs);
       return { ...record.toReport(nowMs), ends: [] };
     });
@@ -124,7 +124,9 @@
     }
   }
 
-  private findBlamed(suspects: readonly types.Suspect[]): readonly suspectRecords.SuspectRecord[] {
+  private listBlamedRecords(
+    suspects: readonly types.Suspect[],
+  ): readonly suspectRecords.SuspectRecord[] {
     const ids = suspects.map(toId).filter((id) => this.blamedKeys.has(id));
     return ids.flatMap((id) => this.records.peek(id) ?? []);
   }
