Reword comments on crashing work in the terms of the field

Read-through of the whole change: eleven comments that said end, work or suspect without saying what crashes, or that needed the code around them. Comments alone; no structure and no string has changed.

--- a/experiments/soak/checks/index.ts
+++ b/experiments/soak/checks/index.ts
@@ -103,7 +103,7 @@
     this.rates.recordLimit(serverId, ratePerSecond);
   }
 
-  /** Records that a call with work that makes servers crash reached a server. */
+  /** Records that a server received a call that will crash it, and checks that it may. */
   recordCrashArrival(causeName: string, callId: string): void {
     const isStoreDisturbed = this.storeDisturbancesCount > 0;
     const storeDisturbedAtMs = isStoreDisturbed ? Date.now() : this.storeRecoveredAtMs;
--- a/experiments/soak/soakFleet/index.ts
+++ b/experiments/soak/soakFleet/index.ts
@@ -203,7 +203,7 @@
   ): Promise<void> {
     this.checker.recordCrashArrival(causeName, call.id);
     const isEngine = this.services.get(server.id) === ENGINE_SERVICE;
-    // No engine has a copy of a run that had not begun.
+    // A run that crashed its engine at the start has no backup to continue from.
     if (call.headers["kv-from"] !== undefined) {
       await backendServers.refuse()(call, response, server);
       return;
--- a/src/crashes/_lib/archiveWriter/index.ts
+++ b/src/crashes/_lib/archiveWriter/index.ts
@@ -30,7 +30,7 @@
     this.enqueue(suspects.map((suspect) => ({ suspect, saved: null })));
   }
 
-  /** Reads the archive if it has not been read, and writes what is pending. */
+  /** Loads the archive unless it was loaded before, then writes the pending changes. */
   async flush(): Promise<void> {
     if (this.isFlushing) return;
     this.isFlushing = true;
--- a/src/crashes/constants.ts
+++ b/src/crashes/constants.ts
@@ -46,7 +46,7 @@
 /** Ends of servers that are kept for one suspect, the latest ones. */
 export const MAX_ENDS_COUNT = 16;
 
-/** Time after which a suspect without further ends is forgotten. */
+/** Time after which a suspect is forgotten if no further server crashes under it. */
 export const SUSPECT_RETENTION_MS = 3_600_000;
 
 /** Suspects in a summary for another VM, the most recently changed ones. */
--- a/src/crashes/crashLedger/test.ts
+++ b/src/crashes/crashLedger/test.ts
@@ -6,7 +6,7 @@
 import * as types from "../types.js";
 import * as crashLedgers from "./index.js";
 
-/** Time between two ends of servers that have no common cause. */
+/** Interval between two crashes, long enough that they do not count as one event. */
 const APART_MS = 500;
 
 /** Time for which work runs on a server until its end. */
--- a/src/crashes/crashMonitor/index.ts
+++ b/src/crashes/crashMonitor/index.ts
@@ -11,7 +11,7 @@
 
 export type { WatchedRun } from "../_lib/watchedRun/index.js";
 
-/** Dependencies of the monitor. */
+/** Dependencies of the crash monitor. */
 export interface CrashMonitorContext {
   readonly clock: clocks.Clock;
   readonly log: diagnostics.DecisionLog;
--- a/src/gateway/_lib/crashingServers/index.ts
+++ b/src/gateway/_lib/crashingServers/index.ts
@@ -44,7 +44,7 @@
   private readonly behaviour: backendServers.Behaviour = async (call, response, server) => {
     const isCrashing = this.script.isCrashing(call);
     if (isCrashing) this.arrivalsAtMs.push(performance.now());
-    // No engine has a copy of a run that had not begun.
+    // A run that crashed its engine at the start has no backup to continue from.
     if (call.headers["kv-from"] !== undefined) return this.refuse(call, response, server);
     if (!isCrashing) return this.script.serve(call, response, server);
     await this.script.crash(call, response, server);
--- a/src/gateway/crashingPromptPart/test.ts
+++ b/src/gateway/crashingPromptPart/test.ts
@@ -13,7 +13,7 @@
 /** The part that crashes each engine which begins to write an answer on it. */
 const CRASHING_PART = "bad0";
 
-/** Parts of which each prompt has one between the first part and its own. */
+/** Shared parts; each prompt contains one of them before its own last part. */
 const OTHER_PARTS = ["a1", "a2", "a3"];
 
 const CRASHING_INTERVAL_MS = 150;
--- a/src/relay/_lib/engineStream/index.ts
+++ b/src/relay/_lib/engineStream/index.ts
@@ -138,7 +138,7 @@
     return { kind: OpenKind.Open, stream, head };
   }
   const outcome = await readWholeAnswer(head, opening);
-  // A failure may have been answered without running the work.
+  // An error status does not show that the engine has run the work.
   if (outcome.kind === OpenKind.Answered) watched[Symbol.dispose]();
   else await watched.recordBreak();
   return outcome;
--- a/src/relay/types.ts
+++ b/src/relay/types.ts
@@ -150,7 +150,7 @@
   NoCapacity = "no-room",
   ServersRefused = "servers-refused",
   RateLimited = "rate-limited",
-  /** Servers have ended under work that has something in common with the call. */
+  /** Several servers crashed while they ran the same request, or prompts with the same part. */
   EndsServers = "ends-servers",
   Stopping = "stopping",
   TimedOutNotRun = "timed-out-not-run",
--- a/src/sharedView/_lib/datagrams/index.ts
+++ b/src/sharedView/_lib/datagrams/index.ts
@@ -194,7 +194,7 @@
 export type Waiting = zod.infer<typeof waiting>;
 /** A message with what the sender knows of work that ends servers. */
 export type Crashes = zod.infer<typeof crashes>;
-/** A suspect in a message. */
+/** A request or prompt part that may make servers crash, as encoded in a message. */
 export type EncodedSuspect = zod.infer<typeof encodedSuspect>;
 /** A waiting generation in a message. */
 export type EncodedWaiting = zod.infer<typeof encodedWaiting>;
