--- a/src/gateway/currentView/index.ts
+++ b/src/gateway/currentView/index.ts
@@ -1,12 +1,18 @@
 import * as diagnostics from "../../diagnostics/index.js";
 import * as routing from "../../routing/index.js";
-import type * as servers from "../../servers/index.js";
+import * as servers from "../../servers/index.js";
 import * as sharedView from "../../sharedView/index.js";
 import * as constants from "../constants.js";
 import type * as types from "../types.js";
 
 const { Importance, LogEvent } = diagnostics;
 
+/** Log lines for entries of servers; those that change nothing else have none. */
+const EVENT_BY_EFFECT: Readonly<Partial<Record<servers.EntryEffect, diagnostics.LogEvent>>> = {
+  [servers.EntryEffect.NewStart]: LogEvent.ServerKnown,
+  [servers.EntryEffect.Returned]: LogEvent.ServerReturned,
+};
+
 /** Receives changes of the view. */
 export interface ViewListener {
   /** Called when a configuration takes effect. */
@@ -135,12 +141,15 @@
 
   private applyServer(record: sharedView.ViewRecord, isRestoredCopy = false): void {
     const entry = this.decodeServer(record);
-    if (entry === null || !this.directory.apply(entry, { isRestoredCopy })) return;
-    this.ports.log.record(Importance.StateChange, LogEvent.ServerKnown, {
+    if (entry === null) return;
+    const event = EVENT_BY_EFFECT[this.directory.apply(entry, { isRestoredCopy })];
+    if (event === undefined) return;
+    this.ports.log.record(Importance.StateChange, event, {
       serverId: entry.id,
       service: entry.serviceName,
       dataCentre: entry.dataCentre,
       state: entry.state,
+      sequence: entry.sequence,
       offset: record.offset,
     });
   }
--- a/src/servers/serverDirectory/index.ts
+++ b/src/servers/serverDirectory/index.ts
@@ -23,12 +23,12 @@
    *
    * @param options - `isRestoredCopy`: the entry may stem from before its removal, as the store has
    *   been restored from a copy
-   * @returns whether the entry belongs to a start that was not known
+   * @returns what the entry changed
    */
-  apply(entry: types.ServerEntry, options = { isRestoredCopy: false }): boolean {
+  apply(entry: types.ServerEntry, options = { isRestoredCopy: false }): types.EntryEffect {
     const known = this.servers.get(entry.id);
     this.lapsedUntilMs.delete(entry.id);
-    if (known !== undefined && isOlder(entry, known.entry)) return false;
+    if (known !== undefined && isOlder(entry, known.entry)) return types.EntryEffect.Ignored;
     const isSameStart = known?.entry.bornAtWallMs === entry.bornAtWallMs;
     const receivedAtMs = this.clock.nowMs();
     const isNewer = known !== undefined && entry.sequence > known.entry.sequence;
@@ -47,7 +47,8 @@
     if (entry.state === types.ServerState.Draining) {
       this.markLeaving(entry.id, types.LeavingReason.Announced);
     }
-    return !isSameStart;
+    if (!isSameStart) return types.EntryEffect.NewStart;
+    return isBackAfterLapse ? types.EntryEffect.Returned : types.EntryEffect.Updated;
   }
 
   /**
--- a/src/servers/types.ts
+++ b/src/servers/types.ts
@@ -35,6 +35,18 @@
   ReplacedAtAddress = "replaced-at-address",
 }
 
+/** What an entry changed in a VM's view of its server. */
+export enum EntryEffect {
+  /** The entry is older than the known one. */
+  Ignored = "ignored",
+  /** A later message of a known start. */
+  Updated = "updated",
+  /** The first message of a start. */
+  NewStart = "new-start",
+  /** A message of a start that was leaving, which makes it available again. */
+  Returned = "returned",
+}
+
 /** A VM's view of a server. */
 export interface KnownServer {
   readonly entry: ServerEntry;
--- a/src/sharedView/replicaClient/index.ts
+++ b/src/sharedView/replicaClient/index.ts
@@ -13,6 +13,8 @@
 import * as topicReplicas from "../topicReplica/index.js";
 import * as types from "../types.js";
 
+export { REPLICA_FETCH_TIMEOUT_MS } from "../constants.js";
+
 const { Importance, LogEvent } = diagnostics;
 
 const bytes = zod.custom<Uint8Array>((value) => value instanceof Uint8Array);
@@ -77,6 +79,7 @@
       epoch: fetched.isOk() ? fetched.value.batch.epoch : null,
       endOffset: fetched.isOk() ? fetched.value.batch.endOffset : null,
       cause: fetched.isErr() ? fetched.error : null,
+      elapsedMs: Math.round(this.context.clock.nowMs() - sentAt.steadyMs),
     });
     if (fetched.isErr()) return;
     const { batch, ageMs } = fetched.value;
--- a/src/sharedView/topicReader/index.ts
+++ b/src/sharedView/topicReader/index.ts
@@ -62,6 +62,8 @@
   private lastEpoch: number | null = null;
   /** Whether the last records read do not continue the replica, so that the topic has to be listed. */
   private isListingDue = false;
+  /** Rank at the last read; null before the first one. */
+  private lastReadRank: number | null = null;
 
   constructor(
     private readonly context: ReaderContext,
@@ -116,6 +118,7 @@
    */
   private async readOnce(): Promise<boolean> {
     const { replica, store, clock } = this.context;
+    this.recordRank();
     const sentAt = clockReadings.readClocks(clock);
     const { topic, waitMs } = this.options;
     if (!replica.isKnown || this.isListingDue) {
@@ -174,6 +177,20 @@
     return clockReadings.subtractDuration(sentAt, -waitedMs);
   }
 
+  /** Logs that this VM reads under another rank than the last time. */
+  private recordRank(): void {
+    const rank = this.context.rank();
+    const formerRank = this.lastReadRank;
+    this.lastReadRank = rank;
+    if (formerRank === rank) return;
+    this.context.log.record(Importance.StateChange, LogEvent.ReaderRankChanged, {
+      topic: this.options.topic,
+      rank,
+      formerRank,
+      viewAgeMs: Math.round(Math.min(1e9, this.context.replica.ageMs)),
+    });
+  }
+
   /** Logs that the store was restored from a copy since its last answer to this reader. */
   private recordEpoch({ epoch, endOffset }: types.RecordBatch): void {
     const formerEpoch = this.lastEpoch;
