--- a/src/gateway/_lib/virtualFleet/index.ts
+++ b/src/gateway/_lib/virtualFleet/index.ts
@@ -19,9 +19,23 @@
 /** Port of every VM; their host names differ. */
 const PORT = 1;
 
-/** Time that a peer takes to send a whole topic. */
+/** Time that a peer takes to send a whole topic, besides the transfer over its link. */
 const FETCH_MS = 5;
 
+/** Where a VM runs, and how large it is. */
+export interface VmPlacement {
+  readonly dataCentre: string;
+  readonly coresCount: number;
+  /** Bytes that its link transfers in a millisecond. */
+  readonly linkBytesPerMs: number;
+}
+
+const DEFAULT_PLACEMENT: VmPlacement = {
+  dataCentre: "dc-a",
+  coresCount: 1,
+  linkBytesPerMs: Infinity,
+};
+
 const EMPTY_CONFIGURATION: Omit<routing.Configuration, "version"> = {
   routes: [],
   services: [],
@@ -81,8 +95,8 @@
         vmName: name,
         host: name,
         port: PORT,
-        dataCentre: "dc-a",
-        coresCount: 1,
+        dataCentre: fleet.placementOf(name).dataCentre,
+        coresCount: fleet.placementOf(name).coresCount,
         startedAtWallMs: clock.wallTimeMs(),
       },
       replicas,
@@ -100,7 +114,8 @@
     this.resources.add(this.mesh);
     this.sweepTimer = this.scheduleSweep();
     const options = [sharedView.CONFIGURATION_READER, sharedView.SERVERS_READER];
-    this.readers = options.map((option) => this.startReader(option, store));
+    this.readers = options.map((option) => this.createReader(option, store));
+    for (const reader of this.readers) void this.resources.add(reader).run();
     this.resources.defer(() => this.sweepTimer[Symbol.dispose]());
   }
 
@@ -125,11 +140,11 @@
     });
   }
 
-  private startReader(
+  private createReader(
     options: sharedView.ReaderOptions,
     store: sharedView.ViewStore,
   ): sharedView.TopicReader {
-    const reader = new sharedView.TopicReader(
+    return new sharedView.TopicReader(
       {
         clock: this.fleet.clock,
         store,
@@ -142,9 +157,6 @@
       },
       options,
     );
-    this.resources.add(reader);
-    void reader.run();
-    return reader;
   }
 }
 
@@ -156,13 +168,20 @@
   readonly storeless = new Set<string>();
   /** VMs that reach neither the store nor other VMs. */
   readonly isolated = new Set<string>();
+  /** VMs that reach the store, but no other VM. */
+  readonly peerless = new Set<string>();
+  /** Data centres whose VMs reach the store and each other, but no other data centre. */
+  readonly partitionedDataCentres = new Set<string>();
+  /** When the link of a VM has sent all topics that were fetched from it. */
+  private readonly linkFreeAtMs = new Map<string, number>();
 
   constructor(
     readonly clock: virtualClocks.VirtualClock,
     readonly store: virtualStores.VirtualStore,
+    readonly placementOf: (name: string) => VmPlacement = () => DEFAULT_PLACEMENT,
   ) {
     this.hub = new datagramHubs.DatagramHub(clock, randoms.createRandom(1));
-    this.hub.partitionWhere((from, to) => this.isCut(from) || this.isCut(to));
+    this.hub.partitionWhere((from, to) => this.isCut(hostOf(from), hostOf(to)));
   }
 
   /** Starts a VM, or replaces its process by a new one. */
@@ -180,7 +199,7 @@
     this.vms.delete(name);
   }
 
-  /** Sends a VM's replica of a topic to another one. */
+  /** Sends a VM's replica of a topic to another one; a request over a cut link hangs until its timeout. */
   async fetchReplica(
     topic: sharedView.Topic,
     fromName: string,
@@ -188,17 +207,44 @@
   ): ReturnType<typeof sharedView.fetchReplica> {
     await this.clock.sleep(FETCH_MS);
     const replica = this.vms.get(fromName)?.view.replicaOf(topic);
-    if (replica?.isKnown !== true || this.isolated.has(fromName) || this.isolated.has(toName))
-      return neverthrow.err("unreachable");
-    return neverthrow.ok({ batch: replica.snapshot(), ageMs: replica.ageMs });
+    if (replica === undefined || this.isCut(fromName, toName)) {
+      await this.clock.sleep(sharedView.REPLICA_FETCH_TIMEOUT_MS - FETCH_MS);
+      return neverthrow.err("timeout");
+    }
+    if (!replica.isKnown) return neverthrow.err("status 404");
+    const batch = replica.snapshot();
+    const ageMs = replica.ageMs;
+    const transferMs = this.reserveLink(fromName, batch);
+    await this.clock.sleep(Math.min(transferMs, sharedView.REPLICA_FETCH_TIMEOUT_MS));
+    if (transferMs > sharedView.REPLICA_FETCH_TIMEOUT_MS) return neverthrow.err("timeout");
+    return neverthrow.ok({ batch, ageMs });
   }
 
-  /** Publishes a version of the configuration. */
-  publish(version: number): void {
-    this.store.append(Topic.Configuration, "config", String(version));
+  /** Publishes a version of the configuration, padded to a size. */
+  publish(version: number, sizeBytes = 0): void {
+    const value = String(version).padStart(sizeBytes, "0");
+    this.store.append(Topic.Configuration, "config", value);
   }
 
-  private isCut(endpoint: string): boolean {
-    return this.isolated.has(endpoint.slice(0, endpoint.lastIndexOf(":")));
+  /** Time until a VM's link has sent a topic after all that it sends already. */
+  private reserveLink(name: string, { records }: sharedView.ReplicaSnapshot): number {
+    const sizeBytes = records.reduce((sum, { value }) => sum + (value?.length ?? 0), 0);
+    const nowMs = this.clock.nowMs();
+    const startsAtMs = Math.max(nowMs, this.linkFreeAtMs.get(name) ?? 0);
+    const endsAtMs = startsAtMs + sizeBytes / this.placementOf(name).linkBytesPerMs;
+    this.linkFreeAtMs.set(name, endsAtMs);
+    return endsAtMs - nowMs;
   }
+
+  private isCut(from: string, to: string): boolean {
+    if ([from, to].some((name) => this.isolated.has(name) || this.peerless.has(name))) return true;
+    const [left, right] = [from, to].map((name) => this.placementOf(name).dataCentre);
+    if (left === right) return false;
+    return [left, right].some((name) => this.partitionedDataCentres.has(name ?? ""));
+  }
+}
+
+/** The host of an endpoint, given as `host:port`. */
+function hostOf(endpoint: string): string {
+  return endpoint.slice(0, endpoint.lastIndexOf(":"));
 }
--- a/src/servers/serverDirectory/test.ts
+++ b/src/servers/serverDirectory/test.ts
@@ -149,3 +149,28 @@
     t.same(availableIds(), ["e1"], "the server has written since");
   },
 );
+
+tap.test(
+  "a server that said it leaves after its entry was removed stays so when the entry is back",
+  async (t) => {
+    const { clock, directory, availableIds } = setUp();
+    await clock.runForMs(constants.LAPSED_ENTRY_GRACE_MS);
+    directory.apply(fixtures.entry({ sequence: 5 }));
+    directory.remove("e1");
+    directory.markLeaving("e1", LeavingReason.StatedInAnswer);
+    directory.apply(fixtures.entry({ sequence: 6 }));
+    t.same(availableIds(), []);
+  },
+);
+
+tap.test("a server that said it leaves is not forgotten while its entry is renewed", async (t) => {
+  const { clock, directory, availableIds } = setUp();
+  directory.apply(fixtures.entry({ sequence: 1 }));
+  directory.markLeaving("e1", LeavingReason.StatedInAnswer);
+  for (let sequence = 2; sequence < 10; sequence += 1) {
+    await clock.runForMs(constants.DEPARTED_SERVER_RETENTION_MS / 4);
+    directory.apply(fixtures.entry({ sequence }));
+    directory.sweep();
+  }
+  t.same(availableIds(), []);
+});
