Let a VM that becomes the first reader of the store read at once

Callers of a large fleet saw a confirmed change late. A VM behind the tenth reader computed once when its view would be 15 s old and slept until then. If it became the first reader meanwhile (readers that failed in an outage rank last), nobody read: no VM woke before its time. Fleets of ten VMs or fewer have no such rank, so that the small sites and their tests never showed it. Class: a decision taken from a state that changes while the decision is slept out. A reader now looks at its rank every 200 ms.

--- a/src/sharedView/topicReader/index.ts
+++ b/src/sharedView/topicReader/index.ts
@@ -50,6 +50,9 @@
 /** Shortest pause between two checks of whether the next poll is due. */
 const MIN_SLEEP_MS = 10;
 
+/** Longest pause between two checks: a VM's rank, and so the time of its next poll, can change at any moment. */
+const MAX_SLEEP_MS = 200;
+
 /**
  * Polls the store for a topic whenever the replica's age exceeds a limit. The limit grows with the
  * VM's rank: while the reader of rank 0 reads and sends the others what it read, they need not
@@ -80,7 +83,7 @@
     while (!this.stopping.signal.aborted) {
       const timeToNextReadMs = this.computeTimeToNextReadMs();
       if (timeToNextReadMs > 0) {
-        await this.sleep(timeToNextReadMs);
+        await this.sleep(Math.min(timeToNextReadMs, MAX_SLEEP_MS));
         continue;
       }
       const isRead = await this.readOnce();
--- a/src/sharedView/topicReader/test.ts
+++ b/src/sharedView/topicReader/test.ts
@@ -3,6 +3,7 @@
 
 import * as virtualClocks from "../../_lib/virtualClock/index.js";
 import * as diagnostics from "../../diagnostics/index.js";
+import * as constants from "../constants.js";
 import * as sharedView from "../index.js";
 
 const { StoreFailure } = sharedView;
@@ -35,7 +36,7 @@
   }
 }
 
-function setUp(rank: number): {
+function setUp(rankOrRanks: number | { current: number }): {
   readonly clock: virtualClocks.VirtualClock;
   readonly store: QuietStore;
   readonly replica: sharedView.TopicReplica;
@@ -54,7 +55,7 @@
       replica,
       log: { record: (_importance, event) => void events.push(event) },
       meters: new diagnostics.Meters(),
-      rank: () => rank,
+      rank: () => (typeof rankOrRanks === "number" ? rankOrRanks : rankOrRanks.current),
       onRead: () => undefined,
       onStoreRegained: () => events.push("regained"),
     },
@@ -105,3 +106,13 @@
   t.ok(reader.reachesStore);
   t.same(events, [diagnostics.LogEvent.StoreLost, diagnostics.LogEvent.StoreRegained, "regained"]);
 });
+
+tap.test("a VM that becomes the first reader while it waits polls at once", async (t) => {
+  const ranks = { current: constants.RANKED_READERS_COUNT };
+  const { clock, store } = setUp(ranks);
+  await clock.runForMs(2_000);
+  t.equal(store.reads.length, 0);
+  ranks.current = 0;
+  await clock.runForMs(300);
+  t.equal(store.reads.length, 1);
+});
