Let the largest VMs read the store again after an outage

Callers of a large fleet saw a confirmed change seconds late after an outage of the store. A VM whose last call failed counts as cut off and ranks last among the readers; as it is no reader any more, it makes no further call and stays last. So after an outage the readers were VMs that had not tried: small ones. All others fetch a configuration from the first reader; 87 transfers of 60 kB over a link of 10 Mbit/s take 4 s, each is given up after 1.5 s, and the bound is 3 s. Unit test: "a preferred reader that failed tries the store again, whatever its rank".

--- a/src/gateway/_lib/virtualFleet/index.ts
+++ b/src/gateway/_lib/virtualFleet/index.ts
@@ -152,6 +152,7 @@
         meters: new diagnostics.Meters(),
         replica: this.view.replicaOf(options.topic),
         rank: () => this.mesh.readerRank,
+        isPreferred: () => this.mesh.isPreferredReader,
         onRead: (from, batch) => this.mesh.broadcastRecords(options.topic, from, batch),
         onStoreRegained: () => this.directory.recordStoreRecovery(),
       },
--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -144,11 +144,9 @@
       crashMonitor: this.crashMonitor,
       activeCallsCount: () => this.activeCallsCount,
     });
-    ports.log.record(Importance.StateChange, LogEvent.Started, {
-      callersPort: settings.callers.port,
-      peersPort: settings.peers.port,
-      pid: process.pid,
-    });
+    const { callers, peers } = settings;
+    const fields = { callersPort: callers.port, peersPort: peers.port, pid: process.pid };
+    ports.log.record(Importance.StateChange, LogEvent.Started, fields);
   }
 
   /**
@@ -237,7 +235,8 @@
         meters,
         replica: this.view.replicaOf(options.topic),
         rank: () => this.mesh.readerRank,
-        onRead: (fromOffset, batch) => this.mesh.broadcastRecords(options.topic, fromOffset, batch),
+        isPreferred: () => this.mesh.isPreferredReader,
+        onRead: (from, batch) => this.mesh.broadcastRecords(options.topic, from, batch),
         onStoreRegained: () => this.directory.recordStoreRecovery(),
       },
       options,
--- a/src/sharedView/_lib/peerTable/index.ts
+++ b/src/sharedView/_lib/peerTable/index.ts
@@ -220,6 +220,13 @@
     return { rank, vmsCount: ranked.length };
   }
 
+  /** Whether this VM is among the largest live VMs, which read the store for the others if they reach it. */
+  get isPreferredReader(): boolean {
+    const vms = this.livePeers().map((peer) => ({ ...peer, reachesStore: true }));
+    const own = { ...this.self, reachesStore: true };
+    return vms.filter((peer) => hasReadPriority(peer, own)).length < constants.RANKED_READERS_COUNT;
+  }
+
   /**
    * Number of live VMs that read the store before this one: those that reach it go first, then
    * the larger ones.
--- a/src/sharedView/peerMesh/index.ts
+++ b/src/sharedView/peerMesh/index.ts
@@ -44,12 +44,9 @@
     const { vmName } = context.self;
     const send = (message: Buffer, { host, port }: types.VmAddress): void =>
       context.socket.send(message, host, port);
-    this.aggregator = new workAggregators.WorkAggregator({
-      clock: context.clock,
-      vmName,
-      routes: () => this.table.selectWorkRoutes(),
-      send,
-    });
+    const routes = (): workAggregators.WorkRoutes => this.table.selectWorkRoutes();
+    const { clock } = context;
+    this.aggregator = new workAggregators.WorkAggregator({ clock, vmName, routes, send });
     this.work = new workExchanges.WorkExchange(context, (message) =>
       this.aggregator.broadcast(message),
     );
@@ -79,6 +76,11 @@
     return this.table.readerRank(this.context.reachesStore());
   }
 
+  /** Whether this VM is among the largest live VMs, which read the store for the others if they reach it. */
+  get isPreferredReader(): boolean {
+    return this.table.isPreferredReader;
+  }
+
   /** Place of this VM among all live VMs, in an order that depends on the key. */
   rankFor(key: string): servers.VmRank {
     return this.table.rankFor(key);
@@ -206,10 +208,8 @@
     if (isRestarted) this.work.dropVm(peer.vmName);
     if (isNew || isRestarted) this.crashes.sendSummary(peer);
     if (isNew) {
-      this.context.log.record(Importance.StateChange, LogEvent.PeerUp, {
-        peer: peer.vmName,
-        dataCentre: peer.dataCentre,
-      });
+      const fields = { peer: peer.vmName, dataCentre: peer.dataCentre };
+      this.context.log.record(Importance.StateChange, LogEvent.PeerUp, fields);
       this.sendHeartbeat(peer);
     }
     message.rateStatements.forEach(this.context.onRateStatement);
--- a/src/sharedView/topicReader/index.ts
+++ b/src/sharedView/topicReader/index.ts
@@ -41,6 +41,8 @@
   readonly meters: diagnostics.Meters;
   /** Returns the rank of this VM among those that read the store for the others, from 0. */
   readonly rank: () => number;
+  /** Returns whether this VM is one of the preferred readers, whichever VMs reach the store now. */
+  readonly isPreferred: () => boolean;
   /** Called with each batch read from the store, so that it can be sent to the peers. */
   readonly onRead: (fromOffset: number, batch: types.RecordBatch) => void;
   /** Called on the first answer of the store after one or more failures. */
@@ -97,8 +99,10 @@
 
   /** Time until the replica's age reaches its limit; not positive if a poll is due. */
   private computeTimeToNextReadMs(): number {
-    const { replica } = this.context;
+    const { replica, isPreferred } = this.context;
     if (!replica.isKnown || this.isListingDue) return 0;
+    // Without a call it would go on to count as cut off from the store, and rank last.
+    if (!this.reachesStore && isPreferred()) return 0;
     return this.options.pollAgeMs + this.computeRankDelayMs() - replica.ageMs;
   }
 
--- a/src/sharedView/topicReader/test.ts
+++ b/src/sharedView/topicReader/test.ts
@@ -36,7 +36,10 @@
   }
 }
 
-function setUp(rankOrRanks: number | { current: number }): {
+function setUp(
+  rankOrRanks: number | { current: number },
+  isPreferred = false,
+): {
   readonly clock: virtualClocks.VirtualClock;
   readonly store: QuietStore;
   readonly replica: sharedView.TopicReplica;
@@ -56,6 +59,7 @@
       log: { record: (_importance, event) => void events.push(event) },
       meters: new diagnostics.Meters(),
       rank: () => (typeof rankOrRanks === "number" ? rankOrRanks : rankOrRanks.current),
+      isPreferred: () => isPreferred,
       onRead: () => undefined,
       onStoreRegained: () => events.push("regained"),
     },
@@ -104,7 +108,8 @@
   store.failure = null;
   await clock.runForMs(2_500);
   t.ok(reader.reachesStore);
-  t.same(events, [diagnostics.LogEvent.StoreLost, diagnostics.LogEvent.StoreRegained, "regained"]);
+  const { ReaderRankChanged, StoreLost, StoreRegained } = diagnostics.LogEvent;
+  t.same(events, [ReaderRankChanged, StoreLost, StoreRegained, "regained"]);
 });
 
 tap.test("a VM that becomes the first reader while it waits polls at once", async (t) => {
@@ -116,3 +121,16 @@
   await clock.runForMs(300);
   t.equal(store.reads.length, 1);
 });
+
+tap.test("a preferred reader that failed tries the store again, whatever its rank", async (t) => {
+  const ranks = { current: 0 };
+  const { clock, store, reader } = setUp(ranks, true);
+  await clock.runForMs(1_000);
+  store.failure = StoreFailure.Refused;
+  await clock.runForMs(2_000);
+  t.notOk(reader.reachesStore);
+  ranks.current = constants.RANKED_READERS_COUNT;
+  store.failure = null;
+  await clock.runForMs(3_000);
+  t.ok(reader.reachesStore);
+});
