Keep what a server said of its leaving when its entry comes back

A request reached a server after the server had said that it leaves. Of all signs, a removed entry is the only one that a later entry may refute, and it hid the others: a server whose entry was removed first and that then said so in an answer kept the reason "entry removed". After a restore of the store the entry is back, as a copy or written again, and the server was available again. Copies were told apart in the first listing of an epoch alone; large fleets fetch whole topics from each other all the time, so that the second one made the server available. A mark was also forgotten a minute after it was made while the entry was still renewed, and a copy of a removed entry ended its lapse. Class: a weak sign that hides a strong one.

--- a/src/gateway/currentView/index.ts
+++ b/src/gateway/currentView/index.ts
@@ -139,10 +139,10 @@
     }
   }
 
-  private applyServer(record: sharedView.ViewRecord, isRestoredCopy = false): void {
+  private applyServer(record: sharedView.ViewRecord): void {
     const entry = this.decodeServer(record);
     if (entry === null) return;
-    const event = EVENT_BY_EFFECT[this.directory.apply(entry, { isRestoredCopy })];
+    const event = EVENT_BY_EFFECT[this.directory.apply(entry)];
     if (event === undefined) return;
     this.ports.log.record(Importance.StateChange, event, {
       serverId: entry.id,
@@ -159,7 +159,7 @@
     origin: sharedView.RecordOrigin,
   ): void {
     this.reportOutageIfStale(origin);
-    for (const record of records) this.applyServer(record, origin.isRestored);
+    for (const record of records) this.applyServer(record);
     this.directory.retainListed(new Set(records.map(({ key }) => key)));
   }
 
--- a/src/servers/serverDirectory/index.ts
+++ b/src/servers/serverDirectory/index.ts
@@ -6,8 +6,8 @@
 
 /**
  * The backend servers of all services, as known from their entries in the platform's store and from
- * their answers. A leaving server becomes available again only after a restart, unless it was
- * marked as leaving because its entry was removed from the store and the entry has reappeared.
+ * their answers. A leaving server becomes available again only after a restart, unless the only sign
+ * was that its entry was removed from the store, and the server has written a newer one.
  */
 export class ServerDirectory {
   private readonly servers = new Map<string, types.KnownServer>();
@@ -19,23 +19,20 @@
   constructor(private readonly clock: clocks.Clock) {}
 
   /**
-   * Applies an entry; ignores older messages and older starts of the same server.
+   * Applies an entry; ignores older messages and older starts of the same server. An entry that was
+   * removed can come back as it was, when the store is restored from a copy.
    *
-   * @param options - `isRestoredCopy`: the entry may stem from before its removal, as the store has
-   *   been restored from a copy
    * @returns what the entry changed
    */
-  apply(entry: types.ServerEntry, options = { isRestoredCopy: false }): types.EntryEffect {
+  apply(entry: types.ServerEntry): types.EntryEffect {
     const known = this.servers.get(entry.id);
-    this.lapsedUntilMs.delete(entry.id);
     if (known !== undefined && isOlder(entry, known.entry)) return types.EntryEffect.Ignored;
+    this.lapsedUntilMs.delete(entry.id);
     const isSameStart = known?.entry.bornAtWallMs === entry.bornAtWallMs;
     const receivedAtMs = this.clock.nowMs();
     const isNewer = known !== undefined && entry.sequence > known.entry.sequence;
     const isBackAfterLapse =
-      isSameStart &&
-      known.leaving === types.LeavingReason.EntryRemoved &&
-      (isNewer || !options.isRestoredCopy);
+      isSameStart && isNewer && known.leaving === types.LeavingReason.EntryRemoved;
     const isLeavingKept = isSameStart && !isBackAfterLapse;
     this.servers.set(entry.id, {
       entry,
@@ -77,10 +74,13 @@
   }
 
   /**
-   * Marks a server as leaving and notifies the listeners; does nothing if it is unknown or marked.
+   * Marks a server as leaving and notifies the listeners. If it is marked already, the sign replaces
+   * a removed entry, which is the only sign that a newer entry refutes.
    */
   markLeaving(serverId: string, sign: types.LeavingReason): void {
     const known = this.servers.get(serverId);
+    if (known?.leaving === types.LeavingReason.EntryRemoved)
+      this.servers.set(serverId, { ...known, leaving: sign });
     if (known?.leaving !== null) return;
     const leaving = { ...known, leaving: sign, leavingSinceMs: this.clock.nowMs() };
     this.servers.set(serverId, leaving);
@@ -98,10 +98,10 @@
       this.lapsedUntilMs.delete(serverId);
       this.markLeaving(serverId, types.LeavingReason.EntryRemoved);
     }
-    for (const [serverId, server] of this.servers) {
-      const isRetentionOver =
-        nowMs - server.leavingSinceMs > constants.DEPARTED_SERVER_RETENTION_MS;
-      if (server.leaving !== null && isRetentionOver) this.servers.delete(serverId);
+    for (const [serverId, { leaving, leavingSinceMs, receivedAtMs }] of this.servers) {
+      const lastSignAtMs = Math.max(leavingSinceMs, receivedAtMs);
+      const isRetentionOver = nowMs - lastSignAtMs > constants.DEPARTED_SERVER_RETENTION_MS;
+      if (leaving !== null && isRetentionOver) this.servers.delete(serverId);
     }
   }
 
--- a/src/servers/serverDirectory/test.ts
+++ b/src/servers/serverDirectory/test.ts
@@ -142,10 +142,10 @@
     directory.apply(fixtures.entry({ sequence: 5 }));
     directory.remove("e1");
     for (const sequence of [4, 5]) {
-      directory.apply(fixtures.entry({ sequence }), { isRestoredCopy: true });
+      directory.apply(fixtures.entry({ sequence }));
       t.same(availableIds(), []);
     }
-    directory.apply(fixtures.entry({ sequence: 6 }), { isRestoredCopy: true });
+    directory.apply(fixtures.entry({ sequence: 6 }));
     t.same(availableIds(), ["e1"], "the server has written since");
   },
 );
