Ask a second peer for a topic while the first one does not answer

A VM fetched a topic from one peer at a time and dropped what others reported meanwhile. If the reader that told of a change was cut off or lost power right then, its request hung for 1.5 s, and the next report came a heartbeat later (0.72 s in a fleet of 90): half of the 3 s in which a change has to be in force. Class: one slow party that blocks all others. After 0.4 s the topic is fetched from another peer too. Test: "a peer that does not answer does not keep another one from being asked" failed before (the second peer was not asked), passes now.

--- a/src/sharedView/constants.ts
+++ b/src/sharedView/constants.ts
@@ -80,6 +80,12 @@
 /** Timeout of fetching a topic; half of the 3 s within which large fleets must apply a change. */
 export const REPLICA_FETCH_TIMEOUT_MS = 1_500;
 
+/** Time after which a fetch counts as slow, and the topic may be fetched from another peer too. */
+export const SLOW_FETCH_MS = 400;
+
+/** Most fetches of one topic at a time. */
+export const MAX_PARALLEL_FETCHES_COUNT = 2;
+
 /** The largest topic accepted from a peer: four times the largest configuration, 4 MB. */
 export const MAX_REPLICA_BYTES = 16 * 1024 * 1024;
 
--- a/src/sharedView/replicaClient/index.ts
+++ b/src/sharedView/replicaClient/index.ts
@@ -38,15 +38,21 @@
   readonly fetch?: typeof fetchReplica;
 }
 
+interface PendingFetch {
+  readonly topic: types.Topic;
+  readonly peerName: string;
+  readonly startedAtMs: number;
+}
+
 /** Fetches whole topics from peers whose replicas are ahead of this VM's. */
 export class ReplicaClient {
-  private readonly fetching = new Set<types.Topic>();
+  private readonly pending = new Set<PendingFetch>();
 
   constructor(private readonly context: ReplicaClientContext) {}
 
   /**
-   * Fetches a topic from a peer, unless its records arrive by datagram within a short delay. While
-   * a fetch of the topic is in progress, further calls do nothing.
+   * Fetches a topic from a peer, unless its records arrive by datagram within a short delay. Does
+   * nothing while the topic is being fetched, unless that takes long and this is another peer.
    *
    * @param peerState - the state of its replica that the peer reported
    */
@@ -56,16 +62,28 @@
     peerState: types.ReplicaState,
   ): Promise<void> {
     const replica = this.context.replicas.get(topic);
-    if (replica === undefined || this.fetching.has(topic)) return;
-    this.fetching.add(topic);
+    if (replica === undefined || !this.canFetch(topic, peer)) return;
+    const startedAtMs = this.context.clock.nowMs();
+    const fetch = { topic, peerName: peer.vmName, startedAtMs };
+    this.pending.add(fetch);
     try {
       await this.context.clock.sleep(replica.isKnown ? constants.CATCH_UP_DELAY_MS : 0);
       if (replica.isBehind(peerState)) await this.fetch(topic, peer, replica);
     } finally {
-      this.fetching.delete(topic);
+      this.pending.delete(fetch);
     }
   }
 
+  private canFetch(topic: types.Topic, peer: types.VmAddress): boolean {
+    const nowMs = this.context.clock.nowMs();
+    const pending = [...this.pending].filter((fetch) => fetch.topic === topic);
+    const areOthersSlow = pending.every(
+      ({ peerName, startedAtMs }) =>
+        peerName !== peer.vmName && nowMs - startedAtMs > constants.SLOW_FETCH_MS,
+    );
+    return areOthersSlow && pending.length < constants.MAX_PARALLEL_FETCHES_COUNT;
+  }
+
   private async fetch(
     topic: types.Topic,
     peer: types.VmAddress,
--- a/src/sharedView/replicaClient/test.ts
+++ b/src/sharedView/replicaClient/test.ts
@@ -1,7 +1,9 @@
 import * as hapi from "@hapi/hapi";
+import * as neverthrow from "neverthrow";
 import tap from "tap";
 
 import * as virtualClocks from "../../_lib/virtualClock/index.js";
+import * as diagnostics from "../../diagnostics/index.js";
 import * as clockReadings from "../_lib/clockReading/index.js";
 import * as sharedView from "../index.js";
 import * as replicaServers from "../replicaServer/index.js";
@@ -88,3 +90,39 @@
   await other.stop();
   t.ok(unreadable.isErr());
 });
+
+tap.test("a peer that does not answer does not keep another one from being asked", async (t) => {
+  const clock = new virtualClocks.VirtualClock();
+  const listener = { onRecords: () => undefined, onListing: () => undefined };
+  const replica = new sharedView.TopicReplica(clock, listener);
+  const askedNames: string[] = [];
+  const client = new sharedView.ReplicaClient({
+    clock,
+    log: diagnostics.NOOP_DECISION_LOG,
+    replicas: new Map([[Topic.Configuration, replica]]),
+    fetch: async (_topic, { vmName }) => {
+      askedNames.push(vmName);
+      if (vmName === "silent") await clock.sleep(sharedView.REPLICA_FETCH_TIMEOUT_MS);
+      if (vmName === "silent") return neverthrow.err("timeout");
+      const batch = { epoch: 0, endOffset: 5, records: [], retained: null };
+      return neverthrow.ok({ batch, ageMs: 0 });
+    },
+  });
+  const report = (vmName: string): void =>
+    void client.catchUp(
+      Topic.Configuration,
+      { vmName, host: vmName, port: 1 },
+      { epoch: 0, endOffset: 5, revision: 0 },
+    );
+  report("silent");
+  await clock.runForMs(100);
+  report("live");
+  await clock.runForMs(100);
+  t.same(askedNames, ["silent"], "a fetch is given some time before another peer is asked");
+  await clock.runForMs(400);
+  report("silent");
+  report("live");
+  await clock.runForMs(100);
+  t.same(askedNames, ["silent", "live"]);
+  t.equal(replica.endOffset, 5);
+});
