Send the version in force to VMs whose view of the store is of a later epoch

After a restore a VM that started with the restored, older listing fetched from a peer that still held the former epoch, and got nothing: the peer left the retained record out, as its own listing held it, and the receiver ignores a listing of a former epoch. It stayed at the older version until that peer had followed. Class: an omission that is only right if the receiver accepts the rest. Test: "the version in force reaches a VM whose epoch is later than the peer's" failed before. The replica's own test expected null for a listed record and now expects the record.

--- a/src/sharedView/replicaClient/index.ts
+++ b/src/sharedView/replicaClient/index.ts
@@ -27,6 +27,8 @@
   // Absent in replicas of earlier releases.
   epoch: zod.number().int().nonnegative().default(0),
   retained: replicaRecord.nullish(),
+  /** Key of the retained record if it is one of the records, so that it is not sent twice. */
+  retainedKey: zod.string().nullish(),
 });
 
 /** Dependencies of the replica client. */
@@ -149,13 +151,10 @@
   const parsed = replicaMessage.safeParse(msgpackr.unpack(unpacked));
   if (!parsed.success || !(ageMs >= 0))
     return neverthrow.err(`invalid replica: ${payload.length} bytes, age ${ageMs} ms`);
-  const { epoch, endOffset, retained } = parsed.data;
-  const batch = {
-    epoch,
-    endOffset,
-    records: parsed.data.records.map(toViewRecord),
-    retained: retained ? toViewRecord(retained) : null,
-  };
+  const { epoch, endOffset, retained, retainedKey } = parsed.data;
+  const records = parsed.data.records.map(toViewRecord);
+  const listed = records.find(({ key }) => key === retainedKey) ?? null;
+  const batch = { epoch, endOffset, records, retained: retained ? toViewRecord(retained) : listed };
   return neverthrow.ok({ batch, ageMs });
 }
 
--- a/src/sharedView/replicaClient/test.ts
+++ b/src/sharedView/replicaClient/test.ts
@@ -41,12 +41,15 @@
 async function serve(
   value: Buffer,
   ageMs: number,
+  revision = 0,
 ): Promise<{ readonly server: hapi.Server; readonly address: sharedView.VmAddress }> {
   const clock = new virtualClocks.VirtualClock();
   const listener = { onRecords: () => undefined, onListing: () => undefined };
   const replica = new sharedView.TopicReplica(clock, listener);
   const batch = { records: [{ key: "config", offset: 14, value }], endOffset: 15, epoch: 0 };
   replica.applyListing(batch, clockReadings.readClocks(clock), sharedView.ViewSource.Store);
+  const record = replica.snapshot().records[0];
+  if (record !== undefined && revision > 0) replica.retain(record, revision);
   await clock.runForMs(ageMs);
   const server = hapi.server({ host: "127.0.0.1", port: 0 });
   replicaServers.addReplicaRoutes(server, new Map([[Topic.Configuration, replica]]));
@@ -69,7 +72,7 @@
 tap.test(
   "one VM can send a large configuration to all others within the time for transfers",
   async (t) => {
-    const { server } = await serve(largeConfiguration(), 0);
+    const { server } = await serve(largeConfiguration(), 0, 5);
     const { rawPayload } = await server.inject("/replica/configuration");
     await server.stop();
     const transferMs = (PEERS_COUNT * rawPayload.length) / LINK_BYTES_PER_MS;
@@ -126,3 +129,26 @@
   t.same(askedNames, ["silent", "live"]);
   t.equal(replica.endOffset, 5);
 });
+
+tap.test("the version in force reaches a VM whose epoch is later than the peer's", async (t) => {
+  const value = Buffer.from("version 5");
+  const { server, address } = await serve(value, 0, 5);
+  const clock = new virtualClocks.VirtualClock();
+  const received: (string | undefined)[] = [];
+  const replica = new sharedView.TopicReplica(clock, {
+    onRecords: (records) => received.push(...records.map((record) => record.value?.toString())),
+    onListing: () => undefined,
+  });
+  const log = diagnostics.NOOP_DECISION_LOG;
+  const batch = { records: [], endOffset: 3, epoch: 1 };
+  const now = clockReadings.readClocks(clock);
+  replica.applyListing(batch, now, sharedView.ViewSource.Store);
+  const replicas = new Map([[Topic.Configuration, replica]]);
+  const client = new sharedView.ReplicaClient({ clock, log, replicas });
+  const state = { epoch: 0, endOffset: 15, revision: 5 };
+  const caughtUp = client.catchUp(Topic.Configuration, address, state);
+  await clock.runForMs(100);
+  await caughtUp;
+  await server.stop();
+  t.same(received, ["version 5"]);
+});
--- a/src/sharedView/replicaServer/index.ts
+++ b/src/sharedView/replicaServer/index.ts
@@ -60,11 +60,13 @@
   const cached = cache.get(topic);
   if (cached !== undefined && util.isDeepStrictEqual(cached.state, state)) return cached.body;
   const { epoch, endOffset, records, retained } = replica.snapshot();
+  const isListed = retained !== null && records.includes(retained);
   const packed = msgpackr.pack({
     epoch,
     endOffset,
     records: records.map(toTuple),
-    retained: retained === null ? null : toTuple(retained),
+    retained: retained === null || isListed ? null : toTuple(retained),
+    retainedKey: isListed ? retained.key : null,
   });
   const body = zlib.gzipSync(packed, { level: COMPRESSION_LEVEL });
   cache.set(topic, { state, body });
--- a/src/sharedView/topicReplica/index.ts
+++ b/src/sharedView/topicReplica/index.ts
@@ -156,13 +156,8 @@
 
   /** All known records, to be sent to a peer. */
   snapshot(): types.ReplicaSnapshot {
-    const retained = this.retained?.record ?? null;
-    const isListed = retained !== null && this.records.get(retained.key) === retained;
-    return {
-      ...this.position,
-      records: [...this.records.values()],
-      retained: isListed ? null : retained,
-    };
+    const records = [...this.records.values()];
+    return { ...this.position, records, retained: this.retained?.record ?? null };
   }
 }
 
--- a/src/sharedView/topicReplica/test.ts
+++ b/src/sharedView/topicReplica/test.ts
@@ -214,7 +214,7 @@
   replica.applyListing({ records: [retained], endOffset: 6, epoch: 0 }, now, ViewSource.Store);
   replica.retain(retained, 2);
   replica.retain(record("a", 4), 1);
-  t.equal(replica.snapshot().retained, null, "it is among the records");
+  t.equal(replica.snapshot().retained, retained, "also while it is among the records");
   replica.applyListing({ records: [], endOffset: 3, epoch: 1 }, now, ViewSource.Store);
   t.equal(replica.snapshot().retained, retained);
   const { epoch, endOffset } = replica.state;
--- a/src/sharedView/types.ts
+++ b/src/sharedView/types.ts
@@ -37,7 +37,7 @@
 
 /** A replica of a whole topic, as sent to a peer. */
 export interface ReplicaSnapshot extends RecordBatch {
-  /** The retained record, if the records do not contain it. */
+  /** The retained record, which may be one of the records. */
   readonly retained: ViewRecord | null;
 }
 
