Rank the readers of the store by data centre in turn

The ten VMs that read the store were the largest, then the first by name, so that the first readers of the last of four data centres had ranks 6 and 7. Cut off from the others but not from the store, that data centre read at a view age of 2.65 s at the earliest, and a change has to be in force within 3 s. Class: a takeover order that ignores which parties fail together. Now the largest VM of each data centre comes before the second largest of any: at most rank 3 (1.75 s) in a fleet of four. Unit tests: rankReaders. fleetDrills and configurationHistories pass.

--- a/src/sharedView/_lib/peerTable/index.ts
+++ b/src/sharedView/_lib/peerTable/index.ts
@@ -4,9 +4,12 @@
 import * as constants from "../../constants.js";
 import type * as types from "../../types.js";
 import type * as clockReadings from "../clockReading/index.js";
+import * as rankReaders from "../rankReaders/index.js";
 import type * as datagrams from "../datagrams/index.js";
 import type * as workAggregators from "../workAggregator/index.js";
 
+type Reader = rankReaders.Reader;
+
 interface PeerState {
   readonly address: types.VmAddress;
   /** Null until a heartbeat is received from the peer. */
@@ -220,27 +223,22 @@
     return { rank, vmsCount: ranked.length };
   }
 
-  /** Whether this VM is among the largest live VMs, which read the store for the others if they reach it. */
+  /** Whether this VM would read the store for the others if all VMs reached it. */
   get isPreferredReader(): boolean {
-    const vms = this.livePeers().map((peer) => ({ ...peer, reachesStore: true }));
-    const own = { ...this.self, reachesStore: true };
-    return vms.filter((peer) => hasReadPriority(peer, own)).length < constants.RANKED_READERS_COUNT;
+    const readers = [this.self, ...this.livePeers()].map((vm) => ({ ...vm, reachesStore: true }));
+    return this.rankAmong(readers) < constants.RANKED_READERS_COUNT;
   }
 
   /**
-   * Number of live VMs that read the store before this one: those that reach it go first, then
-   * the larger ones.
+   * Number of live VMs that read the store before this one: those that reach it go first, then the
+   * first of each data centre, so that one that is cut off from the others soon has a reader.
    */
   readerRank(reachesStore: boolean): number {
-    const own = { ...this.self, reachesStore };
-    return this.livePeers().filter((peer) => hasReadPriority(peer, own)).length;
+    return this.rankAmong([{ ...this.self, reachesStore }, ...this.livePeers()]);
   }
-}
 
-type Reader = Pick<types.Peer, "vmName" | "coresCount" | "reachesStore">;
-
-function hasReadPriority(left: Reader, right: Reader): boolean {
-  if (left.reachesStore !== right.reachesStore) return left.reachesStore;
-  if (left.coresCount !== right.coresCount) return left.coresCount > right.coresCount;
-  return left.vmName < right.vmName;
+  private rankAmong(readers: readonly Reader[]): number {
+    const ranked = rankReaders.rankReaders(readers);
+    return ranked.findIndex(({ vmName }) => vmName === this.self.vmName);
+  }
 }
