Let a VM that hears from no hub read the store itself

A VM that is cut off from its peers, but not from the store or its callers, kept an old configuration: in a large fleet most VMs send a heartbeat every fourth round only, so that it took its silent peers for live ones and itself for a late reader for 11.5 s (at 90 VMs); behind the tenth it reads at a view age of 15 s. Class: a failure detector that is slower than the bound it serves. Hubs send in every round. A VM that has heard from none of them for one and a half rounds (1 s at the least) now reads as the first reader does.

--- a/src/gateway/fleetDrills/test.ts
+++ b/src/gateway/fleetDrills/test.ts
@@ -49,6 +49,18 @@
     },
   );
 
+  tap.test(`${vmsCount} VMs: a VM cut off from the others alone reads the store`, async (t) => {
+    const findings = await findViolations(options, async (drill) => {
+      await drill.runForMs(2_000);
+      drill.cutFromPeers(drill.vmNames.slice(-2), 8_000);
+      await drill.runForMs(100);
+      drill.publish();
+      await drill.runForMs(5_000);
+      drill.publish();
+    });
+    t.same(findings, []);
+  });
+
   tap.test(
     `${vmsCount} VMs: a server that said it leaves gets no work after a restore`,
     async (t) => {
--- a/src/sharedView/_lib/peerTable/index.ts
+++ b/src/sharedView/_lib/peerTable/index.ts
@@ -234,9 +234,22 @@
    * first of each data centre, so that one that is cut off from the others soon has a reader.
    */
   readerRank(reachesStore: boolean): number {
+    if (this.isCutOffFromHubs()) return 0;
     return this.rankAmong([{ ...this.self, reachesStore }, ...this.livePeers()]);
   }
 
+  /**
+   * Whether all hubs are overdue, so that this VM is probably partitioned from them; other peers send
+   * too rarely to show it.
+   */
+  private isCutOffFromHubs(): boolean {
+    const hubs = this.livePeers().filter(({ isHub }) => isHub);
+    const heartbeatsMs = constants.MAX_HUB_SILENCE_HEARTBEATS * this.heartbeatIntervalMs();
+    const silenceMs = Math.max(constants.MIN_HUB_SILENCE_MS, heartbeatsMs);
+    const oldestAtMs = this.clock.nowMs() - silenceMs;
+    return hubs.length > 0 && hubs.every((hub) => hub.lastHeartbeatAtMs < oldestAtMs);
+  }
+
   private rankAmong(readers: readonly Reader[]): number {
     const ranked = rankReaders.rankReaders(readers);
     return ranked.findIndex(({ vmName }) => vmName === this.self.vmName);
--- a/src/sharedView/constants.ts
+++ b/src/sharedView/constants.ts
@@ -65,6 +65,12 @@
 /** Heartbeats that may be missed before a peer counts as silent. */
 export const MAX_MISSED_HEARTBEATS_COUNT = 4;
 
+/** Heartbeats that all hubs have to be overdue by before a VM counts as partitioned from them. */
+export const MAX_HUB_SILENCE_HEARTBEATS = 1.5;
+
+/** Least time for which a VM hears from no hub before it counts as partitioned from them. */
+export const MIN_HUB_SILENCE_MS = 1_000;
+
 /** How long heartbeats still go to a silent peer, so that it rejoins after a network partition. */
 export const PEER_RETENTION_MS = 60_000;
 
