Add failing tests of a VM that is cut off from all servers, and inject its connections

A gateway gets the function that opens connections to servers, so that a stand-in network can cut a VM off: new connections are refused or hang, open ones are reset or live on. No decision changes. On the code as it is, callers of the cut VM are refused: lookups, filings and drafts, with refused and with hanging connections; a call whose connection breaks is repeated nowhere.

--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -5,6 +5,7 @@
 import * as dispatch from "../../dispatch/index.js";
 import * as relay from "../../relay/index.js";
 import * as routing from "../../routing/index.js";
+import * as serverLinks from "../../serverLinks/index.js";
 import * as servers from "../../servers/index.js";
 import * as sharedView from "../../sharedView/index.js";
 import * as answerObservers from "../_lib/observeAnswerHeads/index.js";
@@ -38,6 +39,7 @@
   private readonly directory: servers.ServerDirectory;
   private readonly trust: servers.ServerTrust;
   private readonly backpressure: servers.ServerBackpressure;
+  private readonly connector: serverLinks.ServerConnector;
   private readonly crashMonitor: crashes.CrashMonitor;
   private readonly claims: dispatch.ClaimTable;
   private readonly fleetQueue: dispatch.FleetQueue;
@@ -60,6 +62,7 @@
       this.mesh.isDataCentreSilent(dataCentre),
     );
     this.backpressure = new servers.ServerBackpressure(clock, (id) => this.mesh.rankFor(id));
+    this.connector = new serverLinks.ServerConnector({ dial: ports.dial });
     this.crashMonitor = new crashes.CrashMonitor({
       clock,
       log: ports.log,
@@ -256,6 +259,7 @@
       vmName: settings.vmName,
       dataCentre: settings.dataCentre,
       directory,
+      connector: this.connector,
       trust: this.trust,
       dispatcher: this.dispatcher,
       lengths: new dispatch.OutputLengths(),
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -7,6 +7,7 @@
 import type * as fleet from "../fleet/index.js";
 import type * as relay from "../relay/index.js";
 import type * as routing from "../routing/index.js";
+import type * as serverLinks from "../serverLinks/index.js";
 import type * as servers from "../servers/index.js";
 import type * as sharedView from "../sharedView/index.js";
 
@@ -57,6 +58,8 @@
   readonly control: relay.EngineControl;
   readonly decoder: ViewDecoder;
   readonly socket: fleet.DatagramSocket;
+  /** Opens connections to the backend servers. */
+  readonly dial: serverLinks.Dial;
   readonly log: diagnostics.DecisionLog;
   readonly meters: diagnostics.Meters;
 }
--- a/src/relay/_lib/endlessAnswers/test.ts
+++ b/src/relay/_lib/endlessAnswers/test.ts
@@ -2,8 +2,10 @@
 
 import tap, { type Test } from "tap";
 
+import * as serverLinks from "../../../serverLinks/index.js";
 import * as collectBodies from "../collectBody/index.js";
 import * as eventSplitters from "../eventSplitter/index.js";
+import * as fixtures from "../fixtures/index.js";
 import * as openAttempts from "../openAttempt/index.js";
 
 const MAX_BODY_BYTES = 64 * 1024;
@@ -44,13 +46,13 @@
 
 function open(port: number): Promise<openAttempts.Opening> {
   return openAttempts.openAttempt({
-    host: "127.0.0.1",
-    port,
+    connector: new serverLinks.ServerConnector({ dial: serverLinks.dialTcp }),
+    server: { ...fixtures.createServerEntry("s1", port), host: "127.0.0.1" },
+    requestId: "r1",
     method: "GET",
     target: "/",
     headers: () => ["Host", "a.example"],
     body: Buffer.alloc(0),
-    connectTimeoutMs: 1_000,
     signal: new AbortController().signal,
   });
 }
--- a/src/relay/_lib/engineStream/index.ts
+++ b/src/relay/_lib/engineStream/index.ts
@@ -83,22 +83,22 @@
 
 /** Requests a stream from an engine; resolves with the outcome, also of a failure. */
 export async function openStream(
-  context: Pick<relayContext.RelayContext, "codec" | "crashMonitor" | "onAnswerHead">,
+  context: Pick<relayContext.RelayContext, "codec" | "connector" | "crashMonitor" | "onAnswerHead">,
   call: types.Call,
   { server, options, onConnected, signal }: OpenRequest,
 ): Promise<OpenOutcome> {
-  const { codec, crashMonitor } = context;
+  const { codec, connector, crashMonitor } = context;
   const blame = crashMonitor.findBlame(call);
   if (blame !== null) return { kind: OpenKind.Withheld, blame };
   const watched = crashMonitor.watch(server, { ...call, requestId: call.head.id }, signal);
   const opening = await openAttempts.openAttempt({
-    host: server.host,
-    port: server.port,
+    connector,
+    server,
+    requestId: call.head.id,
     method: call.head.method,
     target: call.head.target,
     headers: () => codec.encodeAttempt(call, options()),
     body: call.body,
-    connectTimeoutMs: constants.CONNECT_TIMEOUT_MS,
     signal,
     ...(onConnected === undefined ? {} : { onConnected }),
   });
--- a/src/relay/_lib/generationRun/index.ts
+++ b/src/relay/_lib/generationRun/index.ts
@@ -8,7 +8,6 @@
 import * as engineStreams from "../engineStream/index.js";
 import type * as eventSplitter from "../eventSplitter/index.js";
 import * as handovers from "../handover/index.js";
-import * as openAttempts from "../openAttempt/index.js";
 import * as runClaims from "../runClaims/index.js";
 import * as runLogs from "../runLog/index.js";
 import * as streamTimings from "../streamTiming/index.js";
@@ -172,10 +171,10 @@
     stream: engineStreams.EngineStream,
   ): Promise<engineStreams.EngineStream | null> {
     if (this.scope === null || this.createBackupTarget() === null) return null;
-    const isReachable = await openAttempts.isReachable(stream.server.host, stream.server.port, {
-      connectTimeoutMs: constants.CONNECT_TIMEOUT_MS,
-      signal: this.scope.signal,
-    });
+    const { signal } = this.scope;
+    const requestId = this.call.head.id;
+    const { connector } = this.context;
+    const isReachable = await connector.isReachable(stream.server, { requestId, signal });
     if (isReachable) return null;
     this.runLog.recordHandover(this.position, handovers.HandoverCause.Silent, "backup", 0);
     return this.switchToBackup(stream);
--- a/src/relay/_lib/openAttempt/index.ts
+++ b/src/relay/_lib/openAttempt/index.ts
@@ -1,6 +1,8 @@
 import * as http from "node:http";
-import * as net from "node:net";
+import type * as net from "node:net";
 
+import type * as serverLinks from "../../../serverLinks/index.js";
+import type * as servers from "../../../servers/index.js";
 import * as constants from "../../constants.js";
 
 const EMPTY_BUFFER = Buffer.alloc(0);
@@ -30,16 +32,16 @@
   | { readonly kind: OpeningKind.NotSent; readonly cause: string }
   | { readonly kind: OpeningKind.Lost; readonly cause: string };
 
-/** The request of one attempt, its connect timeout and its abort signal. */
+/** The request of one attempt, and its abort signal. */
 export interface AttemptRequest {
-  readonly host: string;
-  readonly port: number;
+  readonly connector: Pick<serverLinks.ServerConnector, "connect">;
+  readonly server: servers.ServerEntry;
+  readonly requestId: string;
   readonly method: string;
   readonly target: string;
   /** Returns alternating names and values; called when the connection is established. */
   readonly headers: () => readonly string[];
   readonly body: Buffer;
-  readonly connectTimeoutMs: number;
   /** Called when the connection is established, before anything is sent; false ends the attempt. */
   readonly onConnected?: () => boolean;
   /** Aborts the attempt and closes its connection. */
@@ -52,8 +54,9 @@
  * leaves it unknown whether the call was executed.
  */
 export async function openAttempt(request: AttemptRequest): Promise<Opening> {
-  const socket = await connect(request);
-  if (typeof socket === "string") return { kind: OpeningKind.NotSent, cause: socket };
+  const connected = await request.connector.connect(request.server, request);
+  if (connected.isErr()) return { kind: OpeningKind.NotSent, cause: connected.error };
+  const { socket } = connected.value;
   if (request.onConnected?.() === false) {
     socket.destroy();
     return { kind: OpeningKind.NotSent, cause: "cancelled after connecting, before sending" };
@@ -61,55 +64,6 @@
   return sendRequest(request, socket);
 }
 
-/** Returns whether a server accepts a connection; sends nothing on it. */
-export async function isReachable(
-  host: string,
-  port: number,
-  options: { readonly connectTimeoutMs: number; readonly signal: AbortSignal },
-): Promise<boolean> {
-  const socket = await connect({ host, port, ...options });
-  if (typeof socket === "string") return false;
-  socket.destroy();
-  return true;
-}
-
-type ConnectRequest = Pick<AttemptRequest, "host" | "port" | "connectTimeoutMs" | "signal">;
-
-function connect(request: ConnectRequest): Promise<net.Socket | string> {
-  return new Promise((resolve) => {
-    if (request.signal.aborted) {
-      resolve("aborted before connecting");
-      return;
-    }
-    const { host, port } = request;
-    const socket = net.connect({ host, port, noDelay: true, allowHalfOpen: true });
-    const fail = (cause: string): void => {
-      cleanUp();
-      socket.destroy();
-      resolve(cause);
-    };
-    const onAbort = (): void => fail("aborted while connecting");
-    const onError = (error: Error): void => fail(error.message);
-    const timer = setTimeout(
-      () => fail(`no connection within ${request.connectTimeoutMs} ms`),
-      request.connectTimeoutMs,
-    );
-    const cleanUp = (): void => {
-      clearTimeout(timer);
-      request.signal.removeEventListener("abort", onAbort);
-      socket.off("error", onError);
-      // A socket may still emit errors after its failure was reported; they are ignored.
-      socket.on("error", () => undefined);
-    };
-    request.signal.addEventListener("abort", onAbort, { once: true });
-    socket.once("error", onError);
-    socket.once("connect", () => {
-      cleanUp();
-      resolve(socket);
-    });
-  });
-}
-
 function sendRequest(request: AttemptRequest, socket: net.Socket): Promise<Opening> {
   return new Promise((resolve) => {
     const outgoing = http.request({
--- a/src/relay/_lib/sendBuffered/index.ts
+++ b/src/relay/_lib/sendBuffered/index.ts
@@ -57,7 +57,7 @@
 
 /** Sends a call to a plain server and buffers its answer; resolves with the outcome, also of a failure. */
 export async function sendBuffered(
-  context: Pick<relayContext.RelayContext, "codec" | "crashMonitor" | "onAnswerHead">,
+  context: Pick<relayContext.RelayContext, "codec" | "connector" | "crashMonitor" | "onAnswerHead">,
   call: types.Call,
   options: types.AttemptOptions,
   signal: AbortSignal,
@@ -75,19 +75,23 @@
 }
 
 async function send(
-  { codec, onAnswerHead }: Pick<relayContext.RelayContext, "codec" | "onAnswerHead">,
+  {
+    codec,
+    connector,
+    onAnswerHead,
+  }: Pick<relayContext.RelayContext, "codec" | "connector" | "onAnswerHead">,
   call: types.Call,
   options: types.AttemptOptions,
   signal: AbortSignal,
 ): Promise<SendOutcome> {
   const opening = await openAttempts.openAttempt({
-    host: options.server.host,
-    port: options.server.port,
+    connector,
+    server: options.server,
+    requestId: call.head.id,
     method: call.head.method,
     target: call.head.target,
     headers: () => codec.encodeAttempt(call, options),
     body: call.body,
-    connectTimeoutMs: constants.CONNECT_TIMEOUT_MS,
     signal,
   });
   if (opening.kind === openAttempts.OpeningKind.NotSent) {
--- a/src/relay/constants.ts
+++ b/src/relay/constants.ts
@@ -1,6 +1,3 @@
-/** Timeout for connecting to a server. The platform's data centres are at most 2 ms apart. */
-export const CONNECT_TIMEOUT_MS = 150;
-
 /** Interval of queue scans while generations wait; short compared with an objective of 1.5 s. */
 export const QUEUE_SCAN_INTERVAL_MS = 20;
 
--- a/src/relay/relayContext.ts
+++ b/src/relay/relayContext.ts
@@ -3,6 +3,7 @@
 import type * as crashes from "../crashes/index.js";
 import type * as diagnostics from "../diagnostics/index.js";
 import type * as dispatch from "../dispatch/index.js";
+import type * as serverLinks from "../serverLinks/index.js";
 import type * as servers from "../servers/index.js";
 import type * as engineDispatcher from "./engineDispatcher/index.js";
 import type * as retryBudgets from "./retryBudget/index.js";
@@ -16,6 +17,7 @@
   readonly dataCentre: string;
   readonly codec: types.WireCodec;
   readonly control: types.EngineControl;
+  readonly connector: serverLinks.ServerConnector;
   readonly directory: servers.ServerDirectory;
   readonly trust: servers.ServerTrust;
   readonly dispatcher: engineDispatcher.EngineDispatcher;
--- /dev/null
+++ b/src/serverLinks/_lib/openConnection/index.ts
@@ -0,0 +1,47 @@
+import type * as net from "node:net";
+
+import * as neverthrow from "neverthrow";
+
+import type * as types from "../../types.js";
+
+/** Bounds on opening a connection. */
+export interface OpenOptions {
+  readonly timeoutMs: number;
+  readonly signal: AbortSignal;
+}
+
+/** Opens a connection; the error is its cause as a text. A connection that fails is closed. */
+export function openConnection(
+  dial: types.Dial,
+  address: types.Address,
+  { timeoutMs, signal }: OpenOptions,
+): Promise<neverthrow.Result<net.Socket, string>> {
+  return new Promise((resolve) => {
+    if (signal.aborted) {
+      resolve(neverthrow.err("aborted before connecting"));
+      return;
+    }
+    const socket = dial(address);
+    const fail = (cause: string): void => {
+      cleanUp();
+      socket.destroy();
+      resolve(neverthrow.err(cause));
+    };
+    const onAbort = (): void => fail("aborted while connecting");
+    const onError = (error: Error): void => fail(error.message);
+    const timer = setTimeout(() => fail(`no connection within ${timeoutMs} ms`), timeoutMs);
+    const cleanUp = (): void => {
+      clearTimeout(timer);
+      signal.removeEventListener("abort", onAbort);
+      socket.off("error", onError);
+      // A socket may still emit errors after its failure was reported; they are ignored.
+      socket.on("error", () => undefined);
+    };
+    signal.addEventListener("abort", onAbort, { once: true });
+    socket.once("error", onError);
+    socket.once("connect", () => {
+      cleanUp();
+      resolve(neverthrow.ok(socket));
+    });
+  });
+}
--- /dev/null
+++ b/src/serverLinks/index.ts
@@ -0,0 +1,2 @@
+export * from "./serverConnector/index.js";
+export type * from "./types.js";
--- a/standins/platform/gatewayFleet/index.ts
+++ b/standins/platform/gatewayFleet/index.ts
@@ -14,6 +14,7 @@
 import * as gateways from "../../../src/gateway/index.js";
 import * as freePorts from "../../freePorts/index.js";
 import * as backendServers from "../backendServer/index.js";
+import * as serverNetworks from "../serverNetwork/index.js";
 import * as platformLogStores from "../logStore/index.js";
 
 /** An answer as a caller received it. */
@@ -70,6 +71,8 @@
 export class GatewayFleet implements AsyncDisposable {
   readonly store = new platformLogStores.PlatformLogStore();
   readonly log = new RecordingLog();
+  /** The network between the gateways and the backend servers. */
+  readonly network = new serverNetworks.ServerNetwork();
   readonly gateways: gateways.Gateway[] = [];
   private readonly settings: gateways.GatewaySettings[] = [];
   private readonly resources = new disposableStore.DisposableStore();
@@ -179,6 +182,7 @@
         decodeConfiguration: decodeConfigurations.decodeConfiguration,
         decodeServer: decodeServerEntries.decodeServerEntry,
       },
+      dial: this.network.dialFrom(settings.vmName),
       socket: this.resources.add(await fleet.UdpSocket.open("127.0.0.1", settings.peers.port)),
       log: this.log,
       meters: new diagnostics.Meters(),
--- /dev/null
+++ b/standins/platform/serverNetwork/index.ts
@@ -0,0 +1,52 @@
+import * as net from "node:net";
+
+import * as serverLinks from "../../../src/serverLinks/index.js";
+
+/** What becomes of new connections to servers from a VM that is cut off from them. */
+export enum CutMode {
+  Refuse = "refuse",
+  Hang = "hang",
+}
+
+/** How a VM is cut off from all servers. */
+export interface Cut {
+  readonly mode: CutMode;
+  /** Whether connections that are open are reset; otherwise they live on. */
+  readonly resetsOpen: boolean;
+}
+
+/** A port on which nothing listens. */
+const CLOSED_PORT = 1;
+
+/** The network between VMs and backend servers, from which tests cut VMs off. */
+export class ServerNetwork {
+  private readonly cuts = new Map<string, Cut>();
+  private readonly sockets = new Map<string, Set<net.Socket>>();
+
+  /** Cuts a VM off from all servers until it is healed. */
+  cut(vmName: string, cut: Cut): void {
+    this.cuts.set(vmName, cut);
+    if (!cut.resetsOpen) return;
+    const reset = Object.assign(new Error("read ECONNRESET"), { code: "ECONNRESET" });
+    for (const socket of this.sockets.get(vmName) ?? []) socket.destroy(reset);
+  }
+
+  /** Ends the cut of a VM. */
+  heal(vmName: string): void {
+    this.cuts.delete(vmName);
+  }
+
+  /** Returns how a VM opens connections to servers. */
+  dialFrom(vmName: string): serverLinks.Dial {
+    return (address) => {
+      const cut = this.cuts.get(vmName);
+      if (cut?.mode === CutMode.Hang) return new net.Socket();
+      const port = cut === undefined ? address.port : CLOSED_PORT;
+      const socket = serverLinks.dialTcp({ host: address.host, port });
+      const opened = this.sockets.get(vmName) ?? new Set();
+      this.sockets.set(vmName, opened.add(socket));
+      socket.once("close", () => opened.delete(socket));
+      return socket;
+    };
+  }
+}
