Serve callers through peers while a VM is cut off from all servers

Callers of a VM that had lost all its links to backend servers got 503, though its peers reached every server: a VM sent over its own links or not at all. Class: a partial partition that is taken for the failure of the other side. A VM that can connect to none of two servers now asks a peer for a tunnel (HTTP CONNECT on the VMs' own port). If a peer reaches the server, this VM is cut off, and its connections go through tunnels at once until one of its own links works, which it tries every 500 ms. If none does, the servers have ended. A tunnel carries one connection's bytes, so that once-only work, statuses, deadlines, cancellation, back pressure, streams and their continuation stay with the VM that has the caller. Peers serve tunnels over their own links alone (no loops), for live VMs of the fleet only, to servers they know and may use; heartbeats say who reaches servers, random choice spreads the load. What a server says of leaving or pausing through a tunnel is told to the peer too. A server counts as ended only if no peer reaches it either.

--- a/src/crashes/crashMonitor/index.ts
+++ b/src/crashes/crashMonitor/index.ts
@@ -1,7 +1,6 @@
 import type * as clocks from "../../_lib/clock/index.js";
 import * as diagnostics from "../../diagnostics/index.js";
 import * as archiveWriters from "../_lib/archiveWriter/index.js";
-import * as probeListeners from "../_lib/probeListener/index.js";
 import * as watchedRuns from "../_lib/watchedRun/index.js";
 import * as constants from "../constants.js";
 import * as crashLedgers from "../crashLedger/index.js";
@@ -21,8 +20,8 @@
   readonly announce: (reports: readonly types.SuspectReport[]) => void;
   /** Whether a server's end is expected, as when it has announced its termination. */
   readonly isLeaving: (server: types.ServerStart) => boolean;
-  /** Replaced in tests. */
-  readonly probe?: typeof probeListeners.probeListener;
+  /** Finds out whether a process listens at a server's address. */
+  readonly probe: (server: types.ServerStart, timeoutMs: number) => Promise<types.ListenerState>;
 }
 
 /**
@@ -147,11 +146,11 @@
 
   /** Probes a server once for all runs that broke on it at the same time. */
   private probeOnce(server: types.ServerStart): Promise<types.ListenerState> {
-    const { clock, probe = probeListeners.probeListener } = this.context;
+    const { clock, probe } = this.context;
     const id = `${server.id}@${server.bornAtWallMs}`;
     const pending = this.probes.get(id);
     if (pending !== undefined) return pending;
-    const started = probe(server.host, server.port, constants.PROBE_TIMEOUT_MS).then((state) => {
+    const started = probe(server, constants.PROBE_TIMEOUT_MS).then((state) => {
       // A server that still listens may end a moment later.
       if (state !== types.ListenerState.Refuses) this.probes.delete(id);
       return state;
--- a/src/crashes/_lib/probeListener/index.ts
+++ b/src/crashes/probeListener/index.ts
@@ -1,17 +1,16 @@
-import * as net from "node:net";
-
-import * as types from "../../types.js";
+import type * as serverLinks from "../../serverLinks/index.js";
+import * as types from "../types.js";
 
 const REFUSED_CODE = "ECONNREFUSED";
 
 /** Opens a connection to find out whether a process listens at an address; sends nothing. */
 export function probeListener(
-  host: string,
-  port: number,
+  dial: serverLinks.Dial,
+  address: serverLinks.Address,
   timeoutMs: number,
 ): Promise<types.ListenerState> {
   return new Promise((resolve) => {
-    const socket = net.connect({ host, port });
+    const socket = dial(address);
     const finish = (state: types.ListenerState): void => {
       clearTimeout(timer);
       socket.destroy();
--- a/src/gateway/_lib/observeAnswerHeads/index.ts
+++ b/src/gateway/_lib/observeAnswerHeads/index.ts
@@ -1,5 +1,6 @@
 import * as diagnostics from "../../../diagnostics/index.js";
 import type * as relay from "../../../relay/index.js";
+import * as serverLinks from "../../../serverLinks/index.js";
 import * as servers from "../../../servers/index.js";
 
 const { Importance, LogEvent } = diagnostics;
@@ -11,30 +12,50 @@
   readonly backpressure: servers.ServerBackpressure;
 }
 
+type StatedServer = Pick<servers.ServerEntry, "id" | "bornAtWallMs" | "serviceName">;
+
 /** Returns a function that takes up what servers state of themselves in the heads of their answers. */
-export function observeAnswerHeads({
-  log,
-  directory,
-  backpressure,
-}: ObserverContext): relay.RelayContext["onAnswerHead"] {
-  return (server, { isOtherServer, isLeaving, retryAfterMs, ratePerSecond }) => {
+export function observeAnswerHeads(context: ObserverContext): relay.RelayContext["onAnswerHead"] {
+  const { log, backpressure } = context;
+  return (server, { isOtherServer, isLeaving, retryAfterMs, ratePerSecond }, peer) => {
     // Whichever server answered, it speaks for itself.
     if (isOtherServer) return;
-    if (isLeaving && directory.find(server.id)?.entry.bornAtWallMs === server.bornAtWallMs)
-      directory.markLeaving(server.id, servers.LeavingReason.StatedInAnswer);
-    if (retryAfterMs !== null) {
-      backpressure.pause(server, retryAfterMs);
-      log.record(Importance.Notable, LogEvent.ServerPaused, {
-        serverId: server.id,
-        service: server.serviceName,
-        retryAfterMs,
-      });
-    }
+    const { id: serverId, bornAtWallMs } = server;
+    const statement = { serverId, bornAtWallMs, isLeaving, retryAfterMs };
+    applyStatement(context, server, statement);
+    if (peer !== null && (isLeaving || retryAfterMs !== null))
+      void serverLinks.sendStatement(peer, statement);
     if (!backpressure.record(server, ratePerSecond)) return;
     log.record(Importance.StateChange, LogEvent.ServerRateChanged, {
-      serverId: server.id,
+      serverId,
       service: server.serviceName,
       ratePerSecond,
     });
   };
 }
+
+/** Returns a function that takes up what servers stated in answers to peers, through tunnels of this VM. */
+export function observePeerStatements(
+  context: ObserverContext,
+): (statement: serverLinks.PeerStatement) => void {
+  return (statement) => {
+    const entry = context.directory.find(statement.serverId)?.entry;
+    if (entry?.bornAtWallMs === statement.bornAtWallMs) applyStatement(context, entry, statement);
+  };
+}
+
+function applyStatement(
+  { log, directory, backpressure }: ObserverContext,
+  server: StatedServer,
+  { isLeaving, retryAfterMs }: serverLinks.PeerStatement,
+): void {
+  if (isLeaving && directory.find(server.id)?.entry.bornAtWallMs === server.bornAtWallMs)
+    directory.markLeaving(server.id, servers.LeavingReason.StatedInAnswer);
+  if (retryAfterMs === null) return;
+  backpressure.pause(server, retryAfterMs);
+  log.record(Importance.Notable, LogEvent.ServerPaused, {
+    serverId: server.id,
+    service: server.serviceName,
+    retryAfterMs,
+  });
+}
--- a/src/gateway/_lib/statusServers/index.ts
+++ b/src/gateway/_lib/statusServers/index.ts
@@ -1,12 +1,22 @@
 import * as hapi from "@hapi/hapi";
 
 import type * as diagnostics from "../../../diagnostics/index.js";
+import * as serverLinks from "../../../serverLinks/index.js";
 import * as sharedView from "../../../sharedView/index.js";
 import type * as types from "../../types.js";
 
 const READY_STATUS = 200;
 const UNREADY_STATUS = 503;
 
+/** What a VM serves to its peers by HTTP. */
+interface PeerServices {
+  readonly replicas: ReadonlyMap<sharedView.Topic, sharedView.TopicReplica>;
+  readonly tunnelServer: serverLinks.TunnelServer;
+  readonly listPeers: () => readonly serverLinks.TunnelPeer[];
+  /** Called with what a server has told a peer through a tunnel of this VM. */
+  readonly onPeerStatement: (statement: serverLinks.PeerStatement) => void;
+}
+
 /**
  * Starts the HTTP servers for readiness checks, other VMs and metrics.
  *
@@ -14,15 +24,14 @@
  */
 export async function startStatusServers(
   settings: types.GatewaySettings,
-  options: {
+  options: PeerServices & {
     readonly isReady: () => boolean;
-    readonly replicas: ReadonlyMap<sharedView.Topic, sharedView.TopicReplica>;
     readonly meters: diagnostics.Meters;
   },
 ): Promise<AsyncDisposable> {
   const servers = [
     createReadinessServer(settings.readiness, options.isReady),
-    createPeerServer(settings.peers, options.replicas),
+    createPeerServer(settings.peers, options),
     createMetricsServer(settings.metrics, options.meters),
   ];
   for (const server of servers) await server.start();
@@ -46,9 +55,11 @@
 
 function createPeerServer(
   address: types.ListenAddress,
-  replicas: ReadonlyMap<sharedView.Topic, sharedView.TopicReplica>,
+  { replicas, tunnelServer, listPeers, onPeerStatement }: PeerServices,
 ): hapi.Server {
   const server = createServer(address);
+  tunnelServer.attach(server.listener);
+  serverLinks.addStatementRoute(server, listPeers, onPeerStatement);
   sharedView.addReplicaRoutes(server, replicas);
   return server;
 }
--- a/src/gateway/_lib/virtualFleet/index.ts
+++ b/src/gateway/_lib/virtualFleet/index.ts
@@ -104,6 +104,7 @@
       fleetQueue: new dispatch.FleetQueue(clock),
       listOwnWaiting: () => [],
       reachesStore: () => this.readers.every(({ reachesStore }) => reachesStore),
+      reachesServers: () => true,
       onReplicaBehind: (topic, peer, state) => void client.catchUp(topic, peer, state),
       onWorkChange: () => undefined,
       listRateStatements: () => [],
--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -5,10 +5,11 @@
 import * as dispatch from "../../dispatch/index.js";
 import * as relay from "../../relay/index.js";
 import * as routing from "../../routing/index.js";
-import * as serverLinks from "../../serverLinks/index.js";
 import * as servers from "../../servers/index.js";
 import * as sharedView from "../../sharedView/index.js";
 import * as answerObservers from "../_lib/observeAnswerHeads/index.js";
+import * as createReaders from "../_lib/createReaders/index.js";
+import * as createServerLinks from "../_lib/createServerLinks/index.js";
 import * as pauseMonitors from "../_lib/pauseMonitor/index.js";
 import * as readiness from "../_lib/recordReadiness/index.js";
 import * as recordServerLeaving from "../_lib/recordServerLeaving/index.js";
@@ -25,11 +26,6 @@
 /** Claims and waiting generations of other VMs are dropped after this time without an update. */
 const CLAIM_SILENCE_TIMEOUT_MS = 6_000;
 
-const READER_OPTIONS: readonly sharedView.ReaderOptions[] = [
-  sharedView.CONFIGURATION_READER,
-  sharedView.SERVERS_READER,
-];
-
 /**
  * One entry VM of the fleet: accepts callers' calls, relays them to backend servers, and shares with
  * the other VMs the records it reads from the platform's store and its claims on engines.
@@ -39,7 +35,7 @@
   private readonly directory: servers.ServerDirectory;
   private readonly trust: servers.ServerTrust;
   private readonly backpressure: servers.ServerBackpressure;
-  private readonly connector: serverLinks.ServerConnector;
+  private readonly links: createServerLinks.ServerLinks;
   private readonly crashMonitor: crashes.CrashMonitor;
   private readonly claims: dispatch.ClaimTable;
   private readonly fleetQueue: dispatch.FleetQueue;
@@ -62,12 +58,18 @@
       this.mesh.isDataCentreSilent(dataCentre),
     );
     this.backpressure = new servers.ServerBackpressure(clock, (id) => this.mesh.rankFor(id));
-    this.connector = new serverLinks.ServerConnector({ dial: ports.dial });
+    this.links = createServerLinks.createServerLinks({
+      settings,
+      ports,
+      directory: this.directory,
+      backpressure: this.backpressure,
+      listPeers: () => this.mesh.livePeers(),
+      isStopping: () => this.stopAtMs !== null,
+    });
     this.crashMonitor = new crashes.CrashMonitor({
-      clock,
-      log: ports.log,
+      ...ports,
       vmName: settings.vmName,
-      archive: ports.archive,
+      probe: this.links.probe,
       announce: (reports) => this.mesh.crashes.announce(reports),
       isLeaving: (server) => this.directory.isLeaving(server),
     });
@@ -94,7 +96,8 @@
       broadcast: this.mesh.work,
       engineTraits: (name) => this.view.routingTable?.servicesByName.get(name)?.engine ?? null,
     });
-    this.readers = READER_OPTIONS.map((options) => this.createReader(options));
+    const { directory, mesh, view } = this;
+    this.readers = createReaders.createReaders({ ports, directory, mesh, view });
     this.discovery = new vmDiscoveries.VmDiscovery({
       clock,
       registry: ports.registry,
@@ -115,11 +118,18 @@
    * @throws the system's error if listening on an address fails
    */
   async start(): Promise<void> {
-    const { settings, ports } = this;
+    const { settings, ports, directory, backpressure } = this;
     this.resources.add(
       await statusServers.startStatusServers(settings, {
         isReady: () => this.updateReadiness(),
         replicas: this.view.replicas,
+        tunnelServer: this.links.tunnelServer,
+        listPeers: () => this.mesh.livePeers(),
+        onPeerStatement: answerObservers.observePeerStatements({
+          log: ports.log,
+          directory,
+          backpressure,
+        }),
         meters: ports.meters,
       }),
     );
@@ -127,6 +137,8 @@
     this.resources.add(this.callerServer);
     this.resources.add(this.dispatcher);
     this.resources.add(this.mesh);
+    this.resources.add(this.links.connector);
+    this.resources.add(this.links.tunnelServer);
     this.resources.add(this.discovery);
     this.resources.add(this.directory.onLeaving((server) => this.onServerLeaving(server)));
     const onPause = (): void => this.crashMonitor.recordPause();
@@ -165,7 +177,8 @@
     const drainedAtMs = startedAtMs + constants.MIN_DRAIN_MS;
     for (;;) {
       const nowMs = clock.nowMs();
-      const isIdle = this.activeCallsCount === 0 && nowMs >= drainedAtMs;
+      const openCount = this.activeCallsCount + this.links.tunnelServer.tunnelsCount;
+      const isIdle = openCount === 0 && nowMs >= drainedAtMs;
       if (isIdle || nowMs >= this.stopAtMs) break;
       await clock.sleep(constants.DRAIN_CHECK_INTERVAL_MS);
     }
@@ -180,8 +193,7 @@
   }
 
   private get address(): sharedView.VmAddress {
-    const { vmName, peers } = this.settings;
-    return { vmName, host: peers.host, port: peers.port };
+    return { vmName: this.settings.vmName, ...this.settings.peers };
   }
 
   private isReady(): boolean {
@@ -219,6 +231,7 @@
         startedAtWallMs: clock.wallTimeMs(),
       },
       reachesStore: () => this.readers.every((reader) => reader.reachesStore),
+      reachesServers: () => !this.links.connector.isCutOff,
       onReplicaBehind: (topic, peer, state) => void client.catchUp(topic, peer, state),
       onWorkChange: () => this.dispatcher.requestScan(),
       listRateStatements: () => this.backpressure.listOwnStatements(),
@@ -228,24 +241,6 @@
     });
   }
 
-  private createReader(options: sharedView.ReaderOptions): sharedView.TopicReader {
-    const { clock, store, log, meters } = this.ports;
-    return new sharedView.TopicReader(
-      {
-        clock,
-        store,
-        log,
-        meters,
-        replica: this.view.replicaOf(options.topic),
-        rank: () => this.mesh.readerRank,
-        isPreferred: () => this.mesh.isPreferredReader,
-        onRead: (from, batch) => this.mesh.broadcastRecords(options.topic, from, batch),
-        onStoreRegained: () => this.directory.recordStoreRecovery(),
-      },
-      options,
-    );
-  }
-
   private createCallerServer(): callerServers.CallerServer {
     const { settings, ports, directory, backpressure } = this;
     const budget = new relay.RetryBudget(
@@ -259,7 +254,7 @@
       vmName: settings.vmName,
       dataCentre: settings.dataCentre,
       directory,
-      connector: this.connector,
+      connector: this.links.connector,
       trust: this.trust,
       dispatcher: this.dispatcher,
       lengths: new dispatch.OutputLengths(),
--- a/src/gateway/vmCutOff/test.ts
+++ b/src/gateway/vmCutOff/test.ts
@@ -102,3 +102,56 @@
   const { ServersUnreachable } = diagnostics.LogEvent;
   t.notOk(fleet.log.lines.some(({ event }) => event === ServersUnreachable));
 });
+
+tap.test("a VM whose peers are mostly cut off too is served by one that is not", async (t) => {
+  const cutFleet = await startFleet(t);
+  for (const name of [CUT_VM, "vm-2"])
+    cutFleet.fleet.network.cut(name, { mode: CutMode.Hang, resetsOpen: false });
+  t.same(await callCutVm(cutFleet, { path: "/lookup/" }), ALL_SERVED);
+});
+
+tap.test("a peer learns what a server says through its tunnel", async (t) => {
+  const cutFleet = await startFleet(t);
+  const { fleet, servers } = cutFleet;
+  for (const name of [CUT_VM, "vm-2"])
+    fleet.network.cut(name, { mode: CutMode.Refuse, resetsOpen: false });
+  t.same(await callCutVm(cutFleet, { path: "/lookup/" }), ALL_SERVED);
+  for (const server of servers.slice(0, 2)) server.isLeaving = true;
+  await callCutVm(cutFleet, { path: "/lookup/" });
+  const countCalls = (): number =>
+    (servers[0]?.calls.length ?? 0) + (servers[1]?.calls.length ?? 0);
+  const countBefore = countCalls();
+  const answer = await fleet.call({ path: "/lookup/", id: "at-the-peer" }, 2);
+  t.equal(answer.status, 503, "it sends the leaving servers nothing either");
+  t.equal(countCalls(), countBefore);
+});
+
+tap.test("when a caller leaves, its call through a tunnel is closed at the server", async (t) => {
+  const cutFleet = await startFleet(t);
+  const { fleet, servers } = cutFleet;
+  fleet.network.cut(CUT_VM, { mode: CutMode.Refuse, resetsOpen: false });
+  t.same(await callCutVm(cutFleet, { path: "/lookup/" }), ALL_SERVED);
+  let closedCount = 0;
+  for (const server of servers) {
+    server.setBehaviour((call, response) => {
+      server.runs.push(call.id);
+      response.once("close", () => (closedCount += 1));
+    });
+  }
+  const caller = new AbortController();
+  const pending = fleet.call({ path: "/file/", id: "left", signal: caller.signal });
+  await testFleets.waitUntil(() => servers.some(({ runs }) => runs.includes("left")));
+  caller.abort();
+  await t.rejects(pending);
+  await testFleets.waitUntil(() => closedCount === 1);
+});
+
+tap.test("an answer without a length that is reset behind a tunnel is not complete", async (t) => {
+  const cutFleet = await startFleet(t);
+  const { fleet, servers } = cutFleet;
+  fleet.network.cut(CUT_VM, { mode: CutMode.Refuse, resetsOpen: false });
+  t.same(await callCutVm(cutFleet, { path: "/lookup/" }), ALL_SERVED);
+  for (const server of servers) server.setBehaviour(backendServers.resetMidAnswer("part"));
+  const answer = await fleet.call({ path: "/file/", id: "cut-short", method: "POST", body: "x" });
+  t.equal(answer.status, 502);
+});
--- a/src/relay/_lib/endlessAnswers/test.ts
+++ b/src/relay/_lib/endlessAnswers/test.ts
@@ -2,7 +2,6 @@
 
 import tap, { type Test } from "tap";
 
-import * as serverLinks from "../../../serverLinks/index.js";
 import * as collectBodies from "../collectBody/index.js";
 import * as eventSplitters from "../eventSplitter/index.js";
 import * as fixtures from "../fixtures/index.js";
@@ -46,7 +45,7 @@
 
 function open(port: number): Promise<openAttempts.Opening> {
   return openAttempts.openAttempt({
-    connector: new serverLinks.ServerConnector({ dial: serverLinks.dialTcp }),
+    connector: fixtures.createConnector(),
     server: { ...fixtures.createServerEntry("s1", port), host: "127.0.0.1" },
     requestId: "r1",
     method: "GET",
--- a/src/relay/_lib/engineStream/index.ts
+++ b/src/relay/_lib/engineStream/index.ts
@@ -119,7 +119,7 @@
   { server, opening, watched }: WatchedOpening,
 ): Promise<OpenOutcome> {
   const head = codec.decodeAnswer(opening.message);
-  onAnswerHead(server, head);
+  onAnswerHead(server, head, opening.peer);
   if (head.isNotRun) {
     watched[Symbol.dispose]();
     opening.close();
--- a/src/relay/_lib/openAttempt/index.ts
+++ b/src/relay/_lib/openAttempt/index.ts
@@ -21,6 +21,8 @@
 export interface AnsweredOpening {
   readonly kind: OpeningKind.Answered;
   readonly message: http.IncomingMessage;
+  /** The peer through whose tunnel it came; null if this VM reached the server itself. */
+  readonly peer: serverLinks.TunnelPeer | null;
   readonly close: () => void;
   /** After the message has ended: whether a connection reset was mistaken for the end of its body. */
   readonly isTruncatedByReset: () => Promise<boolean>;
@@ -56,15 +58,18 @@
 export async function openAttempt(request: AttemptRequest): Promise<Opening> {
   const connected = await request.connector.connect(request.server, request);
   if (connected.isErr()) return { kind: OpeningKind.NotSent, cause: connected.error };
-  const { socket } = connected.value;
+  const { socket, peer } = connected.value;
   if (request.onConnected?.() === false) {
     socket.destroy();
     return { kind: OpeningKind.NotSent, cause: "cancelled after connecting, before sending" };
   }
-  return sendRequest(request, socket);
+  return sendRequest(request, { socket, peer });
 }
 
-function sendRequest(request: AttemptRequest, socket: net.Socket): Promise<Opening> {
+function sendRequest(
+  request: AttemptRequest,
+  { socket, peer }: serverLinks.ServerConnection,
+): Promise<Opening> {
   return new Promise((resolve) => {
     const outgoing = http.request({
       createConnection: () => socket,
@@ -90,7 +95,7 @@
       // The reader of the body detects errors by "close" without "complete".
       message.on("error", () => undefined);
       const isTruncatedByReset = async (): Promise<boolean> => !isFramed(message) && wasReset();
-      resolve({ kind: OpeningKind.Answered, message, close, isTruncatedByReset });
+      resolve({ kind: OpeningKind.Answered, message, peer, close, isTruncatedByReset });
     });
     outgoing.on("error", (error) => resolve({ kind: OpeningKind.Lost, cause: error.message }));
     outgoing.once("close", () =>
--- a/src/relay/_lib/sendBuffered/index.ts
+++ b/src/relay/_lib/sendBuffered/index.ts
@@ -101,7 +101,7 @@
     return { kind: SendKind.Unknown, cause: opening.cause, hasServerEnded: false };
   }
   const head = codec.decodeAnswer(opening.message);
-  onAnswerHead(options.server, head);
+  onAnswerHead(options.server, head, opening.peer);
   const collected = await collectBodies.collectBody(opening.message, constants.MAX_ANSWER_BYTES);
   const isTruncated = await opening.isTruncatedByReset();
   opening.close();
--- a/src/relay/relayContext.ts
+++ b/src/relay/relayContext.ts
@@ -30,6 +30,10 @@
   readonly budget: retryBudgets.RetryBudget;
   readonly log: diagnostics.DecisionLog;
   readonly meters: diagnostics.Meters;
-  /** Called with the head of each answer of a server, whatever becomes of the answer. */
-  readonly onAnswerHead: (server: servers.ServerEntry, head: types.AnswerHead) => void;
+  /** Called with the head of each answer, whatever becomes of it, and the peer whose tunnel it came through. */
+  readonly onAnswerHead: (
+    server: servers.ServerEntry,
+    head: types.AnswerHead,
+    peer: serverLinks.TunnelPeer | null,
+  ) => void;
 }
--- /dev/null
+++ b/src/serverLinks/_lib/tunnelRequest/index.ts
@@ -0,0 +1,66 @@
+import type * as http from "node:http";
+
+import * as neverthrow from "neverthrow";
+import * as zod from "zod";
+
+import type * as types from "../../types.js";
+
+const HEADERS = {
+  vmName: "x-vm-name",
+  serverId: "x-server-id",
+  bornAtWallMs: "x-server-born",
+  requestId: "x-request-id",
+} as const;
+
+const name = zod.string().min(1).max(200);
+
+const tunnelHeaders = zod.object({
+  [HEADERS.vmName]: name,
+  [HEADERS.serverId]: name,
+  [HEADERS.bornAtWallMs]: zod.coerce.number(),
+  [HEADERS.requestId]: zod.string().max(200).default(""),
+});
+
+/** A tunnel request and the VM that sent it. */
+export interface ReceivedTunnelRequest extends types.TunnelRequest {
+  readonly vmName: string;
+}
+
+/** Encodes the headers of a CONNECT request. */
+export function encodeHeaders(
+  vmName: string,
+  { server, requestId }: types.TunnelRequest,
+): http.OutgoingHttpHeaders {
+  return {
+    [HEADERS.vmName]: vmName,
+    [HEADERS.serverId]: server.id,
+    [HEADERS.bornAtWallMs]: String(server.bornAtWallMs),
+    [HEADERS.requestId]: requestId,
+  };
+}
+
+/** Returns the target of a CONNECT request, as host:port. */
+export function encodeTarget({ host, port }: types.Address): string {
+  return `${host}:${port}`;
+}
+
+/** Decodes a CONNECT request; the error describes the fault. */
+export function decodeTunnelRequest(
+  message: Pick<http.IncomingMessage, "url" | "headers">,
+): neverthrow.Result<ReceivedTunnelRequest, string> {
+  const target = /^(.+):(\d{1,5})$/.exec(message.url ?? "");
+  if (target === null) return neverthrow.err(`target ${message.url ?? ""} is not host:port`);
+  const parsed = tunnelHeaders.safeParse(message.headers);
+  if (!parsed.success) return neverthrow.err(parsed.error.issues[0]?.message ?? "headers");
+  const { data } = parsed;
+  return neverthrow.ok({
+    vmName: data[HEADERS.vmName],
+    requestId: data[HEADERS.requestId],
+    server: {
+      id: data[HEADERS.serverId],
+      bornAtWallMs: data[HEADERS.bornAtWallMs],
+      host: target[1] ?? "",
+      port: Number(target[2]),
+    },
+  });
+}
--- /dev/null
+++ b/src/serverLinks/linkMonitor/test.ts
@@ -0,0 +1,54 @@
+import tap from "tap";
+
+import * as virtualClocks from "../../_lib/virtualClock/index.js";
+import * as constants from "../constants.js";
+import * as linkMonitors from "./index.js";
+
+const SERVERS_COUNT = 5;
+
+function setUp(): {
+  readonly clock: virtualClocks.VirtualClock;
+  readonly monitor: linkMonitors.LinkMonitor;
+} {
+  const clock = new virtualClocks.VirtualClock();
+  return { clock, monitor: new linkMonitors.LinkMonitor(clock) };
+}
+
+tap.test("peers are asked once two servers cannot be connected to", async (t) => {
+  const { monitor } = setUp();
+  monitor.recordFailed("s1");
+  monitor.recordFailed("s1");
+  t.notOk(monitor.shouldAskPeers(SERVERS_COUNT), "one server may have ended");
+  monitor.recordFailed("s2");
+  t.ok(monitor.shouldAskPeers(SERVERS_COUNT));
+  monitor.recordConnected();
+  t.notOk(monitor.shouldAskPeers(SERVERS_COUNT), "a link works");
+});
+
+tap.test("peers are asked about the only server", async (t) => {
+  const { monitor } = setUp();
+  monitor.recordFailed("s1");
+  t.ok(monitor.shouldAskPeers(1));
+});
+
+tap.test("failed connections alone are no cut, as all servers may have ended", async (t) => {
+  const { clock, monitor } = setUp();
+  for (const id of ["s1", "s2", "s3"]) monitor.recordFailed(id);
+  monitor.recordNoTunnel();
+  t.notOk(monitor.isCutOff);
+  t.notOk(monitor.shouldAskPeers(SERVERS_COUNT), "the peers reach none either");
+  await clock.runForMs(constants.TUNNEL_RETRY_DELAY_MS);
+  t.ok(monitor.shouldAskPeers(SERVERS_COUNT), "they are asked again later");
+});
+
+tap.test("a cut lasts from a peer's success to one of this VM's own", async (t) => {
+  const { clock, monitor } = setUp();
+  monitor.recordFailed("s1");
+  t.ok(monitor.recordTunnel());
+  t.notOk(monitor.recordTunnel(), "it is known");
+  await clock.runForMs(700);
+  t.equal(monitor.cutOffMs, 700);
+  t.ok(monitor.recordConnected());
+  t.notOk(monitor.isCutOff);
+  t.notOk(monitor.recordConnected(), "it is over");
+});
--- a/src/serverLinks/serverConnector/index.ts
+++ b/src/serverLinks/serverConnector/index.ts
@@ -1,19 +1,37 @@
 import * as net from "node:net";
 
-import type * as neverthrow from "neverthrow";
+import * as neverthrow from "neverthrow";
 
+import type * as clocks from "../../_lib/clock/index.js";
+import type * as randoms from "../../_lib/random/index.js";
+import * as diagnostics from "../../diagnostics/index.js";
 import type * as servers from "../../servers/index.js";
 import * as connections from "../_lib/openConnection/index.js";
+import * as tunnels from "../_lib/openTunnel/index.js";
 import * as constants from "../constants.js";
+import * as linkMonitors from "../linkMonitor/index.js";
+import * as selectTunnelPeers from "../selectTunnelPeers/index.js";
 import type * as types from "../types.js";
 
+const { Importance, LogEvent } = diagnostics;
+
 /** Opens TCP connections over the network of this VM. */
 export const dialTcp: types.Dial = ({ host, port }) =>
   net.connect({ host, port, noDelay: true, allowHalfOpen: true });
 
 /** Dependencies of the connector. */
 export interface ConnectorContext {
+  readonly clock: clocks.Clock;
+  readonly random: randoms.RandomSource;
+  readonly log: diagnostics.DecisionLog;
+  readonly vmName: string;
+  readonly dataCentre: string;
+  /** Opens connections to servers. */
   readonly dial: types.Dial;
+  /** Lists the live peers. */
+  readonly listPeers: () => readonly types.TunnelPeer[];
+  /** Lists the servers of all services that accept work. */
+  readonly listServers: () => readonly servers.ServerEntry[];
 }
 
 /** What a connection to a server is opened for. */
@@ -25,21 +43,72 @@
 /** A connection to a server. */
 export interface ServerConnection {
   readonly socket: net.Socket;
+  /** The peer through which it leads; null if this VM reaches the server itself. */
+  readonly peer: types.TunnelPeer | null;
 }
 
-/** Opens connections to backend servers. */
-export class ServerConnector {
-  constructor(private readonly context: ConnectorContext) {}
+type ConnectResult = neverthrow.Result<ServerConnection, string>;
+
+/**
+ * Opens connections to backend servers: over this VM's own links, or, while it is cut off from all
+ * servers, through tunnels of its peers. A peer serves tunnels over its own links alone, so that no
+ * connection passes through two of them.
+ */
+export class ServerConnector implements Disposable {
+  private readonly monitor: linkMonitors.LinkMonitor;
+  private readonly suspendedUntilMs = new Map<string, number>();
+  private readonly stopping = new AbortController();
+  private probesCount = 0;
+  private tunnelsCount = 0;
+
+  constructor(private readonly context: ConnectorContext) {
+    this.monitor = new linkMonitors.LinkMonitor(context.clock);
+  }
+
+  /** Whether this VM is cut off from all servers. */
+  get isCutOff(): boolean {
+    return this.monitor.isCutOff;
+  }
 
   /** Opens a connection to a server; the error is its cause as a text, and nothing was sent. */
-  async connect(
-    server: servers.ServerEntry,
-    { signal }: ConnectOptions,
-  ): Promise<neverthrow.Result<ServerConnection, string>> {
-    const { dial } = this.context;
+  async connect(server: servers.ServerEntry, options: ConnectOptions): Promise<ConnectResult> {
+    if (this.monitor.isCutOff) {
+      const tunnelled = await this.openTunnel(server, options);
+      if (tunnelled.isOk() || options.signal.aborted) return tunnelled;
+    }
+    const direct = await this.connectDirectly(server, options.signal);
+    if (direct.isOk()) return direct.map((socket) => ({ socket, peer: null }));
+    const isAsked =
+      !options.signal.aborted &&
+      !this.monitor.isCutOff &&
+      this.monitor.shouldAskPeers(this.context.listServers().length);
+    if (!isAsked) return neverthrow.err(direct.error);
+    const tunnelled = await this.openTunnel(server, options);
+    if (tunnelled.isOk()) this.recordCut(server, tunnelled.value, direct.error);
+    else this.monitor.recordNoTunnel();
+    return tunnelled.mapErr((cause) => `${direct.error}; ${cause}`);
+  }
+
+  /** Opens a connection over this VM's own links alone; the error is its cause as a text. */
+  async connectDirectly(
+    server: Pick<servers.ServerEntry, "id" | "host" | "port">,
+    signal: AbortSignal,
+  ): Promise<neverthrow.Result<net.Socket, string>> {
     const options = { timeoutMs: constants.CONNECT_TIMEOUT_MS, signal };
-    const opened = await connections.openConnection(dial, server, options);
-    return opened.map((socket) => ({ socket }));
+    const opened = await connections.openConnection(this.context.dial, server, options);
+    if (opened.isErr()) {
+      if (!signal.aborted) this.monitor.recordFailed(server.id);
+      return opened;
+    }
+    const { cutOffMs } = this.monitor;
+    if (this.monitor.recordConnected()) {
+      this.context.log.record(Importance.StateChange, LogEvent.ServersReachable, {
+        serverId: server.id,
+        cutOffMs: Math.round(cutOffMs),
+        tunnelsCount: this.tunnelsCount,
+      });
+    }
+    return opened;
   }
 
   /** Returns whether a server accepts a connection; sends nothing on it. */
@@ -48,4 +117,86 @@
     if (opened.isOk()) opened.value.socket.destroy();
     return opened.isOk();
   }
+
+  /** Returns whether a peer reaches a server that this VM does not reach. */
+  async isReachableByPeer(server: servers.ServerEntry, options: ConnectOptions): Promise<boolean> {
+    const tunnelled = await this.openTunnel(server, options);
+    if (tunnelled.isOk()) tunnelled.value.socket.destroy();
+    return tunnelled.isOk();
+  }
+
+  [Symbol.dispose](): void {
+    this.stopping.abort();
+  }
+
+  /** Asks peers for a tunnel, one after the other, until one reaches the server. */
+  private async openTunnel(
+    server: servers.ServerEntry,
+    { requestId, signal }: ConnectOptions,
+  ): Promise<ConnectResult> {
+    const { clock, log, vmName } = this.context;
+    const startedAtMs = clock.nowMs();
+    const causes: string[] = [];
+    for (const peer of this.selectPeers(server)) {
+      const request = { server, requestId };
+      const opened = await tunnels.openTunnel(vmName, peer, request, { dial: dialTcp, signal });
+      if (opened.isOk()) {
+        this.tunnelsCount += 1;
+        log.record(Importance.Routine, LogEvent.TunnelOpened, {
+          requestId,
+          serverId: server.id,
+          peer: peer.vmName,
+          elapsedMs: Math.round(clock.nowMs() - startedAtMs),
+          beliefAgeMs: Math.round(this.monitor.cutOffMs),
+        });
+        return neverthrow.ok({ socket: opened.value, peer });
+      }
+      causes.push(opened.error.cause);
+      if (signal.aborted) break;
+      if (opened.error.isServerFault) continue;
+      this.suspendedUntilMs.set(peer.vmName, clock.nowMs() + constants.PEER_SUSPENSION_MS);
+    }
+    return neverthrow.err(`no tunnel: ${causes.join(", ") || "no peer"}`);
+  }
+
+  private selectPeers({ dataCentre }: servers.ServerEntry): readonly types.TunnelPeer[] {
+    const { clock, listPeers, random } = this.context;
+    const nowMs = clock.nowMs();
+    const usable = listPeers().filter(
+      ({ vmName }) => (this.suspendedUntilMs.get(vmName) ?? -Infinity) <= nowMs,
+    );
+    const route = { ownDataCentre: this.context.dataCentre, serverDataCentre: dataCentre };
+    const peers = selectTunnelPeers.selectTunnelPeers(usable, route, random);
+    return peers.slice(0, constants.MAX_TUNNEL_PEERS_COUNT);
+  }
+
+  private recordCut(server: servers.ServerEntry, { peer }: ServerConnection, cause: string): void {
+    const { unreachableIds } = this.monitor;
+    if (!this.monitor.recordTunnel()) return;
+    this.tunnelsCount = 1;
+    this.context.log.record(Importance.StateChange, LogEvent.ServersUnreachable, {
+      serverId: server.id,
+      cause,
+      unreachable: unreachableIds.join(", "),
+      peer: peer?.vmName,
+    });
+    void this.probeUntilReachable();
+  }
+
+  /** Tries the servers in turn over this VM's own links until one is reached. */
+  private async probeUntilReachable(): Promise<void> {
+    const { clock, listServers } = this.context;
+    const { signal } = this.stopping;
+    while (this.monitor.isCutOff) {
+      // Rejects only when the connector is disposed.
+      await clock.sleep(constants.LINK_PROBE_INTERVAL_MS, signal).catch(() => null);
+      if (signal.aborted) return;
+      const known = listServers();
+      const server = known[this.probesCount % Math.max(1, known.length)];
+      this.probesCount += 1;
+      if (server === undefined) continue;
+      const opened = await this.connectDirectly(server, signal);
+      if (opened.isOk()) opened.value.destroy();
+    }
+  }
 }
--- /dev/null
+++ b/src/serverLinks/tunnelServer/test.ts
@@ -0,0 +1,105 @@
+import * as http from "node:http";
+import * as net from "node:net";
+
+import * as fastCheck from "fast-check";
+import * as neverthrow from "neverthrow";
+import tap, { type Test } from "tap";
+
+import * as diagnostics from "../../diagnostics/index.js";
+import * as tunnelRequests from "../_lib/tunnelRequest/index.js";
+import * as tunnelServers from "./index.js";
+
+const { TunnelDenial } = tunnelServers;
+
+const HOST = "127.0.0.1";
+
+const SERVER = { id: "s1", bornAtWallMs: 5, host: "10.0.0.9", port: 80 };
+
+interface Options {
+  readonly denial?: tunnelServers.TunnelDenial;
+  readonly peerHost?: string;
+}
+
+/** Starts a tunnel server whose connections to servers fail; returns its port. */
+async function start(t: Test, { denial, peerHost = HOST }: Options = {}): Promise<number> {
+  const peer = {
+    vmName: "vm-1",
+    host: peerHost,
+    port: 1,
+    dataCentre: "dc-a",
+    reachesServers: false,
+  };
+  const tunnels = new tunnelServers.TunnelServer({
+    log: diagnostics.NOOP_DECISION_LOG,
+    listPeers: () => [peer],
+    findDenial: () => denial ?? null,
+    connect: () => Promise.resolve(neverthrow.err("refused")),
+  });
+  const server = http.createServer();
+  tunnels.attach(server);
+  await new Promise<void>((resolve) => server.listen(0, HOST, resolve));
+  t.teardown(() => server.close());
+  t.teardown(() => tunnels[Symbol.dispose]());
+  return (server.address() as net.AddressInfo).port;
+}
+
+/** Sends bytes, and returns the first line of the answer. */
+function exchange(port: number, bytes: string): Promise<string> {
+  return new Promise((resolve) => {
+    const socket = net.connect({ host: HOST, port });
+    let answer = "";
+    socket.on("data", (chunk) => (answer += chunk.toString()));
+    socket.on("error", () => undefined);
+    socket.once("close", () => resolve(answer.split("\r\n")[0] ?? ""));
+    socket.end(bytes);
+  });
+}
+
+function connectRequest(vmName: string, server = SERVER): string {
+  const headers = tunnelRequests.encodeHeaders(vmName, { server, requestId: "r1" });
+  const lines = Object.entries(headers).map(([name, value]) => `${name}: ${String(value)}`);
+  const target = tunnelRequests.encodeTarget(server);
+  return [`CONNECT ${target} HTTP/1.1`, `Host: ${target}`, ...lines, "", ""].join("\r\n");
+}
+
+tap.test("only live VMs of the fleet get tunnels, from their own addresses", async (t) => {
+  const port = await start(t);
+  t.equal(await exchange(port, connectRequest("vm-9")), `HTTP/1.1 ${TunnelDenial.UnknownVm}`);
+  const otherPort = await start(t, { peerHost: "10.0.0.7" });
+  t.equal(await exchange(otherPort, connectRequest("vm-1")), `HTTP/1.1 ${TunnelDenial.UnknownVm}`);
+});
+
+tap.test("a tunnel to a server that gets no work from this VM is denied", async (t) => {
+  const port = await start(t, { denial: TunnelDenial.UnavailableServer });
+  const answer = await exchange(port, connectRequest("vm-1"));
+  t.equal(answer, `HTTP/1.1 ${TunnelDenial.UnavailableServer}`);
+});
+
+tap.test("a server that this VM does not reach either is named as the cause", async (t) => {
+  const port = await start(t);
+  const answer = await exchange(port, connectRequest("vm-1"));
+  t.equal(answer, `HTTP/1.1 ${TunnelDenial.ServerUnreachable}`);
+});
+
+tap.test("malformed requests are answered with an error, whatever their headers", async (t) => {
+  const port = await start(t);
+  const bare = "CONNECT 10.0.0.9:80 HTTP/1.1\r\nHost: x\r\n\r\n";
+  t.equal(await exchange(port, bare), `HTTP/1.1 ${TunnelDenial.Malformed}`);
+  const noPort = bare.replace(":80", "");
+  t.equal(await exchange(port, noPort), `HTTP/1.1 ${TunnelDenial.Malformed}`);
+});
+
+tap.test("decoding never throws, and returns what was encoded", async () => {
+  const headers = fastCheck.dictionary(fastCheck.string(), fastCheck.string());
+  fastCheck.assert(
+    fastCheck.property(fastCheck.string(), headers, (url, fields) => {
+      tunnelRequests.decodeTunnelRequest({ url, headers: fields });
+    }),
+    { seed: 5, numRuns: 500 },
+  );
+  const request = { server: SERVER, requestId: "r1" };
+  const encoded = tunnelRequests.encodeHeaders("vm-1", request) as http.IncomingHttpHeaders;
+  const url = tunnelRequests.encodeTarget(SERVER);
+  const decoded = tunnelRequests.decodeTunnelRequest({ url, headers: encoded })._unsafeUnwrap();
+  if (decoded.vmName !== "vm-1" || decoded.server.port !== SERVER.port) throw new Error("differs");
+});
--- a/src/servers/serverBackpressure/index.ts
+++ b/src/servers/serverBackpressure/index.ts
@@ -99,6 +99,11 @@
     return Math.max(pauseMs, limits.nextSlotAtMs - nowMs);
   }
 
+  /** Time for which a server wants no request of this VM; 0 if it has not asked for a pause. */
+  pauseMs(server: ServerStart): number {
+    return Math.max(0, (this.find(server)?.pausedUntilMs ?? -Infinity) - this.clock.nowMs());
+  }
+
   /** Takes the next slot for a request to a server, which is due after the present delay. */
   reserve(server: ServerStart): void {
     const limits = this.find(server);
--- a/src/sharedView/_lib/createHeartbeat/index.ts
+++ b/src/sharedView/_lib/createHeartbeat/index.ts
@@ -11,6 +11,7 @@
   readonly clock: clocks.Clock;
   readonly echo: Pick<datagrams.Heartbeat, "echo" | "echoStartedAtWallMs">;
   readonly reachesStore: boolean;
+  readonly reachesServers: boolean;
   readonly isHub: boolean;
   readonly replicaOf: (topic: types.Topic) => topicReplicas.TopicReplica;
   readonly rateStatements: readonly servers.RateStatement[];
@@ -32,6 +33,7 @@
     sentAt: clockReadings.readClocks(state.clock),
     ...state.echo,
     reachesStore: state.reachesStore,
+    reachesServers: state.reachesServers,
     isAnchor: state.isHub,
     ...topicStateCodec.encodeTopicStates(state.replicaOf),
     rateStatements: state.rateStatements,
--- a/src/sharedView/_lib/datagrams/index.ts
+++ b/src/sharedView/_lib/datagrams/index.ts
@@ -55,6 +55,8 @@
   /** Start of the receiver's process that sent `echo`; absent in messages of earlier releases. */
   echoStartedAtWallMs: zod.number().nullable().optional(),
   reachesStore: zod.boolean(),
+  /** Whether the sender reaches the backend servers; absent in messages of earlier releases. */
+  reachesServers: zod.boolean().default(true),
   /** Whether the sender is a hub, which exchanges every heartbeat with the whole fleet. */
   isAnchor: zod.boolean(),
   /** End offset and age in milliseconds of each topic, in the order of TOPICS. */
--- a/src/sharedView/_lib/peerTable/index.ts
+++ b/src/sharedView/_lib/peerTable/index.ts
@@ -80,6 +80,7 @@
       startedAtWallMs: message.startedAtWallMs,
       lastHeartbeatAtMs: this.clock.nowMs(),
       reachesStore: message.reachesStore,
+      reachesServers: message.reachesServers,
       isHub: message.isAnchor,
     };
     const former = known?.peer ?? null;
--- a/src/sharedView/_lib/testMesh/index.ts
+++ b/src/sharedView/_lib/testMesh/index.ts
@@ -95,6 +95,7 @@
       listOwnWaiting: () => this.waiting,
       log: diagnostics.NOOP_DECISION_LOG,
       reachesStore: () => this.reachesStore,
+      reachesServers: () => true,
       onReplicaBehind: (topic, peer) => this.behindReports.push(`${topic} at ${peer.vmName}`),
       onWorkChange: () => undefined,
       listRateStatements: () => [],
--- a/src/sharedView/peerMesh/index.ts
+++ b/src/sharedView/peerMesh/index.ts
@@ -166,11 +166,12 @@
   }
 
   private sendHeartbeat(address: types.VmAddress): void {
-    const { self, clock, reachesStore, listRateStatements } = this.context;
+    const { self, clock, reachesStore, reachesServers, listRateStatements } = this.context;
     const message = heartbeats.createHeartbeat(self, {
       clock,
       echo: this.table.createEcho(address.vmName),
       reachesStore: reachesStore(),
+      reachesServers: reachesServers(),
       isHub: this.isHub,
       replicaOf: (topic) => this.replicaOf(topic),
       rateStatements: listRateStatements(),
--- a/src/sharedView/peerMesh/test.ts
+++ b/src/sharedView/peerMesh/test.ts
@@ -204,6 +204,7 @@
       echo: formerReading,
       echoStartedAtWallMs: 0,
       reachesStore: true,
+      reachesServers: true,
       isAnchor: false,
       topics: [[5, 0]],
       topicEpochs: [],
--- a/src/sharedView/peerMesh/types.ts
+++ b/src/sharedView/peerMesh/types.ts
@@ -16,6 +16,8 @@
   readonly log: diagnostics.DecisionLog;
   /** Whether the store answered this VM's last calls. */
   readonly reachesStore: () => boolean;
+  /** Whether this VM reaches the backend servers over its own links. */
+  readonly reachesServers: () => boolean;
   /** Called when a peer reports a replica that is ahead of this VM's. */
   readonly onReplicaBehind: (
     topic: types.Topic,
--- a/src/sharedView/types.ts
+++ b/src/sharedView/types.ts
@@ -98,6 +98,8 @@
   readonly lastHeartbeatAtMs: number;
   /** Whether the store answered the VM's last calls. */
   readonly reachesStore: boolean;
+  /** Whether the VM reaches the backend servers over its own links. */
+  readonly reachesServers: boolean;
   /** Whether the VM exchanges heartbeats with the whole fleet in every round. */
   readonly isHub: boolean;
 }
--- a/standins/platform/backendServer/index.ts
+++ b/standins/platform/backendServer/index.ts
@@ -1,6 +1,7 @@
 import * as http from "node:http";
 import type * as net from "node:net";
 
+import * as resetSockets from "../../../src/_lib/resetSocket/index.js";
 import * as names from "../../../platform/names/index.js";
 
 const { HEADERS } = names;
@@ -62,7 +63,7 @@
   /** Ends like a process that is killed: resets all connections and refuses new ones. */
   crash(): void {
     this.http.close();
-    for (const socket of this.sockets) socket.resetAndDestroy();
+    for (const socket of this.sockets) resetSockets.resetSocket(socket);
   }
 
   /** Creates the headers of an answer to a request. */
