--- a/src/relay/types.ts
+++ b/src/relay/types.ts
@@ -87,6 +87,8 @@
   readonly isLeaving: boolean;
   /** Time for which the server wants no request, as it states with a status of 503; else null. */
   readonly retryAfterMs: number | null;
+  /** Rejections a second beyond which the server ends, for want of room; null if it does not say so. */
+  readonly maxRejectionsPerSecond: number | null;
   /** Requests a second that the server takes from all VMs together; null if it names no limit. */
   readonly ratePerSecond: number | null;
   /** Headers to forward, as alternating names and values. */
--- a/standins/platform/backendServer/index.ts
+++ b/standins/platform/backendServer/index.ts
@@ -30,8 +30,13 @@
   readonly calls: ReceivedCall[] = [];
   /** Limit of requests a second from all VMs, which each answer names; null for none. */
   ratePerSecond: number | null = null;
+  /** Rejections a second beyond which the server ends, which each answer names; null for none. */
+  maxRejectionsPerSecond: number | null = null;
+  /** How often the server has ended under its rejections. */
+  fallsCount = 0;
   /** Whether each answer states that the server leaves. */
   isLeaving = false;
+  private isDisposed = false;
   private behaviour: Behaviour = answerCompletely("ok");
   private readonly sockets = new Set<net.Socket>();
   private readonly http = http.createServer((request, response) => {
@@ -66,17 +71,30 @@
     for (const socket of this.sockets) resetSockets.resetSocket(socket);
   }
 
+  /** Ends like a process that crashes, and starts again at the same address after a while. */
+  async fall(downMs: number): Promise<void> {
+    this.fallsCount += 1;
+    const { port } = this;
+    this.crash();
+    await new Promise((resolve) => setTimeout(resolve, downMs));
+    if (!this.isDisposed) this.http.listen(port, "127.0.0.1");
+  }
+
   /** Creates the headers of an answer to a request. */
   createAnswerHeaders(call: ReceivedCall): http.OutgoingHttpHeaders {
     return {
       [HEADERS.requestId]: call.id,
       [HEADERS.signature]: `${this.id}.${call.id}`,
       ...(this.ratePerSecond === null ? {} : { [HEADERS.rateLimit]: String(this.ratePerSecond) }),
+      ...(this.maxRejectionsPerSecond === null
+        ? {}
+        : { [HEADERS.brittle]: String(this.maxRejectionsPerSecond) }),
       ...(this.isLeaving ? { [HEADERS.leaving]: "1" } : {}),
     };
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
+    this.isDisposed = true;
     const closed = new Promise<void>((resolve) => this.http.close(() => resolve()));
     this.http.closeAllConnections();
     await closed;
@@ -233,3 +251,37 @@
     response.end(body);
   };
 }
+
+/** Work of a server that ends when it has to reject too much. */
+export interface BrittleWork {
+  readonly slotsCount: number;
+  readonly workMs: number;
+  /** Time for which the server is away after it has ended. */
+  readonly downMs: number;
+}
+
+/**
+ * Runs as many requests at a time as there are slots and rejects the others; ends when it has rejected more
+ * in a second than it says it can.
+ */
+export function workBrittly({ slotsCount, workMs, downMs }: BrittleWork): Behaviour {
+  let runningCount = 0;
+  let rejectedAtMs: number[] = [];
+  return async (call, response, server) => {
+    if (runningCount >= slotsCount) {
+      const nowMs = performance.now();
+      rejectedAtMs = [...rejectedAtMs.filter((atMs) => nowMs - atMs < 1_000), nowMs];
+      if (rejectedAtMs.length > (server.maxRejectionsPerSecond ?? Infinity)) {
+        rejectedAtMs = [];
+        await server.fall(downMs);
+        return;
+      }
+      response.writeHead(503, { ...server.createAnswerHeaders(call), [HEADERS.notRun]: "1" }).end();
+      return;
+    }
+    runningCount += 1;
+    await new Promise((resolve) => setTimeout(resolve, workMs));
+    runningCount -= 1;
+    if (!response.destroyed) await answerCompletely("done")(call, response, server);
+  };
+}
--- a/standins/platform/gatewayFleet/index.ts
+++ b/standins/platform/gatewayFleet/index.ts
@@ -45,6 +45,9 @@
 /** API key of the only client account. */
 export const API_KEY = "key-1";
 
+/** Requests that a server runs at a time, unless a test says otherwise. */
+const DEFAULT_SLOTS_COUNT = 24;
+
 /** Name of the plain service. */
 export const PLAIN_SERVICE = "plain";
 
@@ -91,13 +94,14 @@
     id: string,
     serviceName: string,
     behaviour: backendServers.Behaviour,
+    slotsCount = DEFAULT_SLOTS_COUNT,
   ): Promise<backendServers.BackendServer> {
     const server = new backendServers.BackendServer(id);
     await server.start();
     server.setBehaviour(behaviour);
     this.resources.add(server);
     if (this.isDisposed) await server[Symbol.asyncDispose]();
-    else this.register(server, serviceName, "ready");
+    else this.register(server, serviceName, "ready", slotsCount);
     return server;
   }
 
@@ -123,14 +127,19 @@
   }
 
   /** Writes a server's registration to the store. */
-  register(server: backendServers.BackendServer, service: string, state: string): void {
+  register(
+    server: backendServers.BackendServer,
+    service: string,
+    state: string,
+    slotsCount = DEFAULT_SLOTS_COUNT,
+  ): void {
     this.sequence += 1;
     this.store.put(names.TOPIC_NAMES.servers, server.id, {
       service,
       address: `127.0.0.1:${server.port}`,
       zone: "dc-a",
       version: "v1",
-      slots: 24,
+      slots: slotsCount,
       state,
       cold_remaining_ms: 0,
       sequence: this.sequence,
