Keep brittle servers from having to reject more than they bear

Callers of a service whose servers end when they have to turn away too much got next to nothing: the servers that were left, or had just come back, got the whole load and ended at once, and what they ran was blamed for it. Class: a load limit that each sender applies to itself, where the sum counts. Each VM now has places at a brittle server and sends no more at a time: rounded up while nothing is rejected, else shares that add up to the server's slots, by the rank that already shares a limited rate. What holds for one server of a service holds for all, also for one that has just started; heartbeats carry rejections. A call waits for a place while it can be answered within its objective, else it is refused at once with the time to come back. The retry budget of plain calls and generations is now consumed by one function.

--- a/src/crashes/crashMonitor/index.ts
+++ b/src/crashes/crashMonitor/index.ts
@@ -18,8 +18,8 @@
   readonly archive: types.SuspectArchive;
   /** Sends the other VMs what this one has learned. */
   readonly announce: (reports: readonly types.SuspectReport[]) => void;
-  /** Whether a server's end is expected, as when it has announced its termination. */
-  readonly isLeaving: (server: types.ServerStart) => boolean;
+  /** Whether a server may end for another reason than its work: it leaves, or is overloaded. */
+  readonly isEndExpected: (server: types.ServerStart) => boolean;
   /** Finds out whether a process listens at a server's address. */
   readonly probe: (server: types.ServerStart, timeoutMs: number) => Promise<types.ListenerState>;
 }
@@ -99,9 +99,9 @@
     work: types.Work,
     { sentAtMs, begunAtMs }: watchedRuns.RunTimes,
   ): Promise<boolean> {
-    const { clock, log, isLeaving } = this.context;
+    const { clock, log, isEndExpected } = this.context;
     const brokenAtMs = clock.nowMs();
-    if (isLeaving(server)) return false;
+    if (isEndExpected(server)) return false;
     const state = await this.probeOnce(server);
     const isExcused = clock.nowMs() < this.pauseEndedAtMs + constants.PAUSE_EXCUSE_MS;
     if (state !== types.ListenerState.Refuses || isExcused) return false;
--- a/src/crashes/crashMonitor/test.ts
+++ b/src/crashes/crashMonitor/test.ts
@@ -42,7 +42,7 @@
     vmName: "vm-1",
     announce: () => undefined,
     archive,
-    isLeaving: () => isLeaving,
+    isEndExpected: () => isLeaving,
     probe: () => Promise.resolve(state),
   });
   return { clock, monitor, lines };
@@ -94,7 +94,7 @@
     vmName: "vm-1",
     announce: () => undefined,
     archive: new suspectArchives.MemoryArchive(),
-    isLeaving: () => false,
+    isEndExpected: () => false,
     probe: () => Promise.resolve(states.shift() ?? types.ListenerState.Silent),
   });
   await watch(monitor).recordBreak();
--- a/src/gateway/_lib/observeAnswerHeads/index.ts
+++ b/src/gateway/_lib/observeAnswerHeads/index.ts
@@ -10,16 +10,25 @@
   readonly log: diagnostics.DecisionLog;
   readonly directory: servers.ServerDirectory;
   readonly backpressure: servers.ServerBackpressure;
+  readonly overloadGuard: servers.OverloadGuard;
 }
 
+/** Status of a server that has no room. */
+const UNAVAILABLE_STATUS = 503;
+
+type StatementContext = Omit<ObserverContext, "overloadGuard">;
+
 type StatedServer = Pick<servers.ServerEntry, "id" | "bornAtWallMs" | "serviceName">;
 
 /** Returns a function that takes up what servers state of themselves in the heads of their answers. */
 export function observeAnswerHeads(context: ObserverContext): relay.RelayContext["onAnswerHead"] {
-  const { log, backpressure } = context;
-  return (server, { isOtherServer, isLeaving, retryAfterMs, ratePerSecond }, peer) => {
+  const { log, backpressure, overloadGuard } = context;
+  return (server, head, peer) => {
+    const { isLeaving, retryAfterMs, ratePerSecond, maxRejectionsPerSecond } = head;
     // Whichever server answered, it speaks for itself.
-    if (isOtherServer) return;
+    if (head.isOtherServer) return;
+    const isRejection = head.isNotRun && head.status === UNAVAILABLE_STATUS;
+    overloadGuard.recordAnswer(server, { maxRejectionsPerSecond, isRejection });
     const { id: serverId, bornAtWallMs } = server;
     const statement = { serverId, bornAtWallMs, isLeaving, retryAfterMs };
     applyStatement(context, server, statement);
@@ -36,7 +45,7 @@
 
 /** Returns a function that takes up what servers stated in answers to peers, through tunnels of this VM. */
 export function observePeerStatements(
-  context: ObserverContext,
+  context: StatementContext,
 ): (statement: serverLinks.PeerStatement) => void {
   return (statement) => {
     const entry = context.directory.find(statement.serverId)?.entry;
@@ -45,7 +54,7 @@
 }
 
 function applyStatement(
-  { log, directory, backpressure }: ObserverContext,
+  { log, directory, backpressure }: StatementContext,
   server: StatedServer,
   { isLeaving, retryAfterMs }: serverLinks.PeerStatement,
 ): void {
--- a/src/gateway/_lib/virtualFleet/index.ts
+++ b/src/gateway/_lib/virtualFleet/index.ts
@@ -107,6 +107,8 @@
       reachesServers: () => true,
       onReplicaBehind: (topic, peer, state) => void client.catchUp(topic, peer, state),
       onWorkChange: () => undefined,
+      listOverloads: () => [],
+      onOverload: () => undefined,
       listRateStatements: () => [],
       onRateStatement: () => undefined,
       listSuspects: () => [],
--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -8,6 +8,7 @@
 import * as servers from "../../servers/index.js";
 import * as sharedView from "../../sharedView/index.js";
 import * as answerObservers from "../_lib/observeAnswerHeads/index.js";
+import * as createMeshes from "../_lib/createMesh/index.js";
 import * as createReaders from "../_lib/createReaders/index.js";
 import * as createServerLinks from "../_lib/createServerLinks/index.js";
 import * as pauseMonitors from "../_lib/pauseMonitor/index.js";
@@ -35,6 +36,7 @@
   private readonly directory: servers.ServerDirectory;
   private readonly trust: servers.ServerTrust;
   private readonly backpressure: servers.ServerBackpressure;
+  private readonly overloadGuard: servers.OverloadGuard;
   private readonly links: createServerLinks.ServerLinks;
   private readonly crashMonitor: crashes.CrashMonitor;
   private readonly claims: dispatch.ClaimTable;
@@ -58,6 +60,7 @@
       this.mesh.isDataCentreSilent(dataCentre),
     );
     this.backpressure = new servers.ServerBackpressure(clock, (id) => this.mesh.rankFor(id));
+    this.overloadGuard = new servers.OverloadGuard(clock, (id) => this.mesh.rankFor(id));
     this.links = createServerLinks.createServerLinks({
       settings,
       ports,
@@ -71,7 +74,8 @@
       vmName: settings.vmName,
       probe: this.links.probe,
       announce: (reports) => this.mesh.crashes.announce(reports),
-      isLeaving: (server) => this.directory.isLeaving(server),
+      isEndExpected: (server) =>
+        this.directory.isLeaving(server) || this.overloadGuard.isOverloaded(server.serviceName),
     });
     this.claims = new dispatch.ClaimTable(clock);
     this.fleetQueue = new dispatch.FleetQueue(clock);
@@ -82,7 +86,13 @@
         this.crashMonitor.restoreArchive();
       },
     });
-    this.mesh = this.createMesh();
+    const { backpressure, claims, crashMonitor, fleetQueue, links, overloadGuard, view } = this;
+    const parts = { backpressure, claims, crashMonitor, fleetQueue, links, overloadGuard, view };
+    this.mesh = createMeshes.createMesh(settings, ports, {
+      ...parts,
+      getDispatcher: () => this.dispatcher,
+      reachesStore: () => this.readers.every((reader) => reader.reachesStore),
+    });
     this.dispatcher = new relay.EngineDispatcher({
       clock,
       random: random.fork(),
@@ -96,7 +106,7 @@
       broadcast: this.mesh.work,
       engineTraits: (name) => this.view.routingTable?.servicesByName.get(name)?.engine ?? null,
     });
-    const { directory, mesh, view } = this;
+    const { directory, mesh } = this;
     this.readers = createReaders.createReaders({ ports, directory, mesh, view });
     this.discovery = new vmDiscoveries.VmDiscovery({
       clock,
@@ -212,37 +222,8 @@
     return isReady;
   }
 
-  private createMesh(): sharedView.PeerMesh {
-    const { clock, log, socket } = this.ports;
-    const { replicas } = this.view;
-    const client = new sharedView.ReplicaClient({ clock, log, replicas });
-    return new sharedView.PeerMesh({
-      clock,
-      log,
-      socket,
-      replicas,
-      claims: this.claims,
-      fleetQueue: this.fleetQueue,
-      listOwnWaiting: () => this.dispatcher.localWaiting,
-      self: {
-        ...this.address,
-        dataCentre: this.settings.dataCentre,
-        coresCount: this.settings.coresCount,
-        startedAtWallMs: clock.wallTimeMs(),
-      },
-      reachesStore: () => this.readers.every((reader) => reader.reachesStore),
-      reachesServers: () => !this.links.connector.isCutOff,
-      onReplicaBehind: (topic, peer, state) => void client.catchUp(topic, peer, state),
-      onWorkChange: () => this.dispatcher.requestScan(),
-      listRateStatements: () => this.backpressure.listOwnStatements(),
-      onRateStatement: (statement) => this.backpressure.recordPeerStatement(statement),
-      listSuspects: () => this.crashMonitor.listReports(),
-      onSuspects: (reports) => this.crashMonitor.applyReports(reports),
-    });
-  }
-
   private createCallerServer(): callerServers.CallerServer {
-    const { settings, ports, directory, backpressure } = this;
+    const { settings, ports, directory, backpressure, overloadGuard } = this;
     const budget = new relay.RetryBudget(
       ports.clock,
       settings.retryBudget,
@@ -260,8 +241,14 @@
       lengths: new dispatch.OutputLengths(),
       budget,
       backpressure,
+      overloadGuard,
       crashMonitor: this.crashMonitor,
-      onAnswerHead: answerObservers.observeAnswerHeads({ log: ports.log, directory, backpressure }),
+      onAnswerHead: answerObservers.observeAnswerHeads({
+        log: ports.log,
+        directory,
+        backpressure,
+        overloadGuard,
+      }),
     };
     const plain = new relay.PlainRelay(context);
     const generations = this.resources.add(new relay.GenerationRelay(context));
--- a/src/relay/_lib/plainCall/index.ts
+++ b/src/relay/_lib/plainCall/index.ts
@@ -5,6 +5,8 @@
 import * as answerRefusals from "../answerRefusal/index.js";
 import * as attemptScopes from "../attemptScope/index.js";
 import type * as callSink from "../callSink/index.js";
+import * as canAwaitPlace from "../canAwaitPlace/index.js";
+import * as consumeRetries from "../consumeRetry/index.js";
 import * as refusals from "../createRefusal/index.js";
 import * as plainAttempts from "../recordPlainAttempt/index.js";
 import * as plainTargets from "../selectPlainTarget/index.js";
@@ -60,7 +62,7 @@
     // Another attempt is still pending, so a hedge that cannot be sent now is dropped.
     if (!canSendNow && this.pendingCount > 0) return;
     if (server === undefined) {
-      this.finishUnsent(types.RefusalReason.NoServer);
+      this.waitForPlace();
     } else if (delayMs > 0) {
       void this.sendWhenDue(server, delayMs);
     } else {
@@ -107,7 +109,9 @@
   /** Handles an attempt that the server did not execute: another server may be tried. */
   onNotRun(outcome: sends.NotRun, server: servers.ServerEntry): void {
     this.possiblyRanIds.delete(server.id);
-    if (outcome.isOtherServer) this.markServerReplaced(server);
+    const { directory } = this.context;
+    if (outcome.isOtherServer)
+      directory.markLeaving(server.id, servers.LeavingReason.ReplacedAtAddress);
     this.retryOrFinish(outcome.wasSent);
   }
 
@@ -135,28 +139,13 @@
     if (this.pendingCount > 0) return;
     const maxCount = wasSent ? constants.MAX_SENDS_COUNT : constants.MAX_TRIES_COUNT;
     const canSend = this.sendsCount < maxCount;
-    if (canSend && (!wasSent || this.consumeRetry())) {
+    if (canSend && (!wasSent || consumeRetries.consumeRetry(this.context, this.call))) {
       this.send();
       return;
     }
     this.finishUnsent(types.RefusalReason.ServersRefused);
   }
 
-  private consumeRetry(): boolean {
-    const { context, call } = this;
-    const isAllowed = context.budget.tryConsume(call.serviceName);
-    const decision = isAllowed ? "allowed" : "denied";
-    context.meters.repeats.inc({ service: call.serviceName, decision });
-    if (!isAllowed) {
-      context.log.record(Importance.Notable, LogEvent.RepeatDenied, {
-        requestId: call.head.id,
-        service: call.serviceName,
-        remainingCount: Math.round(context.budget.countRemainingRetries(call.serviceName)),
-      });
-    }
-    return isAllowed;
-  }
-
   private selectServer(): servers.KnownServer | undefined {
     return plainTargets.selectPlainTarget(this.context, {
       serviceName: this.call.serviceName,
@@ -168,6 +157,31 @@
     });
   }
 
+  /**
+   * Sends the call when a brittle server has a place for it. A call that cannot be answered within its
+   * objective, or at a VM without places, is refused at once.
+   */
+  private waitForPlace(): void {
+    const { clock, overloadGuard, random } = this.context;
+    const { serviceName, route } = this.call;
+    if (!overloadGuard.isOverloaded(serviceName)) {
+      this.finishUnsent(types.RefusalReason.NoServer);
+      return;
+    }
+    if (!canAwaitPlace.canAwaitPlace(this.context, this.call)) {
+      const retryAfterMs = dispatch.computeRetryAfterMs(route.objectiveMs, random);
+      this.finishUnsent(types.RefusalReason.NoCapacity, retryAfterMs);
+      return;
+    }
+    const sendAgain = (): void => {
+      if (!this.isSettled) this.send();
+    };
+    // Rejects only if the call has ended.
+    void clock
+      .sleep(constants.PLACE_CHECK_INTERVAL_MS, this.scope.signal)
+      .then(sendAgain, () => null);
+  }
+
   /**
    * Sends the call when a server with a limited rate takes it. It waits only as long as it can still
    * be answered within its objective; otherwise its caller is told at once when to come back.
@@ -209,30 +223,22 @@
     const delayMs = constants.HEDGE_OBJECTIVE_RATIO * this.call.route.objectiveMs;
     this.hedgeTimer = this.context.clock.schedule(delayMs, () => {
       if (this.isSettled || this.pendingCount !== 1) return;
-      if (this.sendsCount >= constants.MAX_SENDS_COUNT || !this.consumeRetry()) return;
-      this.context.log.record(Importance.Routine, LogEvent.Hedged, {
-        requestId: this.call.head.id,
-        afterMs: Math.round(delayMs),
-      });
+      if (
+        this.sendsCount >= constants.MAX_SENDS_COUNT ||
+        !consumeRetries.consumeRetry(this.context, this.call)
+      )
+        return;
+      const fields = { requestId: this.call.head.id, afterMs: Math.round(delayMs) };
+      this.context.log.record(Importance.Routine, LogEvent.Hedged, fields);
       this.send();
     });
   }
 
   private forwardAnswer(answer: sends.BufferedAnswer): void {
     if (this.isSettled) return;
-    const { head, body, serverId } = answer;
+    const { head, body } = answer;
     this.sink.answer(head.status, head.forwardedHeaders, body);
-    const isServed = sends.verdictOf(answer) === servers.AttemptVerdict.Served;
-    const importance = isServed ? Importance.Routine : Importance.Notable;
-    const event = isServed ? LogEvent.RequestServed : LogEvent.RequestFailed;
-    this.context.log.record(importance, event, {
-      requestId: this.call.head.id,
-      route: this.call.route.name,
-      serverId,
-      status: head.status,
-      sendsCount: this.sendsCount,
-      elapsedMs: Math.round(this.context.clock.nowMs() - this.call.arrivedAtMs),
-    });
+    plainAttempts.recordForwardedAnswer(this.context, this.call, answer, this.sendsCount);
     this.finish();
   }
 
@@ -273,10 +279,6 @@
     this.settle();
   }
 
-  private markServerReplaced(server: servers.ServerEntry): void {
-    this.context.directory.markLeaving(server.id, servers.LeavingReason.ReplacedAtAddress);
-  }
-
   private changePendingCount(serverId: string, change: 1 | -1): void {
     const count = (this.pendingCounts.get(serverId) ?? 0) + change;
     if (count > 0) this.pendingCounts.set(serverId, count);
--- a/src/relay/_lib/recordPlainAttempt/index.ts
+++ b/src/relay/_lib/recordPlainAttempt/index.ts
@@ -34,3 +34,23 @@
     elapsedMs: Math.round(elapsedMs),
   });
 }
+
+/** Logs that a caller gets the answer of a server. */
+export function recordForwardedAnswer(
+  { clock, log }: relayContext.RelayContext,
+  call: types.Call,
+  answer: sends.BufferedAnswer,
+  sendsCount: number,
+): void {
+  const isServed = sends.verdictOf(answer) === servers.AttemptVerdict.Served;
+  const importance = isServed ? Importance.Routine : Importance.Notable;
+  const event = isServed ? LogEvent.RequestServed : LogEvent.RequestFailed;
+  log.record(importance, event, {
+    requestId: call.head.id,
+    route: call.route.name,
+    serverId: answer.serverId,
+    status: answer.head.status,
+    sendsCount,
+    elapsedMs: Math.round(clock.nowMs() - call.arrivedAtMs),
+  });
+}
--- a/src/relay/_lib/selectPlainTarget/index.ts
+++ b/src/relay/_lib/selectPlainTarget/index.ts
@@ -23,7 +23,9 @@
   query: PlainTargetQuery,
 ): servers.KnownServer | undefined {
   const { directory, trust, backpressure } = context;
-  const available = directory.listAvailable(query.serviceName);
+  const available = directory
+    .listAvailable(query.serviceName)
+    .filter(({ entry }) => hasPlaceAt(context, query.pendingCounts, entry));
   const reachable = available.filter(({ entry }) => !trust.isSuspended(entry.id));
   const selectable = reachable.length > 0 ? reachable : available;
   const allowed = query.canUseNewServer
@@ -50,3 +52,11 @@
   });
   return chosen && directory.find(chosen.serverId);
 }
+
+function hasPlaceAt(
+  { overloadGuard }: relayContext.RelayContext,
+  pendingCounts: ReadonlyMap<string, number>,
+  server: servers.ServerEntry,
+): boolean {
+  return (pendingCounts.get(server.id) ?? 0) < overloadGuard.placesAt(server);
+}
--- a/src/relay/_lib/startRun/index.ts
+++ b/src/relay/_lib/startRun/index.ts
@@ -9,6 +9,7 @@
 import * as answerRefusals from "../answerRefusal/index.js";
 import type * as attemptScopes from "../attemptScope/index.js";
 import type * as callSink from "../callSink/index.js";
+import * as consumeRetries from "../consumeRetry/index.js";
 import * as engineStreams from "../engineStream/index.js";
 import * as refusals from "../createRefusal/index.js";
 import type * as runClaims from "../runClaims/index.js";
@@ -82,7 +83,7 @@
     claims.releaseAll();
     if (!outcome.wasSent) continue;
     sendsCount += 1;
-    if (!consumeRetry(context, call)) break;
+    if (!consumeRetries.consumeRetry(context, call)) break;
   }
   const reason = types.RefusalReason.ServersRefused;
   refuse(context, call, sink, refusals.createRefusal(reason, constants.DEFAULT_RETRY_AFTER_MS));
@@ -218,13 +219,6 @@
   context.directory.markLeaving(server.id, servers.LeavingReason.ReplacedAtAddress);
 }
 
-function consumeRetry(context: relayContext.RelayContext, call: types.Call): boolean {
-  const isAllowed = context.budget.tryConsume(call.serviceName);
-  const decision = isAllowed ? "allowed" : "denied";
-  context.meters.repeats.inc({ service: call.serviceName, decision });
-  return isAllowed;
-}
-
 const REASON_BY_PLACEMENT_KIND = {
   "no-server": types.RefusalReason.NoServer,
   "no-room": types.RefusalReason.NoCapacity,
--- a/src/relay/constants.ts
+++ b/src/relay/constants.ts
@@ -82,3 +82,6 @@
 
 /** Largest event of a stream; an event holds a few tokens. */
 export const MAX_EVENT_BYTES = 64 * 1024;
+
+/** Interval at which a call checks whether a brittle server has a place for it; a fraction of a call's work. */
+export const PLACE_CHECK_INTERVAL_MS = 10;
--- a/src/relay/relayContext.ts
+++ b/src/relay/relayContext.ts
@@ -23,6 +23,8 @@
   readonly dispatcher: engineDispatcher.EngineDispatcher;
   /** Limits on the rate of requests that servers name. */
   readonly backpressure: servers.ServerBackpressure;
+  /** Bounds the requests at brittle servers. */
+  readonly overloadGuard: servers.OverloadGuard;
   /** Output lengths learned from complete outputs. */
   readonly lengths: dispatch.OutputLengths;
   /** Finds out which work makes servers crash. */
--- a/src/servers/constants.ts
+++ b/src/servers/constants.ts
@@ -39,3 +39,9 @@
 
 /** Lowest rate at which a limited server is still sent requests, as only its answers end a limit. */
 export const MIN_RATE_PER_SECOND = 0.25;
+
+/** Time for which a statement of a brittle server, and a rejection by one, count for its service. */
+export const OVERLOAD_RETENTION_MS = 10_000;
+
+/** Most overloaded services in one message to the peers, so that it fits a datagram. */
+export const MAX_SHARED_OVERLOADS_COUNT = 4;
--- a/src/sharedView/_lib/createHeartbeat/index.ts
+++ b/src/sharedView/_lib/createHeartbeat/index.ts
@@ -15,6 +15,7 @@
   readonly isHub: boolean;
   readonly replicaOf: (topic: types.Topic) => topicReplicas.TopicReplica;
   readonly rateStatements: readonly servers.RateStatement[];
+  readonly overloads: readonly servers.Overload[];
 }
 
 /** Creates a heartbeat for one peer. */
@@ -37,5 +38,6 @@
     isAnchor: state.isHub,
     ...topicStateCodec.encodeTopicStates(state.replicaOf),
     rateStatements: state.rateStatements,
+    overloads: state.overloads,
   };
 }
--- a/src/sharedView/_lib/testMesh/index.ts
+++ b/src/sharedView/_lib/testMesh/index.ts
@@ -98,6 +98,8 @@
       reachesServers: () => true,
       onReplicaBehind: (topic, peer) => this.behindReports.push(`${topic} at ${peer.vmName}`),
       onWorkChange: () => undefined,
+      listOverloads: () => [],
+      onOverload: () => undefined,
       listRateStatements: () => [],
       onRateStatement: () => undefined,
       listSuspects: () => this.suspects,
--- a/src/sharedView/peerMesh/index.ts
+++ b/src/sharedView/peerMesh/index.ts
@@ -62,9 +62,7 @@
   }
 
   /** Peers whose heartbeats are not overdue. */
-  livePeers(): readonly types.Peer[] {
-    return this.table.livePeers();
-  }
+  livePeers = (): readonly types.Peer[] => this.table.livePeers();
 
   /** Number of live VMs, including this one. */
   get liveVmsCount(): number {
@@ -117,8 +115,8 @@
 
   /** Sends all live peers a message that this VM leaves the fleet. */
   sendLeave(): void {
-    const { vmName } = this.context.self;
-    this.broadcast(datagrams.encodeDatagram({ kind: DatagramKind.Leave, vmName }));
+    const message = { kind: DatagramKind.Leave, vmName: this.context.self.vmName } as const;
+    this.broadcast(datagrams.encodeDatagram(message));
   }
 
   [Symbol.dispose](): void {
@@ -166,7 +164,7 @@
   }
 
   private sendHeartbeat(address: types.VmAddress): void {
-    const { self, clock, reachesStore, reachesServers, listRateStatements } = this.context;
+    const { self, clock, reachesStore, reachesServers } = this.context;
     const message = heartbeats.createHeartbeat(self, {
       clock,
       echo: this.table.createEcho(address.vmName),
@@ -174,7 +172,8 @@
       reachesServers: reachesServers(),
       isHub: this.isHub,
       replicaOf: (topic) => this.replicaOf(topic),
-      rateStatements: listRateStatements(),
+      rateStatements: this.context.listRateStatements(),
+      overloads: this.context.listOverloads(),
     });
     this.context.socket.send(datagrams.encodeDatagram(message), address.host, address.port);
   }
@@ -214,6 +213,7 @@
       this.sendHeartbeat(peer);
     }
     message.rateStatements.forEach(this.context.onRateStatement);
+    message.overloads.forEach(this.context.onOverload);
     const { clock, self } = this.context;
     const echo = ownEchoes.readOwnEcho(message, self.startedAtWallMs, clock);
     for (const reported of topicStateCodec.decodeTopicStates(message))
--- a/src/sharedView/peerMesh/test.ts
+++ b/src/sharedView/peerMesh/test.ts
@@ -210,6 +210,7 @@
       topicEpochs: [],
       topicRevisions: [],
       rateStatements: [],
+      overloads: [],
     });
     await clock.runForMs(100);
     restarted.confirm(5);
--- a/src/sharedView/peerMesh/types.ts
+++ b/src/sharedView/peerMesh/types.ts
@@ -24,6 +24,10 @@
     peer: types.Peer,
     peerState: types.ReplicaState,
   ) => void;
+  /** Lists the services whose servers have rejected requests lately. */
+  readonly listOverloads: () => readonly servers.Overload[];
+  /** Called with each such service that a peer reports. */
+  readonly onOverload: (overload: servers.Overload) => void;
   /** Lists the statements on rates that this VM has received from servers. */
   readonly listRateStatements: () => readonly servers.RateStatement[];
   /** Called with each statement that a peer has received. */
