Play brittle and silent servers in the soak, and test streams over a second of silence

The soak plays both, and checks the falls of brittle servers (two and a tenth of their number). The callers' side of the gateway stand-in and brittle work moved to files of their own.

--- a/experiments/soak/checks/index.ts
+++ b/experiments/soak/checks/index.ts
@@ -2,6 +2,9 @@
 import * as rateChecks from "../rateCheck/index.js";
 import type * as backendServers from "../../../standins/platform/backendServer/index.js";
 
+/** Falls of brittle servers that are allowed, besides a tenth of their number. */
+const MAX_FALLS_COUNT = 2;
+
 /** A violated invariant. */
 export interface Violation {
   readonly invariant: string;
@@ -128,6 +131,14 @@
     this.storeRecoveredAtMs = Date.now();
   }
 
+  /** Checks how often the servers of a service have ended under rejections while they were brittle. */
+  checkFalls(fallsCount: number, serversCount: number): void {
+    const allowedCount = MAX_FALLS_COUNT + serversCount / 10;
+    if (fallsCount <= allowedCount) return;
+    const detail = `${fallsCount} falls of ${serversCount} servers, allowed ${allowedCount}`;
+    this.recordViolation("brittle servers are not overloaded until they end", detail);
+  }
+
   /** Records that a server announced its shutdown. */
   recordDraining(serverId: string): void {
     this.drainingSinceMsByServer.set(serverId, Date.now());
--- a/experiments/soak/faults/index.ts
+++ b/experiments/soak/faults/index.ts
@@ -83,6 +83,16 @@
     ),
   "request crashes servers": (fleet, random) =>
     fleet.makeCrashingCalls(crashCauses.CrashKind.Request, random, 7_000 + 2_000 * random.next()),
+  "servers brittle": async (fleet, random) => {
+    await fleet.makePlainServersBrittle(6_000 + 4_000 * random.next());
+  },
+  "server falls silent for a second": async (fleet, random) => {
+    const server = drawOne(fleet.servers, random);
+    const silenceMs = 800 + 500 * random.next();
+    fleet.setFaultyBehaviour(server, fleet.delayNormalBehaviour(server, silenceMs));
+    await sleepMs(silenceMs);
+    fleet.restoreBehaviour(server);
+  },
   "server resets": (fleet, random) =>
     injectServerFault(fleet, random, backendServers.resetWithoutAnswer()),
   "server refuses": (fleet, random) => injectServerFault(fleet, random, backendServers.refuse()),
--- a/experiments/soak/soakFleet/index.ts
+++ b/experiments/soak/soakFleet/index.ts
@@ -2,6 +2,7 @@
 
 import type * as randoms from "../../../src/_lib/random/index.js";
 import * as backendServers from "../../../standins/platform/backendServer/index.js";
+import * as brittleWorks from "../../../standins/platform/brittleWork/index.js";
 import * as gatewayFleets from "../../../standins/platform/gatewayFleet/index.js";
 import * as platformLogStores from "../../../standins/platform/logStore/index.js";
 import * as callers from "../callers/index.js";
@@ -27,6 +28,9 @@
 
 const CRASHING_CALL_INTERVAL_MS = 150;
 
+const BRITTLE_WORK: brittleWorks.BrittleWork = { slotsCount: 4, workMs: 250, downMs: 1_500 };
+const MAX_REJECTIONS_PER_SECOND = 5;
+
 /**
  * The fleet of a soak test: gateway processes with in-process fakes of the store and the servers.
  */
@@ -38,6 +42,7 @@
   private readonly services = new Map<string, string>();
   private serversCount = 0;
   private causesCount = 0;
+  private isBrittle = false;
   /** Recent copies of the store, the oldest first. */
   private readonly copies: platformLogStores.StoreCopy[] = [];
   private copyTimer: NodeJS.Timeout | null = null;
@@ -172,11 +177,43 @@
 
   /** Restores a server's normal behaviour. */
   restoreBehaviour(server: backendServers.BackendServer): void {
-    const isEngine = this.services.get(server.id) === ENGINE_SERVICE;
-    const script = { eventsCount: callers.STREAM_EVENTS_COUNT, gapMs: EVENT_INTERVAL_MS };
-    const plain: backendServers.Behaviour = (call, response, self) =>
-      backendServers.answerCompletely(`answer to ${call.id}`)(call, response, self);
-    server.setBehaviour(this.withExecutionChecks(isEngine ? backendServers.stream(script) : plain));
+    server.setBehaviour(this.withExecutionChecks(this.normalBehaviourOf(server)));
+  }
+
+  /** Returns a server's normal behaviour, which begins after a while. */
+  delayNormalBehaviour(
+    server: backendServers.BackendServer,
+    delayMs: number,
+  ): backendServers.Behaviour {
+    const normal = this.normalBehaviourOf(server);
+    return async (call, response, self) => {
+      await pause(delayMs);
+      if (response.destroyed) return;
+      this.checker.recordExecution(self, call);
+      await normal(call, response, self);
+    };
+  }
+
+  /** Makes all plain servers end, for a while, when they have to reject too much. */
+  async makePlainServersBrittle(durationMs: number): Promise<void> {
+    if (this.isBrittle) return;
+    this.isBrittle = true;
+    const brittle = this.servers.filter(({ id }) => this.services.get(id) === PLAIN_SERVICE);
+    const fallsBefore = countFalls(brittle);
+    const { slotsCount } = BRITTLE_WORK;
+    for (const server of brittle) {
+      server.maxRejectionsPerSecond = MAX_REJECTIONS_PER_SECOND;
+      this.platform.register(server, PLAIN_SERVICE, "ready", slotsCount);
+      const work = brittleWorks.workBrittly(BRITTLE_WORK, (call) => `answer to ${call.id}`);
+      this.setFaultyBehaviour(server, work);
+    }
+    await pause(durationMs);
+    for (const server of brittle) {
+      server.maxRejectionsPerSecond = null;
+      this.restoreBehaviour(server);
+    }
+    this.isBrittle = false;
+    this.checker.checkFalls(countFalls(brittle) - fallsBefore, brittle.length);
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
@@ -185,6 +222,13 @@
     await this.platform[Symbol.asyncDispose]();
   }
 
+  private normalBehaviourOf({ id }: backendServers.BackendServer): backendServers.Behaviour {
+    const script = { eventsCount: callers.STREAM_EVENTS_COUNT, gapMs: EVENT_INTERVAL_MS };
+    if (this.services.get(id) === ENGINE_SERVICE) return backendServers.stream(script);
+    return (call, response, self) =>
+      backendServers.answerCompletely(`answer to ${call.id}`)(call, response, self);
+  }
+
   private async addServer(service: string): Promise<void> {
     this.serversCount += 1;
     const id = `${service}-${this.serversCount}`;
@@ -235,6 +279,10 @@
   }
 }
 
+function countFalls(servers: readonly backendServers.BackendServer[]): number {
+  return servers.reduce((sum, { fallsCount }) => sum + fallsCount, 0);
+}
+
 function pause(durationMs: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, durationMs));
 }
--- a/src/gateway/brittleServers/test.ts
+++ b/src/gateway/brittleServers/test.ts
@@ -1,6 +1,7 @@
 import tap, { type Test } from "tap";
 
 import * as backendServers from "../../../standins/platform/backendServer/index.js";
+import * as brittleWorks from "../../../standins/platform/brittleWork/index.js";
 import * as gatewayFleets from "../../../standins/platform/gatewayFleet/index.js";
 import * as diagnostics from "../../diagnostics/index.js";
 import * as testFleets from "../_lib/testFleet/index.js";
@@ -30,7 +31,7 @@
   const servers: backendServers.BackendServer[] = [];
   for (const id of ["b1", "b2"]) {
     const work = { slotsCount: SLOTS_COUNT, workMs: WORK_MS, downMs: DOWN_MS };
-    const behaviour = backendServers.workBrittly(work);
+    const behaviour = brittleWorks.workBrittly(work);
     const service = gatewayFleets.PLAIN_SERVICE;
     const server = await fleet.addServer(id, service, behaviour, SLOTS_COUNT);
     server.maxRejectionsPerSecond = MAX_REJECTIONS_PER_SECOND;
--- a/standins/platform/backendServer/index.ts
+++ b/standins/platform/backendServer/index.ts
@@ -132,12 +132,23 @@
 export function answerCompletely(body: string, status = 200): Behaviour {
   return (call, response, server) => {
     server.runs.push(call.id);
-    const length = Buffer.byteLength(body);
-    response.writeHead(status, { ...server.createAnswerHeaders(call), "Content-Length": length });
-    response.end(body);
+    sendAnswer(body, call, response, server, status);
   };
 }
 
+/** Sends a complete answer. */
+export function sendAnswer(
+  body: string,
+  call: ReceivedCall,
+  response: http.ServerResponse,
+  server: BackendServer,
+  status = 200,
+): void {
+  const length = Buffer.byteLength(body);
+  response.writeHead(status, { ...server.createAnswerHeaders(call), "Content-Length": length });
+  response.end(body);
+}
+
 /** Refuses the request with 503 and states that it was not run, and when to come back if given. */
 export function refuse(retryAfterS?: number): Behaviour {
   return (call, response) => {
@@ -251,37 +262,3 @@
     response.end(body);
   };
 }
-
-/** Work of a server that ends when it has to reject too much. */
-export interface BrittleWork {
-  readonly slotsCount: number;
-  readonly workMs: number;
-  /** Time for which the server is away after it has ended. */
-  readonly downMs: number;
-}
-
-/**
- * Runs as many requests at a time as there are slots and rejects the others; ends when it has rejected more
- * in a second than it says it can.
- */
-export function workBrittly({ slotsCount, workMs, downMs }: BrittleWork): Behaviour {
-  let runningCount = 0;
-  let rejectedAtMs: number[] = [];
-  return async (call, response, server) => {
-    if (runningCount >= slotsCount) {
-      const nowMs = performance.now();
-      rejectedAtMs = [...rejectedAtMs.filter((atMs) => nowMs - atMs < 1_000), nowMs];
-      if (rejectedAtMs.length > (server.maxRejectionsPerSecond ?? Infinity)) {
-        rejectedAtMs = [];
-        await server.fall(downMs);
-        return;
-      }
-      response.writeHead(503, { ...server.createAnswerHeaders(call), [HEADERS.notRun]: "1" }).end();
-      return;
-    }
-    runningCount += 1;
-    await new Promise((resolve) => setTimeout(resolve, workMs));
-    runningCount -= 1;
-    if (!response.destroyed) await answerCompletely("done")(call, response, server);
-  };
-}
--- a/standins/platform/gatewayFleet/index.ts
+++ b/standins/platform/gatewayFleet/index.ts
@@ -1,5 +1,3 @@
-import * as http from "node:http";
-
 import * as decodeConfigurations from "../../../platform/decodeConfiguration/index.js";
 import * as decodeServerEntries from "../../../platform/decodeServerEntry/index.js";
 import * as engineControls from "../../../platform/engineControl/index.js";
@@ -14,37 +12,10 @@
 import * as gateways from "../../../src/gateway/index.js";
 import * as freePorts from "../../freePorts/index.js";
 import * as backendServers from "../backendServer/index.js";
+import * as callerRequests from "../callerRequest/index.js";
 import * as serverNetworks from "../serverNetwork/index.js";
 import * as platformLogStores from "../logStore/index.js";
 
-/** An answer as a caller received it. */
-export interface CallerAnswer {
-  readonly status: number;
-  readonly headers: http.IncomingHttpHeaders;
-  readonly body: string;
-  /** Whether the answer was received completely. */
-  readonly isComplete: boolean;
-}
-
-/** A request as a caller sends it; what is omitted has a default. */
-export interface CallerRequest {
-  readonly path: string;
-  readonly method?: string;
-  readonly id?: string;
-  /** By default API_KEY; null sends none. */
-  readonly apiKey?: string | null;
-  readonly body?: string;
-  readonly timeLeftMs?: number;
-  readonly headers?: http.OutgoingHttpHeaders;
-  readonly signal?: AbortSignal;
-}
-
-/** Host name of all routes in the fleet's configuration. */
-export const HOST = "a.example";
-
-/** API key of the only client account. */
-export const API_KEY = "key-1";
-
 /** Requests that a server runs at a time, unless a test says otherwise. */
 const DEFAULT_SLOTS_COUNT = 24;
 
@@ -54,6 +25,8 @@
 /** Name of the service with model engines. */
 export const ENGINE_SERVICE = "engines";
 
+export * from "../callerRequest/index.js";
+
 /** A decision log that keeps its records in memory for tests. */
 export class RecordingLog implements diagnostics.DecisionLog {
   readonly lines: {
@@ -153,7 +126,15 @@
     const route = (name: string, kind: string, fields: object): object => {
       const service = kind === "streaming" ? ENGINE_SERVICE : PLAIN_SERVICE;
       const path_prefix = `/${name}/`;
-      return { name, host: HOST, path_prefix, kind, service, ...ROUTE_DEFAULTS, ...fields };
+      return {
+        name,
+        host: callerRequests.HOST,
+        path_prefix,
+        kind,
+        service,
+        ...ROUTE_DEFAULTS,
+        ...fields,
+      };
     };
     this.store.put(names.TOPIC_NAMES.configuration, names.CONFIGURATION_KEY, {
       version: this.version,
@@ -169,7 +150,7 @@
         { name: ENGINE_SERVICE, max_connections: 100, engine: ENGINE_TRAITS },
       ],
       limits: CALLER_LIMITS,
-      tenants: [{ name: "acme", api_keys: [API_KEY] }],
+      tenants: [{ name: "acme", api_keys: [callerRequests.API_KEY] }],
       ...overrides,
     });
   }
@@ -207,13 +188,13 @@
   /** Whether the readiness endpoint of a gateway, by index, answers with 200. */
   async isReady(index = 0): Promise<boolean> {
     const port = this.settings[index]?.readiness.port ?? 0;
-    const answer = await request(port, { path: "/readyz", apiKey: null });
+    const answer = await callerRequests.sendRequest(port, { path: "/readyz", apiKey: null });
     return answer.status === 200;
   }
 
   /** Sends a request to a gateway; resolves when the answer ends or its connection breaks, rejects if none begins. */
-  call(options: CallerRequest, index = 0): Promise<CallerAnswer> {
-    return request(this.settings[index]?.callers.port ?? 0, options);
+  call(options: callerRequests.CallerRequest, index = 0): Promise<callerRequests.CallerAnswer> {
+    return callerRequests.sendRequest(this.settings[index]?.callers.port ?? 0, options);
   }
 
   /** Returns the port on which a gateway accepts callers' requests. */
@@ -271,38 +252,3 @@
 function pause(durationMs: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, durationMs));
 }
-
-function request(port: number, options: CallerRequest): Promise<CallerAnswer> {
-  const { HEADERS } = names;
-  const headers: http.OutgoingHttpHeaders = {
-    Host: HOST,
-    [HEADERS.requestId]: options.id ?? "attempt-1",
-    [HEADERS.timeLeftMs]: String(options.timeLeftMs ?? 20_000),
-    ...(options.apiKey === null ? {} : { [HEADERS.apiKey]: options.apiKey ?? API_KEY }),
-    ...options.headers,
-  };
-  const { method = "GET", path, signal } = options;
-  return new Promise((resolve, reject) => {
-    const outgoing = http.request({
-      host: "127.0.0.1",
-      port,
-      method,
-      path,
-      headers,
-      agent: false,
-      ...(signal === undefined ? {} : { signal }),
-    });
-    outgoing.on("error", reject);
-    outgoing.on("response", (message) => {
-      const chunks: Buffer[] = [];
-      message.on("data", (chunk: Buffer) => chunks.push(chunk));
-      message.on("error", () => undefined);
-      message.on("close", () => {
-        const body = Buffer.concat(chunks).toString();
-        const status = message.statusCode ?? 0;
-        resolve({ status, headers: message.headers, body, isComplete: message.complete });
-      });
-    });
-    outgoing.end(options.body);
-  });
-}
