Name the stand-in of brittle servers and comments in the usual terms of the field

Names in stand-ins, drills and the soak (crash, brittle behaviour, interrupt the store), and comments on capacity, tunnels and sockets. No decision, check or bound changes.

--- a/experiments/soak/soakFleet/index.ts
+++ b/experiments/soak/soakFleet/index.ts
@@ -2,7 +2,7 @@
 
 import type * as randoms from "../../../src/_lib/random/index.js";
 import * as backendServers from "../../../standins/platform/backendServer/index.js";
-import * as brittleWorks from "../../../standins/platform/brittleWork/index.js";
+import * as brittleBehaviours from "../../../standins/platform/brittleBehaviour/index.js";
 import * as gatewayFleets from "../../../standins/platform/gatewayFleet/index.js";
 import * as platformLogStores from "../../../standins/platform/logStore/index.js";
 import * as callers from "../callers/index.js";
@@ -28,7 +28,11 @@
 
 const CRASHING_CALL_INTERVAL_MS = 150;
 
-const BRITTLE_WORK: brittleWorks.BrittleWork = { slotsCount: 4, workMs: 250, downMs: 1_500 };
+const BRITTLE_WORK: brittleBehaviours.BrittleOptions = {
+  slotsCount: 4,
+  workMs: 250,
+  downMs: 1_500,
+};
 const MAX_REJECTIONS_PER_SECOND = 5;
 
 /**
@@ -204,7 +208,10 @@
     for (const server of brittle) {
       server.maxRejectionsPerSecond = MAX_REJECTIONS_PER_SECOND;
       this.platform.register(server, PLAIN_SERVICE, "ready", slotsCount);
-      const work = brittleWorks.workBrittly(BRITTLE_WORK, (call) => `answer to ${call.id}`);
+      const work = brittleBehaviours.createBrittleBehaviour(
+        BRITTLE_WORK,
+        (call) => `answer to ${call.id}`,
+      );
       this.setFaultyBehaviour(server, work);
     }
     await pause(durationMs);
@@ -280,7 +287,7 @@
 }
 
 function countFalls(servers: readonly backendServers.BackendServer[]): number {
-  return servers.reduce((sum, { fallsCount }) => sum + fallsCount, 0);
+  return servers.reduce((sum, { overloadCrashesCount }) => sum + overloadCrashesCount, 0);
 }
 
 function pause(durationMs: number): Promise<void> {
--- a/src/_lib/resetSocket/index.ts
+++ b/src/_lib/resetSocket/index.ts
@@ -1,8 +1,8 @@
 import type * as net from "node:net";
 
 /**
- * Closes a connection with a reset. One whose end has been sent already is closed without: Node never
- * releases a socket that is reset while it shuts down.
+ * Closes a connection with a reset, or without one if its writable side has ended: Node leaks the handle
+ * of a socket that is reset during its shutdown.
  */
 export function resetSocket(socket: net.Socket): void {
   if (socket.writableEnded) socket.destroy();
--- a/src/gateway/_lib/fleetDrill/index.ts
+++ b/src/gateway/_lib/fleetDrill/index.ts
@@ -59,7 +59,7 @@
   private readonly servers = new Map<string, ServerState>();
   private readonly copies: { atMs: number; copy: virtualStores.StoreCopy }[] = [];
   private readonly highestVersions = new Map<virtualFleets.VirtualVm, number>();
-  /** Servers whose leaving each process has noted from an answer. */
+  /** Servers that have told each process in an answer that they leave. */
   private readonly statedIds = new Map<virtualFleets.VirtualVm, Set<string>>();
   private readonly calmSinceMs = new Map<string, number>();
   private storeCalmSinceMs = 0;
@@ -105,8 +105,8 @@
     this.confirmedAtMs = this.clock.nowMs();
   }
 
-  /** Takes the store away for a time; it then comes back from a copy, if an age of it is given. */
-  takeStoreAway(durationMs: number, copyAgeMs: number | null): void {
+  /** Makes the store unavailable for a time, and then restores it from a copy if an age is given. */
+  interruptStore(durationMs: number, copyAgeMs: number | null): void {
     this.store.isUp = false;
     this.storeCalmSinceMs = Math.max(this.storeCalmSinceMs, this.clock.nowMs() + durationMs);
     this.clock.schedule(durationMs, () => {
@@ -123,7 +123,7 @@
     }
   }
 
-  /** Cuts VMs off from what a set of the fleet stands for. */
+  /** Adds VMs for a time to one of the sets of the fleet that hold partitioned VMs. */
   cut(cutNames: Set<string>, names: readonly string[], durationMs: number): void {
     this.disturb(names, durationMs);
     this.addFor(cutNames, names, durationMs);
@@ -140,7 +140,7 @@
   }
 
   /**
-   * Ends a server in order without a word in its entry: the entry is removed, and its answers say that
+   * Stops a server that never announces it in its entry: the entry is removed, and its answers state that
    * it leaves, before or after the VMs see the removal.
    */
   leave(serverId: string, answerDelayMs: number): void {
--- a/src/gateway/brittleServers/test.ts
+++ b/src/gateway/brittleServers/test.ts
@@ -1,7 +1,7 @@
 import tap, { type Test } from "tap";
 
 import * as backendServers from "../../../standins/platform/backendServer/index.js";
-import * as brittleWorks from "../../../standins/platform/brittleWork/index.js";
+import * as brittleBehaviours from "../../../standins/platform/brittleBehaviour/index.js";
 import * as gatewayFleets from "../../../standins/platform/gatewayFleet/index.js";
 import * as diagnostics from "../../diagnostics/index.js";
 import * as testFleets from "../_lib/testFleet/index.js";
@@ -31,7 +31,7 @@
   const servers: backendServers.BackendServer[] = [];
   for (const id of ["b1", "b2"]) {
     const work = { slotsCount: SLOTS_COUNT, workMs: WORK_MS, downMs: DOWN_MS };
-    const behaviour = brittleWorks.workBrittly(work);
+    const behaviour = brittleBehaviours.createBrittleBehaviour(work);
     const service = gatewayFleets.PLAIN_SERVICE;
     const server = await fleet.addServer(id, service, behaviour, SLOTS_COUNT);
     server.maxRejectionsPerSecond = MAX_REJECTIONS_PER_SECOND;
@@ -56,7 +56,7 @@
 
 tap.test("servers that end under rejections are not overloaded until they end", async (t) => {
   const { fleet, servers, statuses } = await overload(t);
-  const fallsCount = servers.reduce((sum, server) => sum + server.fallsCount, 0);
+  const fallsCount = servers.reduce((sum, server) => sum + server.overloadCrashesCount, 0);
   t.ok(fallsCount <= MAX_FALLS_COUNT, `${fallsCount} falls`);
   const servedCount = statuses.filter((status) => status === 200).length;
   t.ok(servedCount > statuses.length / 3, `${servedCount} of ${statuses.length} served`);
--- a/src/gateway/fleetDrills/test.ts
+++ b/src/gateway/fleetDrills/test.ts
@@ -25,7 +25,7 @@
 
   tap.test(`${vmsCount} VMs: a VM that becomes the first reader reads at once`, async (t) => {
     const findings = await findViolations(options, async (drill) => {
-      drill.takeStoreAway(3_000, null);
+      drill.interruptStore(3_000, null);
       await drill.runForMs(500);
       drill.partitionDataCentres(["dc-1"], 9_000);
       await drill.runForMs(5_000);
@@ -39,7 +39,7 @@
     `${vmsCount} VMs: a change after an outage of the store is in force in time`,
     async (t) => {
       const findings = await findViolations(options, async (drill) => {
-        drill.takeStoreAway(4_000, null);
+        drill.interruptStore(4_000, null);
         await drill.runForMs(10_000);
         drill.publish();
         await drill.runForMs(6_000);
@@ -69,7 +69,7 @@
         await drill.runForMs(4_000);
         drill.leave("server-1", 1_500);
         await drill.runForMs(3_000);
-        drill.takeStoreAway(1_000, 4_050);
+        drill.interruptStore(1_000, 4_050);
         await drill.runForMs(8_000);
       });
       t.same(findings, []);
--- a/src/relay/relayContext.ts
+++ b/src/relay/relayContext.ts
@@ -23,7 +23,7 @@
   readonly dispatcher: engineDispatcher.EngineDispatcher;
   /** Limits on the rate of requests that servers name. */
   readonly backpressure: servers.ServerBackpressure;
-  /** Bounds the requests at brittle servers. */
+  /** Limits concurrent requests at brittle servers. */
   readonly overloadGuard: servers.OverloadGuard;
   /** Output lengths learned from complete outputs. */
   readonly lengths: dispatch.OutputLengths;
--- a/src/relay/types.ts
+++ b/src/relay/types.ts
@@ -87,7 +87,7 @@
   readonly isLeaving: boolean;
   /** Time for which the server wants no request, as it states with a status of 503; else null. */
   readonly retryAfterMs: number | null;
-  /** Rejections a second beyond which the server ends, for want of room; null if it does not say so. */
+  /** Rejections a second above which the server crashes; null if it states none. */
   readonly maxRejectionsPerSecond: number | null;
   /** Requests a second that the server takes from all VMs together; null if it names no limit. */
   readonly ratePerSecond: number | null;
--- a/src/serverLinks/_lib/openTunnel/index.ts
+++ b/src/serverLinks/_lib/openTunnel/index.ts
@@ -16,13 +16,13 @@
 /** Why a peer has opened no tunnel. */
 export interface TunnelFailure {
   readonly cause: string;
-  /** Whether another server would fare better, and not only another peer. */
+  /** Whether the server, and not the peer, is the reason. */
   readonly isServerFault: boolean;
 }
 
 /**
- * Asks a peer for a tunnel to a server. The tunnel carries the bytes of one connection, so that what
- * holds on a connection to a server holds on it too: nothing was sent if it cannot be opened.
+ * Asks a peer for a tunnel to a server, which carries the bytes of one connection. If it cannot be opened,
+ * nothing was sent to the server.
  *
  * @returns the tunnel, or why there is none
  */
--- a/src/servers/overloadGuard/index.ts
+++ b/src/servers/overloadGuard/index.ts
@@ -3,11 +3,11 @@
 import type * as serverBackpressures from "../serverBackpressure/index.js";
 import type * as types from "../types.js";
 
-/** What an answer of a server says about its room. */
-export interface RoomStatement {
-  /** Rejections a second beyond which it ends; null if it does not say so. */
+/** What an answer of a server states about its capacity. */
+export interface CapacityStatement {
+  /** Rejections a second above which it crashes; null if it states none. */
   readonly maxRejectionsPerSecond: number | null;
-  /** Whether it rejects a request for want of room. */
+  /** Whether it rejects a request for lack of capacity. */
   readonly isRejection: boolean;
 }
 
@@ -25,10 +25,10 @@
 type RankedServer = Pick<types.ServerEntry, "id" | "serviceName" | "slotsCount">;
 
 /**
- * Keeps brittle servers, which end when they have to reject too much, from having to: each VM has places
- * at each of them and sends no more at a time. Without rejections the places are rounded up; after one,
- * by whichever server of the service, the places of all VMs add up to the server's slots. What holds for
- * one server of a service is taken to hold for all of them, also for one that has just started.
+ * Limits this VM's concurrent requests at brittle servers, which crash when they reject too many a second.
+ * Without rejections each VM's limit is its share of the slots, rounded up; after a rejection by any server
+ * of the service, the limits of all VMs add up to the slots. A statement of one server of a service holds
+ * for all of them, as one that has just started has not made any yet.
  */
 export class OverloadGuard {
   private readonly services = new Map<string, ServiceState>();
@@ -38,10 +38,10 @@
     private readonly rankOf: (serverId: string) => serverBackpressures.VmRank,
   ) {}
 
-  /** Records what an answer of a server says about its room. */
+  /** Records what an answer of a server states about its capacity. */
   recordAnswer(
     { serviceName }: RankedServer,
-    { maxRejectionsPerSecond, isRejection }: RoomStatement,
+    { maxRejectionsPerSecond, isRejection }: CapacityStatement,
   ): void {
     const state = this.stateOf(serviceName);
     if (maxRejectionsPerSecond !== null) state.brittleAtMs = this.clock.nowMs();
--- a/src/sharedView/topicReader/index.ts
+++ b/src/sharedView/topicReader/index.ts
@@ -101,7 +101,7 @@
   private computeTimeToNextReadMs(): number {
     const { replica, isPreferred } = this.context;
     if (!replica.isKnown || this.isListingDue) return 0;
-    // Without a call it would go on to count as cut off from the store, and rank last.
+    // Only a successful call ends the belief that the store is unreachable.
     if (!this.reachesStore && isPreferred()) return 0;
     return this.options.pollAgeMs + this.computeRankDelayMs() - replica.ageMs;
   }
--- a/standins/platform/backendServer/index.ts
+++ b/standins/platform/backendServer/index.ts
@@ -30,10 +30,10 @@
   readonly calls: ReceivedCall[] = [];
   /** Limit of requests a second from all VMs, which each answer names; null for none. */
   ratePerSecond: number | null = null;
-  /** Rejections a second beyond which the server ends, which each answer names; null for none. */
+  /** Rejections a second above which the server crashes, stated in each answer; null for no limit. */
   maxRejectionsPerSecond: number | null = null;
-  /** How often the server has ended under its rejections. */
-  fallsCount = 0;
+  /** Number of crashes caused by too many rejections. */
+  overloadCrashesCount = 0;
   /** Whether each answer states that the server leaves. */
   isLeaving = false;
   private isDisposed = false;
@@ -71,9 +71,9 @@
     for (const socket of this.sockets) resetSockets.resetSocket(socket);
   }
 
-  /** Ends like a process that crashes, and starts again at the same address after a while. */
-  async fall(downMs: number): Promise<void> {
-    this.fallsCount += 1;
+  /** Crashes, and restarts at the same address after a while. */
+  async crashAndRestart(downMs: number): Promise<void> {
+    this.overloadCrashesCount += 1;
     const { port } = this;
     this.crash();
     await new Promise((resolve) => setTimeout(resolve, downMs));
--- a/standins/platform/brittleWork/index.ts
+++ b/standins/platform/brittleBehaviour/index.ts
@@ -3,20 +3,20 @@
 
 const { HEADERS } = names;
 
-/** Work of a server that ends when it has to reject too much. */
-export interface BrittleWork {
+/** Capacity of a server that crashes when it rejects too many requests. */
+export interface BrittleOptions {
   readonly slotsCount: number;
   readonly workMs: number;
-  /** Time for which the server is away after it has ended. */
+  /** Time from a crash to the restart. */
   readonly downMs: number;
 }
 
 /**
- * Runs as many requests at a time as there are slots and rejects the others; ends when it has rejected more
- * in a second than it says it can.
+ * Runs as many concurrent requests as there are slots and rejects the others; crashes when it has rejected
+ * more in a second than its limit.
  */
-export function workBrittly(
-  { slotsCount, workMs, downMs }: BrittleWork,
+export function createBrittleBehaviour(
+  { slotsCount, workMs, downMs }: BrittleOptions,
   answerTo: (call: backendServers.ReceivedCall) => string = () => "done",
 ): backendServers.Behaviour {
   let runningCount = 0;
@@ -27,7 +27,7 @@
       rejectedAtMs = [...rejectedAtMs.filter((atMs) => nowMs - atMs < 1_000), nowMs];
       if (rejectedAtMs.length > (server.maxRejectionsPerSecond ?? Infinity)) {
         rejectedAtMs = [];
-        await server.fall(downMs);
+        await server.crashAndRestart(downMs);
         return;
       }
       response.writeHead(503, { ...server.createAnswerHeaders(call), [HEADERS.notRun]: "1" }).end();
