--- a/src/gateway/_lib/virtualFleet/index.ts
+++ b/src/gateway/_lib/virtualFleet/index.ts
@@ -26,7 +26,7 @@
 export interface VmPlacement {
   readonly dataCentre: string;
   readonly coresCount: number;
-  /** Bytes that its link transfers in a millisecond. */
+  /** Bandwidth of the link of the VM. */
   readonly linkBytesPerMs: number;
 }
 
--- a/src/serverLinks/constants.ts
+++ b/src/serverLinks/constants.ts
@@ -1,7 +1,7 @@
 /** Timeout for connecting to a server. The platform's data centres are at most 2 ms apart. */
 export const CONNECT_TIMEOUT_MS = 150;
 
-/** Timeout for opening a tunnel: the peer's connection to the server, and the way to the peer. */
+/** Timeout for opening a tunnel, including the peer's connection to the server. */
 export const TUNNEL_TIMEOUT_MS = 250;
 
 /** Servers that a VM fails to connect to, with no success in between, before it asks its peers. */
--- a/src/serverLinks/linkMonitor/index.ts
+++ b/src/serverLinks/linkMonitor/index.ts
@@ -39,7 +39,7 @@
   }
 
   /**
-   * Records a connection of this VM to a server.
+   * Records that this VM has connected to a server.
    *
    * @returns whether it shows that a cut is over
    */
--- a/src/servers/types.ts
+++ b/src/servers/types.ts
@@ -39,11 +39,11 @@
 export enum EntryEffect {
   /** The entry is older than the known one. */
   Ignored = "ignored",
-  /** A later message of a known start. */
+  /** The entry updates a server process that is known. */
   Updated = "updated",
-  /** The first message of a start. */
+  /** The entry is the first of a server process. */
   NewStart = "new-start",
-  /** A message of a start that was leaving, which makes it available again. */
+  /** The entry makes a server process available again that counted as leaving. */
   Returned = "returned",
 }
 
--- a/src/sharedView/peerMesh/index.ts
+++ b/src/sharedView/peerMesh/index.ts
@@ -74,7 +74,7 @@
     return this.table.readerRank(this.context.reachesStore());
   }
 
-  /** Whether this VM is among the largest live VMs, which read the store for the others if they reach it. */
+  /** Whether this VM is a preferred reader, which polls the store for the others if it reaches it. */
   get isPreferredReader(): boolean {
     return this.table.isPreferredReader;
   }
