--- a/standins/platform/gatewayFleet/index.ts
+++ b/standins/platform/gatewayFleet/index.ts
@@ -19,6 +19,9 @@
 /** Requests that a server runs at a time, unless a test says otherwise. */
 const DEFAULT_SLOTS_COUNT = 24;
 
+/** Data centre of gateways and servers, unless a test says otherwise. */
+const DEFAULT_DATA_CENTRE = "dc-a";
+
 /** Name of the plain service. */
 export const PLAIN_SERVICE = "plain";
 
@@ -110,7 +113,7 @@
     this.store.put(names.TOPIC_NAMES.servers, server.id, {
       service,
       address: `127.0.0.1:${server.port}`,
-      zone: "dc-a",
+      zone: DEFAULT_DATA_CENTRE,
       version: "v1",
       slots: slotsCount,
       state,
@@ -156,8 +159,8 @@
   }
 
   /** Starts a gateway and waits until it listens; it may not be ready yet. */
-  async addGateway(): Promise<gateways.Gateway> {
-    const settings = await this.createSettings(`vm-${this.gateways.length + 1}`);
+  async addGateway(dataCentre = DEFAULT_DATA_CENTRE): Promise<gateways.Gateway> {
+    const settings = await this.createSettings(`vm-${this.gateways.length + 1}`, dataCentre);
     const clock = new clocks.SystemClock();
     const store = new logStores.LogStore({ host: "127.0.0.1", port: this.store.port });
     const gateway = new gateways.Gateway(settings, {
@@ -207,12 +210,15 @@
     await this.resources[Symbol.asyncDispose]();
   }
 
-  private async createSettings(vmName: string): Promise<gateways.GatewaySettings> {
+  private async createSettings(
+    vmName: string,
+    dataCentre: string,
+  ): Promise<gateways.GatewaySettings> {
     const [callers = 0, readiness = 0, peers = 0, metrics = 0] = await freePorts.findFreePorts(4);
     const host = "127.0.0.1";
     return {
       vmName,
-      dataCentre: "dc-a",
+      dataCentre,
       coresCount: 1,
       callers: { host, port: callers },
       readiness: { host, port: readiness },
