Ask peers of all data centres for tunnels, by what they have seen of their links

Cause: a VM that is cut off from all servers asked three peers of its own data centre, which were cut off as well, reported that they reach servers because they did not know better, and were asked again each second after each refusal. The probe of the crash monitor went the same way and took a timeout for the end of a server. Change: heartbeats carry what a VM has seen of its links in the last 2 s (unknown is an answer); peers are ranked by that and by how they have answered; data centres come in turn; the next peer is asked after 40 ms or a refusal; a peer that is cut off names the one that it uses; searches in vain back off from 250 ms to a second. tunnel-unavailable logs each peer's answer.

--- a/src/diagnostics/types.ts
+++ b/src/diagnostics/types.ts
@@ -37,6 +37,8 @@
   TunnelOpened = "tunnel-opened",
   TunnelServed = "tunnel-served",
   TunnelRefused = "tunnel-refused",
+  /** No peer that was asked has opened a tunnel. */
+  TunnelUnavailable = "tunnel-unavailable",
   ServerEnded = "server-ended",
   SuspectBlamed = "suspect-blamed",
   SuspectCleared = "suspect-cleared",
--- a/src/gateway/_lib/createMesh/index.ts
+++ b/src/gateway/_lib/createMesh/index.ts
@@ -40,7 +40,7 @@
     listOwnWaiting: () => getDispatcher().localWaiting,
     self: { vmName, ...peers, dataCentre, coresCount, startedAtWallMs: clock.wallTimeMs() },
     reachesStore: parts.reachesStore,
-    reachesServers: () => !links.connector.isCutOff,
+    linkState: () => links.connector.linkState,
     onReplicaBehind: (topic, peer, state) => void client.catchUp(topic, peer, state),
     onWorkChange: () => getDispatcher().requestScan(),
     listOverloads: () => overloadGuard.listOverloads(),
--- a/src/gateway/_lib/createServerLinks/index.ts
+++ b/src/gateway/_lib/createServerLinks/index.ts
@@ -4,7 +4,14 @@
 import type * as sharedView from "../../../sharedView/index.js";
 import type * as types from "../../types.js";
 
-const { TunnelDenial } = serverLinks;
+const { PeerVerdict, TunnelDenial } = serverLinks;
+
+/** What peers show about a server that refuses this VM's connections. */
+const STATE_BY_VERDICT: Readonly<Record<serverLinks.PeerVerdict, crashes.ListenerState>> = {
+  [PeerVerdict.Reached]: crashes.ListenerState.Listens,
+  [PeerVerdict.Unreached]: crashes.ListenerState.Refuses,
+  [PeerVerdict.Unknown]: crashes.ListenerState.Silent,
+};
 
 /** What the links to servers depend on. */
 export interface LinksContext {
@@ -33,6 +40,7 @@
     log,
     dial,
     listPeers,
+    requestTunnel: serverLinks.createTunnelRequester(clock, settings.vmName),
     random: ports.random.fork(),
     vmName: settings.vmName,
     dataCentre: settings.dataCentre,
@@ -42,6 +50,7 @@
   const tunnelServer = new serverLinks.TunnelServer({
     log,
     listPeers,
+    findReachingVm: () => connector.reachingVm,
     connect: (server, signal) => connector.connectDirectly(server, signal),
     findDenial: (server) => findDenial(context, connector, server),
   });
@@ -52,9 +61,8 @@
     const state = await crashes.probeListener(dial, server, timeoutMs);
     const entry = directory.find(server.id)?.entry;
     if (state !== crashes.ListenerState.Refuses || entry === undefined) return state;
-    const options = { requestId: "", signal: AbortSignal.timeout(timeoutMs) };
-    const isReached = await connector.isReachableByPeer(entry, options);
-    return isReached ? crashes.ListenerState.Listens : state;
+    const verdict = await connector.probeByPeers(entry, AbortSignal.timeout(timeoutMs));
+    return STATE_BY_VERDICT[verdict];
   };
   return { connector, tunnelServer, probe };
 }
@@ -66,7 +74,7 @@
   server: serverLinks.TunnelRequest["server"],
 ): serverLinks.TunnelDenial | null {
   if (isStopping()) return TunnelDenial.Overloaded;
-  if (connector.isCutOff) return TunnelDenial.CutOff;
+  if (connector.isKnownUnreachable(server.id)) return TunnelDenial.CutOff;
   const known = directory.find(server.id);
   const isSameStart =
     known?.entry.bornAtWallMs === server.bornAtWallMs &&
--- a/src/gateway/_lib/virtualFleet/index.ts
+++ b/src/gateway/_lib/virtualFleet/index.ts
@@ -7,6 +7,7 @@
 import * as diagnostics from "../../../diagnostics/index.js";
 import * as dispatch from "../../../dispatch/index.js";
 import type * as routing from "../../../routing/index.js";
+import * as serverLinks from "../../../serverLinks/index.js";
 import * as servers from "../../../servers/index.js";
 import * as sharedView from "../../../sharedView/index.js";
 import * as constants from "../../constants.js";
@@ -104,7 +105,7 @@
       fleetQueue: new dispatch.FleetQueue(clock),
       listOwnWaiting: () => [],
       reachesStore: () => this.readers.every(({ reachesStore }) => reachesStore),
-      reachesServers: () => true,
+      linkState: () => fleet.linkStateOf(name),
       onReplicaBehind: (topic, peer, state) => void client.catchUp(topic, peer, state),
       onWorkChange: () => undefined,
       listOverloads: () => [],
@@ -127,6 +128,11 @@
     return this.view.routingTable?.configuration.version ?? 0;
   }
 
+  /** The VMs whose heartbeats this VM receives. */
+  listPeers(): readonly sharedView.Peer[] {
+    return this.mesh.livePeers();
+  }
+
   /** Adds the address of another VM. */
   addPeer(vmName: string): void {
     this.mesh.addPeerAddress({ vmName, host: vmName, port: PORT });
@@ -176,6 +182,8 @@
   readonly peerless = new Set<string>();
   /** Data centres whose VMs reach the store and each other, but no other data centre. */
   readonly partitionedDataCentres = new Set<string>();
+  /** What a VM reports of its links to servers. */
+  linkStateOf: (vmName: string) => serverLinks.LinkState = () => serverLinks.LinkState.Reaches;
   /** When the link of a VM has sent all topics that were fetched from it. */
   private readonly linkFreeAtMs = new Map<string, number>();
 
--- a/src/gateway/dataCentreCut/test.ts
+++ b/src/gateway/dataCentreCut/test.ts
@@ -133,6 +133,19 @@
   }
 });
 
+tap.test("a data centre that is cut off does not take that for the ends of servers", async (t) => {
+  const fleet = await startFleet(t);
+  for (const server of fleet.servers.slice(0, 2))
+    server.setBehaviour(backendServers.answerLater("late", 300));
+  const vms = vmsOf("dc-a");
+  const pending = countUnserved(fleet, vms, { path: "/lookup/" });
+  await testFleets.waitUntil(() => fleet.servers.some(({ calls }) => calls.length >= vms.length));
+  cutOff(fleet, vms, { mode: CutMode.Refuse, resetsOpen: true });
+  t.equal(await pending, 0, "lookups are repeated through peers");
+  const { ServerEnded } = diagnostics.LogEvent;
+  t.notOk(fleet.fleet.log.lines.some(({ event }) => event === ServerEnded));
+});
+
 tap.test("servers that have all ended are not taken for a cut by any VM", async (t) => {
   const fleet = await startFleet(t);
   for (const server of fleet.servers) server.crash();
--- a/src/serverLinks/_lib/openConnection/index.ts
+++ b/src/serverLinks/_lib/openConnection/index.ts
@@ -2,10 +2,12 @@
 
 import * as neverthrow from "neverthrow";
 
+import type * as clocks from "../../../_lib/clock/index.js";
 import type * as types from "../../types.js";
 
 /** Bounds on opening a connection. */
 export interface OpenOptions {
+  readonly clock: clocks.Clock;
   readonly timeoutMs: number;
   readonly signal: AbortSignal;
 }
@@ -14,7 +16,7 @@
 export function openConnection(
   dial: types.Dial,
   address: types.Address,
-  { timeoutMs, signal }: OpenOptions,
+  { clock, timeoutMs, signal }: OpenOptions,
 ): Promise<neverthrow.Result<net.Socket, string>> {
   return new Promise((resolve) => {
     if (signal.aborted) {
@@ -29,9 +31,9 @@
     };
     const onAbort = (): void => fail("aborted while connecting");
     const onError = (error: Error): void => fail(error.message);
-    const timer = setTimeout(() => fail(`no connection within ${timeoutMs} ms`), timeoutMs);
+    const timer = clock.schedule(timeoutMs, () => fail(`no connection within ${timeoutMs} ms`));
     const cleanUp = (): void => {
-      clearTimeout(timer);
+      timer[Symbol.dispose]();
       signal.removeEventListener("abort", onAbort);
       socket.off("error", onError);
       // A socket may still emit errors after its failure was reported; they are ignored.
--- a/src/serverLinks/_lib/openTunnel/index.ts
+++ b/src/serverLinks/_lib/openTunnel/index.ts
@@ -3,21 +3,23 @@
 
 import * as neverthrow from "neverthrow";
 
+import type * as clocks from "../../../_lib/clock/index.js";
 import * as constants from "../../constants.js";
-import type * as types from "../../types.js";
+import * as types from "../../types.js";
 import * as connections from "../openConnection/index.js";
+import * as tunnelDenials from "../tunnelDenial/index.js";
 import * as tunnelRequests from "../tunnelRequest/index.js";
 
-const OK_STATUS = 200;
+const { TunnelRefusal } = types;
 
-/** Statuses with which a peer says that the server, not the peer, is why there is no tunnel. */
-const SERVER_STATUSES: ReadonlySet<number> = new Set([404, 409, 504]);
+const OK_STATUS = 200;
 
-/** Why a peer has opened no tunnel. */
-export interface TunnelFailure {
-  readonly cause: string;
-  /** Whether the server, and not the peer, is the reason. */
-  readonly isServerFault: boolean;
+/** Dependencies and bounds of opening a tunnel. */
+export interface TunnelOptions {
+  readonly clock: clocks.Clock;
+  /** Opens connections to peers. */
+  readonly dial: types.Dial;
+  readonly signal: AbortSignal;
 }
 
 /**
@@ -30,21 +32,19 @@
   vmName: string,
   peer: types.TunnelPeer,
   request: types.TunnelRequest,
-  { dial, signal }: { readonly dial: types.Dial; readonly signal: AbortSignal },
-): Promise<neverthrow.Result<net.Socket, TunnelFailure>> {
+  { clock, dial, signal }: TunnelOptions,
+): Promise<neverthrow.Result<net.Socket, types.TunnelFailure>> {
   const timeout = AbortSignal.timeout(constants.TUNNEL_TIMEOUT_MS);
   const bounded = AbortSignal.any([signal, timeout]);
-  const options = { timeoutMs: constants.CONNECT_TIMEOUT_MS, signal: bounded };
+  const options = { clock, timeoutMs: constants.CONNECT_TIMEOUT_MS, signal: bounded };
   const opened = await connections.openConnection(dial, peer, options);
-  const describe = (cause: string): string => `${peer.vmName}: ${cause}`;
-  if (opened.isErr())
-    return neverthrow.err({ cause: describe(opened.error), isServerFault: false });
+  if (opened.isErr()) return neverthrow.err(describeUnavailable(opened.error));
   return new Promise((resolve) => {
-    const fail = (cause: string, isServerFault = false): void => {
+    const fail = (failure: types.TunnelFailure): void => {
       opened.value.destroy();
-      resolve(neverthrow.err({ cause: describe(cause), isServerFault }));
+      resolve(neverthrow.err(failure));
     };
-    const onAbort = (): void => fail("aborted while the tunnel was opened");
+    const onAbort = (): void => fail(describeUnavailable("aborted while the tunnel was opened"));
     const outgoing = http.request({
       createConnection: () => opened.value,
       method: "CONNECT",
@@ -56,13 +56,21 @@
       bounded.removeEventListener("abort", onAbort);
       if (answer.statusCode !== OK_STATUS) {
         const { statusCode = 0 } = answer;
-        fail(`status ${statusCode}`, SERVER_STATUSES.has(statusCode));
+        fail({
+          refusal: tunnelDenials.refusalOfStatus(statusCode),
+          cause: `status ${statusCode}`,
+          referredVm: tunnelRequests.decodeReferral(answer),
+        });
         return;
       }
       if (head.length > 0) socket.unshift(head);
       resolve(neverthrow.ok(socket));
     });
-    outgoing.on("error", ({ message }) => fail(message));
+    outgoing.on("error", ({ message }) => fail(describeUnavailable(message)));
     outgoing.end();
   });
 }
+
+function describeUnavailable(cause: string): types.TunnelFailure {
+  return { refusal: TunnelRefusal.PeerUnavailable, cause, referredVm: null };
+}
--- a/src/serverLinks/_lib/tunnelRequest/index.ts
+++ b/src/serverLinks/_lib/tunnelRequest/index.ts
@@ -10,6 +10,8 @@
   serverId: "x-server-id",
   bornAtWallMs: "x-server-born",
   requestId: "x-request-id",
+  /** In a refusal: a VM through which the peer itself reaches servers. */
+  reachingVm: "x-reaching-vm",
 } as const;
 
 const name = zod.string().min(1).max(200);
@@ -64,3 +66,16 @@
     },
   });
 }
+
+/** Encodes the refusal of a tunnel, with the VM to ask instead if one is known. */
+export function encodeRefusal(statusLine: string, reachingVm: string | null): string {
+  const referral = reachingVm === null ? [] : [`${HEADERS.reachingVm}: ${reachingVm}`];
+  const lines = [`HTTP/1.1 ${statusLine}`, "Connection: close", "Content-Length: 0", ...referral];
+  return [...lines, "", ""].join("\r\n");
+}
+
+/** Decodes the VM that a refusal names; null if it names none. */
+export function decodeReferral({ headers }: Pick<http.IncomingMessage, "headers">): string | null {
+  const parsed = name.safeParse(headers[HEADERS.reachingVm]);
+  return parsed.success ? parsed.data : null;
+}
--- a/src/serverLinks/constants.ts
+++ b/src/serverLinks/constants.ts
@@ -7,14 +7,37 @@
 /** Servers that a VM fails to connect to, with no success in between, before it asks its peers. */
 export const MIN_UNREACHABLE_SERVERS_COUNT = 2;
 
-/** Time after peers have reached none of the servers either for which they are not asked again. */
-export const TUNNEL_RETRY_DELAY_MS = 1_000;
+/** Age above which the outcome of a connection no longer tells anything about a VM's links. */
+export const LINK_EVIDENCE_LIFETIME_MS = 2_000;
 
-/** Time for which a peer is not asked again after it has opened no tunnel. */
+/**
+ * Delay after which peers are asked again when they have reached none of the servers either. Each
+ * further time doubles it, so that the end of all servers causes few questions.
+ */
+export const MIN_TUNNEL_RETRY_DELAY_MS = 250;
+/** Upper bound on that delay. */
+export const MAX_TUNNEL_RETRY_DELAY_MS = 1_000;
+
+/** Time for which a peer is not asked again after it has opened no tunnel for a reason of its own. */
 export const PEER_SUSPENSION_MS = 1_000;
 
-/** Peers that are asked for a tunnel, one after the other. */
-export const MAX_TUNNEL_PEERS_COUNT = 3;
+/** Time for which the outcome of asking a peer affects the order in which others are asked. */
+export const TUNNEL_OUTCOME_LIFETIME_MS = 5_000;
+
+/** Peers that are selected for one tunnel. */
+export const MAX_TUNNEL_PEERS_COUNT = 8;
+
+/** Peers that are asked for one tunnel, including those that other peers name. */
+export const MAX_ASKED_PEERS_COUNT = 16;
+
+/** Peers that are asked for one tunnel if all of them report that their links fail. */
+export const MAX_FAILING_PEERS_COUNT = 3;
+
+/** Peers that are asked at the same time whether a server has ended. */
+export const PROBED_PEERS_COUNT = 3;
+
+/** Time after which the next peer is asked too if the last one has not answered. */
+export const TUNNEL_STAGGER_MS = 40;
 
 /** Interval at which a VM that is cut off tries its own links again. */
 export const LINK_PROBE_INTERVAL_MS = 500;
--- a/src/serverLinks/index.ts
+++ b/src/serverLinks/index.ts
@@ -1,6 +1,8 @@
+export { MAX_SERVED_TUNNELS_COUNT } from "./constants.js";
 export * from "./linkMonitor/index.js";
 export * from "./peerStatements/index.js";
 export * from "./selectTunnelPeers/index.js";
 export * from "./serverConnector/index.js";
+export * from "./tunnelFinder/index.js";
 export * from "./tunnelServer/index.js";
-export type * from "./types.js";
+export * from "./types.js";
--- a/src/serverLinks/linkMonitor/index.ts
+++ b/src/serverLinks/linkMonitor/index.ts
@@ -1,14 +1,18 @@
 import type * as clocks from "../../_lib/clock/index.js";
 import * as constants from "../constants.js";
+import { LinkState } from "../types.js";
 
 /**
- * Whether this VM is cut off from all servers, as its own connections and its peers' show. Servers that
- * refuse or time out may have ended; only a peer that reaches one of them shows a cut.
+ * What this VM's connections show about its links to the servers, and whether it is cut off from all of
+ * them. Servers that refuse or time out may have ended; only a peer that reaches one of them shows a cut.
  */
 export class LinkMonitor {
   private readonly failedIds = new Set<string>();
+  private connectedAtMs = -Infinity;
+  private failedAtMs = -Infinity;
   private cutOffSinceMs: number | null = null;
   private askPeersAtMs = -Infinity;
+  private retryDelayMs = constants.MIN_TUNNEL_RETRY_DELAY_MS;
 
   constructor(private readonly clock: clocks.Clock) {}
 
@@ -27,6 +31,24 @@
     return [...this.failedIds];
   }
 
+  /**
+   * What this VM has seen of its links lately, which it reports to its peers.
+   *
+   * @param serversCount - all known servers, which may be fewer than usually have to fail
+   */
+  linkState(serversCount: number): LinkState {
+    const oldestAtMs = this.clock.nowMs() - constants.LINK_EVIDENCE_LIFETIME_MS;
+    const isFailing = this.hasEnoughFailed(serversCount) && this.failedAtMs >= oldestAtMs;
+    if (this.isCutOff || isFailing) return LinkState.Failing;
+    return this.connectedAtMs >= oldestAtMs ? LinkState.Reaches : LinkState.Unknown;
+  }
+
+  /** Whether this VM has failed to connect to a server, and to none since, within the evidence's lifetime. */
+  hasFailedLately(serverId: string): boolean {
+    const ageMs = this.clock.nowMs() - this.failedAtMs;
+    return this.failedIds.has(serverId) && ageMs <= constants.LINK_EVIDENCE_LIFETIME_MS;
+  }
+
   /**
    * Whether to ask a peer for a tunnel.
    *
@@ -34,8 +56,7 @@
    */
   shouldAskPeers(serversCount: number): boolean {
     if (this.isCutOff) return true;
-    const neededCount = Math.min(constants.MIN_UNREACHABLE_SERVERS_COUNT, serversCount);
-    return this.failedIds.size >= neededCount && this.clock.nowMs() >= this.askPeersAtMs;
+    return this.hasEnoughFailed(serversCount) && this.clock.nowMs() >= this.askPeersAtMs;
   }
 
   /**
@@ -45,6 +66,8 @@
    */
   recordConnected(): boolean {
     this.failedIds.clear();
+    this.connectedAtMs = this.clock.nowMs();
+    this.retryDelayMs = constants.MIN_TUNNEL_RETRY_DELAY_MS;
     const wasCutOff = this.isCutOff;
     this.cutOffSinceMs = null;
     return wasCutOff;
@@ -53,6 +76,7 @@
   /** Records that this VM could not connect to a server. */
   recordFailed(serverId: string): void {
     this.failedIds.add(serverId);
+    this.failedAtMs = this.clock.nowMs();
   }
 
   /**
@@ -61,6 +85,7 @@
    * @returns whether it shows a cut that was not known
    */
   recordTunnel(): boolean {
+    this.retryDelayMs = constants.MIN_TUNNEL_RETRY_DELAY_MS;
     if (this.isCutOff) return false;
     this.cutOffSinceMs = this.clock.nowMs();
     return true;
@@ -68,6 +93,12 @@
 
   /** Records that no peer has reached a server either. */
   recordNoTunnel(): void {
-    this.askPeersAtMs = this.clock.nowMs() + constants.TUNNEL_RETRY_DELAY_MS;
+    this.askPeersAtMs = this.clock.nowMs() + this.retryDelayMs;
+    this.retryDelayMs = Math.min(2 * this.retryDelayMs, constants.MAX_TUNNEL_RETRY_DELAY_MS);
+  }
+
+  private hasEnoughFailed(serversCount: number): boolean {
+    const neededCount = Math.min(constants.MIN_UNREACHABLE_SERVERS_COUNT, serversCount);
+    return neededCount > 0 && this.failedIds.size >= neededCount;
   }
 }
--- a/src/serverLinks/selectTunnelPeers/index.ts
+++ b/src/serverLinks/selectTunnelPeers/index.ts
@@ -1,5 +1,6 @@
 import type * as randoms from "../../_lib/random/index.js";
-import type * as types from "../types.js";
+import * as constants from "../constants.js";
+import * as types from "../types.js";
 
 /** Where a tunnel begins and ends. */
 export interface TunnelRoute {
@@ -7,22 +8,94 @@
   readonly serverDataCentre: string;
 }
 
+/** How a peer or data centre has answered when it was last asked for a tunnel. */
+export enum TunnelOutcome {
+  Opened = "opened",
+  /** It was not asked lately. */
+  None = "none",
+  /** It did not reach the server. */
+  Refused = "refused",
+}
+
+/** What asking peers for tunnels has shown lately. */
+export interface TunnelHistory {
+  readonly outcomeOfPeer: (vmName: string) => TunnelOutcome;
+  readonly outcomeOfDataCentre: (dataCentre: string) => TunnelOutcome;
+}
+
+const RANK_BY_OUTCOME: Readonly<Record<TunnelOutcome, number>> = {
+  [TunnelOutcome.Opened]: 0,
+  [TunnelOutcome.None]: 1,
+  [TunnelOutcome.Refused]: 2,
+};
+
+/** Ranks of peers; those that are not known to fail take turns by data centre. */
+enum Rank {
+  Promising = 0,
+  /** It did not reach a server when it was last asked. */
+  Refused = 1,
+  Failing = 2,
+}
+
+const RANK_BY_STATE: Readonly<Record<types.LinkState, Rank>> = {
+  [types.LinkState.Reaches]: Rank.Promising,
+  [types.LinkState.Unknown]: Rank.Promising,
+  [types.LinkState.Failing]: Rank.Failing,
+};
+
 /**
- * Orders the peers by who is asked first for a tunnel: those that reach servers, then those of this
- * VM's data centre, then those of the server's. Peers that are alike come in random order, so that
- * the load of a VM that is cut off is spread over all of them.
+ * Selects the peers that are asked for a tunnel, in order: first those whose links are not known to fail,
+ * as they reported or as tunnels showed. Among them the data centres come in turn, because VMs of one data
+ * centre are often cut off together. Within a data centre, peers that are known to reach servers go first;
+ * else the order is random, so that the load of VMs that are cut off is spread over all peers.
  */
 export function selectTunnelPeers(
   peers: readonly types.TunnelPeer[],
   { ownDataCentre, serverDataCentre }: TunnelRoute,
+  history: TunnelHistory,
   random: randoms.RandomSource,
 ): readonly types.TunnelPeer[] {
-  const preferred = [ownDataCentre, serverDataCentre];
+  const near = [ownDataCentre, serverDataCentre];
+  const rankOfDataCentre = (dataCentre: string): number => {
+    const place = near.indexOf(dataCentre);
+    const distance = place === -1 ? near.length : place;
+    return RANK_BY_OUTCOME[history.outcomeOfDataCentre(dataCentre)] * (near.length + 1) + distance;
+  };
   const ranked = peers.map((peer) => {
-    const place = preferred.indexOf(peer.dataCentre);
-    const distance = place === -1 ? preferred.length : place;
-    return { peer, rank: (peer.reachesServers ? 0 : 10) + distance, order: random.next() };
+    const rank = rankPeer(peer, history);
+    const order = random.next() + (isKnownToReach(peer, history) ? 0 : 1);
+    return { peer, rank, dataCentreRank: rankOfDataCentre(peer.dataCentre), order };
   });
   ranked.sort((left, right) => left.rank - right.rank || left.order - right.order);
-  return ranked.map(({ peer }) => peer);
+  const countByGroup = new Map<string, number>();
+  const placed = ranked.map((entry) => {
+    const group = `${entry.rank} ${entry.peer.dataCentre}`;
+    const turn = countByGroup.get(group) ?? 0;
+    countByGroup.set(group, turn + 1);
+    return { ...entry, turn };
+  });
+  placed.sort(
+    (left, right) =>
+      left.rank - right.rank ||
+      left.turn - right.turn ||
+      left.dataCentreRank - right.dataCentreRank ||
+      left.order - right.order,
+  );
+  const isAnyPromising = placed.some(({ rank }) => rank !== Rank.Failing);
+  const maxCount = isAnyPromising
+    ? constants.MAX_TUNNEL_PEERS_COUNT
+    : constants.MAX_FAILING_PEERS_COUNT;
+  return placed.slice(0, maxCount).map(({ peer }) => peer);
+}
+
+function rankPeer({ vmName, linkState }: types.TunnelPeer, history: TunnelHistory): Rank {
+  const outcome = history.outcomeOfPeer(vmName);
+  if (outcome === TunnelOutcome.Opened) return Rank.Promising;
+  const rank = RANK_BY_STATE[linkState];
+  return outcome === TunnelOutcome.Refused && rank === Rank.Promising ? Rank.Refused : rank;
+}
+
+function isKnownToReach({ vmName, linkState }: types.TunnelPeer, history: TunnelHistory): boolean {
+  const hasOpened = history.outcomeOfPeer(vmName) === TunnelOutcome.Opened;
+  return hasOpened || linkState === types.LinkState.Reaches;
 }
--- a/src/serverLinks/serverConnector/index.ts
+++ b/src/serverLinks/serverConnector/index.ts
@@ -3,33 +3,33 @@
 import * as neverthrow from "neverthrow";
 
 import type * as clocks from "../../_lib/clock/index.js";
-import type * as randoms from "../../_lib/random/index.js";
 import * as diagnostics from "../../diagnostics/index.js";
 import type * as servers from "../../servers/index.js";
 import * as connections from "../_lib/openConnection/index.js";
 import * as tunnels from "../_lib/openTunnel/index.js";
 import * as constants from "../constants.js";
 import * as linkMonitors from "../linkMonitor/index.js";
-import * as selectTunnelPeers from "../selectTunnelPeers/index.js";
-import type * as types from "../types.js";
+import * as tunnelFinders from "../tunnelFinder/index.js";
+import * as types from "../types.js";
 
 const { Importance, LogEvent } = diagnostics;
+const { LinkState } = types;
 
 /** Opens TCP connections over the network of this VM. */
 export const dialTcp: types.Dial = ({ host, port }) =>
   net.connect({ host, port, noDelay: true, allowHalfOpen: true });
 
+/** Returns how a VM asks its peers for tunnels. */
+export function createTunnelRequester(clock: clocks.Clock, vmName: string): types.RequestTunnel {
+  return (peer, request, signal) =>
+    tunnels.openTunnel(vmName, peer, request, { clock, dial: dialTcp, signal });
+}
+
 /** Dependencies of the connector. */
-export interface ConnectorContext {
-  readonly clock: clocks.Clock;
-  readonly random: randoms.RandomSource;
+export interface ConnectorContext extends tunnelFinders.FinderContext {
   readonly log: diagnostics.DecisionLog;
-  readonly vmName: string;
-  readonly dataCentre: string;
   /** Opens connections to servers. */
   readonly dial: types.Dial;
-  /** Lists the live peers. */
-  readonly listPeers: () => readonly types.TunnelPeer[];
   /** Lists the servers of all services that accept work. */
   readonly listServers: () => readonly servers.ServerEntry[];
 }
@@ -56,13 +56,14 @@
  */
 export class ServerConnector implements Disposable {
   private readonly monitor: linkMonitors.LinkMonitor;
-  private readonly suspendedUntilMs = new Map<string, number>();
+  private readonly finder: tunnelFinders.TunnelFinder;
   private readonly stopping = new AbortController();
   private probesCount = 0;
   private tunnelsCount = 0;
 
   constructor(private readonly context: ConnectorContext) {
     this.monitor = new linkMonitors.LinkMonitor(context.clock);
+    this.finder = new tunnelFinders.TunnelFinder(context);
   }
 
   /** Whether this VM is cut off from all servers. */
@@ -70,6 +71,22 @@
     return this.monitor.isCutOff;
   }
 
+  /** What this VM has seen of its own links lately. */
+  get linkState(): types.LinkState {
+    return this.monitor.linkState(this.context.listServers().length);
+  }
+
+  /** Name of a peer that has opened a tunnel lately; null if there is none. */
+  get reachingVm(): string | null {
+    return this.finder.reachingVm;
+  }
+
+  /** Whether it is known without a further attempt that this VM does not reach a server. */
+  isKnownUnreachable(serverId: string): boolean {
+    const isFailing = this.linkState === LinkState.Failing;
+    return this.isCutOff || (isFailing && this.monitor.hasFailedLately(serverId));
+  }
+
   /** Opens a connection to a server; the error is its cause as a text, and nothing was sent. */
   async connect(server: servers.ServerEntry, options: ConnectOptions): Promise<ConnectResult> {
     if (this.monitor.isCutOff) {
@@ -94,7 +111,8 @@
     server: Pick<servers.ServerEntry, "id" | "host" | "port">,
     signal: AbortSignal,
   ): Promise<neverthrow.Result<net.Socket, string>> {
-    const options = { timeoutMs: constants.CONNECT_TIMEOUT_MS, signal };
+    const { clock } = this.context;
+    const options = { clock, timeoutMs: constants.CONNECT_TIMEOUT_MS, signal };
     const opened = await connections.openConnection(this.context.dial, server, options);
     if (opened.isErr()) {
       if (!signal.aborted) this.monitor.recordFailed(server.id);
@@ -118,56 +136,43 @@
     return opened.isOk();
   }
 
-  /** Returns whether a peer reaches a server that this VM does not reach. */
-  async isReachableByPeer(server: servers.ServerEntry, options: ConnectOptions): Promise<boolean> {
-    const tunnelled = await this.openTunnel(server, options);
-    if (tunnelled.isOk()) tunnelled.value.socket.destroy();
-    return tunnelled.isOk();
+  /** Returns whether peers reach a server that this VM does not reach. */
+  probeByPeers(
+    server: servers.ServerEntry,
+    signal: AbortSignal,
+  ): Promise<tunnelFinders.PeerVerdict> {
+    return this.finder.probe(server, signal);
   }
 
   [Symbol.dispose](): void {
     this.stopping.abort();
   }
 
-  /** Asks peers for a tunnel, one after the other, until one reaches the server. */
   private async openTunnel(
     server: servers.ServerEntry,
-    { requestId, signal }: ConnectOptions,
+    options: ConnectOptions,
   ): Promise<ConnectResult> {
-    const { clock, log, vmName } = this.context;
+    const { clock, log } = this.context;
     const startedAtMs = clock.nowMs();
-    const causes: string[] = [];
-    for (const peer of this.selectPeers(server)) {
-      const request = { server, requestId };
-      const opened = await tunnels.openTunnel(vmName, peer, request, { dial: dialTcp, signal });
-      if (opened.isOk()) {
-        this.tunnelsCount += 1;
-        log.record(Importance.Routine, LogEvent.TunnelOpened, {
-          requestId,
-          serverId: server.id,
-          peer: peer.vmName,
-          elapsedMs: Math.round(clock.nowMs() - startedAtMs),
-          beliefAgeMs: Math.round(this.monitor.cutOffMs),
-        });
-        return neverthrow.ok({ socket: opened.value, peer });
-      }
-      causes.push(opened.error.cause);
-      if (signal.aborted) break;
-      if (opened.error.isServerFault) continue;
-      this.suspendedUntilMs.set(peer.vmName, clock.nowMs() + constants.PEER_SUSPENSION_MS);
+    const found = await this.finder.find(server, options);
+    const fields = {
+      requestId: options.requestId,
+      serverId: server.id,
+      elapsedMs: Math.round(clock.nowMs() - startedAtMs),
+      linkState: this.linkState,
+      beliefAgeMs: Math.round(this.monitor.cutOffMs),
+    };
+    if (found.isOk()) {
+      const { socket, peer } = found.value;
+      this.tunnelsCount += 1;
+      const details = { ...fields, peer: peer.vmName, dataCentre: peer.dataCentre };
+      log.record(Importance.Routine, LogEvent.TunnelOpened, details);
+      return neverthrow.ok({ socket, peer });
     }
-    return neverthrow.err(`no tunnel: ${causes.join(", ") || "no peer"}`);
-  }
-
-  private selectPeers({ dataCentre }: servers.ServerEntry): readonly types.TunnelPeer[] {
-    const { clock, listPeers, random } = this.context;
-    const nowMs = clock.nowMs();
-    const usable = listPeers().filter(
-      ({ vmName }) => (this.suspendedUntilMs.get(vmName) ?? -Infinity) <= nowMs,
-    );
-    const route = { ownDataCentre: this.context.dataCentre, serverDataCentre: dataCentre };
-    const peers = selectTunnelPeers.selectTunnelPeers(usable, route, random);
-    return peers.slice(0, constants.MAX_TUNNEL_PEERS_COUNT);
+    const causes = found.error.causes.join(", ") || "no peer was asked";
+    if (!options.signal.aborted)
+      log.record(Importance.Notable, LogEvent.TunnelUnavailable, { ...fields, causes });
+    return neverthrow.err(`no tunnel: ${causes}`);
   }
 
   private recordCut(server: servers.ServerEntry, { peer }: ServerConnection, cause: string): void {
--- a/src/serverLinks/tunnelServer/index.ts
+++ b/src/serverLinks/tunnelServer/index.ts
@@ -1,38 +1,39 @@
 import type * as http from "node:http";
 import type * as net from "node:net";
 
-import type * as neverthrow from "neverthrow";
+import * as neverthrow from "neverthrow";
 
 import * as resetSockets from "../../_lib/resetSocket/index.js";
 import * as diagnostics from "../../diagnostics/index.js";
 import * as spliceSockets from "../_lib/spliceSockets/index.js";
+import { TunnelDenial } from "../_lib/tunnelDenial/index.js";
 import * as tunnelRequests from "../_lib/tunnelRequest/index.js";
 import * as constants from "../constants.js";
 import type * as types from "../types.js";
 
+export { REFUSAL_BY_DENIAL, TunnelDenial } from "../_lib/tunnelDenial/index.js";
+
 const { Importance, LogEvent } = diagnostics;
 
-/** Why a tunnel is not opened, as an HTTP status line. */
-export enum TunnelDenial {
-  Malformed = "400 Bad Request",
-  /** The sender is no live VM of the fleet. */
-  UnknownVm = "403 Forbidden",
-  /** This VM does not know the start of the server, or knows it at another address. */
-  UnknownServer = "404 Not Found",
-  /** The server leaves, or wants no request of this VM. */
-  UnavailableServer = "409 Conflict",
-  /** This VM is cut off from the servers itself. */
-  CutOff = "502 Bad Gateway",
-  /** The server does not accept a connection of this VM. */
-  ServerUnreachable = "504 Gateway Timeout",
-  /** This VM is stopping, or serves as many tunnels as it can. */
-  Overloaded = "503 Service Unavailable",
+/** The VM that asks for a tunnel, and the address from which it asks. */
+export interface TunnelSender {
+  readonly vmName: string;
+  readonly host: string;
+}
+
+/** A tunnel that was not opened. */
+export interface DeniedTunnel {
+  readonly denial: TunnelDenial;
+  /** Why the server could not be connected to; null if that was not tried. */
+  readonly cause: string | null;
 }
 
 /** Dependencies of the tunnel server. */
 export interface TunnelServerContext {
   readonly log: diagnostics.DecisionLog;
   readonly listPeers: () => readonly types.TunnelPeer[];
+  /** Name of a peer that reaches servers, if this VM does not itself; null if none is known. */
+  readonly findReachingVm: () => string | null;
   /** Returns why this VM must not send to a server; null if it may. */
   readonly findDenial: (server: types.TunnelRequest["server"]) => TunnelDenial | null;
   /** Opens a connection over this VM's own links alone. */
@@ -83,18 +84,15 @@
     }
     const { vmName, server, requestId } = decoded.value;
     const fields = { requestId, peer: vmName, serverId: server.id };
-    const denial = this.findDenial(decoded.value, socket);
-    if (denial !== null) {
-      this.deny(socket, denial, fields);
-      return;
-    }
-    this.sockets.add(socket);
-    socket.once("close", () => this.sockets.delete(socket));
     const left = new AbortController();
     socket.once("close", () => left.abort());
-    const opened = await this.context.connect(server, left.signal);
+    this.sockets.add(socket);
+    socket.once("close", () => this.sockets.delete(socket));
+    const sender = { vmName, host: socket.remoteAddress ?? "" };
+    const opened = await this.open(sender, server, left.signal);
     if (opened.isErr()) {
-      this.deny(socket, TunnelDenial.ServerUnreachable, { ...fields, cause: opened.error });
+      this.sockets.delete(socket);
+      this.deny(socket, opened.error.denial, { ...fields, cause: opened.error.cause });
       return;
     }
     socket.write(ESTABLISHED);
@@ -103,18 +101,39 @@
     this.context.log.record(Importance.Routine, LogEvent.TunnelServed, fields);
   }
 
+  /** Connects to a server for a peer, or returns why there is no connection. */
+  async open(
+    sender: TunnelSender,
+    server: types.TunnelRequest["server"],
+    signal: AbortSignal,
+  ): Promise<neverthrow.Result<net.Socket, DeniedTunnel>> {
+    const denial = this.findDenial(sender, server);
+    if (denial !== null) return neverthrow.err({ denial, cause: null });
+    const opened = await this.context.connect(server, signal);
+    // The attempt itself may have shown that this VM reaches no server.
+    return opened.mapErr((cause) => ({
+      denial:
+        this.context.findDenial(server) === TunnelDenial.CutOff
+          ? TunnelDenial.CutOff
+          : TunnelDenial.ServerUnreachable,
+      cause,
+    }));
+  }
+
   private findDenial(
-    { vmName, server }: tunnelRequests.ReceivedTunnelRequest,
-    socket: net.Socket,
+    { vmName, host }: TunnelSender,
+    server: types.TunnelRequest["server"],
   ): TunnelDenial | null {
     const peer = this.context.listPeers().find((known) => known.vmName === vmName);
-    if (peer === undefined || socket.remoteAddress !== peer.host) return TunnelDenial.UnknownVm;
-    const isFull = this.sockets.size >= constants.MAX_SERVED_TUNNELS_COUNT;
+    if (peer?.host !== host) return TunnelDenial.UnknownVm;
+    const isFull = this.sockets.size > constants.MAX_SERVED_TUNNELS_COUNT;
     return isFull ? TunnelDenial.Overloaded : this.context.findDenial(server);
   }
 
   private deny(socket: net.Socket, denial: TunnelDenial, fields: diagnostics.LogFields): void {
-    this.context.log.record(Importance.Notable, LogEvent.TunnelRefused, { ...fields, denial });
-    socket.end(`HTTP/1.1 ${denial}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
+    const reachingVm = denial === TunnelDenial.CutOff ? this.context.findReachingVm() : null;
+    const details = { ...fields, denial, reachingVm };
+    this.context.log.record(Importance.Notable, LogEvent.TunnelRefused, details);
+    socket.end(tunnelRequests.encodeRefusal(denial, reachingVm));
   }
 }
--- a/src/serverLinks/tunnelServer/test.ts
+++ b/src/serverLinks/tunnelServer/test.ts
@@ -7,6 +7,7 @@
 
 import * as diagnostics from "../../diagnostics/index.js";
 import * as tunnelRequests from "../_lib/tunnelRequest/index.js";
+import * as types from "../types.js";
 import * as tunnelServers from "./index.js";
 
 const { TunnelDenial } = tunnelServers;
@@ -27,11 +28,12 @@
     host: peerHost,
     port: 1,
     dataCentre: "dc-a",
-    reachesServers: false,
+    linkState: types.LinkState.Failing,
   };
   const tunnels = new tunnelServers.TunnelServer({
     log: diagnostics.NOOP_DECISION_LOG,
     listPeers: () => [peer],
+    findReachingVm: () => null,
     findDenial: () => denial ?? null,
     connect: () => Promise.resolve(neverthrow.err("refused")),
   });
--- a/src/sharedView/_lib/createHeartbeat/index.ts
+++ b/src/sharedView/_lib/createHeartbeat/index.ts
@@ -1,4 +1,5 @@
 import type * as clocks from "../../../_lib/clock/index.js";
+import * as serverLinks from "../../../serverLinks/index.js";
 import type * as servers from "../../../servers/index.js";
 import type * as topicReplicas from "../../topicReplica/index.js";
 import type * as types from "../../types.js";
@@ -11,7 +12,7 @@
   readonly clock: clocks.Clock;
   readonly echo: Pick<datagrams.Heartbeat, "echo" | "echoStartedAtWallMs">;
   readonly reachesStore: boolean;
-  readonly reachesServers: boolean;
+  readonly linkState: serverLinks.LinkState;
   readonly isHub: boolean;
   readonly replicaOf: (topic: types.Topic) => topicReplicas.TopicReplica;
   readonly rateStatements: readonly servers.RateStatement[];
@@ -34,7 +35,8 @@
     sentAt: clockReadings.readClocks(state.clock),
     ...state.echo,
     reachesStore: state.reachesStore,
-    reachesServers: state.reachesServers,
+    reachesServers: state.linkState !== serverLinks.LinkState.Failing,
+    linkState: state.linkState,
     isAnchor: state.isHub,
     ...topicStateCodec.encodeTopicStates(state.replicaOf),
     rateStatements: state.rateStatements,
--- a/src/sharedView/_lib/datagrams/index.ts
+++ b/src/sharedView/_lib/datagrams/index.ts
@@ -1,6 +1,8 @@
 import * as msgpackr from "msgpackr";
 import * as zod from "zod";
 
+import { LinkState } from "../../../serverLinks/index.js";
+
 /** Kinds of datagrams between VMs. */
 export enum DatagramKind {
   Heartbeat = 1,
@@ -57,8 +59,10 @@
   /** Start of the receiver's process that sent `echo`; absent in messages of earlier releases. */
   echoStartedAtWallMs: zod.number().nullable().optional(),
   reachesStore: zod.boolean(),
-  /** Whether the sender reaches the backend servers; absent in messages of earlier releases. */
+  /** Whether the sender reaches the backend servers, for earlier releases, and absent in their messages. */
   reachesServers: zod.boolean().default(true),
+  /** What the sender has seen of its links to them; absent as above, and unknown values mean nothing. */
+  linkState: zod.enum(LinkState).optional().catch(LinkState.Unknown),
   /** Whether the sender is a hub, which exchanges every heartbeat with the whole fleet. */
   isAnchor: zod.boolean(),
   /** End offset and age in milliseconds of each topic, in the order of TOPICS. */
@@ -189,6 +193,12 @@
 /** A message that reports a VM's liveness and the state of its view. */
 export type Heartbeat = zod.infer<typeof heartbeat>;
 /** A message with records of a topic that the sender has read from the store. */
+/** Returns what a heartbeat says of its sender's links to the servers. */
+export function linkStateOf({ linkState, reachesServers }: Heartbeat): LinkState {
+  // An earlier release reports that it reaches servers also when it has not tried to.
+  return linkState ?? (reachesServers ? LinkState.Unknown : LinkState.Failing);
+}
+
 export type Records = zod.infer<typeof records>;
 /** A message with claims that the sender has made or released. */
 export type Claims = zod.infer<typeof claims>;
--- a/src/sharedView/_lib/datagrams/test.ts
+++ b/src/sharedView/_lib/datagrams/test.ts
@@ -2,6 +2,7 @@
 import * as msgpackr from "msgpackr";
 import tap from "tap";
 
+import * as serverLinks from "../../../serverLinks/index.js";
 import * as datagrams from "./index.js";
 
 tap.test("decoding an encoded message returns the same message", async (t) => {
@@ -55,3 +56,35 @@
     );
   },
 );
+
+tap.test("what other releases say of their links to the servers is understood", async (t) => {
+  const { LinkState } = serverLinks;
+  const states: readonly [object, serverLinks.LinkState][] = [
+    [{ linkState: LinkState.Reaches, reachesServers: true }, LinkState.Reaches],
+    [{}, LinkState.Unknown],
+    [{ reachesServers: true }, LinkState.Unknown],
+    [{ reachesServers: false }, LinkState.Failing],
+    [{ linkState: "of a later release", reachesServers: true }, LinkState.Unknown],
+  ];
+  const clock = { steadyMs: 1, wallMs: 1 };
+  for (const [fields, expected] of states) {
+    const heartbeat = {
+      kind: datagrams.DatagramKind.Heartbeat,
+      vmName: "vm-1",
+      host: "10.0.0.1",
+      port: 1,
+      dataCentre: "dc-a",
+      coresCount: 1,
+      startedAtWallMs: 1,
+      sentAt: clock,
+      echo: null,
+      reachesStore: true,
+      isAnchor: false,
+      topics: [],
+      ...fields,
+    };
+    const decoded = datagrams.decodeDatagram(msgpackr.pack(heartbeat));
+    if (decoded?.kind !== datagrams.DatagramKind.Heartbeat) throw new Error("not decoded");
+    t.equal(datagrams.linkStateOf(decoded), expected, JSON.stringify(fields));
+  }
+});
--- a/src/sharedView/_lib/peerTable/index.ts
+++ b/src/sharedView/_lib/peerTable/index.ts
@@ -5,7 +5,7 @@
 import type * as types from "../../types.js";
 import type * as clockReadings from "../clockReading/index.js";
 import * as rankReaders from "../rankReaders/index.js";
-import type * as datagrams from "../datagrams/index.js";
+import * as datagrams from "../datagrams/index.js";
 import type * as workAggregators from "../workAggregator/index.js";
 
 type Reader = rankReaders.Reader;
@@ -80,7 +80,7 @@
       startedAtWallMs: message.startedAtWallMs,
       lastHeartbeatAtMs: this.clock.nowMs(),
       reachesStore: message.reachesStore,
-      reachesServers: message.reachesServers,
+      linkState: datagrams.linkStateOf(message),
       isHub: message.isAnchor,
     };
     const former = known?.peer ?? null;
--- a/src/sharedView/_lib/testMesh/index.ts
+++ b/src/sharedView/_lib/testMesh/index.ts
@@ -3,6 +3,7 @@
 import * as diagnostics from "../../../diagnostics/index.js";
 import * as dispatch from "../../../dispatch/index.js";
 import type * as fleet from "../../../fleet/index.js";
+import * as serverLinks from "../../../serverLinks/index.js";
 import * as sharedView from "../../index.js";
 import * as clockReadings from "../clockReading/index.js";
 
@@ -95,7 +96,7 @@
       listOwnWaiting: () => this.waiting,
       log: diagnostics.NOOP_DECISION_LOG,
       reachesStore: () => this.reachesStore,
-      reachesServers: () => true,
+      linkState: () => serverLinks.LinkState.Reaches,
       onReplicaBehind: (topic, peer) => this.behindReports.push(`${topic} at ${peer.vmName}`),
       onWorkChange: () => undefined,
       listOverloads: () => [],
--- a/src/sharedView/peerMesh/index.ts
+++ b/src/sharedView/peerMesh/index.ts
@@ -164,12 +164,12 @@
   }
 
   private sendHeartbeat(address: types.VmAddress): void {
-    const { self, clock, reachesStore, reachesServers } = this.context;
+    const { self, clock, reachesStore, linkState } = this.context;
     const message = heartbeats.createHeartbeat(self, {
       clock,
       echo: this.table.createEcho(address.vmName),
       reachesStore: reachesStore(),
-      reachesServers: reachesServers(),
+      linkState: linkState(),
       isHub: this.isHub,
       replicaOf: (topic) => this.replicaOf(topic),
       rateStatements: this.context.listRateStatements(),
--- a/src/sharedView/peerMesh/types.ts
+++ b/src/sharedView/peerMesh/types.ts
@@ -2,6 +2,7 @@
 import type * as crashes from "../../crashes/index.js";
 import type * as diagnostics from "../../diagnostics/index.js";
 import type * as fleet from "../../fleet/index.js";
+import type * as serverLinks from "../../serverLinks/index.js";
 import type * as servers from "../../servers/index.js";
 import type * as workExchanges from "../_lib/workExchange/index.js";
 import type * as topicReplicas from "../topicReplica/index.js";
@@ -16,8 +17,8 @@
   readonly log: diagnostics.DecisionLog;
   /** Whether the store answered this VM's last calls. */
   readonly reachesStore: () => boolean;
-  /** Whether this VM reaches the backend servers over its own links. */
-  readonly reachesServers: () => boolean;
+  /** What this VM has seen of its own links to the backend servers lately. */
+  readonly linkState: () => serverLinks.LinkState;
   /** Called when a peer reports a replica that is ahead of this VM's. */
   readonly onReplicaBehind: (
     topic: types.Topic,
--- a/src/sharedView/types.ts
+++ b/src/sharedView/types.ts
@@ -1,5 +1,7 @@
 import type * as neverthrow from "neverthrow";
 
+import type * as serverLinks from "../serverLinks/index.js";
+
 /** The topics of the platform's store of which every VM keeps a replica. */
 export enum Topic {
   Configuration = "configuration",
@@ -98,8 +100,8 @@
   readonly lastHeartbeatAtMs: number;
   /** Whether the store answered the VM's last calls. */
   readonly reachesStore: boolean;
-  /** Whether the VM reaches the backend servers over its own links. */
-  readonly reachesServers: boolean;
+  /** What the VM has seen of its own links to the backend servers lately. */
+  readonly linkState: serverLinks.LinkState;
   /** Whether the VM exchanges heartbeats with the whole fleet in every round. */
   readonly isHub: boolean;
 }
