Add failing tests of streams that may be resumed

Two gateways and two engines through real sockets, on a route that may be resumed: callers that resume after each of 1 to 11 of 12 events at the same and at another VM get pieces twice; streams that engines break at each byte of an event are not whole; senseless ids are not refused; histories of breaks and resumes (fast-check) lose or repeat events.

--- a/src/diagnostics/types.ts
+++ b/src/diagnostics/types.ts
@@ -51,6 +51,8 @@
   Hedged = "hedged",
   HandoverStarted = "handover-started",
   HandoverFailed = "handover-failed",
+  /** A new run goes on at another engine after the last event that the caller has. */
+  StreamResumed = "stream-resumed",
   MemoryCopied = "memory-copied",
   CarriedOn = "carried-on",
   StreamBroken = "stream-broken",
--- a/standins/platform/backendServer/index.ts
+++ b/standins/platform/backendServer/index.ts
@@ -214,6 +214,39 @@
   };
 }
 
+/** An event stream that breaks at a byte. */
+export interface BrokenStreamScript {
+  readonly eventsCount: number;
+  /** Number of bytes of the body after which the connection is reset. */
+  readonly cutAtByte: number;
+}
+
+/** The events of the stream of `breakAtByte`, as bytes. */
+export function eventBytesOf(eventsCount: number, lastEventId = 0): readonly Buffer[] {
+  return Array.from({ length: Math.max(0, eventsCount - lastEventId) }, (_, index) =>
+    Buffer.from(`id: ${lastEventId + index + 1}\ndata: piece\n\n`),
+  );
+}
+
+/** Runs a generation, sends a part of its events' bytes, and resets the connection. */
+export function breakAtByte({ eventsCount, cutAtByte }: BrokenStreamScript): Behaviour {
+  return async (call, response, server) => {
+    server.runs.push(call.id);
+    const lastEventId = Number(call.headers[HEADERS.lastEventId.toLowerCase()] ?? 0);
+    response.writeHead(200, {
+      ...server.createAnswerHeaders(call),
+      "Content-Type": "text/event-stream",
+    });
+    response.flushHeaders();
+    const body = Buffer.concat(eventBytesOf(eventsCount, lastEventId));
+    const part = body.subarray(0, cutAtByte);
+    if (part.length > 0) await new Promise((resolve) => response.write(part, resolve));
+    // Lets the bytes arrive, as a reset discards what is still on its way.
+    await new Promise((resolve) => setTimeout(resolve, 5));
+    response.socket?.resetAndDestroy();
+  };
+}
+
 /** Begins an answer, and crashes the server a little later. */
 export function crashAfterBegin(delayMs: number): Behaviour {
   return async (call, response, server) => {
--- a/standins/platform/callerRequest/index.ts
+++ b/standins/platform/callerRequest/index.ts
@@ -22,6 +22,8 @@
   readonly timeLeftMs?: number;
   readonly headers?: http.OutgoingHttpHeaders;
   readonly signal?: AbortSignal;
+  /** Closes the connection once the answer holds as many events. */
+  readonly stopAfterEventsCount?: number;
 }
 
 /** Host name of all routes in the fleet's configuration. */
@@ -40,7 +42,7 @@
     ...(options.apiKey === null ? {} : { [HEADERS.apiKey]: options.apiKey ?? API_KEY }),
     ...options.headers,
   };
-  const { method = "GET", path, signal } = options;
+  const { method = "GET", path, signal, stopAfterEventsCount = Infinity } = options;
   return new Promise((resolve, reject) => {
     const outgoing = http.request({
       host: "127.0.0.1",
@@ -54,7 +56,11 @@
     outgoing.on("error", reject);
     outgoing.on("response", (message) => {
       const chunks: Buffer[] = [];
-      message.on("data", (chunk: Buffer) => chunks.push(chunk));
+      message.on("data", (chunk: Buffer) => {
+        chunks.push(chunk);
+        const eventsCount = Buffer.concat(chunks).toString().split("\n\n").length - 1;
+        if (eventsCount >= stopAfterEventsCount) outgoing.destroy();
+      });
       message.on("error", () => undefined);
       message.on("close", () => {
         const body = Buffer.concat(chunks).toString();
--- a/standins/platform/gatewayFleet/index.ts
+++ b/standins/platform/gatewayFleet/index.ts
@@ -146,6 +146,7 @@
         route("status", "idempotent", { max_attempts: 3 }),
         route("file", "non_idempotent", {}),
         route("draft", "streaming", { target_gap_ms: 180 }),
+        route("answer", "streaming", { target_gap_ms: 180, resumable: true, max_attempts: 2 }),
         route("short", "idempotent", { timeout_ms: 200 }),
       ],
       services: [
