--- a/src/cli/logsCommand/index.ts
+++ b/src/cli/logsCommand/index.ts
@@ -63,6 +63,13 @@
   const history = logReading.findRequestHistory(lines, requestId);
   context.writeOut(`${history.map(formatLine).join("\n")}\n`);
   context.writeOut(`${explanation.outcome}: ${explanation.cause}\n`);
+  const attempts = logReading.findStreamAttempts(lines, requestId);
+  if (attempts.length < 2) return;
+  context.writeOut("requests of this stream, each after the last event that its caller had:\n");
+  for (const { requestId: id, vmName, atMs, lastEventId } of attempts)
+    context.writeOut(
+      `${new Date(atMs).toISOString()} ${vmName} ${id} after event ${lastEventId}\n`,
+    );
 }
 
 async function showUnserved(context: types.CliContext, files: readonly string[]): Promise<void> {
--- a/src/cli/logsCommand/test.ts
+++ b/src/cli/logsCommand/test.ts
@@ -51,6 +51,21 @@
   t.match(err, /1 lines contain no decision/);
 });
 
+tap.test("the requests of a resumed stream are shown with it", async (t) => {
+  const placed = (requestId: string, vm: string, lastEventId: number): string =>
+    JSON.stringify({
+      event: "request-placed",
+      vm,
+      time: `2026-11-04T07:30:0${lastEventId}.000Z`,
+      requestId,
+      streamKey: "k1",
+      lastEventId,
+    });
+  const file = await writeLog(t, "all.log", [placed("r1", "vm-1", 0), placed("r2", "vm-2", 4)]);
+  const { out } = await run("logs", "request", "r2", file);
+  t.match(out, /vm-1 r1 after event 0\n.*vm-2 r2 after event 4/);
+});
+
 tap.test("an unknown request, an unreadable file and an invalid time are errors", async (t) => {
   const file = await writeLog(t, "vm-1.log", [REFUSED]);
   t.equal((await run("logs", "request", "r2", file)).code, constants.ExitCode.NotFound);
