--- a/standins/platform/gatewayFleet/index.ts
+++ b/standins/platform/gatewayFleet/index.ts
@@ -57,6 +57,7 @@
   readonly gateways: gateways.Gateway[] = [];
   /** Retries in a window that the fleet may spend whatever its traffic; applies to gateways added later. */
   retrySlackCount = DEFAULT_RETRY_SLACK_COUNT;
+  private readonly silentVms = new Set<string>();
   private readonly settings: gateways.GatewaySettings[] = [];
   private readonly resources = new disposableStore.DisposableStore();
   private version = 0;
@@ -66,6 +67,7 @@
   /** Starts the platform's store. */
   async start(): Promise<void> {
     await this.store.start();
+    await this.network.start();
     this.resources.add(this.store);
   }
 
@@ -112,15 +114,26 @@
     service: string,
     state: string,
     slotsCount = DEFAULT_SLOTS_COUNT,
+  ): void {
+    this.registerAddress(server.id, service, server.port, { state, slots: slotsCount });
+  }
+
+  /** Writes the registration of a server that listens at a port. */
+  registerAddress(
+    id: string,
+    service: string,
+    port: number,
+    fields: { readonly state?: string; readonly slots?: number } = {},
   ): void {
     this.sequence += 1;
-    this.store.put(names.TOPIC_NAMES.servers, server.id, {
+    this.store.put(names.TOPIC_NAMES.servers, id, {
       service,
-      address: `127.0.0.1:${server.port}`,
+      address: `127.0.0.1:${port}`,
       zone: DEFAULT_DATA_CENTRE,
       version: "v1",
-      slots: slotsCount,
-      state,
+      slots: DEFAULT_SLOTS_COUNT,
+      state: "ready",
+      ...fields,
       cold_remaining_ms: 0,
       sequence: this.sequence,
       born: 1_000,
@@ -168,6 +181,7 @@
     const settings = await this.createSettings(`vm-${this.gateways.length + 1}`, dataCentre);
     const clock = new clocks.SystemClock();
     const store = new logStores.LogStore({ host: "127.0.0.1", port: this.store.port });
+    const socket = this.resources.add(await fleet.UdpSocket.open("127.0.0.1", settings.peers.port));
     const gateway = new gateways.Gateway(settings, {
       clock,
       random: randoms.createRandom(this.gateways.length + 1),
@@ -181,7 +195,13 @@
         decodeServer: decodeServerEntries.decodeServerEntry,
       },
       dial: this.network.dialFrom(settings.vmName),
-      socket: this.resources.add(await fleet.UdpSocket.open("127.0.0.1", settings.peers.port)),
+      socket: {
+        send: (bytes, host, port) => {
+          if (!this.silentVms.has(settings.vmName)) socket.send(bytes, host, port);
+        },
+        onMessage: (listener) => socket.onMessage(listener),
+        [Symbol.asyncDispose]: () => socket[Symbol.asyncDispose](),
+      },
       log: this.log,
       meters: new diagnostics.Meters(),
     });
@@ -193,6 +213,11 @@
     return gateway;
   }
 
+  /** Loses all datagrams that a gateway, by index, sends to the others from now on. */
+  silencePeers(index: number): void {
+    this.silentVms.add(this.settings[index]?.vmName ?? "");
+  }
+
   /** Whether the readiness endpoint of a gateway, by index, answers with 200. */
   async isReady(index = 0): Promise<boolean> {
     const port = this.settings[index]?.readiness.port ?? 0;
--- a/standins/platform/serverNetwork/index.ts
+++ b/standins/platform/serverNetwork/index.ts
@@ -6,6 +6,8 @@
 export enum CutMode {
   Refuse = "refuse",
   Hang = "hang",
+  /** They are accepted, and then nothing is answered. */
+  Mute = "mute",
 }
 
 /** How a VM is cut off from all servers. */
@@ -21,6 +23,11 @@
 /** The network between VMs and backend servers, from which tests cut VMs off. */
 export class ServerNetwork {
   private readonly cuts = new Map<string, Cut>();
+  /** Accepts connections and never answers. */
+  private readonly muteServer = net.createServer((socket) => {
+    socket.on("error", () => undefined);
+    socket.resume();
+  });
   private readonly sockets = new Map<string, Set<net.Socket>>();
 
   /** Cuts a VM off from all servers until it is healed. */
@@ -31,16 +38,28 @@
     for (const socket of this.sockets.get(vmName) ?? []) socket.destroy(reset);
   }
 
+  /** Starts to listen for the connections of VMs towards which servers are silent. */
+  async start(): Promise<void> {
+    await new Promise<void>((resolve) => this.muteServer.listen(0, "127.0.0.1", resolve));
+    this.muteServer.unref();
+  }
+
   /** Ends the cut of a VM. */
   heal(vmName: string): void {
     this.cuts.delete(vmName);
   }
 
+  private get muteAddress(): serverLinks.Address {
+    const { address, port } = this.muteServer.address() as net.AddressInfo;
+    return { host: address, port };
+  }
+
   /** Returns how a VM opens connections to servers. */
   dialFrom(vmName: string): serverLinks.Dial {
     return (address) => {
       const cut = this.cuts.get(vmName);
       if (cut?.mode === CutMode.Hang) return new net.Socket();
+      if (cut?.mode === CutMode.Mute) return serverLinks.dialTcp(this.muteAddress);
       const port = cut === undefined ? address.port : CLOSED_PORT;
       const socket = serverLinks.dialTcp({ host: address.host, port });
       const opened = this.sockets.get(vmName) ?? new Set();
