--- a/experiments/soak/callers/index.ts
+++ b/experiments/soak/callers/index.ts
@@ -21,6 +21,20 @@
   readonly eventsCount: number | null;
 }
 
+/** A stream of which a caller has some events, and when it breaks its connection off. */
+interface ResumeOptions {
+  readonly lastEventId: number;
+  readonly stopAfterEventsCount: number;
+}
+
+const WHOLE_STREAM: ResumeOptions = { lastEventId: 0, stopAfterEventsCount: Infinity };
+
+/** Times that a caller resumes a stream before it gives up. */
+const MAX_RESUMES_COUNT = 4;
+
+/** Share of a stream's requests that the caller breaks off midway. */
+const BREAK_RATIO = 0.5;
+
 const LOOKUP: CallKind = { path: "/lookup/", method: "GET", isOnceOnly: false, eventsCount: null };
 
 const DRAFT: CallKind = {
@@ -30,10 +44,14 @@
   eventsCount: STREAM_EVENTS_COUNT,
 };
 
+/** A stream that may be resumed. */
+const ANSWER: CallKind = { ...DRAFT, path: "/answer/", isOnceOnly: false };
+
 const CALL_KINDS: readonly CallKind[] = [
   LOOKUP,
   { path: "/file/", method: "POST", isOnceOnly: true, eventsCount: null },
   DRAFT,
+  ANSWER,
 ];
 
 /** Makes one lookup at a VM and returns its status; null if the connection failed. */
@@ -59,6 +77,10 @@
   const kind = CALL_KINDS[Math.floor(random.next() * CALL_KINDS.length)];
   const vm = vms[Math.floor(random.next() * vms.length)];
   if (kind === undefined || vm === undefined) return;
+  if (kind === ANSWER) {
+    await readResumedStream(id, apiKey, vms, random, checker);
+    return;
+  }
   checker.recordCall(id, kind.isOnceOnly, apiKey);
   const process = `${vm.index}/${vm.startsCount}`;
   const hadServedKey = checker.hasServedKey(process, apiKey);
@@ -67,6 +89,39 @@
   checker.recordEnd({ id, isOnceOnly: kind.isOnceOnly, eventsCount: kind.eventsCount, ...answer });
 }
 
+/** Reads a stream whose connection the caller breaks off at times, and resumes it at random VMs. */
+async function readResumedStream(
+  id: string,
+  apiKey: string,
+  vms: readonly processes.GatewayProcess[],
+  random: randoms.RandomSource,
+  checker: checks.InvariantChecker,
+): Promise<void> {
+  const eventIds: number[] = [];
+  for (let count = 0; count <= MAX_RESUMES_COUNT; count += 1) {
+    const vm = vms[Math.floor(random.next() * vms.length)];
+    if (vm === undefined) return;
+    const attemptId = `${id}-${count}`;
+    checker.recordCall(attemptId, false, apiKey);
+    const isBroken = random.next() < BREAK_RATIO;
+    const stopAfterEventsCount = isBroken ? 1 + Math.floor(random.next() * 20) : Infinity;
+    const lastEventId = eventIds.at(-1) ?? 0;
+    const request = { ...createSoundRequest(id, ANSWER), path: `${ANSWER.path}${id}` };
+    const resume = { lastEventId, stopAfterEventsCount };
+    const answer = await send(attemptId, apiKey, vm, request, resume);
+    if (answer.status === 200) eventIds.push(...parseWholeEventIds(answer.body));
+    const isWhole = answer.status === 200 && answer.isWhole;
+    checker.recordResumedStream(id, { eventIds, isWhole, eventsCount: STREAM_EVENTS_COUNT });
+    if (isWhole) return;
+  }
+}
+
+/** Returns the ids of the events that a body holds up to their ends. */
+function parseWholeEventIds(body: string): readonly number[] {
+  const whole = body.slice(0, body.lastIndexOf("\n\n") + 1);
+  return [...whole.matchAll(/^id: (\d+)$/gm)].map((match) => Number(match[1]));
+}
+
 /** Makes a call at a random VM that makes its server crash. */
 export async function makeCrashingCall(
   id: string,
@@ -105,6 +160,7 @@
   apiKey: string,
   vm: processes.GatewayProcess,
   { kind, path, promptParts, body }: SoakRequest,
+  { lastEventId, stopAfterEventsCount }: ResumeOptions = WHOLE_STREAM,
 ): Promise<Pick<checks.CallEnd, "status" | "body" | "isWhole">> {
   const connectionLost = { status: null, body: "", isWhole: false };
   return new Promise((resolve) => {
@@ -124,13 +180,19 @@
         [HEADERS.lengthHint]: "160",
         [HEADERS.model]: "m",
         [HEADERS.promptParts]: promptParts.map((part) => `${part}:50`).join(","),
+        ...(lastEventId > 0 ? { [HEADERS.lastEventId]: String(lastEventId) } : {}),
       },
     });
     request.once("timeout", () => request.destroy());
     request.once("error", () => resolve(connectionLost));
     request.once("response", (message) => {
       const chunks: Buffer[] = [];
-      message.on("data", (chunk: Buffer) => chunks.push(chunk));
+      let eventsCount = 0;
+      message.on("data", (chunk: Buffer) => {
+        chunks.push(chunk);
+        eventsCount += chunk.toString().split("\n\n").length - 1;
+        if (eventsCount >= stopAfterEventsCount) request.destroy();
+      });
       message.on("error", () => undefined);
       message.once("close", () => {
         const body = Buffer.concat(chunks).toString();
--- a/experiments/soak/checks/index.ts
+++ b/experiments/soak/checks/index.ts
@@ -139,6 +139,24 @@
     this.recordViolation("brittle servers are not overloaded until they end", detail);
   }
 
+  /** Checks the events of a stream so far, over all requests by which its caller has resumed it. */
+  recordResumedStream(
+    id: string,
+    stream: {
+      readonly eventIds: readonly number[];
+      readonly isWhole: boolean;
+      readonly eventsCount: number;
+    },
+  ): void {
+    const { eventIds, isWhole, eventsCount } = stream;
+    this.endsCount += 1;
+    if (isWhole) this.servedCount += 1;
+    const isInOrder = eventIds.every((eventId, index) => eventId === index + 1);
+    if (isInOrder && (!isWhole || eventIds.length === eventsCount)) return;
+    const detail = `${id}: events ${eventIds.join(" ")} of ${eventsCount}`;
+    this.recordViolation("resumed streams have each event once", detail);
+  }
+
   /** Records that a server announced its shutdown. */
   recordDraining(serverId: string): void {
     this.drainingSinceMsByServer.set(serverId, Date.now());
