--- a/src/sharedView/_lib/datagrams/index.ts
+++ b/src/sharedView/_lib/datagrams/index.ts
@@ -193,12 +193,6 @@
 /** A message that reports a VM's liveness and the state of its view. */
 export type Heartbeat = zod.infer<typeof heartbeat>;
 /** A message with records of a topic that the sender has read from the store. */
-/** Returns what a heartbeat says of its sender's links to the servers. */
-export function linkStateOf({ linkState, reachesServers }: Heartbeat): LinkState {
-  // An earlier release reports that it reaches servers also when it has not tried to.
-  return linkState ?? (reachesServers ? LinkState.Unknown : LinkState.Failing);
-}
-
 export type Records = zod.infer<typeof records>;
 /** A message with claims that the sender has made or released. */
 export type Claims = zod.infer<typeof claims>;
@@ -215,6 +209,12 @@
 /** A waiting generation in a message. */
 export type EncodedWaiting = zod.infer<typeof encodedWaiting>;
 
+/** Returns what a heartbeat says of its sender's links to the servers. */
+export function linkStateOf({ linkState, reachesServers }: Heartbeat): LinkState {
+  // An earlier release reports that it reaches servers also when it has not tried to.
+  return linkState ?? (reachesServers ? LinkState.Unknown : LinkState.Failing);
+}
+
 /** Encodes a message. */
 export function encodeDatagram(message: Datagram): Buffer {
   return msgpackr.pack(message);
