Wait longer for peers that are asked about a server's end, and keep the stand-ins of tests apart

Cause: a probe by peers that was not answered in 40 ms left open whether a server had ended. Peers now have 250 ms; a test of the finder covers peers that take 200 ms.

--- a/experiments/soak/callers/index.ts
+++ b/experiments/soak/callers/index.ts
@@ -188,15 +188,22 @@
     request.once("response", (message) => {
       const chunks: Buffer[] = [];
       let eventsCount = 0;
+      // An answer may have arrived as a whole by the time at which the caller breaks it off.
+      let isStopped = false;
       message.on("data", (chunk: Buffer) => {
         chunks.push(chunk);
         eventsCount += chunk.toString().split("\n\n").length - 1;
-        if (eventsCount >= stopAfterEventsCount) request.destroy();
+        isStopped = eventsCount >= stopAfterEventsCount;
+        if (isStopped) request.destroy();
       });
       message.on("error", () => undefined);
       message.once("close", () => {
         const body = Buffer.concat(chunks).toString();
-        resolve({ status: message.statusCode ?? null, body, isWhole: message.complete });
+        resolve({
+          status: message.statusCode ?? null,
+          body,
+          isWhole: message.complete && !isStopped,
+        });
       });
     });
     request.end(kind.method === "POST" ? body : undefined);
--- a/src/gateway/_lib/createServerLinks/index.ts
+++ b/src/gateway/_lib/createServerLinks/index.ts
@@ -61,7 +61,7 @@
     const state = await crashes.probeListener(dial, server, timeoutMs);
     const entry = directory.find(server.id)?.entry;
     if (state !== crashes.ListenerState.Refuses || entry === undefined) return state;
-    const verdict = await connector.probeByPeers(entry, AbortSignal.timeout(timeoutMs));
+    const verdict = await connector.probeByPeers(entry);
     return STATE_BY_VERDICT[verdict];
   };
   return { connector, tunnelServer, probe };
--- a/src/gateway/knownFailures/test.ts
+++ b/src/gateway/knownFailures/test.ts
@@ -5,7 +5,6 @@
 
 import * as backendServers from "../../../standins/platform/backendServer/index.js";
 import * as gatewayFleets from "../../../standins/platform/gatewayFleet/index.js";
-import * as serverNetworks from "../../../standins/platform/serverNetwork/index.js";
 import * as diagnostics from "../../diagnostics/index.js";
 import * as testFleets from "../_lib/testFleet/index.js";
 
@@ -199,7 +198,7 @@
   await fleet.addServer("s2", PLAIN_SERVICE, answer);
   await testFleets.waitUntilServersKnown(fleet, 4);
   await testFleets.waitUntil(() => testFleets.isLookupServed(fleet));
-  fleet.network.cut("vm-1", { mode: serverNetworks.CutMode.Mute, resetsOpen: false });
+  fleet.network.mute("vm-1");
   let servedCount = 0;
   for (let index = 0; index < 10; index += 1) {
     const request = { path: "/lookup/", id: `mute-${index}`, timeLeftMs: 3_000 };
--- a/src/serverLinks/constants.ts
+++ b/src/serverLinks/constants.ts
@@ -36,6 +36,12 @@
 /** Peers that are asked at the same time whether a server has ended. */
 export const PROBED_PEERS_COUNT = 3;
 
+/**
+ * Time within which they have to answer. It allows for their connections to the server, and for busy peers:
+ * without an answer the end of a server is not noticed, and work that ends servers is sent again.
+ */
+export const PEER_PROBE_TIMEOUT_MS = 250;
+
 /** Time after which the next peer is asked too if the last one has not answered. */
 export const TUNNEL_STAGGER_MS = 40;
 
--- a/src/serverLinks/serverConnector/index.ts
+++ b/src/serverLinks/serverConnector/index.ts
@@ -137,11 +137,8 @@
   }
 
   /** Returns whether peers reach a server that this VM does not reach. */
-  probeByPeers(
-    server: servers.ServerEntry,
-    signal: AbortSignal,
-  ): Promise<tunnelFinders.PeerVerdict> {
-    return this.finder.probe(server, signal);
+  probeByPeers(server: servers.ServerEntry): Promise<tunnelFinders.PeerVerdict> {
+    return this.finder.probe(server);
   }
 
   [Symbol.dispose](): void {
--- a/src/serverLinks/tunnelFinder/index.ts
+++ b/src/serverLinks/tunnelFinder/index.ts
@@ -133,17 +133,18 @@
 
   /**
    * Asks a few peers at the same time whether they reach a server that this VM does not reach; the tunnels
-   * that they open are closed unused.
-   *
-   * @param signal - ends the wait; an answer that is then missing leaves the question open
+   * that they open are closed unused. An answer that is missing after `PEER_PROBE_TIMEOUT_MS` leaves the
+   * question open.
    */
-  async probe(server: servers.ServerEntry, signal: AbortSignal): Promise<PeerVerdict> {
-    const { dataCentre, requestTunnel } = this.context;
+  async probe(server: servers.ServerEntry): Promise<PeerVerdict> {
+    const { clock, dataCentre, requestTunnel } = this.context;
+    const timeout = new AbortController();
+    const timer = clock.schedule(constants.PEER_PROBE_TIMEOUT_MS, () => timeout.abort());
     const peers = this.selectPeers(server.dataCentre).slice(0, constants.PROBED_PEERS_COUNT);
     const request = { server, requestId: "" };
     const verdicts = await Promise.all(
       peers.map(async (peer) => {
-        const result = await requestTunnel(peer, request, signal);
+        const result = await requestTunnel(peer, request, timeout.signal);
         if (result.isOk()) {
           this.outcomes.recordOpened(peer);
           result.value.destroy();
@@ -152,6 +153,7 @@
         return UNREACHED.has(result.error.refusal) ? PeerVerdict.Unreached : PeerVerdict.Unknown;
       }),
     );
+    timer[Symbol.dispose]();
     if (verdicts.includes(PeerVerdict.Reached)) return PeerVerdict.Reached;
     // Peers of the same data centre may be cut off together with this VM.
     const others = verdicts.filter((_, index) => peers[index]?.dataCentre !== dataCentre);
--- a/src/serverLinks/tunnelFinder/test.ts
+++ b/src/serverLinks/tunnelFinder/test.ts
@@ -40,7 +40,7 @@
   readonly clock: virtualClocks.VirtualClock;
   readonly asked: string[];
   readonly sockets: net.Socket[];
-  readonly probe: (signal: AbortSignal) => Promise<tunnelFinders.PeerVerdict>;
+  readonly probe: () => Promise<tunnelFinders.PeerVerdict>;
   readonly find: (signal?: AbortSignal) => ReturnType<tunnelFinders.TunnelFinder["find"]>;
 } {
   const clock = new virtualClocks.VirtualClock();
@@ -76,8 +76,7 @@
   });
   const find = (signal = new AbortController().signal): ReturnType<typeof finder.find> =>
     finder.find(SERVER, { requestId: "r1", signal });
-  const probe = (signal: AbortSignal): ReturnType<typeof finder.probe> =>
-    finder.probe(SERVER, signal);
+  const probe = (): ReturnType<typeof finder.probe> => finder.probe(SERVER);
   return { clock, asked, sockets, find, probe };
 }
 
@@ -185,14 +184,15 @@
     [{ "dc-a-1": refuses, "dc-b-1": refuses }, PeerVerdict.Unreached],
     [{ "dc-a-1": refuses, "dc-b-1": OPENS }, PeerVerdict.Reached],
     [{ "dc-a-1": refuses, "dc-b-1": silent }, PeerVerdict.Unknown],
+    // Busy peers are waited for, as an end that goes unnoticed lets work end further servers.
+    [{ "dc-b-1": { ...refuses, afterMs: 200 } }, PeerVerdict.Unreached],
+    [{ "dc-b-1": { ...OPENS, afterMs: 200 } }, PeerVerdict.Reached],
     [{ "dc-a-1": silent, "dc-b-1": silent, "dc-c-1": refuses }, PeerVerdict.Unreached],
   ];
   for (const [answers, expected] of cases) {
     const { clock, sockets, probe } = setUp(new Map(Object.entries(answers)));
-    const timeout = new AbortController();
-    const verdict = probe(timeout.signal);
-    await clock.runForMs(40);
-    timeout.abort();
+    const verdict = probe();
+    await clock.runForMs(constants.PEER_PROBE_TIMEOUT_MS);
     t.equal(await verdict, expected, Object.keys(answers).join(" "));
     t.ok(sockets.every(({ destroyed }) => destroyed));
   }
--- a/standins/platform/serverNetwork/index.ts
+++ b/standins/platform/serverNetwork/index.ts
@@ -6,8 +6,6 @@
 export enum CutMode {
   Refuse = "refuse",
   Hang = "hang",
-  /** They are accepted, and then nothing is answered. */
-  Mute = "mute",
 }
 
 /** How a VM is cut off from all servers. */
@@ -23,6 +21,7 @@
 /** The network between VMs and backend servers, from which tests cut VMs off. */
 export class ServerNetwork {
   private readonly cuts = new Map<string, Cut>();
+  private readonly mutedVms = new Set<string>();
   /** Accepts connections and never answers. */
   private readonly muteServer = net.createServer((socket) => {
     socket.on("error", () => undefined);
@@ -44,6 +43,11 @@
     this.muteServer.unref();
   }
 
+  /** Lets all servers accept a VM's new connections, and answer nothing on them. */
+  mute(vmName: string): void {
+    this.mutedVms.add(vmName);
+  }
+
   /** Ends the cut of a VM. */
   heal(vmName: string): void {
     this.cuts.delete(vmName);
@@ -59,7 +63,7 @@
     return (address) => {
       const cut = this.cuts.get(vmName);
       if (cut?.mode === CutMode.Hang) return new net.Socket();
-      if (cut?.mode === CutMode.Mute) return serverLinks.dialTcp(this.muteAddress);
+      if (this.mutedVms.has(vmName)) return serverLinks.dialTcp(this.muteAddress);
       const port = cut === undefined ? address.port : CLOSED_PORT;
       const socket = serverLinks.dialTcp({ host: address.host, port });
       const opened = this.sockets.get(vmName) ?? new Set();
