--- a/src/serverLinks/tunnelFinder/index.ts
+++ b/src/serverLinks/tunnelFinder/index.ts
@@ -158,8 +158,9 @@
     // Peers of the same data centre may be cut off together with this VM.
     const others = verdicts.filter((_, index) => peers[index]?.dataCentre !== dataCentre);
     const independent = others.length > 0 ? others : verdicts;
-    const isUnreached = independent.length === 0 || independent.includes(PeerVerdict.Unreached);
-    return isUnreached ? PeerVerdict.Unreached : PeerVerdict.Unknown;
+    const hasEvidence = independent.length === 0 || independent.includes(PeerVerdict.Unreached);
+    // Peers that refuse for reasons of their own leave this VM with what it saw itself.
+    return hasEvidence || !timeout.signal.aborted ? PeerVerdict.Unreached : PeerVerdict.Unknown;
   }
 
   private selectPeers(serverDataCentre: string): types.TunnelPeer[] {
--- a/src/serverLinks/tunnelFinder/test.ts
+++ b/src/serverLinks/tunnelFinder/test.ts
@@ -184,6 +184,7 @@
     [{ "dc-a-1": refuses, "dc-b-1": refuses }, PeerVerdict.Unreached],
     [{ "dc-a-1": refuses, "dc-b-1": OPENS }, PeerVerdict.Reached],
     [{ "dc-a-1": refuses, "dc-b-1": silent }, PeerVerdict.Unknown],
+    [{ "dc-b-1": { afterMs: 2, refusal: TunnelRefusal.PeerUnavailable } }, PeerVerdict.Unreached],
     // Busy peers are waited for, as an end that goes unnoticed lets work end further servers.
     [{ "dc-b-1": { ...refuses, afterMs: 200 } }, PeerVerdict.Unreached],
     [{ "dc-b-1": { ...OPENS, afterMs: 200 } }, PeerVerdict.Reached],
