--- a/src/gateway/_lib/linkDrill/index.ts
+++ b/src/gateway/_lib/linkDrill/index.ts
@@ -95,7 +95,7 @@
     return this.vmNames.filter((name) => dataCentreOf(name) === dataCentre);
   }
 
-  /** Cuts VMs off from all servers. */
+  /** Cuts the links of VMs to all servers until `heal` is called. */
   cut(vmNames: readonly string[], cut: types.LinkCut): void {
     for (const name of vmNames) {
       const vm = this.vmNamed(name);
--- a/src/gateway/linkDrills/test.ts
+++ b/src/gateway/linkDrills/test.ts
@@ -5,7 +5,7 @@
 
 const { LinkCut } = linkDrills;
 
-/** Time after the begin of a cut from which calls have to reach a server. */
+/** Time from the start of a cut to the first call that has to reach a server. */
 const RECOVERY_MS = 1_000;
 
 /** Least share of the calls begun later that have to reach one. */
@@ -95,7 +95,7 @@
       await drill.clock.runForMs(200);
       if (drill.listCutOff().length > 0) t.same(drill.listCutOff(), []);
     }
-    // By then each VM knows that the links of all others fail, and asks few of them once a second.
+    // All heartbeats report failing links by now, so that each search asks few peers and is repeated once a second.
     const fromMs = drill.clock.nowMs() - 2_000;
     const requestsCount = drill.tunnelRequestsAtMs.filter((atMs) => atMs >= fromMs).length;
     const perVmAndSecond = requestsCount / 2 / vmsCount;
--- a/src/logReading/findStreamAttempts/index.ts
+++ b/src/logReading/findStreamAttempts/index.ts
@@ -2,7 +2,7 @@
 import * as histories from "../findRequestHistory/index.js";
 import type * as types from "../types.js";
 
-/** A request by which a caller asked for a stream, or for its rest. */
+/** A caller's request that starts or resumes a stream. */
 export interface StreamAttempt {
   readonly requestId: string;
   readonly vmName: string;
--- a/src/relay/_lib/eventSequence/index.ts
+++ b/src/relay/_lib/eventSequence/index.ts
@@ -1,16 +1,16 @@
 import type * as eventSplitter from "../eventSplitter/index.js";
 
-/** What is to be done with an event. */
+/** How an event of a stream relates to the events that were already forwarded. */
 export enum EventOrder {
-  /** It is the next one. */
+  /** Its id follows the last forwarded id; the event is forwarded. */
   Next = "next",
-  /** The caller has it already; a run that continues from its memory may repeat events. */
+  /** It was forwarded before, by a run that continues from its memory; the event is dropped. */
   Repeated = "repeated",
   /** An event is missing, has no id, or belongs to a run that did not go on after the last one. */
   OutOfSequence = "out-of-sequence",
 }
 
-/** The events of one caller's stream: which of them the caller has. */
+/** Checks that the events forwarded to a caller have consecutive ids, across all runs that produce them. */
 export class EventSequence {
   /** Whether the current run has sent an event that the caller did not have. */
   private hasBegun = false;
@@ -29,8 +29,8 @@
   }
 
   /**
-   * Expects the events of a new run, which has to go on right after the last event: one that begins
-   * elsewhere is another text than the one that the caller has.
+   * Expects the events of a new run, whose first event has to follow the last forwarded one. A run that
+   * starts elsewhere has generated a different text, which must not be joined to the forwarded one.
    */
   expectNewRun(): void {
     this.hasBegun = false;
--- a/src/relay/_lib/placeRun/index.ts
+++ b/src/relay/_lib/placeRun/index.ts
@@ -58,7 +58,7 @@
   });
 }
 
-/** Opens the stream of a run on the engine on which it was placed, and records how the engine answered. */
+/** Requests the stream of a placed run from its engine, and records the outcome for the engine's health. */
 export async function openPlacedRun(
   context: relayContext.RelayContext,
   call: types.Call,
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -33,8 +33,8 @@
   /** Whether requests need no API key. */
   readonly isAnonymous: boolean;
   /**
-   * Whether a generation may run again from a caller's last event on, and so more than once; a route of
-   * another kind never sets it.
+   * Whether a broken stream may be resumed by a new run that starts after the last received event. Always
+   * false for routes that are not generations.
    */
   readonly isResumable: boolean;
   readonly shares: readonly ServiceShare[];
--- a/src/serverLinks/_lib/tunnelDenial/index.ts
+++ b/src/serverLinks/_lib/tunnelDenial/index.ts
@@ -17,7 +17,7 @@
   Overloaded = "503 Service Unavailable",
 }
 
-/** What each denial shows about the peer that was asked. */
+/** The class of refusal that each denial is to the VM that asked. */
 export const REFUSAL_BY_DENIAL: Readonly<Record<TunnelDenial, TunnelRefusal>> = {
   [TunnelDenial.Malformed]: TunnelRefusal.PeerUnavailable,
   [TunnelDenial.UnknownVm]: TunnelRefusal.PeerUnavailable,
@@ -28,7 +28,7 @@
   [TunnelDenial.Overloaded]: TunnelRefusal.PeerUnavailable,
 };
 
-/** Returns what the status of a denial shows; an unknown status concerns the peer alone. */
+/** Classifies the HTTP status of a refused tunnel; an unknown status counts as a fault of the peer. */
 export function refusalOfStatus(statusCode: number): TunnelRefusal {
   const denial = Object.values(TunnelDenial).find((line) => line.startsWith(`${statusCode} `));
   return denial === undefined ? TunnelRefusal.PeerUnavailable : REFUSAL_BY_DENIAL[denial];
--- a/src/serverLinks/selectTunnelPeers/index.ts
+++ b/src/serverLinks/selectTunnelPeers/index.ts
@@ -17,7 +17,7 @@
   Refused = "refused",
 }
 
-/** What asking peers for tunnels has shown lately. */
+/** Recent outcomes of tunnel requests, by peer and by data centre. */
 export interface TunnelHistory {
   readonly outcomeOfPeer: (vmName: string) => TunnelOutcome;
   readonly outcomeOfDataCentre: (dataCentre: string) => TunnelOutcome;
@@ -29,7 +29,7 @@
   [TunnelOutcome.Refused]: 2,
 };
 
-/** Ranks of peers; those that are not known to fail take turns by data centre. */
+/** Order in which peers are asked, lowest first; within a rank the data centres alternate. */
 enum Rank {
   Promising = 0,
   /** It did not reach a server when it was last asked. */
--- a/src/serverLinks/tunnelFinder/index.ts
+++ b/src/serverLinks/tunnelFinder/index.ts
@@ -133,8 +133,8 @@
 
   /**
    * Asks a few peers at the same time whether they reach a server that this VM does not reach; the tunnels
-   * that they open are closed unused. An answer that is missing after `PEER_PROBE_TIMEOUT_MS` leaves the
-   * question open.
+   * that they open are closed unused. If no peer of another data centre has answered within
+   * `PEER_PROBE_TIMEOUT_MS`, the verdict is `Unknown`.
    */
   async probe(server: servers.ServerEntry): Promise<PeerVerdict> {
     const { clock, dataCentre, requestTunnel } = this.context;
--- a/standins/freePorts/index.ts
+++ b/standins/freePorts/index.ts
@@ -7,7 +7,7 @@
 const FIRST_PORT = 10_000;
 const PORTS_COUNT = 22_000;
 
-/** Offset of the first port by process id: more than the ports of a test file with a dozen gateways in each test. */
+/** Ports reserved for each process by its id; a test file that starts many gateways uses several hundred. */
 const PORTS_PER_PROCESS_COUNT = 1_009;
 
 let nextIndex = (process.pid * PORTS_PER_PROCESS_COUNT) % PORTS_COUNT;
