Repeat lookups later, at servers that do not fail most calls, and put retries before hedges

Cause: an idempotent call ended when it had been sent three times, or when the budget denied a retry, whatever time it had left; its second and third send followed at once.

Change: dispatch/planRetry decides when a plain call is sent again. A call that its permitted servers have failed is sent again after pauses of 50 to 400 ms, five at most, while half of its time is left and a permitted server fails at most half of its calls. Later tries and hedges leave half of the VM's share of the retry budget to retries at once: these save calls that would be lost, a hedge one that would be late. A rejected call is sent on at once up to five times while it can meet its objective, instead of three. The number of servers that may run one attempt is unchanged. plainCall is split: relay/_lib/callEnding decides what the caller gets.

--- a/src/dispatch/constants.ts
+++ b/src/dispatch/constants.ts
@@ -98,3 +98,21 @@
 
 /** Cost of a plain server in another data centre, as added time to the call. */
 export const OTHER_DATA_CENTRE_CALL_COST_MS = 2;
+
+/** Attempts of a plain call that follow each other at once if servers fail it. */
+export const MAX_PROMPT_REPEATS_COUNT = 3;
+
+/** Attempts of a plain call that follow each other at once if none of the servers has run it. */
+export const MAX_PROMPT_TRIES_COUNT = 5;
+
+/** First pause before a further attempt of a call that servers failed; about the time of one call. */
+export const MIN_RETRY_PAUSE_MS = 50;
+
+/** Most such pauses of one call: about a second in all. */
+export const MAX_RETRY_PAUSES_COUNT = 5;
+
+/** Longest such pause. */
+export const MAX_RETRY_PAUSE_MS = 400;
+
+/** Share of the time that a caller gives which is left to it for a retry of its own. */
+export const CALLER_TIME_RATIO = 0.5;
--- a/src/dispatch/index.ts
+++ b/src/dispatch/index.ts
@@ -8,6 +8,7 @@
 export * from "./migrationOrder/index.js";
 export * from "./outputLengths/index.js";
 export * from "./orderWaiting/index.js";
+export * from "./planRetry/index.js";
 export * from "./selectReachableEngines/index.js";
 export * from "./selectBackupEngine/index.js";
 export * from "./selectEngine/index.js";
--- /dev/null
+++ b/src/relay/_lib/callEnding/index.ts
@@ -0,0 +1,115 @@
+import * as diagnostics from "../../../diagnostics/index.js";
+import * as answerRefusals from "../answerRefusal/index.js";
+import type * as attemptScopes from "../attemptScope/index.js";
+import type * as callSink from "../callSink/index.js";
+import * as refusals from "../createRefusal/index.js";
+import * as plainAttempts from "../recordPlainAttempt/index.js";
+import type * as sends from "../sendBuffered/index.js";
+import * as constants from "../../constants.js";
+import type * as relayContext from "../../relayContext.js";
+import * as types from "../../types.js";
+
+const { Importance, LogEvent } = diagnostics;
+
+/** The end of a plain call: which answer or refusal its caller gets, exactly once. */
+export class CallEnding {
+  /** Resolves when the caller was answered or has gone. */
+  readonly finished: Promise<void>;
+  private settle: () => void = () => undefined;
+  private lastAnswer: sends.BufferedAnswer | null = null;
+  private mayHaveRun = false;
+  private isFinished = false;
+
+  /**
+   * @param progress - the attempts so far, for logs and for what a timeout means
+   */
+  constructor(
+    private readonly context: relayContext.RelayContext,
+    private readonly call: types.Call,
+    private readonly sink: callSink.CallSink,
+    private readonly scope: attemptScopes.AttemptScope,
+    private readonly progress: { readonly sendsCount: number; readonly pendingCount: number },
+  ) {
+    this.finished = new Promise<void>((resolve) => {
+      this.settle = resolve;
+    });
+    scope.signal.addEventListener("abort", () => this.onAborted(), { once: true });
+  }
+
+  /** Whether the caller was answered or has gone. */
+  get isSettled(): boolean {
+    return this.isFinished || this.scope.signal.aborted;
+  }
+
+  /** Records that a server has run the call, or may have. */
+  recordRun(answer: sends.BufferedAnswer | null): void {
+    this.mayHaveRun = true;
+    this.lastAnswer = answer ?? this.lastAnswer;
+  }
+
+  /** Gives the caller the answer of a server. */
+  forwardAnswer(answer: sends.BufferedAnswer): void {
+    if (this.isFinished) return;
+    const { head, body } = answer;
+    this.sink.answer(head.status, head.forwardedHeaders, body);
+    const { sendsCount } = this.progress;
+    plainAttempts.recordForwardedAnswer(this.context, this.call, answer, sendsCount);
+    this.finish();
+  }
+
+  /** Ends a call that cannot be sent again: with the last answer, if there is one. */
+  finishUnsent(reason: types.RefusalReason, retryAfterMs = constants.DEFAULT_RETRY_AFTER_MS): void {
+    if (this.lastAnswer !== null) this.forwardAnswer(this.lastAnswer);
+    else this.finishWithoutAnswer(reason, retryAfterMs);
+  }
+
+  /** Ends a call that is withheld from servers, as some have ended under such work. */
+  finishWithheld({ blame }: sends.Withheld): void {
+    const refusal = refusals.createBlameRefusal(blame);
+    if (this.lastAnswer !== null) this.forwardAnswer(this.lastAnswer);
+    else if (this.mayHaveRun) this.finishWithoutAnswer(refusal.reason);
+    else if (!this.isFinished) this.refuse(refusal, refusals.describeBlame(blame));
+  }
+
+  private finishWithoutAnswer(
+    reason: types.RefusalReason,
+    retryAfterMs = constants.DEFAULT_RETRY_AFTER_MS,
+  ): void {
+    if (this.isFinished) return;
+    const reportedReason = this.mayHaveRun ? types.RefusalReason.OutcomeUnknown : reason;
+    const hasRetryAfter = refusals.createRefusal(reportedReason).status === 503;
+    this.refuse(refusals.createRefusal(reportedReason, hasRetryAfter ? retryAfterMs : null));
+  }
+
+  private onAborted(): void {
+    if (this.isFinished) return;
+    if (!this.scope.isTimedOut) {
+      this.context.log.record(Importance.Notable, LogEvent.CallerGone, {
+        requestId: this.call.head.id,
+        sendsCount: this.progress.sendsCount,
+        elapsedMs: Math.round(this.context.clock.nowMs() - this.call.arrivedAtMs),
+      });
+      this.finish();
+      return;
+    }
+    if (this.lastAnswer !== null && this.progress.pendingCount === 0) {
+      this.forwardAnswer(this.lastAnswer);
+      return;
+    }
+    const wasSent = this.mayHaveRun || this.progress.pendingCount > 0;
+    const reason = wasSent ? types.RefusalReason.TimedOut : types.RefusalReason.TimedOutNotRun;
+    this.refuse(refusals.createRefusal(reason));
+  }
+
+  private refuse(refusal: types.Refusal, details: diagnostics.LogFields = {}): void {
+    const { context, call, sink } = this;
+    const { sendsCount } = this.progress;
+    answerRefusals.answerRefusal(context, call, sink, refusal, { sendsCount, ...details });
+    this.finish();
+  }
+
+  private finish(): void {
+    this.isFinished = true;
+    this.settle();
+  }
+}
--- a/src/relay/_lib/plainCall/index.ts
+++ b/src/relay/_lib/plainCall/index.ts
@@ -2,12 +2,11 @@
 import * as dispatch from "../../../dispatch/index.js";
 import * as routing from "../../../routing/index.js";
 import * as servers from "../../../servers/index.js";
-import * as answerRefusals from "../answerRefusal/index.js";
 import * as attemptScopes from "../attemptScope/index.js";
 import type * as callSink from "../callSink/index.js";
+import * as callEndings from "../callEnding/index.js";
 import * as canAwaitPlace from "../canAwaitPlace/index.js";
 import * as consumeRetries from "../consumeRetry/index.js";
-import * as refusals from "../createRefusal/index.js";
 import * as plainAttempts from "../recordPlainAttempt/index.js";
 import * as plainTargets from "../selectPlainTarget/index.js";
 import * as sends from "../sendBuffered/index.js";
@@ -16,43 +15,38 @@
 import * as types from "../../types.js";
 
 const { Importance, LogEvent } = diagnostics;
+const { AttemptFailure } = dispatch;
 
 /** One call in progress. Up to two of its attempts may be pending at a time. */
 export class PlainCall {
+  /** Attempts so far, and those in progress. */
+  readonly progress = { sendsCount: 0, pendingCount: 0 };
   private readonly triedIds = new Set<string>();
   /** Servers that may have executed the call; the route bounds their number. */
   private readonly possiblyRanIds = new Set<string>();
   private readonly isIdempotent: boolean;
   private readonly maxServersCount: number;
-  private sendsCount = 0;
-  private pendingCount = 0;
+  private readonly ending: callEndings.CallEnding;
+  private pausesCount = 0;
   private endedServersCount = 0;
-  private lastAnswer: sends.BufferedAnswer | null = null;
-  private mayHaveRun = false;
-  private hedgeTimer: Disposable | null = null;
-  private settle: () => void = () => undefined;
-  private isSettled = false;
 
   constructor(
     private readonly context: relayContext.RelayContext,
     private readonly pendingCounts: Map<string, number>,
     private readonly call: types.Call,
-    private readonly sink: callSink.CallSink,
+    sink: callSink.CallSink,
     private readonly scope: attemptScopes.AttemptScope,
   ) {
     this.isIdempotent = call.route.kind === routing.RouteKind.Idempotent;
     this.maxServersCount = this.isIdempotent ? Math.max(1, call.route.maxServersCount) : 1;
+    this.ending = new callEndings.CallEnding(context, call, sink, scope, this.progress);
   }
 
   async run(): Promise<void> {
-    const finished = new Promise<void>((resolve) => {
-      this.settle = resolve;
-    });
-    this.scope.signal.addEventListener("abort", () => this.onAborted(), { once: true });
     this.send();
-    this.scheduleHedge();
-    await finished;
-    this.hedgeTimer?.[Symbol.dispose]();
+    const hedgeTimer = this.scheduleHedge();
+    await this.ending.finished;
+    hedgeTimer?.[Symbol.dispose]();
   }
 
   private send(): void {
@@ -60,7 +54,7 @@
     const delayMs = server === undefined ? 0 : this.context.backpressure.delayMs(server.entry);
     const canSendNow = server !== undefined && delayMs === 0;
     // Another attempt is still pending, so a hedge that cannot be sent now is dropped.
-    if (!canSendNow && this.pendingCount > 0) return;
+    if (!canSendNow && this.progress.pendingCount > 0) return;
     if (server === undefined) {
       this.waitForPlace();
     } else if (delayMs > 0) {
@@ -77,21 +71,17 @@
     this.triedIds.add(server.id);
     this.possiblyRanIds.add(server.id);
     this.changePendingCount(server.id, 1);
-    context.log.record(Importance.Routine, LogEvent.RequestPlaced, {
-      requestId: call.head.id,
-      route: call.route.name,
-      account: call.account?.name,
-      serverId: server.id,
+    plainAttempts.recordPlacement(context, call, {
+      server,
       pendingCount: this.pendingCounts.get(server.id) ?? 0,
-      failureRatio: Number(context.trust.failureRatio(server.id).toFixed(2)),
-      sendsCount: this.sendsCount,
+      sendsCount: this.progress.sendsCount,
     });
     const timeLeftMs = call.deadlineAtMs - startedAtMs;
     const options = { ...types.PLAIN_ATTEMPT_OPTIONS, server, timeLeftMs };
     const outcome = await sends.sendBuffered(context, call, options, this.scope.signal);
     this.changePendingCount(server.id, -1);
-    this.pendingCount -= 1;
-    if (this.isSettled || this.scope.signal.aborted) return;
+    this.progress.pendingCount -= 1;
+    if (this.ending.isSettled) return;
     const elapsedMs = context.clock.nowMs() - startedAtMs;
     plainAttempts.recordPlainAttempt(context, call, { server, outcome, elapsedMs });
     HANDLER_BY_OUTCOME[outcome.kind](this, outcome as never, server);
@@ -99,11 +89,10 @@
 
   /** Handles a complete answer: forwards it, or retries an idempotent call if it is a failure. */
   onAnswered(answer: sends.BufferedAnswer): void {
-    this.mayHaveRun = true;
-    this.lastAnswer = answer;
+    this.ending.recordRun(answer);
     const isServed = sends.verdictOf(answer) === servers.AttemptVerdict.Served;
-    if (isServed || !this.isIdempotent) this.forwardAnswer(answer);
-    else this.retryOrFinish();
+    if (isServed || !this.isIdempotent) this.ending.forwardAnswer(answer);
+    else this.retryOrFinish(AttemptFailure.Failed);
   }
 
   /** Handles an attempt that the server did not execute: another server may be tried. */
@@ -112,38 +101,78 @@
     const { directory } = this.context;
     if (outcome.isOtherServer)
       directory.markLeaving(server.id, servers.LeavingReason.ReplacedAtAddress);
-    this.retryOrFinish(outcome.wasSent);
+    this.retryOrFinish(outcome.wasSent ? AttemptFailure.Rejected : AttemptFailure.NotSent);
   }
 
   /** Handles an attempt that was not sent, as servers have ended under such work. */
-  onWithheld({ blame }: sends.Withheld, server: servers.ServerEntry): void {
+  onWithheld(outcome: sends.Withheld, server: servers.ServerEntry): void {
     this.possiblyRanIds.delete(server.id);
-    if (this.pendingCount > 0) return;
-    const refusal = refusals.createBlameRefusal(blame);
-    if (this.lastAnswer !== null) this.forwardAnswer(this.lastAnswer);
-    else if (this.mayHaveRun) this.finishWithoutAnswer(refusal.reason);
-    else this.refuse(refusal, refusals.describeBlame(blame));
+    if (this.progress.pendingCount === 0) this.ending.finishWithheld(outcome);
   }
 
   /** Handles an attempt with an unknown outcome: only an idempotent call is retried, while few servers ended. */
   onUnknown({ hasServerEnded }: sends.Unknown): void {
-    this.mayHaveRun = true;
+    this.ending.recordRun(null);
     if (hasServerEnded) this.endedServersCount += 1;
     const canRepeat = this.endedServersCount < constants.MAX_ENDED_SERVERS_COUNT;
-    if (this.isIdempotent && canRepeat) this.retryOrFinish();
-    else if (this.pendingCount === 0) this.finishUnsent(types.RefusalReason.OutcomeUnknown);
+    if (this.isIdempotent && canRepeat) this.retryOrFinish(AttemptFailure.Failed);
+    else if (this.progress.pendingCount === 0)
+      this.ending.finishUnsent(types.RefusalReason.OutcomeUnknown);
   }
 
-  /** Retries the call, or finishes it. A retry of an unsent attempt does not use the retry budget. */
-  private retryOrFinish(wasSent = true): void {
-    if (this.pendingCount > 0) return;
-    const maxCount = wasSent ? constants.MAX_SENDS_COUNT : constants.MAX_TRIES_COUNT;
-    const canSend = this.sendsCount < maxCount;
-    if (canSend && (!wasSent || consumeRetries.consumeRetry(this.context, this.call))) {
-      this.send();
+  /** Sends the call again as planned, or finishes it. */
+  private retryOrFinish(failure: dispatch.AttemptFailure): void {
+    if (this.progress.pendingCount > 0) return;
+    const plan = this.planRetry(failure);
+    if (plan === null) {
+      this.ending.finishUnsent(types.RefusalReason.ServersRefused);
+      return;
+    }
+    if (plan.delayMs > 0) {
+      void this.retryLater(failure, plan);
       return;
     }
-    this.finishUnsent(types.RefusalReason.ServersRefused);
+    const isAllowed = !plan.usesBudget || consumeRetries.consumeRetry(this.context, this.call);
+    if (isAllowed) this.send();
+    else this.ending.finishUnsent(types.RefusalReason.ServersRefused);
+  }
+
+  /** Sends the call again after a pause; plans anew if the budget or the servers do not allow it then. */
+  private async retryLater(
+    failure: dispatch.AttemptFailure,
+    { delayMs, isSpare }: dispatch.RetryPlan,
+  ): Promise<void> {
+    this.pausesCount += 1;
+    // Rejects only if the call has ended.
+    await this.context.clock.sleep(delayMs, this.scope.signal).catch(() => null);
+    if (this.ending.isSettled) return;
+    if (this.hasSoundServer() && consumeRetries.consumeRetry(this.context, this.call, isSpare))
+      this.send();
+    else this.retryOrFinish(failure);
+  }
+
+  private planRetry(failure: dispatch.AttemptFailure): dispatch.RetryPlan | null {
+    const { context, call } = this;
+    const nowMs = context.clock.nowMs();
+    const callTimesMs = [...this.triedIds].map((id) => context.trust.typicalMs(id) ?? 0);
+    return dispatch.planRetry({
+      failure,
+      sendsCount: this.progress.sendsCount,
+      pausesCount: this.pausesCount,
+      canUseNewServer: this.possiblyRanIds.size < this.maxServersCount,
+      hasSoundServer: this.hasSoundServer(),
+      timeGivenMs: call.deadlineAtMs - call.arrivedAtMs,
+      timeLeftMs: call.deadlineAtMs - nowMs,
+      objectiveLeftMs: call.arrivedAtMs + call.route.objectiveMs - nowMs,
+      callMs: Math.min(...callTimesMs),
+    });
+  }
+
+  private hasSoundServer(): boolean {
+    const server = this.selectServer();
+    if (server === undefined) return false;
+    const failureRatio = this.context.trust.failureRatio(server.entry.id);
+    return failureRatio <= constants.UNSOUND_FAILURE_RATIO;
   }
 
   private selectServer(): servers.KnownServer | undefined {
@@ -165,16 +194,16 @@
     const { clock, overloadGuard, random } = this.context;
     const { serviceName, route } = this.call;
     if (!overloadGuard.isOverloaded(serviceName)) {
-      this.finishUnsent(types.RefusalReason.NoServer);
+      this.ending.finishUnsent(types.RefusalReason.NoServer);
       return;
     }
     if (!canAwaitPlace.canAwaitPlace(this.context, this.call)) {
       const retryAfterMs = dispatch.computeRetryAfterMs(route.objectiveMs, random);
-      this.finishUnsent(types.RefusalReason.NoCapacity, retryAfterMs);
+      this.ending.finishUnsent(types.RefusalReason.NoCapacity, retryAfterMs);
       return;
     }
     const sendAgain = (): void => {
-      if (!this.isSettled) this.send();
+      if (!this.ending.isSettled) this.send();
     };
     // Rejects only if the call has ended.
     void clock
@@ -192,93 +221,36 @@
     const objectiveLeftMs = this.call.arrivedAtMs + this.call.route.objectiveMs - clock.nowMs();
     if (delayMs > objectiveLeftMs - (trust.typicalMs(id) ?? 0)) {
       const retryAfterMs = dispatch.computeRetryAfterMs(delayMs, this.context.random);
-      this.finishUnsent(types.RefusalReason.RateLimited, retryAfterMs);
+      this.ending.finishUnsent(types.RefusalReason.RateLimited, retryAfterMs);
       return;
     }
     backpressure.reserve(server.entry);
     // Rejects only if the call has ended.
     await clock.sleep(delayMs, this.scope.signal).catch(() => null);
-    if (this.isSettled || this.scope.signal.aborted) return;
+    if (this.ending.isSettled) return;
     if (directory.find(id)?.leaving === null) this.sendNow(server.entry);
     else this.send();
   }
 
   private sendNow(server: servers.ServerEntry): void {
-    this.sendsCount += 1;
-    this.pendingCount += 1;
+    this.progress.sendsCount += 1;
+    this.progress.pendingCount += 1;
     void this.sendTo(server);
   }
 
-  /** Ends a call that cannot be sent again: with the last answer, if there is one. */
-  private finishUnsent(
-    reason: types.RefusalReason,
-    retryAfterMs = constants.DEFAULT_RETRY_AFTER_MS,
-  ): void {
-    if (this.lastAnswer !== null) this.forwardAnswer(this.lastAnswer);
-    else this.finishWithoutAnswer(reason, retryAfterMs);
-  }
-
-  private scheduleHedge(): void {
-    if (!this.isIdempotent || this.maxServersCount < 2) return;
+  private scheduleHedge(): Disposable | null {
+    if (!this.isIdempotent || this.maxServersCount < 2) return null;
     const delayMs = constants.HEDGE_OBJECTIVE_RATIO * this.call.route.objectiveMs;
-    this.hedgeTimer = this.context.clock.schedule(delayMs, () => {
-      if (this.isSettled || this.pendingCount !== 1) return;
-      if (
-        this.sendsCount >= constants.MAX_SENDS_COUNT ||
-        !consumeRetries.consumeRetry(this.context, this.call)
-      )
-        return;
+    return this.context.clock.schedule(delayMs, () => {
+      if (this.ending.isSettled || this.progress.pendingCount !== 1) return;
+      if (this.progress.sendsCount >= constants.MAX_SENDS_COUNT) return;
+      if (!consumeRetries.consumeRetry(this.context, this.call, true)) return;
       const fields = { requestId: this.call.head.id, afterMs: Math.round(delayMs) };
       this.context.log.record(Importance.Routine, LogEvent.Hedged, fields);
       this.send();
     });
   }
 
-  private forwardAnswer(answer: sends.BufferedAnswer): void {
-    if (this.isSettled) return;
-    const { head, body } = answer;
-    this.sink.answer(head.status, head.forwardedHeaders, body);
-    plainAttempts.recordForwardedAnswer(this.context, this.call, answer, this.sendsCount);
-    this.finish();
-  }
-
-  private finishWithoutAnswer(
-    reason: types.RefusalReason,
-    retryAfterMs = constants.DEFAULT_RETRY_AFTER_MS,
-  ): void {
-    if (this.isSettled) return;
-    const reportedReason = this.mayHaveRun ? types.RefusalReason.OutcomeUnknown : reason;
-    const hasRetryAfter = refusals.createRefusal(reportedReason).status === 503;
-    this.refuse(refusals.createRefusal(reportedReason, hasRetryAfter ? retryAfterMs : null));
-  }
-
-  private onAborted(): void {
-    if (this.isSettled) return;
-    if (!this.scope.isTimedOut) {
-      this.context.log.record(Importance.Notable, LogEvent.CallerGone, {
-        requestId: this.call.head.id,
-        sendsCount: this.sendsCount,
-        elapsedMs: Math.round(this.context.clock.nowMs() - this.call.arrivedAtMs),
-      });
-      this.finish();
-      return;
-    }
-    const wasSent = this.mayHaveRun || this.pendingCount > 0;
-    const reason = wasSent ? types.RefusalReason.TimedOut : types.RefusalReason.TimedOutNotRun;
-    this.refuse(refusals.createRefusal(reason));
-  }
-
-  private refuse(refusal: types.Refusal, details: diagnostics.LogFields = {}): void {
-    const { context, call, sink, sendsCount } = this;
-    answerRefusals.answerRefusal(context, call, sink, refusal, { sendsCount, ...details });
-    this.finish();
-  }
-
-  private finish(): void {
-    this.isSettled = true;
-    this.settle();
-  }
-
   private changePendingCount(serverId: string, change: 1 | -1): void {
     const count = (this.pendingCounts.get(serverId) ?? 0) + change;
     if (count > 0) this.pendingCounts.set(serverId, count);
--- a/src/relay/_lib/recordPlainAttempt/index.ts
+++ b/src/relay/_lib/recordPlainAttempt/index.ts
@@ -13,6 +13,30 @@
   readonly elapsedMs: number;
 }
 
+/** Logs to which server a call is sent. */
+export function recordPlacement(
+  { trust, log }: relayContext.RelayContext,
+  { head, route, account }: types.Call,
+  {
+    server,
+    ...counts
+  }: {
+    readonly server: servers.ServerEntry;
+    /** Calls of this VM in progress at the server, this one included. */
+    readonly pendingCount: number;
+    readonly sendsCount: number;
+  },
+): void {
+  log.record(Importance.Routine, LogEvent.RequestPlaced, {
+    requestId: head.id,
+    route: route.name,
+    account: account?.name,
+    serverId: server.id,
+    failureRatio: Number(trust.failureRatio(server.id).toFixed(2)),
+    ...counts,
+  });
+}
+
 /** Records the outcome of an attempt as evidence about the server, and logs and counts it. */
 export function recordPlainAttempt(
   { trust, meters, log }: relayContext.RelayContext,
--- a/src/relay/constants.ts
+++ b/src/relay/constants.ts
@@ -12,15 +12,15 @@
 /** Largest answer of a plain server; answers are buffered until they are complete. */
 export const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
 
+/** Failure ratio above which a server gets no later tries of calls that it has failed. */
+export const UNSOUND_FAILURE_RATIO = 0.5;
+
 /** Fraction of the objective after which an idempotent call is also sent to a second server. */
 export const HEDGE_OBJECTIVE_RATIO = 0.8;
 
-/** Maximum number of times that one call is sent, over all servers. */
+/** Maximum number of times that one generation is sent, over all engines, and a plain call without a pause. */
 export const MAX_SENDS_COUNT = 3;
 
-/** Maximum number of attempts of one call if the last one could not connect and sent nothing. */
-export const MAX_TRIES_COUNT = 5;
-
 /** Servers that may end under one call; it is not repeated after that, as it may be the cause. */
 export const MAX_ENDED_SERVERS_COUNT = 2;
 
--- a/src/relay/retryBudget/index.ts
+++ b/src/relay/retryBudget/index.ts
@@ -12,6 +12,12 @@
 /** Fraction of the fleet's limit that VMs use; the rest covers VMs that are not known yet. */
 const USED_BUDGET_RATIO = 0.7;
 
+/**
+ * Fraction of this VM's share that is reserved for retries at once after a failure. Such a retry mostly saves
+ * a call that would be lost; a hedge saves one that would be late, and a later try one that was repeated before.
+ */
+const RESERVED_RATIO = 0.5;
+
 /** Number of time buckets that make up the sliding window. */
 const WINDOW_BUCKETS_COUNT = 10;
 
@@ -39,21 +45,34 @@
     this.getCurrentBucket(serviceName).callsCount += 1;
   }
 
-  /** Consumes one retry of the service's budget; returns false if none is left. */
-  tryConsume(serviceName: string): boolean {
-    if (this.countRemainingRetries(serviceName) < 1) return false;
+  /**
+   * Consumes one retry of the service's budget; returns false if none is left.
+   *
+   * @param isSpare - whether the part that is reserved for retries at once may not be used
+   */
+  tryConsume(serviceName: string, isSpare = false): boolean {
+    const reservedCount = isSpare ? RESERVED_RATIO * this.countAllowedRetries(serviceName) : 0;
+    if (this.countRemainingRetries(serviceName) - reservedCount < 1) return false;
     this.getCurrentBucket(serviceName).retriesCount += 1;
     return true;
   }
 
   /** Returns the number of retries left in the window; may be fractional or negative. */
   countRemainingRetries(serviceName: string): number {
+    const retriesCount = this.sumOf(serviceName, ({ retriesCount }) => retriesCount);
+    return this.countAllowedRetries(serviceName) - retriesCount;
+  }
+
+  private countAllowedRetries(serviceName: string): number {
+    const callsCount = this.sumOf(serviceName, ({ callsCount }) => callsCount);
+    const fixedCount = this.options.slackCount / Math.max(1, this.liveVmsCount());
+    return USED_BUDGET_RATIO * (this.options.ratio * callsCount + fixedCount);
+  }
+
+  private sumOf(serviceName: string, countOf: (bucket: Bucket) => number): number {
     this.getCurrentBucket(serviceName);
     const buckets = this.bucketsByService.get(serviceName) ?? [];
-    const callsCount = buckets.reduce((sum, bucket) => sum + bucket.callsCount, 0);
-    const retriesCount = buckets.reduce((sum, bucket) => sum + bucket.retriesCount, 0);
-    const fixedCount = this.options.slackCount / Math.max(1, this.liveVmsCount());
-    return USED_BUDGET_RATIO * (this.options.ratio * callsCount + fixedCount) - retriesCount;
+    return buckets.reduce((sum, bucket) => sum + countOf(bucket), 0);
   }
 
   private getCurrentBucket(serviceName: string): Bucket {
--- a/src/relay/retryBudget/test.ts
+++ b/src/relay/retryBudget/test.ts
@@ -32,6 +32,16 @@
   },
 );
 
+tap.test("later tries and hedges leave a part to retries at once after a failure", async (t) => {
+  const budget = new relay.RetryBudget(new virtualClocks.VirtualClock(), OPTIONS, () => 6);
+  for (let index = 0; index < 100; index += 1) budget.recordCall("s");
+  while (budget.tryConsume("s", true));
+  let consumedCount = 0;
+  while (budget.tryConsume("s")) consumedCount += 1;
+  t.ok(consumedCount >= 8, `${consumedCount} left of some 20`);
+  t.notOk(budget.tryConsume("s", true));
+});
+
 tap.test(
   "random histories: all VMs together stay within the fleet's budget in every window",
   async () => {
