Serve lookups through peers at a VM towards which all servers are silent

Change: requests to two servers without a byte of an answer for 0.25 s, with nothing heard since, are a suspicion; a peer's answer from one of these servers is the proof. A lookup that is still unanswered after its hedge is repeated through a peer at a server that has it already. From then on connections lead through tunnels, and one repeatable call a second tries the own links.

--- a/src/diagnostics/types.ts
+++ b/src/diagnostics/types.ts
@@ -34,6 +34,10 @@
   ServerPaused = "server-paused",
   ServersUnreachable = "servers-unreachable",
   ServersReachable = "servers-reachable",
+  /** The servers accept this VM's connections and answer it nothing, while a peer gets their answers. */
+  ServersSilent = "servers-silent",
+  /** A server has answered this VM again. */
+  ServersHeard = "servers-heard",
   TunnelOpened = "tunnel-opened",
   TunnelServed = "tunnel-served",
   TunnelRefused = "tunnel-refused",
--- a/src/relay/_lib/openAttempt/index.ts
+++ b/src/relay/_lib/openAttempt/index.ts
@@ -46,6 +46,10 @@
   readonly body: Buffer;
   /** Called when the connection is established, before anything is sent; false ends the attempt. */
   readonly onConnected?: () => boolean;
+  /** Whether the call may be executed more than once. */
+  readonly isRepeatable?: boolean;
+  /** Whether the attempt goes through a peer where one opens a tunnel. */
+  readonly prefersPeer?: boolean;
   /** Aborts the attempt and closes its connection. */
   readonly signal: AbortSignal;
 }
@@ -58,17 +62,17 @@
 export async function openAttempt(request: AttemptRequest): Promise<Opening> {
   const connected = await request.connector.connect(request.server, request);
   if (connected.isErr()) return { kind: OpeningKind.NotSent, cause: connected.error };
-  const { socket, peer } = connected.value;
+  const { socket } = connected.value;
   if (request.onConnected?.() === false) {
     socket.destroy();
     return { kind: OpeningKind.NotSent, cause: "cancelled after connecting, before sending" };
   }
-  return sendRequest(request, { socket, peer });
+  return sendRequest(request, connected.value);
 }
 
 function sendRequest(
   request: AttemptRequest,
-  { socket, peer }: serverLinks.ServerConnection,
+  { socket, peer, recordBytes }: serverLinks.ServerConnection,
 ): Promise<Opening> {
   return new Promise((resolve) => {
     const outgoing = http.request({
@@ -92,6 +96,7 @@
         outgoing.destroy(new Error(`${informationCount} informational answers before the answer`));
     });
     outgoing.once("response", (message) => {
+      recordBytes();
       // The reader of the body detects errors by "close" without "complete".
       message.on("error", () => undefined);
       const isTruncatedByReset = async (): Promise<boolean> => !isFramed(message) && wasReset();
--- a/src/relay/_lib/plainCall/index.ts
+++ b/src/relay/_lib/plainCall/index.ts
@@ -1,6 +1,7 @@
 import * as diagnostics from "../../../diagnostics/index.js";
 import * as dispatch from "../../../dispatch/index.js";
 import * as routing from "../../../routing/index.js";
+import * as serverLinks from "../../../serverLinks/index.js";
 import * as servers from "../../../servers/index.js";
 import * as attemptScopes from "../attemptScope/index.js";
 import type * as callSink from "../callSink/index.js";
@@ -29,6 +30,7 @@
   private readonly ending: callEndings.CallEnding;
   private pausesCount = 0;
   private endedServersCount = 0;
+  private hedgeTimer: Disposable | null = null;
 
   constructor(
     private readonly context: relayContext.RelayContext,
@@ -44,9 +46,9 @@
 
   async run(): Promise<void> {
     this.send();
-    const hedgeTimer = this.scheduleHedge();
+    this.scheduleHedge();
     await this.ending.finished;
-    hedgeTimer?.[Symbol.dispose]();
+    this.hedgeTimer?.[Symbol.dispose]();
   }
 
   private send(): void {
@@ -65,7 +67,7 @@
     }
   }
 
-  private async sendTo(server: servers.ServerEntry): Promise<void> {
+  private async sendTo(server: servers.ServerEntry, prefersPeer: boolean): Promise<void> {
     const { context, call } = this;
     const startedAtMs = context.clock.nowMs();
     this.triedIds.add(server.id);
@@ -77,7 +79,7 @@
       sendsCount: this.progress.sendsCount,
     });
     const timeLeftMs = call.deadlineAtMs - startedAtMs;
-    const options = { ...types.PLAIN_ATTEMPT_OPTIONS, server, timeLeftMs };
+    const options = { ...types.PLAIN_ATTEMPT_OPTIONS, server, timeLeftMs, prefersPeer };
     const outcome = await sends.sendBuffered(context, call, options, this.scope.signal);
     this.changePendingCount(server.id, -1);
     this.progress.pendingCount -= 1;
@@ -232,16 +234,20 @@
     else this.send();
   }
 
-  private sendNow(server: servers.ServerEntry): void {
+  private sendNow(server: servers.ServerEntry, prefersPeer = false): void {
     this.progress.sendsCount += 1;
     this.progress.pendingCount += 1;
-    void this.sendTo(server);
+    void this.sendTo(server, prefersPeer);
   }
 
-  private scheduleHedge(): Disposable | null {
-    if (!this.isIdempotent || this.maxServersCount < 2) return null;
+  private scheduleHedge(): void {
+    if (!this.isIdempotent || this.maxServersCount < 2) return;
+    const { clock } = this.context;
     const delayMs = constants.HEDGE_OBJECTIVE_RATIO * this.call.route.objectiveMs;
-    return this.context.clock.schedule(delayMs, () => {
+    this.hedgeTimer = clock.schedule(delayMs, () => {
+      this.hedgeTimer = clock.schedule(Math.max(delayMs, serverLinks.SILENCE_TIMEOUT_MS), () => {
+        this.sendThroughPeer();
+      });
       if (this.ending.isSettled || this.progress.pendingCount !== 1) return;
       if (this.progress.sendsCount >= constants.MAX_SENDS_COUNT) return;
       if (!consumeRetries.consumeRetry(this.context, this.call, true)) return;
@@ -251,6 +257,23 @@
     });
   }
 
+  /**
+   * Repeats a call that no server has answered, at one of the same servers through a peer, if servers may
+   * be silent towards this VM alone. A failure of it leaves the other attempts in progress.
+   */
+  private sendThroughPeer(): void {
+    const { connector, directory, backpressure } = this.context;
+    const isUnanswered = !this.ending.isSettled && this.progress.pendingCount > 0;
+    if (!isUnanswered || !connector.mayBeSilent) return;
+    const server = directory
+      .listAvailable(this.call.serviceName)
+      .find(({ entry }) => this.possiblyRanIds.has(entry.id) && backpressure.delayMs(entry) === 0);
+    if (server === undefined) return;
+    if (!consumeRetries.consumeRetry(this.context, this.call)) return;
+    backpressure.reserve(server.entry);
+    this.sendNow(server.entry, true);
+  }
+
   private changePendingCount(serverId: string, change: 1 | -1): void {
     const count = (this.pendingCounts.get(serverId) ?? 0) + change;
     if (count > 0) this.pendingCounts.set(serverId, count);
--- a/src/relay/_lib/sendBuffered/index.ts
+++ b/src/relay/_lib/sendBuffered/index.ts
@@ -1,4 +1,5 @@
 import type * as crashes from "../../../crashes/index.js";
+import * as routing from "../../../routing/index.js";
 import * as servers from "../../../servers/index.js";
 import * as constants from "../../constants.js";
 import type * as relayContext from "../../relayContext.js";
@@ -53,13 +54,19 @@
 /** The outcome of sending a call whose answer is buffered. */
 export type SendOutcome = BufferedAnswer | NotRun | Withheld | Unknown;
 
+/** Parameters of an attempt, and the way to the server. */
+export interface SendOptions extends types.AttemptOptions {
+  /** Whether the attempt goes through a peer where one opens a tunnel. */
+  readonly prefersPeer?: boolean;
+}
+
 const SERVER_ERROR_STATUS = 500;
 
 /** Sends a call to a plain server and buffers its answer; resolves with the outcome, also of a failure. */
 export async function sendBuffered(
   context: Pick<relayContext.RelayContext, "codec" | "connector" | "crashMonitor" | "onAnswerHead">,
   call: types.Call,
-  options: types.AttemptOptions,
+  options: SendOptions,
   signal: AbortSignal,
 ): Promise<SendOutcome> {
   const { crashMonitor } = context;
@@ -81,7 +88,7 @@
     onAnswerHead,
   }: Pick<relayContext.RelayContext, "codec" | "connector" | "onAnswerHead">,
   call: types.Call,
-  options: types.AttemptOptions,
+  options: SendOptions,
   signal: AbortSignal,
 ): Promise<SendOutcome> {
   const opening = await openAttempts.openAttempt({
@@ -92,6 +99,8 @@
     target: call.head.target,
     headers: () => codec.encodeAttempt(call, options),
     body: call.body,
+    isRepeatable: call.route.kind === routing.RouteKind.Idempotent,
+    prefersPeer: options.prefersPeer === true,
     signal,
   });
   if (opening.kind === openAttempts.OpeningKind.NotSent) {
--- a/src/serverLinks/constants.ts
+++ b/src/serverLinks/constants.ts
@@ -50,3 +50,15 @@
 
 /** Most tunnels that a VM serves at a time: a fraction of its descriptors, two of which each uses. */
 export const MAX_SERVED_TUNNELS_COUNT = 400;
+
+/** Time without a byte of an answer after which a server may be silent towards this VM. */
+export const SILENCE_TIMEOUT_MS = 250;
+
+/** Interval at which a VM towards which the servers are silent tries its own links with a call. */
+export const SILENCE_TRIAL_INTERVAL_MS = 1_000;
+
+/**
+ * Time without a trial after which the servers are no longer taken to be silent, where no call comes
+ * that may be repeated.
+ */
+export const SILENCE_BELIEF_LIFETIME_MS = 10_000;
--- a/src/serverLinks/serverConnector/index.ts
+++ b/src/serverLinks/serverConnector/index.ts
@@ -9,6 +9,7 @@
 import * as tunnels from "../_lib/openTunnel/index.js";
 import * as constants from "../constants.js";
 import * as linkMonitors from "../linkMonitor/index.js";
+import * as silenceMonitors from "../silenceMonitor/index.js";
 import * as tunnelFinders from "../tunnelFinder/index.js";
 import * as types from "../types.js";
 
@@ -38,6 +39,10 @@
 export interface ConnectOptions {
   readonly requestId: string;
   readonly signal: AbortSignal;
+  /** Whether the request may run more than once, so that it may try links that may be silent. */
+  readonly isRepeatable?: boolean;
+  /** Whether the connection leads through a peer where one opens a tunnel, as own links may be silent. */
+  readonly prefersPeer?: boolean;
 }
 
 /** A connection to a server. */
@@ -45,6 +50,8 @@
   readonly socket: net.Socket;
   /** The peer through which it leads; null if this VM reaches the server itself. */
   readonly peer: types.TunnelPeer | null;
+  /** Has to be called when the first bytes of an answer have arrived. */
+  readonly recordBytes: () => void;
 }
 
 type ConnectResult = neverthrow.Result<ServerConnection, string>;
@@ -56,6 +63,7 @@
  */
 export class ServerConnector implements Disposable {
   private readonly monitor: linkMonitors.LinkMonitor;
+  private readonly silence: silenceMonitors.SilenceMonitor;
   private readonly finder: tunnelFinders.TunnelFinder;
   private readonly stopping = new AbortController();
   private probesCount = 0;
@@ -63,6 +71,7 @@
 
   constructor(private readonly context: ConnectorContext) {
     this.monitor = new linkMonitors.LinkMonitor(context.clock);
+    this.silence = new silenceMonitors.SilenceMonitor(context.clock);
     this.finder = new tunnelFinders.TunnelFinder(context);
   }
 
@@ -81,6 +90,11 @@
     return this.finder.reachingVm;
   }
 
+  /** Whether servers that accept this VM's connections may answer it nothing. */
+  get mayBeSilent(): boolean {
+    return this.silence.isSilent || this.silence.isSuspected(this.context.listServers().length);
+  }
+
   /** Whether it is known without a further attempt that this VM does not reach a server. */
   isKnownUnreachable(serverId: string): boolean {
     const isFailing = this.linkState === LinkState.Failing;
@@ -89,12 +103,12 @@
 
   /** Opens a connection to a server; the error is its cause as a text, and nothing was sent. */
   async connect(server: servers.ServerEntry, options: ConnectOptions): Promise<ConnectResult> {
-    if (this.monitor.isCutOff) {
+    if (this.monitor.isCutOff || this.avoidsOwnLinks(options)) {
       const tunnelled = await this.openTunnel(server, options);
       if (tunnelled.isOk() || options.signal.aborted) return tunnelled;
     }
     const direct = await this.connectDirectly(server, options.signal);
-    if (direct.isOk()) return direct.map((socket) => ({ socket, peer: null }));
+    if (direct.isOk()) return direct.map((socket) => this.watchDirect(server, socket));
     const isAsked =
       !options.signal.aborted &&
       !this.monitor.isCutOff &&
@@ -164,7 +178,8 @@
       this.tunnelsCount += 1;
       const details = { ...fields, peer: peer.vmName, dataCentre: peer.dataCentre };
       log.record(Importance.Routine, LogEvent.TunnelOpened, details);
-      return neverthrow.ok({ socket, peer });
+      const recordBytes = (): void => this.recordBytesThroughPeer(server, peer);
+      return neverthrow.ok({ socket, peer, recordBytes });
     }
     const causes = found.error.causes.join(", ") || "no peer was asked";
     if (!options.signal.aborted)
@@ -172,6 +187,38 @@
     return neverthrow.err(`no tunnel: ${causes}`);
   }
 
+  private avoidsOwnLinks({ isRepeatable, prefersPeer }: ConnectOptions): boolean {
+    if (prefersPeer === true) return true;
+    if (!this.silence.isSilent) return false;
+    return isRepeatable !== true || !this.silence.takeTrial();
+  }
+
+  /** Watches a connection over this VM's own links until the first bytes of an answer. */
+  private watchDirect(server: servers.ServerEntry, socket: net.Socket): ServerConnection {
+    const watch = this.silence.watch(server.id);
+    socket.once("close", () => watch[Symbol.dispose]());
+    const recordBytes = (): void => {
+      const { isSilent, silentMs } = this.silence;
+      watch.recordBytes();
+      if (!isSilent) return;
+      this.context.log.record(Importance.StateChange, LogEvent.ServersHeard, {
+        serverId: server.id,
+        silentMs: Math.round(silentMs),
+      });
+    };
+    return { socket, peer: null, recordBytes };
+  }
+
+  private recordBytesThroughPeer(server: servers.ServerEntry, peer: types.TunnelPeer): void {
+    const serversCount = this.context.listServers().length;
+    if (!this.silence.recordBytesThroughPeer(server.id, serversCount)) return;
+    this.context.log.record(Importance.StateChange, LogEvent.ServersSilent, {
+      serverId: server.id,
+      peer: peer.vmName,
+      dataCentre: peer.dataCentre,
+    });
+  }
+
   private recordCut(server: servers.ServerEntry, { peer }: ServerConnection, cause: string): void {
     const { unreachableIds } = this.monitor;
     if (!this.monitor.recordTunnel()) return;
