Give nothing new to the servers of evacuated data centres

Cause: nothing read the operators' records `evacuate/ZONE`, so that servers of an evacuated data centre went on getting requests. Change: each VM keeps the evacuations in force (servers/evacuations) beside its servers; nothing new is placed, sent, hedged, moved, copied, continued or tunnelled there. Services without other servers are refused at once. A restored store neither lifts nor revives an evacuation within 2 s.

--- a/src/cli/_lib/output.ts
+++ b/src/cli/_lib/output.ts
@@ -38,7 +38,7 @@
 /** Writes a value as JSON with `--json`, else as text. */
 export function writeResult(
   context: types.CliContext,
-  options: types.CommonOptions,
+  options: Pick<types.CommonOptions, "json">,
   value: unknown,
   formatText: () => string,
 ): void {
--- a/src/cli/createProgram/index.ts
+++ b/src/cli/createProgram/index.ts
@@ -4,6 +4,7 @@
 import * as completionCommand from "../completionCommand/index.js";
 import * as constants from "../constants.js";
 import * as cliErrors from "../_lib/cliError.js";
+import * as evacuationsCommand from "../evacuationsCommand/index.js";
 import * as explainCommand from "../explainCommand/index.js";
 import * as fleetCommands from "../fleetCommands/index.js";
 import * as keyCommand from "../keyCommand/index.js";
@@ -47,6 +48,7 @@
   logsCommand.addLogsCommand(program, context);
   reportCommand.addReportCommand(program, context);
   fleetCommands.addFleetCommands(program, context);
+  evacuationsCommand.addEvacuationsCommand(program, context);
   settingsCommand.addSettingsCommand(program, context);
   keyCommand.addKeyCommand(program, context);
   completionCommand.addCompletionCommand(program, context);
--- a/src/diagnostics/types.ts
+++ b/src/diagnostics/types.ts
@@ -30,6 +30,10 @@
   ServerKnown = "server-known",
   ServerReturned = "server-returned",
   ServerLeaving = "server-leaving",
+  /** The servers of a data centre get nothing new, as operators order. */
+  DataCentreEvacuated = "data-centre-evacuated",
+  /** The servers of a data centre get work again. */
+  DataCentreTakenBack = "data-centre-taken-back",
   ServerRateChanged = "server-rate-changed",
   ServerPaused = "server-paused",
   ServersUnreachable = "servers-unreachable",
--- a/src/gateway/_lib/createServerLinks/index.ts
+++ b/src/gateway/_lib/createServerLinks/index.ts
@@ -45,7 +45,7 @@
     vmName: settings.vmName,
     dataCentre: settings.dataCentre,
     listServers: () =>
-      directory.listAll().flatMap(({ entry, leaving }) => (leaving === null ? [entry] : [])),
+      directory.listAll().flatMap((known) => (directory.acceptsWork(known) ? [known.entry] : [])),
   });
   const tunnelServer = new serverLinks.TunnelServer({
     log,
@@ -81,6 +81,6 @@
     known.entry.host === server.host &&
     known.entry.port === server.port;
   if (!isSameStart) return TunnelDenial.UnknownServer;
-  const isUnavailable = known.leaving !== null || backpressure.pauseMs(server) > 0;
+  const isUnavailable = !directory.acceptsWork(known) || backpressure.pauseMs(server) > 0;
   return isUnavailable ? TunnelDenial.UnavailableServer : null;
 }
--- a/src/gateway/_lib/fleetDrill/index.ts
+++ b/src/gateway/_lib/fleetDrill/index.ts
@@ -1,6 +1,7 @@
 import * as virtualClocks from "../../../_lib/virtualClock/index.js";
 import * as servers from "../../../servers/index.js";
 import * as sharedView from "../../../sharedView/index.js";
+import * as evacuationWatches from "../evacuationWatch/index.js";
 import * as virtualFleets from "../virtualFleet/index.js";
 import * as virtualStores from "../virtualStore/index.js";
 
@@ -40,6 +41,7 @@
 }
 
 interface ServerState {
+  readonly dataCentre: string;
   sequence: number;
   isLeaving: boolean;
 }
@@ -61,6 +63,7 @@
   private readonly highestVersions = new Map<virtualFleets.VirtualVm, number>();
   /** Servers that have told each process in an answer that they leave. */
   private readonly statedIds = new Map<virtualFleets.VirtualVm, Set<string>>();
+  private readonly evacuations = new evacuationWatches.EvacuationWatch();
   private readonly calmSinceMs = new Map<string, number>();
   private storeCalmSinceMs = 0;
   private version = 1;
@@ -80,8 +83,10 @@
       if (placement === undefined) throw new Error(`no VM ${name}`);
       return placement;
     });
-    for (let index = 0; index < options.serversCount; index += 1)
-      this.servers.set(`server-${index}`, { sequence: 0, isLeaving: false });
+    for (let index = 0; index < options.serversCount; index += 1) {
+      const dataCentre = `dc-${index % options.dataCentresCount}`;
+      this.servers.set(`server-${index}`, { dataCentre, sequence: 0, isLeaving: false });
+    }
   }
 
   /** Starts all VMs and lets them find each other. */
@@ -105,6 +110,13 @@
     this.confirmedAtMs = this.clock.nowMs();
   }
 
+  /** Orders that a data centre is evacuated, or takes it back, unless the store is down. */
+  orderEvacuation(dataCentre: string, isEvacuated: boolean): void {
+    if (!this.store.isUp) return;
+    this.evacuations.order(dataCentre, isEvacuated, this.clock.nowMs());
+    this.evacuations.writeTo(this.store);
+  }
+
   /** Makes the store unavailable for a time, and then restores it from a copy if an age is given. */
   interruptStore(durationMs: number, copyAgeMs: number | null): void {
     this.store.isUp = false;
@@ -166,7 +178,9 @@
   /** Lets all disturbances end, and checks that all VMs know the same. */
   async finish(): Promise<void> {
     await this.runForMs(2 * (STABILITY_MS + APPLY_MS));
-    const expected = [...this.servers].filter(([, { isLeaving }]) => !isLeaving);
+    const expected = [...this.servers].filter(
+      ([, { dataCentre, isLeaving }]) => !isLeaving && !this.evacuations.isEvacuated(dataCentre),
+    );
     const expectedIds = expected.map(([id]) => id).sort();
     for (const { name, directory } of this.fleet.vms.values()) {
       const availableIds = directory.listAvailable("s").map(({ entry }) => entry.id);
@@ -182,6 +196,7 @@
     this.store.restore(found.copy);
     this.clock.schedule(REWRITE_MS, () => {
       this.fleet.publish(this.version, CONFIGURATION_BYTES);
+      this.evacuations.writeTo(this.store);
       this.writeServers();
     });
     this.clock.schedule(LAPSE_MS, () => {
@@ -195,7 +210,7 @@
     for (const [id, server] of this.servers) {
       if (server.isLeaving) continue;
       server.sequence += 1;
-      this.store.append(Topic.Servers, id, String(server.sequence));
+      this.store.append(Topic.Servers, id, `${server.sequence}@${server.dataCentre}`);
     }
   }
 
@@ -226,10 +241,9 @@
     if (vm.version < highest) this.findings.push(`${vm.name} went back from ${highest}`);
     this.highestVersions.set(vm, Math.max(highest, vm.version));
     const calmSinceMs = Math.max(this.storeCalmSinceMs, this.calmSinceMs.get(vm.name) ?? 0);
-    const isBound =
-      nowMs > this.confirmedAtMs + APPLY_MS &&
-      nowMs > calmSinceMs + STABILITY_MS &&
-      this.store.isUp;
+    const isInTouch = nowMs > calmSinceMs + STABILITY_MS && this.store.isUp;
+    this.findings.push(...this.evacuations.check(vm, nowMs, isInTouch));
+    const isBound = isInTouch && nowMs > this.confirmedAtMs + APPLY_MS;
     if (isBound && vm.version < this.version)
       this.findings.push(`${vm.name} has ${vm.version} of ${this.version} at ${nowMs} ms`);
     for (const serverId of this.statedIds.get(vm) ?? []) {
--- a/src/gateway/_lib/registerGauges/index.ts
+++ b/src/gateway/_lib/registerGauges/index.ts
@@ -35,6 +35,9 @@
   meters.gauge("servers_age_seconds", "Age of what is known of backend servers.", () => {
     return view.replicaOf(sharedView.Topic.Servers).ageMs / 1_000;
   });
+  meters.gauge("evacuated_data_centres", "Data centres whose servers get nothing new.", () => {
+    return view.listEvacuations().length;
+  });
   for (const [topic, replica] of view.replicas) {
     meters.gauge(`${topic}_end_offset`, "Offset after the last known record.", () => {
       return replica.endOffset;
--- a/src/gateway/_lib/statusServers/index.ts
+++ b/src/gateway/_lib/statusServers/index.ts
@@ -4,6 +4,7 @@
 import * as serverLinks from "../../../serverLinks/index.js";
 import * as sharedView from "../../../sharedView/index.js";
 import type * as types from "../../types.js";
+import * as operatorInterfaces from "../operatorInterface/index.js";
 
 const READY_STATUS = 200;
 const UNREADY_STATUS = 503;
@@ -27,12 +28,13 @@
   options: PeerServices & {
     readonly isReady: () => boolean;
     readonly meters: diagnostics.Meters;
+    readonly operatorHandlers: operatorInterfaces.OperatorHandlers;
   },
 ): Promise<AsyncDisposable> {
   const servers = [
     createReadinessServer(settings.readiness, options.isReady),
     createPeerServer(settings.peers, options),
-    createMetricsServer(settings.metrics, options.meters),
+    createMetricsServer(settings.metrics, options),
   ];
   for (const server of servers) await server.start();
   return {
@@ -66,9 +68,16 @@
 
 function createMetricsServer(
   address: types.ListenAddress,
-  meters: diagnostics.Meters,
+  {
+    meters,
+    operatorHandlers,
+  }: {
+    readonly meters: diagnostics.Meters;
+    readonly operatorHandlers: operatorInterfaces.OperatorHandlers;
+  },
 ): hapi.Server {
   const server = createServer(address);
+  operatorInterfaces.addOperatorRoutes(server, operatorHandlers);
   server.route({
     method: "GET",
     path: "/metrics",
--- a/src/gateway/_lib/virtualFleet/index.ts
+++ b/src/gateway/_lib/virtualFleet/index.ts
@@ -37,6 +37,9 @@
   linkBytesPerMs: Infinity,
 };
 
+const CONFIGURATION_KEY = "config";
+const EVACUATION_KEY_PREFIX = "evacuate/";
+
 const EMPTY_CONFIGURATION: Omit<routing.Configuration, "version"> = {
   routes: [],
   services: [],
@@ -44,22 +47,31 @@
   limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
 };
 
-/** Decodes a configuration, whose value is its version, and a server's entry, whose value is its sequence. */
+/**
+ * Decodes a configuration, whose value is its version, and a server's entry, whose value is its sequence
+ * and its data centre, joined by `@`.
+ */
 const DECODER: types.ViewDecoder = {
-  decodeConfiguration: ({ value }) =>
-    neverthrow.ok({ ...EMPTY_CONFIGURATION, version: Number(value?.toString()) }),
+  decodeConfiguration: ({ key, value }) =>
+    key === CONFIGURATION_KEY
+      ? neverthrow.ok({ ...EMPTY_CONFIGURATION, version: Number(value?.toString()) })
+      : null,
+  decodeEvacuation: ({ key }) =>
+    key.startsWith(EVACUATION_KEY_PREFIX)
+      ? neverthrow.ok(key.slice(EVACUATION_KEY_PREFIX.length))
+      : null,
   decodeServer: ({ key, value }) =>
     neverthrow.ok({
       id: key,
       serviceName: "s",
       host: key,
       port: PORT,
-      dataCentre: "dc-a",
+      dataCentre: value?.toString().split("@")[1] ?? DEFAULT_PLACEMENT.dataCentre,
       slotsCount: 1,
       state: servers.ServerState.Ready,
       coldRemainingMs: 0,
       bornAtWallMs: 1,
-      sequence: Number(value?.toString()),
+      sequence: Number(value?.toString().split("@")[0]),
     }),
 };
 
@@ -235,7 +247,7 @@
   /** Publishes a version of the configuration, padded to a size. */
   publish(version: number, sizeBytes = 0): void {
     const value = String(version).padStart(sizeBytes, "0");
-    this.store.append(Topic.Configuration, "config", value);
+    this.store.append(Topic.Configuration, CONFIGURATION_KEY, value);
   }
 
   /** Time until a VM's link has sent a topic after all that it sends already. */
--- a/src/gateway/currentView/index.ts
+++ b/src/gateway/currentView/index.ts
@@ -23,7 +23,7 @@
 
 /**
  * The decoded view of the platform's store: the configuration in force, whose version never
- * decreases, and the backend servers.
+ * decreases, the evacuated data centres, and the backend servers.
  */
 export class CurrentView {
   /** This VM's replicas of the store's topics. */
@@ -36,12 +36,19 @@
     private readonly listener: ViewListener,
   ) {
     const { clock } = ports;
+    directory.evacuations.onChange((change) => this.recordEvacuation(change));
     this.replicas = new Map([
       [
         sharedView.Topic.Configuration,
         new sharedView.TopicReplica(clock, {
-          onRecords: (records, { source }) => this.applyConfigurations(records, source),
-          onListing: (records, { source }) => this.applyConfigurations(records, source),
+          onRecords: (records, { source }) => {
+            for (const record of records) this.applyEvacuation(record);
+            this.applyConfigurations(records, source);
+          },
+          onListing: (records, { source, isRestored }) => {
+            this.applyEvacuationListing(records, isRestored);
+            this.applyConfigurations(records, source);
+          },
         }),
       ],
       [
@@ -64,9 +71,14 @@
     return this.replicaOf(sharedView.Topic.Configuration).ageMs;
   }
 
-  /** Whether a configuration and the servers have been read at least once. */
+  /** The evacuations in force. */
+  listEvacuations(): readonly servers.Evacuation[] {
+    return this.directory.evacuations.list();
+  }
+
+  /** Whether a configuration, all evacuations and the servers have been read at least once. */
   get isComplete(): boolean {
-    return this.table !== null && this.replicaOf(sharedView.Topic.Servers).isKnown;
+    return this.table !== null && [...this.replicas.values()].every(({ isKnown }) => isKnown);
   }
 
   /** Returns the replica of a topic; throws an error if there is none. */
@@ -125,6 +137,38 @@
     });
   }
 
+  private applyEvacuation(record: sharedView.ViewRecord): void {
+    const dataCentre = this.decodeEvacuation(record);
+    if (dataCentre !== null) this.directory.evacuations.apply(dataCentre, record.value !== null);
+  }
+
+  private applyEvacuationListing(
+    records: readonly sharedView.ViewRecord[],
+    isRestored: boolean,
+  ): void {
+    const listed = records.flatMap((record) => this.decodeEvacuation(record) ?? []);
+    this.directory.evacuations.applyListing(new Set(listed), isRestored);
+  }
+
+  /** Decodes which data centre is evacuated; null for records of other kinds and unreadable ones. */
+  private decodeEvacuation(record: sharedView.ViewRecord): string | null {
+    const decoded = this.ports.decoder.decodeEvacuation(record);
+    if (decoded?.isErr() === true) this.recordUnreadable(record, decoded.error);
+    return decoded?.unwrapOr(null) ?? null;
+  }
+
+  private recordEvacuation({ evacuation, isInForce }: servers.EvacuationChange): void {
+    const { dataCentre, knownSinceMs } = evacuation;
+    const event = isInForce ? LogEvent.DataCentreEvacuated : LogEvent.DataCentreTakenBack;
+    const local = this.directory.listAll().filter(({ entry }) => entry.dataCentre === dataCentre);
+    this.ports.log.record(Importance.StateChange, event, {
+      dataCentre,
+      serversCount: local.filter(({ leaving }) => leaving === null).length,
+      evacuatedMs: isInForce ? null : Math.round(this.ports.clock.nowMs() - knownSinceMs),
+      viewAgeMs: Math.round(Math.min(1e9, this.configurationAgeMs)),
+    });
+  }
+
   private applyServers(
     records: readonly sharedView.ViewRecord[],
     origin: sharedView.RecordOrigin,
--- a/src/gateway/currentView/test.ts
+++ b/src/gateway/currentView/test.ts
@@ -44,6 +44,7 @@
       const version = Number(value?.toString());
       return neverthrow.ok({ ...CONFIGURATION, version });
     },
+    decodeEvacuation: () => null,
     decodeServer: ({ key }) => neverthrow.ok({ ...ENTRY, id: key }),
   };
   const ports = { clock, decoder, log: diagnostics.NOOP_DECISION_LOG };
--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -11,6 +11,7 @@
 import * as createMeshes from "../_lib/createMesh/index.js";
 import * as createReaders from "../_lib/createReaders/index.js";
 import * as createServerLinks from "../_lib/createServerLinks/index.js";
+import * as operatorInterfaces from "../_lib/operatorInterface/index.js";
 import * as pauseMonitors from "../_lib/pauseMonitor/index.js";
 import * as readiness from "../_lib/recordReadiness/index.js";
 import * as recordServerLeaving from "../_lib/recordServerLeaving/index.js";
@@ -128,11 +129,12 @@
    * @throws the system's error if listening on an address fails
    */
   async start(): Promise<void> {
-    const { settings, ports, directory, backpressure } = this;
+    const { settings, ports, directory, backpressure, view } = this;
+    const { clock } = ports;
     this.resources.add(
       await statusServers.startStatusServers(settings, {
         isReady: () => this.updateReadiness(),
-        replicas: this.view.replicas,
+        replicas: view.replicas,
         tunnelServer: this.links.tunnelServer,
         listPeers: () => this.mesh.livePeers(),
         onPeerStatement: answerObservers.observePeerStatements({
@@ -141,6 +143,7 @@
           backpressure,
         }),
         meters: ports.meters,
+        operatorHandlers: operatorInterfaces.createOperatorHandlers({ settings, clock, view }),
       }),
     );
     await this.callerServer.listen(settings.callers);
--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -43,6 +43,11 @@
   decodeConfiguration(
     record: sharedView.ViewRecord,
   ): neverthrow.Result<routing.Configuration, string> | null;
+  /**
+   * Decodes which data centre a record of the configuration topic evacuates, or takes back if it has no
+   * value; null for a record of another kind. The error describes the fault.
+   */
+  decodeEvacuation(record: sharedView.ViewRecord): neverthrow.Result<string, string> | null;
   /** Decodes a server's entry; the error describes the fault. */
   decodeServer(record: sharedView.ViewRecord): neverthrow.Result<servers.ServerEntry, string>;
 }
--- a/src/relay/_lib/createRefusal/index.ts
+++ b/src/relay/_lib/createRefusal/index.ts
@@ -13,6 +13,7 @@
   [types.RefusalReason.BodyTooLarge]: 413,
   [types.RefusalReason.HeadersTooLarge]: 431,
   [types.RefusalReason.NoServer]: 503,
+  [types.RefusalReason.Evacuated]: 503,
   [types.RefusalReason.NoCapacity]: 503,
   [types.RefusalReason.ServersRefused]: 503,
   [types.RefusalReason.RateLimited]: 503,
--- a/src/relay/_lib/engineStream/index.ts
+++ b/src/relay/_lib/engineStream/index.ts
@@ -93,9 +93,12 @@
 
 /** Requests a stream from an engine; resolves with the outcome, also of a failure. */
 export async function openStream(
-  context: Pick<relayContext.RelayContext, "codec" | "connector" | "crashMonitor" | "onAnswerHead">,
+  context: Pick<
+    relayContext.RelayContext,
+    "codec" | "connector" | "crashMonitor" | "directory" | "onAnswerHead"
+  >,
   call: types.Call,
-  { server, options, onConnected, signal }: OpenRequest,
+  { server, options, onConnected = () => true, signal }: OpenRequest,
 ): Promise<OpenOutcome> {
   const { codec, connector, crashMonitor } = context;
   const blame = crashMonitor.findBlame(call);
@@ -109,8 +112,8 @@
     target: call.head.target,
     headers: () => codec.encodeAttempt(call, options()),
     body: call.body,
+    onConnected: () => !context.directory.isEvacuated(server) && onConnected(),
     signal,
-    ...(onConnected === undefined ? {} : { onConnected }),
   });
   if (opening.kind === openAttempts.OpeningKind.NotSent) {
     watched[Symbol.dispose]();
--- a/src/relay/_lib/handover/index.ts
+++ b/src/relay/_lib/handover/index.ts
@@ -157,6 +157,10 @@
 ): Promise<neverthrow.Result<string, MigrationError>> {
   const first = await copyMemory(context, request, target, false);
   if (first.isErr()) return neverthrow.err(createMigrationError(first.error, "first"));
+  if (context.directory.isEvacuated(target)) {
+    const cause = "the target's data centre was evacuated meanwhile";
+    return neverthrow.err({ failure: types.MemoryCopyFailure.NoCapacity, cause });
+  }
   const last = await copyMemory(context, request, target, true);
   return last
     .map(({ handle }) => handle)
--- a/src/relay/_lib/handover/test.ts
+++ b/src/relay/_lib/handover/test.ts
@@ -30,6 +30,7 @@
 
 function setUp(outcomeOf: TransferOutcome): {
   readonly clock: virtualClocks.VirtualClock;
+  readonly directory: servers.ServerDirectory;
   readonly transfers: TransferRequest[];
   readonly claims: dispatch.ClaimTable;
   readonly start: () => Promise<handovers.ContinuationTarget | null>;
@@ -113,7 +114,7 @@
       hasFirstEvent: true,
     });
   claimRun("r1");
-  return { clock, transfers, claims, start, claimRun, ended };
+  return { clock, directory, transfers, claims, start, claimRun, ended };
 }
 
 tap.test(
@@ -253,3 +254,22 @@
     "only the run's own claim remains",
   );
 });
+
+tap.test("a target whose data centre is evacuated after the first copy is not used", async (t) => {
+  let evacuated: string | null = null;
+  const { directory, transfers, start } = setUp((to) => {
+    evacuated ??= directory.find(to)?.entry.dataCentre ?? "";
+    directory.evacuations.apply(evacuated, true);
+    return null;
+  });
+  const entries = [fixtures.createServerEntry("e2", 2), fixtures.createServerEntry("e3", 3)];
+  for (const [index, entry] of entries.entries())
+    directory.apply({ ...entry, dataCentre: `dc-${index === 0 ? "b" : "c"}`, sequence: 2 });
+  const target = await start();
+  t.ok(target !== null && target.server.dataCentre !== evacuated);
+  t.same(
+    transfers.map(({ stopsRun }) => stopsRun),
+    [false, false, true],
+    "the run is not stopped for the first target",
+  );
+});
--- a/src/relay/_lib/plainCall/index.ts
+++ b/src/relay/_lib/plainCall/index.ts
@@ -5,10 +5,10 @@
 import * as answerRefusals from "../answerRefusal/index.js";
 import * as attemptScopes from "../attemptScope/index.js";
 import type * as callSink from "../callSink/index.js";
-import * as canAwaitPlace from "../canAwaitPlace/index.js";
 import * as consumeRetries from "../consumeRetry/index.js";
 import * as refusals from "../createRefusal/index.js";
 import * as plainAttempts from "../recordPlainAttempt/index.js";
+import * as unplacedCalls from "../refuseUnplaced/index.js";
 import * as plainTargets from "../selectPlainTarget/index.js";
 import * as sends from "../sendBuffered/index.js";
 import * as constants from "../../constants.js";
@@ -162,22 +162,16 @@
    * objective, or at a VM without places, is refused at once.
    */
   private waitForPlace(): void {
-    const { clock, overloadGuard, random } = this.context;
-    const { serviceName, route } = this.call;
-    if (!overloadGuard.isOverloaded(serviceName)) {
-      this.finishUnsent(types.RefusalReason.NoServer);
-      return;
-    }
-    if (!canAwaitPlace.canAwaitPlace(this.context, this.call)) {
-      const retryAfterMs = dispatch.computeRetryAfterMs(route.objectiveMs, random);
-      this.finishUnsent(types.RefusalReason.NoCapacity, retryAfterMs);
+    const refused = unplacedCalls.refuseUnplaced(this.context, this.call);
+    if (refused !== null) {
+      this.finishUnsent(refused.reason, refused.retryAfterMs);
       return;
     }
     const sendAgain = (): void => {
       if (!this.isSettled) this.send();
     };
     // Rejects only if the call has ended.
-    void clock
+    void this.context.clock
       .sleep(constants.PLACE_CHECK_INTERVAL_MS, this.scope.signal)
       .then(sendAgain, () => null);
   }
@@ -199,7 +193,8 @@
     // Rejects only if the call has ended.
     await clock.sleep(delayMs, this.scope.signal).catch(() => null);
     if (this.isSettled || this.scope.signal.aborted) return;
-    if (directory.find(id)?.leaving === null) this.sendNow(server.entry);
+    const known = directory.find(id);
+    if (known !== undefined && directory.acceptsWork(known)) this.sendNow(server.entry);
     else this.send();
   }
 
--- a/src/relay/_lib/runContinuation/index.ts
+++ b/src/relay/_lib/runContinuation/index.ts
@@ -33,9 +33,11 @@
     private readonly parts: RunParts,
   ) {}
 
-  /** The continuation on the run's backup; null if there is none. */
+  /** The continuation on the run's backup; null if there is none, or its data centre is evacuated. */
   get backupTarget(): handovers.ContinuationTarget | null {
-    return handovers.createBackupTarget(this.parts.claims.backup, this.call.head.id);
+    const { backup } = this.parts.claims;
+    if (backup !== null && this.context.directory.isEvacuated(backup.entry)) return null;
+    return handovers.createBackupTarget(backup, this.call.head.id);
   }
 
   /** Whether a new run may go on after the last event. */
--- a/src/relay/_lib/sendBuffered/index.ts
+++ b/src/relay/_lib/sendBuffered/index.ts
@@ -57,7 +57,10 @@
 
 /** Sends a call to a plain server and buffers its answer; resolves with the outcome, also of a failure. */
 export async function sendBuffered(
-  context: Pick<relayContext.RelayContext, "codec" | "connector" | "crashMonitor" | "onAnswerHead">,
+  context: Pick<
+    relayContext.RelayContext,
+    "codec" | "connector" | "crashMonitor" | "directory" | "onAnswerHead"
+  >,
   call: types.Call,
   options: types.AttemptOptions,
   signal: AbortSignal,
@@ -78,8 +81,9 @@
   {
     codec,
     connector,
+    directory,
     onAnswerHead,
-  }: Pick<relayContext.RelayContext, "codec" | "connector" | "onAnswerHead">,
+  }: Pick<relayContext.RelayContext, "codec" | "connector" | "directory" | "onAnswerHead">,
   call: types.Call,
   options: types.AttemptOptions,
   signal: AbortSignal,
@@ -92,6 +96,7 @@
     target: call.head.target,
     headers: () => codec.encodeAttempt(call, options),
     body: call.body,
+    onConnected: () => !directory.isEvacuated(options.server),
     signal,
   });
   if (opening.kind === openAttempts.OpeningKind.NotSent) {
--- a/src/relay/_lib/startRun/index.ts
+++ b/src/relay/_lib/startRun/index.ts
@@ -143,6 +143,7 @@
 
 const REASON_BY_PLACEMENT_KIND = {
   "no-server": types.RefusalReason.NoServer,
+  evacuated: types.RefusalReason.Evacuated,
   "no-room": types.RefusalReason.NoCapacity,
   "caller-gone": null,
 } as const;
--- a/src/relay/constants.ts
+++ b/src/relay/constants.ts
@@ -27,6 +27,12 @@
 /** Retry delay given to a caller when no better estimate exists. */
 export const DEFAULT_RETRY_AFTER_MS = 500;
 
+/**
+ * Retry delay given to a caller while all servers of its service are in evacuated data centres. Evacuations
+ * last for seconds at least, and their end is known within a second or two.
+ */
+export const EVACUATED_RETRY_AFTER_MS = 1_000;
+
 /** Retry delay given to a caller when this VM is stopping, so that the caller reaches another VM. */
 export const STOPPING_RETRY_AFTER_MS = 50;
 
--- a/src/relay/engineDispatcher/index.ts
+++ b/src/relay/engineDispatcher/index.ts
@@ -221,6 +221,11 @@
     candidates: readonly dispatch.EngineCandidate[],
   ): void {
     const { request } = waiting;
+    if (this.context.directory.isServiceEvacuated(request.serviceName)) {
+      const { EVACUATED_RETRY_AFTER_MS } = constants;
+      waiting.settle(createRefusal("evacuated", EVACUATED_RETRY_AFTER_MS, ordered.length));
+      return;
+    }
     const usable = candidates.filter(({ serverId }) => !request.avoidedIds.has(serverId));
     const expectedWaitMs = this.estimateWaitMs(waiting, ordered, usable);
     const admission = dispatch.decideAdmission({
--- a/src/relay/engineDispatcher/types.ts
+++ b/src/relay/engineDispatcher/types.ts
@@ -38,7 +38,7 @@
 
 /** Why no engine was claimed for a generation. */
 export interface PlacementRefusal {
-  readonly kind: "no-server" | "no-room" | "caller-gone";
+  readonly kind: "no-server" | "evacuated" | "no-room" | "caller-gone";
   readonly expectedWaitMs: number;
   readonly queuedCount: number;
 }
--- a/src/relay/types.ts
+++ b/src/relay/types.ts
@@ -162,6 +162,8 @@
   BodyTooLarge = "body-too-large",
   HeadersTooLarge = "headers-too-large",
   NoServer = "no-server",
+  /** All servers of the service are in evacuated data centres. */
+  Evacuated = "evacuated",
   NoCapacity = "no-room",
   ServersRefused = "servers-refused",
   RateLimited = "rate-limited",
--- a/src/servers/constants.ts
+++ b/src/servers/constants.ts
@@ -1,6 +1,6 @@
 /**
- * Time after a store outage for which servers with removed entries stay available. The platform
- * states that entries which lapsed during an outage reappear within 2 s of its end.
+ * Time after a store outage for which servers with removed entries stay available, and evacuations stay as
+ * they were. The platform states that entries which lapsed during an outage reappear within 2 s of its end.
  */
 export const LAPSED_ENTRY_GRACE_MS = 2_000;
 
--- a/src/servers/index.ts
+++ b/src/servers/index.ts
@@ -1,4 +1,5 @@
 export * from "./addressOf/index.js";
+export * from "./evacuations/index.js";
 export * from "./overloadGuard/index.js";
 export * from "./serverDirectory/index.js";
 export * from "./serverBackpressure/index.js";
--- a/src/servers/serverDirectory/index.ts
+++ b/src/servers/serverDirectory/index.ts
@@ -1,5 +1,6 @@
 import type * as clocks from "../../_lib/clock/index.js";
 import * as constants from "../constants.js";
+import * as evacuationViews from "../evacuations/index.js";
 import * as types from "../types.js";
 
 type LeavingListener = (server: types.KnownServer) => void;
@@ -10,13 +11,17 @@
  * was that its entry was removed from the store, and the server has written a newer one.
  */
 export class ServerDirectory {
+  /** The data centres whose servers get nothing new. */
+  readonly evacuations: evacuationViews.Evacuations;
   private readonly servers = new Map<string, types.KnownServer>();
   /** End of the grace period of each server whose entry was removed after a store outage. */
   private readonly lapsedUntilMs = new Map<string, number>();
   private readonly leavingListeners = new Set<LeavingListener>();
   private storeRecoveredAtMs = -Infinity;
 
-  constructor(private readonly clock: clocks.Clock) {}
+  constructor(private readonly clock: clocks.Clock) {
+    this.evacuations = new evacuationViews.Evacuations(clock);
+  }
 
   /**
    * Applies an entry; ignores older messages and older starts of the same server. An entry that was
@@ -92,6 +97,7 @@
    * long ago. Has to be called periodically.
    */
   sweep(): void {
+    this.evacuations.sweep();
     const nowMs = this.clock.nowMs();
     for (const [serverId, graceEndsAtMs] of this.lapsedUntilMs) {
       if (nowMs < graceEndsAtMs) continue;
@@ -116,11 +122,25 @@
     return known?.entry.bornAtWallMs !== bornAtWallMs || known.leaving !== null;
   }
 
+  /** Whether a server may get new work: it is not leaving, and its data centre is not evacuated. */
+  acceptsWork({ entry, leaving }: types.KnownServer): boolean {
+    return leaving === null && !this.isEvacuated(entry);
+  }
+
+  /** Whether the data centre of a server is evacuated. */
+  isEvacuated({ dataCentre }: Pick<types.ServerEntry, "dataCentre">): boolean {
+    return this.evacuations.isInForce(dataCentre);
+  }
+
+  /** Whether a service has servers that could get work, and all of them are in evacuated data centres. */
+  isServiceEvacuated(serviceName: string): boolean {
+    const present = this.listPresent(serviceName);
+    return present.length > 0 && present.every(({ entry }) => this.isEvacuated(entry));
+  }
+
   /** Lists the servers of a service that accept new work. */
   listAvailable(serviceName: string): readonly types.KnownServer[] {
-    return [...this.servers.values()].filter(
-      ({ entry, leaving }) => leaving === null && entry.serviceName === serviceName,
-    );
+    return this.listPresent(serviceName).filter(({ entry }) => !this.isEvacuated(entry));
   }
 
   /** Lists all known servers, including leaving ones. */
@@ -134,6 +154,12 @@
     return { [Symbol.dispose]: () => void this.leavingListeners.delete(listener) };
   }
 
+  private listPresent(serviceName: string): readonly types.KnownServer[] {
+    return [...this.servers.values()].filter(
+      ({ entry, leaving }) => leaving === null && entry.serviceName === serviceName,
+    );
+  }
+
   /**
    * Marks all but the latest started server of an address as replaced: only one can listen there.
    */
--- a/standins/platform/gatewayFleet/index.ts
+++ b/standins/platform/gatewayFleet/index.ts
@@ -1,4 +1,5 @@
 import * as decodeConfigurations from "../../../platform/decodeConfiguration/index.js";
+import * as decodeEvacuations from "../../../platform/decodeEvacuation/index.js";
 import * as decodeServerEntries from "../../../platform/decodeServerEntry/index.js";
 import * as engineControls from "../../../platform/engineControl/index.js";
 import * as logStores from "../../../platform/logStore/index.js";
@@ -55,6 +56,8 @@
   /** The network between the gateways and the backend servers. */
   readonly network = new serverNetworks.ServerNetwork();
   readonly gateways: gateways.Gateway[] = [];
+  /** Data centres of servers, by id, where they are not the default one. */
+  readonly dataCentres = new Map<string, string>();
   /** Retries in a window that the fleet may spend whatever its traffic; applies to gateways added later. */
   retrySlackCount = DEFAULT_RETRY_SLACK_COUNT;
   private readonly silentVms = new Set<string>();
@@ -129,7 +132,7 @@
     this.store.put(names.TOPIC_NAMES.servers, id, {
       service,
       address: `127.0.0.1:${port}`,
-      zone: DEFAULT_DATA_CENTRE,
+      zone: this.dataCentres.get(id) ?? DEFAULT_DATA_CENTRE,
       version: "v1",
       slots: DEFAULT_SLOTS_COUNT,
       state: "ready",
@@ -192,6 +195,7 @@
       control: this.resources.add(new engineControls.HttpEngineControl()),
       decoder: {
         decodeConfiguration: decodeConfigurations.decodeConfiguration,
+        decodeEvacuation: decodeEvacuations.decodeEvacuation,
         decodeServer: decodeServerEntries.decodeServerEntry,
       },
       dial: this.network.dialFrom(settings.vmName),
@@ -235,6 +239,11 @@
     return this.settings[index]?.callers.port ?? 0;
   }
 
+  /** Returns the address at which a gateway answers its operators. */
+  operatorsAddress(index = 0): string {
+    return `127.0.0.1:${this.settings[index]?.metrics.port ?? 0}`;
+  }
+
   async [Symbol.asyncDispose](): Promise<void> {
     this.isDisposed = true;
     await this.resources[Symbol.asyncDispose]();
