Let the soak evacuate data centres

Cause: the soak did not play evacuations, and had all servers in one data centre. Change: its servers alternate between two data centres; a fault evacuates one for 5.5 to 8.5 s, and a check counts what reaches servers there later than 5 s after the order. What a restore of the store lost is written again.

--- a/experiments/soak/checks/index.ts
+++ b/experiments/soak/checks/index.ts
@@ -1,4 +1,5 @@
 import * as crashChecks from "../crashCheck/index.js";
+import * as evacuationChecks from "../evacuationCheck/index.js";
 import * as rateChecks from "../rateCheck/index.js";
 import type * as backendServers from "../../../standins/platform/backendServer/index.js";
 
@@ -53,6 +54,7 @@
   private readonly executionsCountById = new Map<string, number>();
   private readonly drainingSinceMsByServer = new Map<string, number>();
   private readonly rates = new rateChecks.RateCheck();
+  readonly evacuations = new evacuationChecks.EvacuationCheck();
   readonly crashes = new crashChecks.CrashCheck();
   private storeDisturbancesCount = 0;
   private storeRecoveredAtMs = 0;
@@ -106,17 +108,25 @@
     this.rates.recordLimit(serverId, ratePerSecond);
   }
 
+  /** Records that a server received a request, and checks that its data centre is not evacuated. */
+  recordArrival(
+    server: { readonly serverId: string; readonly dataCentre: string },
+    callId: string,
+  ): void {
+    const late = this.evacuations.recordArrival(server, callId, this.storeDisturbedAtMs);
+    if (late !== null) this.recordViolation("evacuated data centres get nothing", late);
+  }
+
   /** Records that a server received a call that will crash it, and checks that it may. */
   recordCrashArrival(causeName: string, callId: string): void {
-    const isStoreDisturbed = this.storeDisturbancesCount > 0;
-    const storeDisturbedAtMs = isStoreDisturbed ? Date.now() : this.storeRecoveredAtMs;
-    const excess = this.crashes.recordArrival(causeName, callId, storeDisturbedAtMs);
+    const excess = this.crashes.recordArrival(causeName, callId, this.storeDisturbedAtMs);
     if (excess !== null) this.recordViolation("work that crashes servers is withheld", excess);
   }
 
   /** Records a signal to a VM, or its start. */
   recordVmDisturbance(vmIndex: number): void {
     this.rates.recordVmDisturbance();
+    this.evacuations.recordVmDisturbance();
     this.crashes.recordVmDisturbance(vmIndex);
   }
 
@@ -191,6 +201,10 @@
     this.removedAtMsByKey.set(apiKey, Date.now());
   }
 
+  private get storeDisturbedAtMs(): number {
+    return this.storeDisturbancesCount > 0 ? Date.now() : this.storeRecoveredAtMs;
+  }
+
   private checkDraining(id: string, serverId: string, atMs: number): void {
     const drainedAtMs = this.drainingSinceMsByServer.get(serverId);
     if (drainedAtMs === undefined || this.storeDisturbancesCount > 0) return;
--- a/experiments/soak/faults/index.ts
+++ b/experiments/soak/faults/index.ts
@@ -62,6 +62,8 @@
     await fleet.replaceServer(random);
     await sleepMs(500);
   },
+  "data centre evacuated": (fleet, random) =>
+    fleet.evacuations.hold(random, 5_500 + 3_000 * random.next()),
   "server names a limit": async (fleet, random) => {
     const server = drawOne(fleet.servers, random);
     fleet.limitServer(server, 2 + 6 * random.next());
--- a/experiments/soak/soakFleet/index.ts
+++ b/experiments/soak/soakFleet/index.ts
@@ -1,4 +1,5 @@
 import type * as http from "node:http";
+import * as timers from "node:timers/promises";
 
 import type * as randoms from "../../../src/_lib/random/index.js";
 import * as backendServers from "../../../standins/platform/backendServer/index.js";
@@ -8,6 +9,7 @@
 import * as callers from "../callers/index.js";
 import type * as checks from "../checks/index.js";
 import * as crashCauses from "../crashCauses/index.js";
+import * as soakEvacuations from "../evacuations/index.js";
 import * as faults from "../faults/index.js";
 import * as processes from "../processes/index.js";
 
@@ -42,6 +44,7 @@
   readonly vms: processes.GatewayProcess[] = [];
   readonly servers: backendServers.BackendServer[] = [];
   apiKey = "key-1";
+  readonly evacuations: soakEvacuations.SoakEvacuations;
   private readonly platform = new gatewayFleets.GatewayFleet();
   private readonly services = new Map<string, string>();
   private serversCount = 0;
@@ -54,7 +57,9 @@
   constructor(
     private readonly checker: checks.InvariantChecker,
     private readonly directory: string,
-  ) {}
+  ) {
+    this.evacuations = new soakEvacuations.SoakEvacuations(this.platform, checker.evacuations);
+  }
 
   /** The fake of the platform's store. */
   get store(): platformLogStores.PlatformLogStore {
@@ -69,10 +74,8 @@
       if (this.copies.length > COPIES_COUNT) this.copies.shift();
     }, COPY_INTERVAL_MS);
     this.publishConfiguration();
-    for (const service of [PLAIN_SERVICE, PLAIN_SERVICE, PLAIN_SERVICE])
-      await this.addServer(service);
-    for (const service of [ENGINE_SERVICE, ENGINE_SERVICE, ENGINE_SERVICE])
-      await this.addServer(service);
+    for (const service of [PLAIN_SERVICE, ENGINE_SERVICE])
+      for (let count = 0; count < 3; count += 1) await this.addServer(service);
     for (let index = 0; index < vmsCount; index += 1) {
       const vm = new processes.GatewayProcess(index, this.store.port, this.directory, () =>
         this.checker.recordVmDisturbance(index),
@@ -103,7 +106,10 @@
   /** Restores the store. The lost records are written again after a delay, like their writers do. */
   restoreStore(copy: platformLogStores.StoreCopy, rewriteDelayMs: number): void {
     const restore = this.store.restore(copy);
-    setTimeout(() => this.store.rewrite(restore), rewriteDelayMs);
+    setTimeout(() => {
+      this.store.rewrite(restore);
+      this.evacuations.rewrite();
+    }, rewriteDelayMs);
   }
 
   /** Lets the store answer in another way for a while. */
@@ -112,7 +118,7 @@
     const isUnreadable = mode !== platformLogStores.StoreMode.LosesAnswers;
     if (isUnreadable) this.checker.recordStoreDisturbance();
     this.store.setMode(mode);
-    await new Promise((resolve) => setTimeout(resolve, durationMs));
+    await timers.setTimeout(durationMs);
     this.store.setMode(platformLogStores.StoreMode.Serves);
     if (isUnreadable) this.checker.recordStoreRecovery();
   }
@@ -161,7 +167,7 @@
     for (let index = 0; Date.now() < endsAtMs; index += 1) {
       const id = `${cause.name}-call-${index}`;
       void callers.makeCrashingCall(id, cause, this, random, this.checker);
-      await pause(CRASHING_CALL_INTERVAL_MS);
+      await timers.setTimeout(CRASHING_CALL_INTERVAL_MS);
     }
   }
 
@@ -191,7 +197,7 @@
   ): backendServers.Behaviour {
     const normal = this.normalBehaviourOf(server);
     return async (call, response, self) => {
-      await pause(delayMs);
+      await timers.setTimeout(delayMs);
       if (response.destroyed) return;
       this.checker.recordExecution(self, call);
       await normal(call, response, self);
@@ -214,7 +220,7 @@
       );
       this.setFaultyBehaviour(server, work);
     }
-    await pause(durationMs);
+    await timers.setTimeout(durationMs);
     for (const server of brittle) {
       server.maxRejectionsPerSecond = null;
       this.restoreBehaviour(server);
@@ -239,6 +245,7 @@
   private async addServer(service: string): Promise<void> {
     this.serversCount += 1;
     const id = `${service}-${this.serversCount}`;
+    this.evacuations.locate(id, this.serversCount);
     const server = await this.platform.addServer(id, service, backendServers.refuse());
     this.services.set(id, service);
     this.restoreBehaviour(server);
@@ -268,7 +275,7 @@
     if (at < 0) return;
     this.servers.splice(at, 1);
     this.checker.crashes.recordCrash(causeName);
-    await pause(SERVER_DOWN_MS);
+    await timers.setTimeout(SERVER_DOWN_MS);
     this.store.put("keyed.servers", server.id, null);
     await this.addServer(this.services.get(server.id) ?? PLAIN_SERVICE);
   }
@@ -276,6 +283,8 @@
   /** Wraps a behaviour so that each execution that it starts is reported to the checker. */
   private withExecutionChecks(behaviour: backendServers.Behaviour): backendServers.Behaviour {
     return (call, response, server) => {
+      const dataCentre = this.evacuations.dataCentreOf(server.id);
+      this.checker.recordArrival({ serverId: server.id, dataCentre }, call.id);
       const causeName = crashCauses.findCauseName(call);
       if (causeName !== null) return this.crash(causeName, call, response, server);
       const countBefore = server.runs.length;
@@ -289,7 +298,3 @@
 function countFalls(servers: readonly backendServers.BackendServer[]): number {
   return servers.reduce((sum, { overloadCrashesCount }) => sum + overloadCrashesCount, 0);
 }
-
-function pause(durationMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, durationMs));
-}
