--- a/src/relay/_lib/handover/test.ts
+++ b/src/relay/_lib/handover/test.ts
@@ -30,6 +30,7 @@
 
 function setUp(outcomeOf: TransferOutcome): {
   readonly clock: virtualClocks.VirtualClock;
+  readonly directory: servers.ServerDirectory;
   readonly transfers: TransferRequest[];
   readonly claims: dispatch.ClaimTable;
   readonly start: () => Promise<handovers.ContinuationTarget | null>;
@@ -113,7 +114,7 @@
       hasFirstEvent: true,
     });
   claimRun("r1");
-  return { clock, transfers, claims, start, claimRun, ended };
+  return { clock, directory, transfers, claims, start, claimRun, ended };
 }
 
 tap.test(
@@ -253,3 +254,22 @@
     "only the run's own claim remains",
   );
 });
+
+tap.test("a target whose data centre is evacuated after the first copy is not used", async (t) => {
+  const evacuated: string[] = [];
+  const { directory, transfers, start } = setUp((to) => {
+    if (evacuated.length === 0) evacuated.push(directory.find(to)?.entry.dataCentre ?? "");
+    for (const dataCentre of evacuated) directory.evacuations.apply(dataCentre, true);
+    return null;
+  });
+  const entries = [fixtures.createServerEntry("e2", 2), fixtures.createServerEntry("e3", 3)];
+  for (const [index, entry] of entries.entries())
+    directory.apply({ ...entry, dataCentre: `dc-${index === 0 ? "b" : "c"}`, sequence: 2 });
+  const target = await start();
+  t.ok(target !== null && !evacuated.includes(target.server.dataCentre));
+  t.same(
+    transfers.map(({ stopsRun }) => stopsRun),
+    [false, false, true],
+    "the run is not stopped for the first target",
+  );
+});
--- a/src/relay/_lib/sendBuffered/index.ts
+++ b/src/relay/_lib/sendBuffered/index.ts
@@ -64,7 +64,10 @@
 
 /** Sends a call to a plain server and buffers its answer; resolves with the outcome, also of a failure. */
 export async function sendBuffered(
-  context: Pick<relayContext.RelayContext, "codec" | "connector" | "crashMonitor" | "onAnswerHead">,
+  context: Pick<
+    relayContext.RelayContext,
+    "codec" | "connector" | "crashMonitor" | "directory" | "onAnswerHead"
+  >,
   call: types.Call,
   options: SendOptions,
   signal: AbortSignal,
@@ -85,8 +88,9 @@
   {
     codec,
     connector,
+    directory,
     onAnswerHead,
-  }: Pick<relayContext.RelayContext, "codec" | "connector" | "onAnswerHead">,
+  }: Pick<relayContext.RelayContext, "codec" | "connector" | "directory" | "onAnswerHead">,
   call: types.Call,
   options: SendOptions,
   signal: AbortSignal,
@@ -101,6 +105,7 @@
     body: call.body,
     isRepeatable: call.route.kind === routing.RouteKind.Idempotent,
     prefersPeer: options.prefersPeer === true,
+    onConnected: () => !directory.isEvacuated(options.server),
     signal,
   });
   if (opening.kind === openAttempts.OpeningKind.NotSent) {
