--- a/src/relay/_lib/handover/test.ts
+++ b/src/relay/_lib/handover/test.ts
@@ -256,7 +256,7 @@
 });
 
 tap.test("a target whose data centre is evacuated after the first copy is not used", async (t) => {
-  let evacuated: string | null = null;
+  let evacuated = null as string | null;
   const { directory, transfers, start } = setUp((to) => {
     evacuated ??= directory.find(to)?.entry.dataCentre ?? "";
     directory.evacuations.apply(evacuated, true);
--- a/src/relay/engineDispatcher/test.ts
+++ b/src/relay/engineDispatcher/test.ts
@@ -27,6 +27,8 @@
   readonly fleetQueue: dispatch.FleetQueue;
   readonly dispatcher: engineDispatchers.EngineDispatcher;
   readonly placedServerIds: string[] = [];
+  /** Kind of each refusal, and when it was given. */
+  readonly refusals: { readonly kind: string; readonly atMs: number }[] = [];
   isPaused = false;
 
   constructor(
@@ -79,6 +81,7 @@
       signal: new AbortController().signal,
     });
     if (placed.isOk()) this.placedServerIds.push(placed.value.server.entry.id);
+    else this.refusals.push({ kind: placed.error.kind, atMs: this.fleet.clock.nowMs() });
   }
 }
 
@@ -198,3 +201,30 @@
   );
   t.equal(fleet.vms[2]!.placedServerIds.length, 0);
 });
+
+tap.test(
+  "what waits for a service all whose engines are evacuated is refused at once",
+  async (t) => {
+    using fleet = new Fleet(2);
+    await saturate(fleet);
+    const evacuatedAtMs = fleet.clock.nowMs();
+    for (const { directory } of fleet.vms) directory.evacuations.apply("dc-a", true);
+    await fleet.clock.runForMs(1_000);
+    for (const { refusals } of fleet.vms) {
+      t.match(refusals, [{ kind: "evacuated" }]);
+      t.ok((refusals[0]?.atMs ?? Infinity) <= evacuatedAtMs + 100, "not at the deadline of 39 s");
+    }
+  },
+);
+
+tap.test("engines of an evacuated data centre get nothing while others are left", async (t) => {
+  using fleet = new Fleet(1);
+  const [vm] = fleet.vms;
+  fleet.announce(fixtures.createServerEntry("near", 1));
+  fleet.announce({ ...fixtures.createServerEntry("far", 2), dataCentre: "dc-b" });
+  vm?.directory.evacuations.apply("dc-a", true);
+  await vm?.place("first");
+  vm?.directory.evacuations.apply("dc-a", false);
+  await vm?.place("second");
+  t.same(vm?.placedServerIds, ["far", "near"]);
+});
--- a/src/servers/serverDirectory/test.ts
+++ b/src/servers/serverDirectory/test.ts
@@ -174,3 +174,30 @@
   }
   t.same(availableIds(), []);
 });
+
+tap.test(
+  "servers of an evacuated data centre are not available until it is taken back",
+  async (t) => {
+    const { directory, availableIds } = setUp();
+    directory.apply(fixtures.entry());
+    directory.apply(fixtures.entry({ id: "e2", port: 9_001, dataCentre: "dc-b" }));
+    directory.evacuations.apply("dc-a", true);
+    t.same(availableIds(), ["e2"]);
+    t.notOk(directory.isServiceEvacuated("s"));
+    directory.evacuations.apply("dc-b", true);
+    t.ok(directory.isServiceEvacuated("s"));
+    directory.evacuations.apply("dc-a", false);
+    t.same(availableIds(), ["e1"]);
+  },
+);
+
+tap.test(
+  "a service without servers, or whose servers leave, does not count as evacuated",
+  async (t) => {
+    const { directory } = setUp();
+    directory.evacuations.apply("dc-a", true);
+    t.notOk(directory.isServiceEvacuated("s"));
+    directory.apply(fixtures.entry({ state: ServerState.Draining }));
+    t.notOk(directory.isServiceEvacuated("s"));
+  },
+);
