Decode what cold servers bear, its bounds, and the target gap of streams

Cause: cold_per_s and cold_start_s of services, cold_overrun and cold_tolerance of the bounds and target_gap_ms of routes were dropped. Nothing uses the values yet.

--- a/src/gateway/types.ts
+++ b/src/gateway/types.ts
@@ -35,6 +35,8 @@
   /** Time within which a change of the configuration must take effect. */
   readonly configurationApplyMs: number;
   readonly retryBudget: relay.RetryBudgetOptions;
+  /** Bounds on the requests to a cold server; null where there are none. */
+  readonly coldBounds: servers.ColdBounds | null;
 }
 
 /** Decodes the records of the platform's store. */
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -26,6 +26,8 @@
   readonly timeoutMs: number;
   /** Target time to the answer or its first event. */
   readonly objectiveMs: number;
+  /** Target interval between two events of a stream; null if the route states none. */
+  readonly targetGapMs: number | null;
   /** 0 is the most urgent. */
   readonly priority: number;
   /** Limit of servers to which one attempt of a caller may be sent. */
@@ -52,11 +54,21 @@
   readonly canBackUpRuns: boolean;
 }
 
+/** What the servers of a service bear after their start. */
+export interface ColdStart {
+  /** Requests a second from all VMs together that a cold server tolerates. */
+  readonly ratePerSecond: number;
+  /** How long a server is cold after its start. */
+  readonly durationMs: number;
+}
+
 /** A group of interchangeable backend servers. */
 export interface Service {
   readonly name: string;
   /** Null for plain services. */
   readonly engine: EngineTraits | null;
+  /** Null if no limit is stated for cold servers. */
+  readonly coldStart: ColdStart | null;
 }
 
 /** A client account with its API keys. */
--- a/src/servers/types.ts
+++ b/src/servers/types.ts
@@ -35,6 +35,15 @@
   ReplacedAtAddress = "replaced-at-address",
 }
 
+/**
+ * Bounds on the requests that a cold server may get in any second, of all VMs together: its rate times
+ * the ratio, and the count.
+ */
+export interface ColdBounds {
+  readonly overrunRatio: number;
+  readonly toleranceCount: number;
+}
+
 /** What an entry changed in a VM's view of its server. */
 export enum EntryEffect {
   /** The entry is older than the known one. */
--- a/standins/platform/gatewayFleet/index.ts
+++ b/standins/platform/gatewayFleet/index.ts
@@ -123,7 +123,12 @@
     id: string,
     service: string,
     port: number,
-    fields: { readonly state?: string; readonly slots?: number } = {},
+    fields: {
+      readonly state?: string;
+      readonly slots?: number;
+      readonly cold_remaining_ms?: number;
+      readonly born?: number;
+    } = {},
   ): void {
     this.sequence += 1;
     this.store.put(names.TOPIC_NAMES.servers, id, {
@@ -133,10 +138,10 @@
       version: "v1",
       slots: DEFAULT_SLOTS_COUNT,
       state: "ready",
-      ...fields,
       cold_remaining_ms: 0,
-      sequence: this.sequence,
       born: 1_000,
+      ...fields,
+      sequence: this.sequence,
     });
   }
 
@@ -258,6 +263,7 @@
       revocationMs: 3_000,
       configurationApplyMs: 2_000,
       retryBudget: { ratio: 0.2, slackCount: this.retrySlackCount, windowMs: 10_000 },
+      coldBounds: { overrunRatio: 1.5, toleranceCount: 5 },
     };
   }
 }
