Keep the requests to cold servers within their rate for the whole fleet

Cause: nothing limited the requests to a cold server: of four engines before twelve VMs two came back cold with 10 a second each, and got 24 in one second (allowed: 20) with 80 requests a second, and 54 with 120 (gateway/coldServers with a rate of 0 in its configuration). Change: servers/coldLimits, behind the interface of ServerBackpressure: the VMs that rank first among all known ones share the rate in whole requests a second, half of the bound at most; VMs that have just started send nothing there, lone ones one request a second. The remaining cold time counts down from the message, also in the estimate of the first event. Servers that refused a connection count as cold until they have answered for a cold time. Continuations at backups wait for a slot of a cold engine.

--- a/src/diagnostics/types.ts
+++ b/src/diagnostics/types.ts
@@ -32,6 +32,8 @@
   ServerLeaving = "server-leaving",
   ServerRateChanged = "server-rate-changed",
   ServerPaused = "server-paused",
+  /** Servers have turned cold or warm. */
+  ColdServersChanged = "cold-servers-changed",
   ServersUnreachable = "servers-unreachable",
   ServersReachable = "servers-reachable",
   TunnelOpened = "tunnel-opened",
--- a/src/gateway/_lib/registerGauges/index.ts
+++ b/src/gateway/_lib/registerGauges/index.ts
@@ -2,6 +2,7 @@
 import type * as diagnostics from "../../../diagnostics/index.js";
 import type * as dispatch from "../../../dispatch/index.js";
 import type * as relay from "../../../relay/index.js";
+import type * as servers from "../../../servers/index.js";
 import * as sharedView from "../../../sharedView/index.js";
 import type * as currentViews from "../../currentView/index.js";
 
@@ -12,6 +13,7 @@
   readonly dispatcher: relay.EngineDispatcher;
   readonly fleetQueue: dispatch.FleetQueue;
   readonly crashMonitor: crashes.CrashMonitor;
+  readonly coldLimits: servers.ColdLimits;
   readonly activeCallsCount: () => number;
 }
 
@@ -28,6 +30,9 @@
   meters.gauge("blamed_suspects", "What ends servers and is kept from them.", () => {
     return crashMonitor.blamedCount;
   });
+  meters.gauge("cold_servers", "Servers that are cold or taken to be so.", () => {
+    return sources.coldLimits.listCold().length;
+  });
   meters.gauge("live_vms", "VMs that are up, this one included.", () => mesh.liveVmsCount);
   meters.gauge("configuration_age_seconds", "Age of the configuration in force.", () => {
     return view.configurationAgeMs / 1_000;
--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -8,6 +8,7 @@
 import * as servers from "../../servers/index.js";
 import * as sharedView from "../../sharedView/index.js";
 import * as answerObservers from "../_lib/observeAnswerHeads/index.js";
+import * as createColdLimits from "../_lib/createColdLimits/index.js";
 import * as createMeshes from "../_lib/createMesh/index.js";
 import * as createReaders from "../_lib/createReaders/index.js";
 import * as createServerLinks from "../_lib/createServerLinks/index.js";
@@ -35,6 +36,8 @@
   private readonly resources = new disposableStore.DisposableStore();
   private readonly directory: servers.ServerDirectory;
   private readonly trust: servers.ServerTrust;
+  private readonly coldLimits: servers.ColdLimits;
+  private readonly reportColdServers: () => void;
   private readonly backpressure: servers.ServerBackpressure;
   private readonly overloadGuard: servers.OverloadGuard;
   private readonly links: createServerLinks.ServerLinks;
@@ -56,11 +59,20 @@
   ) {
     const { clock, random } = ports;
     this.directory = new servers.ServerDirectory(clock);
-    this.trust = new servers.ServerTrust(clock, (dataCentre) =>
-      this.mesh.isDataCentreSilent(dataCentre),
+    this.coldLimits = createColdLimits.createColdLimits(settings, ports, {
+      directory: this.directory,
+      getView: () => this.view,
+      getMesh: () => this.mesh,
+    });
+    this.reportColdServers = createColdLimits.createColdReporter(this.coldLimits, ports.log);
+    this.trust = new servers.ServerTrust(
+      clock,
+      (dataCentre) => this.mesh.isDataCentreSilent(dataCentre),
+      (serverId, verdict) => this.coldLimits.recordOutcome(serverId, verdict),
     );
-    this.backpressure = new servers.ServerBackpressure(clock, (id) => this.mesh.rankFor(id));
-    this.overloadGuard = new servers.OverloadGuard(clock, (id) => this.mesh.rankFor(id));
+    const rankOf = (serverId: string): servers.VmRank => this.mesh.rankFor(serverId);
+    this.backpressure = new servers.ServerBackpressure(clock, rankOf, this.coldLimits);
+    this.overloadGuard = new servers.OverloadGuard(clock, rankOf);
     this.links = createServerLinks.createServerLinks({
       settings,
       ports,
@@ -167,6 +179,7 @@
       dispatcher: this.dispatcher,
       fleetQueue: this.fleetQueue,
       crashMonitor: this.crashMonitor,
+      coldLimits: this.coldLimits,
       activeCallsCount: () => this.activeCallsCount,
     });
     const { callers, peers } = settings;
@@ -281,5 +294,7 @@
     const serverIds = new Set(this.directory.listAll().map(({ entry }) => entry.id));
     this.trust.retain(serverIds);
     this.backpressure.retain(serverIds);
+    this.coldLimits.retain(serverIds);
+    this.reportColdServers();
   }
 }
--- a/src/relay/_lib/handover/index.ts
+++ b/src/relay/_lib/handover/index.ts
@@ -59,13 +59,21 @@
   };
 }
 
-/** Counts a continuation on a backup against its engine's rate; a broken run does not wait for it. */
-export function reserveContinuation(
-  { backpressure }: relayContext.RelayContext,
+/**
+ * Counts a continuation on a backup against its engine's rate. A broken run does not wait for a rate that its
+ * engine asks for, but for one above which it would end, as many runs can continue there at once.
+ */
+export async function reserveContinuation(
+  { backpressure, clock }: Pick<relayContext.RelayContext, "backpressure" | "clock">,
   { method, server }: ContinuationTarget,
-): void {
+  signal: AbortSignal,
+): Promise<void> {
   // A migration has been counted at its placement.
-  if (method === HandoverMethod.Backup) backpressure.reserve(server);
+  if (method !== HandoverMethod.Backup) return;
+  const delayMs = backpressure.coldDelayMs(server);
+  backpressure.reserve(server);
+  // Rejects only if the call has ended.
+  if (delayMs > 0) await clock.sleep(delayMs, signal).catch(() => null);
 }
 
 /**
--- a/src/relay/_lib/runContinuation/index.ts
+++ b/src/relay/_lib/runContinuation/index.ts
@@ -63,7 +63,7 @@
     if (scope === null) return null;
     const server = context.directory.find(target.server.id)?.entry ?? target.server;
     const backup = claims.selectBackup(server.id, sequence.lastEventId);
-    handovers.reserveContinuation(context, target);
+    await handovers.reserveContinuation(context, target, scope.signal);
     const outcome = await engineStreams.openStream(context, call, {
       server,
       options: () => ({
--- a/src/relay/engineDispatcher/index.ts
+++ b/src/relay/engineDispatcher/index.ts
@@ -2,7 +2,7 @@
 
 import * as dispatch from "../../dispatch/index.js";
 import type * as routing from "../../routing/index.js";
-import type * as servers from "../../servers/index.js";
+import * as servers from "../../servers/index.js";
 import * as createClaims from "../_lib/createClaim/index.js";
 import * as engineSlowness from "../_lib/engineSlowness/index.js";
 import * as constants from "../constants.js";
@@ -251,16 +251,17 @@
   }
 
   private createCandidate(
-    { entry }: servers.KnownServer,
+    server: servers.KnownServer,
     traits: routing.EngineTraits,
   ): dispatch.EngineCandidate {
+    const { entry } = server;
     return {
       ...this.context.claims.computeLoad(entry.id),
       serverId: entry.id,
       dataCentre: entry.dataCentre,
       memoryTokens: traits.memoryTokens,
       slotsCount: entry.slotsCount,
-      coldRemainingMs: entry.coldRemainingMs,
+      coldRemainingMs: servers.coldRemainingMs(server, this.context.clock.nowMs()),
       failureRatio: this.context.trust.failureRatio(entry.id),
       isPartitioned: this.context.trust.isPartitionSuspected(entry.dataCentre),
       slownessRatio: this.slowness.ratioOf(entry.id),
--- a/src/servers/constants.ts
+++ b/src/servers/constants.ts
@@ -45,3 +45,18 @@
 
 /** Most overloaded services in one message to the peers, so that it fits a datagram. */
 export const MAX_SHARED_OVERLOADS_COUNT = 4;
+
+/**
+ * Time after the start of a VM in which it sends nothing to cold servers, as it may not know the other VMs
+ * yet: it covers four heartbeats of a fleet of 120 VMs.
+ */
+export const VIEW_SETTLING_MS = 5_000;
+
+/** Added to the interval between requests to a cold server, for delays between decision and arrival. */
+export const COLD_SPACING_MARGIN_MS = 200;
+
+/**
+ * Time for which a server that refused a connection counts as one that may restart. Servers write their
+ * entries at intervals of up to 1.2 s, and the entry of one that is silent for three of them is removed.
+ */
+export const RESTART_SUSPICION_MS = 4_000;
--- a/src/servers/index.ts
+++ b/src/servers/index.ts
@@ -1,4 +1,6 @@
 export * from "./addressOf/index.js";
+export * from "./coldLimits/index.js";
+export * from "./coldRemaining/index.js";
 export * from "./overloadGuard/index.js";
 export * from "./serverDirectory/index.js";
 export * from "./serverBackpressure/index.js";
--- a/src/servers/serverBackpressure/index.ts
+++ b/src/servers/serverBackpressure/index.ts
@@ -15,6 +15,14 @@
   readonly ageMs: number;
 }
 
+/** Limits on requests to cold servers, which bind beside what servers state themselves. */
+export interface SlotLimits {
+  delayMs(server: ServerStart): number;
+  reserve(server: ServerStart): void;
+}
+
+const NO_LIMITS: SlotLimits = { delayMs: () => 0, reserve: () => undefined };
+
 /** Place of this VM among all live VMs, in an order that differs from server to server. */
 export interface VmRank {
   /** From 0. */
@@ -37,7 +45,8 @@
  * What servers ask for in their answers: a rate of requests for all VMs together, and pauses for
  * the VM that they answer. The VMs that rank first for a server share its rate equally; there are
  * no more of them than requests a second, since a smaller share would let all VMs send one request
- * each at the same moment. A new start of a server knows nothing of its former requests.
+ * each at the same moment. A new start of a server knows nothing of its former requests. Limits on cold
+ * servers bind as well, so that callers have one place to ask.
  */
 export class ServerBackpressure {
   private readonly limits = new Map<string, ServerLimits>();
@@ -45,6 +54,7 @@
   constructor(
     private readonly clock: clocks.Clock,
     private readonly rankOf: (serverId: string) => VmRank,
+    private readonly coldLimits: SlotLimits = NO_LIMITS,
   ) {}
 
   /**
@@ -90,13 +100,12 @@
 
   /** Time until this VM may send a request to a server; Infinity if it has no share of the rate. */
   delayMs(server: ServerStart): number {
-    const limits = this.find(server);
-    if (limits === undefined) return 0;
-    const nowMs = this.clock.nowMs();
-    const pauseMs = Math.max(0, limits.pausedUntilMs - nowMs);
-    if (limits.ratePerSecond === null) return pauseMs;
-    if (!Number.isFinite(this.computeIntervalMs(server.id, limits.ratePerSecond))) return Infinity;
-    return Math.max(pauseMs, limits.nextSlotAtMs - nowMs);
+    return Math.max(this.coldDelayMs(server), this.statedDelayMs(server));
+  }
+
+  /** Time until this VM may send a request to a server as far as it is cold. */
+  coldDelayMs(server: ServerStart): number {
+    return this.coldLimits.delayMs(server);
   }
 
   /** Time for which a server wants no request of this VM; 0 if it has not asked for a pause. */
@@ -106,6 +115,7 @@
 
   /** Takes the next slot for a request to a server, which is due after the present delay. */
   reserve(server: ServerStart): void {
+    this.coldLimits.reserve(server);
     const limits = this.find(server);
     if (limits === undefined || limits.ratePerSecond === null) return;
     const intervalMs = this.computeIntervalMs(server.id, limits.ratePerSecond);
@@ -121,6 +131,17 @@
     }
   }
 
+  /** Time until the next slot under the rate that a server states, or the end of its pause. */
+  private statedDelayMs(server: ServerStart): number {
+    const limits = this.find(server);
+    if (limits === undefined) return 0;
+    const nowMs = this.clock.nowMs();
+    const pauseMs = Math.max(0, limits.pausedUntilMs - nowMs);
+    if (limits.ratePerSecond === null) return pauseMs;
+    if (!Number.isFinite(this.computeIntervalMs(server.id, limits.ratePerSecond))) return Infinity;
+    return Math.max(pauseMs, limits.nextSlotAtMs - nowMs);
+  }
+
   /** Interval between two requests of this VM; Infinity if it has no share of the rate. */
   private computeIntervalMs(serverId: string, ratePerSecond: number): number {
     const { rank, vmsCount } = this.rankOf(serverId);
--- a/src/servers/serverDirectory/index.ts
+++ b/src/servers/serverDirectory/index.ts
@@ -29,8 +29,9 @@
     if (known !== undefined && isOlder(entry, known.entry)) return types.EntryEffect.Ignored;
     this.lapsedUntilMs.delete(entry.id);
     const isSameStart = known?.entry.bornAtWallMs === entry.bornAtWallMs;
-    const receivedAtMs = this.clock.nowMs();
     const isNewer = known !== undefined && entry.sequence > known.entry.sequence;
+    // A message that is listed again is no newer; what it states counts from when it first came.
+    const receivedAtMs = isSameStart && !isNewer ? known.receivedAtMs : this.clock.nowMs();
     const isBackAfterLapse =
       isSameStart && isNewer && known.leaving === types.LeavingReason.EntryRemoved;
     const isLeavingKept = isSameStart && !isBackAfterLapse;
--- a/src/servers/serverTrust/index.ts
+++ b/src/servers/serverTrust/index.ts
@@ -48,10 +48,13 @@
 
   /**
    * @param isSilent - whether this VM receives no messages from the VMs of a data centre
+   * @param onOutcome - is called with each outcome
    */
   constructor(
     private readonly clock: clocks.Clock,
     private readonly isSilent: (dataCentre: string) => boolean = () => false,
+    private readonly onOutcome: (serverId: string, verdict: types.AttemptVerdict) => void = () =>
+      undefined,
   ) {}
 
   /**
@@ -65,6 +68,7 @@
     elapsedMs: number,
   ): void {
     const record = this.getOrCreateRecord(server.id);
+    this.onOutcome(server.id, verdict);
     this.recordReachability(server, verdict);
     VERDICT_HANDLERS[verdict](record, this.clock.nowMs());
     if (verdict !== types.AttemptVerdict.Served) return;
--- a/src/sharedView/_lib/peerTable/index.ts
+++ b/src/sharedView/_lib/peerTable/index.ts
@@ -216,9 +216,16 @@
     this.states.delete(vmName);
   }
 
-  /** Place of this VM among all live VMs, in an order that depends on the key. */
-  rankFor(key: string): servers.VmRank {
-    const names = [this.self, ...this.livePeers()].map(({ vmName }) => ({ name: vmName }));
+  /**
+   * Place of this VM among all live VMs, in an order that depends on the key.
+   *
+   * @param amongAllKnown - counts silent VMs and those that are only listed as well
+   */
+  rankFor(key: string, amongAllKnown = false): servers.VmRank {
+    const peers = amongAllKnown
+      ? [...this.states.values()].map(({ address }) => address)
+      : this.livePeers();
+    const names = [this.self, ...peers].map(({ vmName }) => ({ name: vmName }));
     const ranked = fleet.rankByRendezvous(key, names);
     const rank = ranked.findIndex(({ name }) => name === this.self.vmName);
     return { rank, vmsCount: ranked.length };
--- a/src/sharedView/peerMesh/index.ts
+++ b/src/sharedView/peerMesh/index.ts
@@ -79,9 +79,9 @@
     return this.table.isPreferredReader;
   }
 
-  /** Place of this VM among all live VMs, in an order that depends on the key. */
-  rankFor(key: string): servers.VmRank {
-    return this.table.rankFor(key);
+  /** Place of this VM among all live VMs, or all known ones, in an order that depends on the key. */
+  rankFor(key: string, amongAllKnown = false): servers.VmRank {
+    return this.table.rankFor(key, amongAllKnown);
   }
 
   /** Whether a data centre's VMs have fallen silent, which suggests a network partition. */
