--- a/experiments/soak/checks/index.ts
+++ b/experiments/soak/checks/index.ts
@@ -1,3 +1,4 @@
+import * as coldChecks from "../coldCheck/index.js";
 import * as crashChecks from "../crashCheck/index.js";
 import * as rateChecks from "../rateCheck/index.js";
 import type * as backendServers from "../../../standins/platform/backendServer/index.js";
@@ -52,6 +53,7 @@
   private readonly refusedIds = new Set<string>();
   private readonly executionsCountById = new Map<string, number>();
   private readonly drainingSinceMsByServer = new Map<string, number>();
+  private readonly coldServers = new coldChecks.ColdCheck();
   private readonly rates = new rateChecks.RateCheck();
   readonly crashes = new crashChecks.CrashCheck();
   private storeDisturbancesCount = 0;
@@ -106,6 +108,17 @@
     this.rates.recordLimit(serverId, ratePerSecond);
   }
 
+  /** Records that a server is cold for a while and bears only a rate of requests. */
+  recordCold(serverId: string, ratePerSecond: number, durationMs: number): void {
+    this.coldServers.recordCold(serverId, ratePerSecond, durationMs);
+  }
+
+  /** Records that a server received a request, whatever it does with it, and checks that it may. */
+  recordArrival(serverId: string): void {
+    const excess = this.coldServers.recordArrival(serverId);
+    if (excess !== null) this.recordViolation("cold servers get no more than they bear", excess);
+  }
+
   /** Records that a server received a call that will crash it, and checks that it may. */
   recordCrashArrival(causeName: string, callId: string): void {
     const isStoreDisturbed = this.storeDisturbancesCount > 0;
--- a/experiments/soak/faults/index.ts
+++ b/experiments/soak/faults/index.ts
@@ -1,6 +1,7 @@
 import type * as randoms from "../../../src/_lib/random/index.js";
 import * as backendServers from "../../../standins/platform/backendServer/index.js";
 import * as platformLogStores from "../../../standins/platform/logStore/index.js";
+import * as coldReturns from "../coldReturn/index.js";
 import * as crashCauses from "../crashCauses/index.js";
 import type * as soakFleets from "../soakFleet/index.js";
 
@@ -58,6 +59,9 @@
     fleet.replaceKey();
     await sleepMs(300);
   },
+  "engines return cold": async (fleet, random) => {
+    await coldReturns.returnEnginesCold(fleet, 500 + 2_000 * random.next());
+  },
   "server leaves": async (fleet, random) => {
     await fleet.replaceServer(random);
     await sleepMs(500);
--- a/experiments/soak/processes/index.ts
+++ b/experiments/soak/processes/index.ts
@@ -91,6 +91,8 @@
         retry_budget_ratio: 0.2,
         retry_window_s: 10,
         retry_slack: 54,
+        cold_overrun: 1.5,
+        cold_tolerance: 5,
       },
       platform: { address: `127.0.0.1:${this.storePort}` },
     };
--- a/experiments/soak/soakFleet/index.ts
+++ b/experiments/soak/soakFleet/index.ts
@@ -7,6 +7,7 @@
 import * as platformLogStores from "../../../standins/platform/logStore/index.js";
 import * as callers from "../callers/index.js";
 import type * as checks from "../checks/index.js";
+import * as coldReturns from "../coldReturn/index.js";
 import * as crashCauses from "../crashCauses/index.js";
 import * as faults from "../faults/index.js";
 import * as processes from "../processes/index.js";
@@ -42,8 +43,8 @@
   readonly vms: processes.GatewayProcess[] = [];
   readonly servers: backendServers.BackendServer[] = [];
   apiKey = "key-1";
-  private readonly platform = new gatewayFleets.GatewayFleet();
-  private readonly services = new Map<string, string>();
+  readonly platform = new gatewayFleets.GatewayFleet();
+  readonly services = new Map<string, string>();
   private serversCount = 0;
   private causesCount = 0;
   private isBrittle = false;
@@ -52,7 +53,7 @@
   private copyTimer: NodeJS.Timeout | null = null;
 
   constructor(
-    private readonly checker: checks.InvariantChecker,
+    readonly checker: checks.InvariantChecker,
     private readonly directory: string,
   ) {}
 
@@ -64,6 +65,7 @@
   /** Starts the store, three servers of each service and the given number of gateways. */
   async start(vmsCount: number): Promise<void> {
     await this.platform.start();
+    this.platform.engineServiceFields = coldReturns.ENGINE_SERVICE_FIELDS;
     this.copyTimer = setInterval(() => {
       this.copies.push(this.store.copy());
       if (this.copies.length > COPIES_COUNT) this.copies.shift();
@@ -276,6 +278,7 @@
   /** Wraps a behaviour so that each execution that it starts is reported to the checker. */
   private withExecutionChecks(behaviour: backendServers.Behaviour): backendServers.Behaviour {
     return (call, response, server) => {
+      this.checker.recordArrival(server.id);
       const causeName = crashCauses.findCauseName(call);
       if (causeName !== null) return this.crash(causeName, call, response, server);
       const countBefore = server.runs.length;
--- a/standins/platform/gatewayFleet/index.ts
+++ b/standins/platform/gatewayFleet/index.ts
@@ -57,6 +57,8 @@
   readonly gateways: gateways.Gateway[] = [];
   /** Retries in a window that the fleet may spend whatever its traffic; applies to gateways added later. */
   retrySlackCount = DEFAULT_RETRY_SLACK_COUNT;
+  /** What configurations state of the service with model engines, besides what they always do. */
+  engineServiceFields: Readonly<Record<string, unknown>> = {};
   private readonly silentVms = new Set<string>();
   private readonly settings: gateways.GatewaySettings[] = [];
   private readonly resources = new disposableStore.DisposableStore();
@@ -173,7 +175,7 @@
       ],
       services: [
         { name: PLAIN_SERVICE, max_connections: 100 },
-        { name: ENGINE_SERVICE, max_connections: 100, engine: ENGINE_TRAITS },
+        { ...ENGINE_SERVICE_DEFAULTS, ...this.engineServiceFields },
       ],
       limits: CALLER_LIMITS,
       tenants: [{ name: "acme", api_keys: [callerRequests.API_KEY] }],
@@ -276,12 +278,10 @@
   anonymous: false,
 };
 
-const ENGINE_TRAITS = {
-  slots: 24,
-  kv_capacity_tokens: 34_000,
-  stride: 4,
-  moves: true,
-  backups: true,
+const ENGINE_SERVICE_DEFAULTS = {
+  name: ENGINE_SERVICE,
+  max_connections: 100,
+  engine: { slots: 24, kv_capacity_tokens: 34_000, stride: 4, moves: true, backups: true },
 };
 
 const CALLER_LIMITS = {
