--- a/experiments/soak/checks/index.ts
+++ b/experiments/soak/checks/index.ts
@@ -1,3 +1,4 @@
+import * as coldChecks from "../coldCheck/index.js";
 import * as crashChecks from "../crashCheck/index.js";
 import * as evacuationChecks from "../evacuationCheck/index.js";
 import * as rateChecks from "../rateCheck/index.js";
@@ -53,6 +54,7 @@
   private readonly refusedIds = new Set<string>();
   private readonly executionsCountById = new Map<string, number>();
   private readonly drainingSinceMsByServer = new Map<string, number>();
+  private readonly coldServers = new coldChecks.ColdCheck();
   private readonly rates = new rateChecks.RateCheck();
   readonly evacuations = new evacuationChecks.EvacuationCheck();
   readonly crashes = new crashChecks.CrashCheck();
@@ -108,11 +110,18 @@
     this.rates.recordLimit(serverId, ratePerSecond);
   }
 
-  /** Records that a server received a request, and checks that its data centre is not evacuated. */
+  /** Records that a server is cold for a while and bears only a rate of requests. */
+  recordCold(serverId: string, ratePerSecond: number, durationMs: number): void {
+    this.coldServers.recordCold(serverId, ratePerSecond, durationMs);
+  }
+
+  /** Records that a server received a request, whatever it does with it, and checks that it may. */
   recordArrival(
     server: { readonly serverId: string; readonly dataCentre: string },
     callId: string,
   ): void {
+    const excess = this.coldServers.recordArrival(server.serverId);
+    if (excess !== null) this.recordViolation("cold servers get no more than they bear", excess);
     const late = this.evacuations.recordArrival(server, callId, this.storeDisturbedAtMs);
     if (late !== null) this.recordViolation("evacuated data centres get nothing", late);
   }
--- a/experiments/soak/soakFleet/index.ts
+++ b/experiments/soak/soakFleet/index.ts
@@ -8,8 +8,10 @@
 import * as platformLogStores from "../../../standins/platform/logStore/index.js";
 import * as callers from "../callers/index.js";
 import type * as checks from "../checks/index.js";
+import * as coldReturns from "../coldReturn/index.js";
 import * as crashCauses from "../crashCauses/index.js";
 import * as soakEvacuations from "../evacuations/index.js";
+import * as fallCounts from "../countFalls/index.js";
 import * as faults from "../faults/index.js";
 import * as processes from "../processes/index.js";
 
@@ -45,8 +47,8 @@
   readonly servers: backendServers.BackendServer[] = [];
   apiKey = "key-1";
   readonly evacuations: soakEvacuations.SoakEvacuations;
-  private readonly platform = new gatewayFleets.GatewayFleet();
-  private readonly services = new Map<string, string>();
+  readonly platform = new gatewayFleets.GatewayFleet();
+  readonly services = new Map<string, string>();
   private serversCount = 0;
   private causesCount = 0;
   private isBrittle = false;
@@ -55,7 +57,7 @@
   private copyTimer: NodeJS.Timeout | null = null;
 
   constructor(
-    private readonly checker: checks.InvariantChecker,
+    readonly checker: checks.InvariantChecker,
     private readonly directory: string,
   ) {
     this.evacuations = new soakEvacuations.SoakEvacuations(this.platform, checker.evacuations);
@@ -69,6 +71,7 @@
   /** Starts the store, three servers of each service and the given number of gateways. */
   async start(vmsCount: number): Promise<void> {
     await this.platform.start();
+    this.platform.engineServiceFields = coldReturns.ENGINE_SERVICE_FIELDS;
     this.copyTimer = setInterval(() => {
       this.copies.push(this.store.copy());
       if (this.copies.length > COPIES_COUNT) this.copies.shift();
@@ -209,7 +212,7 @@
     if (this.isBrittle) return;
     this.isBrittle = true;
     const brittle = this.servers.filter(({ id }) => this.services.get(id) === PLAIN_SERVICE);
-    const fallsBefore = countFalls(brittle);
+    const fallsBefore = fallCounts.countFalls(brittle);
     const { slotsCount } = BRITTLE_WORK;
     for (const server of brittle) {
       server.maxRejectionsPerSecond = MAX_REJECTIONS_PER_SECOND;
@@ -226,7 +229,7 @@
       this.restoreBehaviour(server);
     }
     this.isBrittle = false;
-    this.checker.checkFalls(countFalls(brittle) - fallsBefore, brittle.length);
+    this.checker.checkFalls(fallCounts.countFalls(brittle) - fallsBefore, brittle.length);
   }
 
   async [Symbol.asyncDispose](): Promise<void> {
@@ -294,7 +297,3 @@
     };
   }
 }
-
-function countFalls(servers: readonly backendServers.BackendServer[]): number {
-  return servers.reduce((sum, { overloadCrashesCount }) => sum + overloadCrashesCount, 0);
-}
--- a/src/diagnostics/types.ts
+++ b/src/diagnostics/types.ts
@@ -36,6 +36,8 @@
   DataCentreTakenBack = "data-centre-taken-back",
   ServerRateChanged = "server-rate-changed",
   ServerPaused = "server-paused",
+  /** Servers have turned cold or warm. */
+  ColdServersChanged = "cold-servers-changed",
   ServersUnreachable = "servers-unreachable",
   ServersReachable = "servers-reachable",
   /** The servers accept this VM's connections and answer it nothing, while a peer gets their answers. */
--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -4,10 +4,11 @@
 import * as diagnostics from "../../diagnostics/index.js";
 import * as dispatch from "../../dispatch/index.js";
 import * as relay from "../../relay/index.js";
-import * as routing from "../../routing/index.js";
 import * as servers from "../../servers/index.js";
 import * as sharedView from "../../sharedView/index.js";
 import * as answerObservers from "../_lib/observeAnswerHeads/index.js";
+import * as createColdLimits from "../_lib/createColdLimits/index.js";
+import * as createCallerServers from "../_lib/createCallerServer/index.js";
 import * as createMeshes from "../_lib/createMesh/index.js";
 import * as createReaders from "../_lib/createReaders/index.js";
 import * as createServerLinks from "../_lib/createServerLinks/index.js";
@@ -18,7 +19,7 @@
 import * as registerGauges from "../_lib/registerGauges/index.js";
 import * as statusServers from "../_lib/statusServers/index.js";
 import * as vmDiscoveries from "../_lib/vmDiscovery/index.js";
-import * as callerServers from "../callerServer/index.js";
+import type * as callerServers from "../callerServer/index.js";
 import * as constants from "../constants.js";
 import * as currentViews from "../currentView/index.js";
 import type * as types from "../types.js";
@@ -36,6 +37,8 @@
   private readonly resources = new disposableStore.DisposableStore();
   private readonly directory: servers.ServerDirectory;
   private readonly trust: servers.ServerTrust;
+  private readonly coldLimits: servers.ColdLimits;
+  private readonly reportColdServers: () => void;
   private readonly backpressure: servers.ServerBackpressure;
   private readonly overloadGuard: servers.OverloadGuard;
   private readonly links: createServerLinks.ServerLinks;
@@ -57,11 +60,20 @@
   ) {
     const { clock, random } = ports;
     this.directory = new servers.ServerDirectory(clock);
-    this.trust = new servers.ServerTrust(clock, (dataCentre) =>
-      this.mesh.isDataCentreSilent(dataCentre),
+    this.coldLimits = createColdLimits.createColdLimits(settings, ports, {
+      directory: this.directory,
+      getView: () => this.view,
+      getMesh: () => this.mesh,
+    });
+    this.reportColdServers = createColdLimits.createColdReporter(this.coldLimits, ports.log);
+    this.trust = new servers.ServerTrust(
+      clock,
+      (dataCentre) => this.mesh.isDataCentreSilent(dataCentre),
+      (serverId, verdict) => this.coldLimits.recordOutcome(serverId, verdict),
     );
-    this.backpressure = new servers.ServerBackpressure(clock, (id) => this.mesh.rankFor(id));
-    this.overloadGuard = new servers.OverloadGuard(clock, (id) => this.mesh.rankFor(id));
+    const rankOf = (serverId: string): servers.VmRank => this.mesh.rankFor(serverId);
+    this.backpressure = new servers.ServerBackpressure(clock, rankOf, this.coldLimits);
+    this.overloadGuard = new servers.OverloadGuard(clock, rankOf);
     this.links = createServerLinks.createServerLinks({
       settings,
       ports,
@@ -115,7 +127,14 @@
       self: this.address,
       addPeerAddress: (address) => this.mesh.addPeerAddress(address),
     });
-    this.callerServer = this.createCallerServer();
+    const { dispatcher, trust } = this;
+    this.callerServer = createCallerServers.createCallerServer(settings, ports, {
+      ...parts,
+      ...{ directory, dispatcher, mesh, trust },
+      resources: this.resources,
+      getTimeToStopMs: () =>
+        this.stopAtMs === null ? null : Math.max(0, this.stopAtMs - clock.nowMs()),
+    });
   }
 
   /** Number of calls in progress. */
@@ -170,6 +189,7 @@
       dispatcher: this.dispatcher,
       fleetQueue: this.fleetQueue,
       crashMonitor: this.crashMonitor,
+      coldLimits: this.coldLimits,
       activeCallsCount: () => this.activeCallsCount,
     });
     const { callers, peers } = settings;
@@ -225,52 +245,6 @@
     return isReady;
   }
 
-  private createCallerServer(): callerServers.CallerServer {
-    const { settings, ports, directory, backpressure, overloadGuard } = this;
-    const budget = new relay.RetryBudget(
-      ports.clock,
-      settings.retryBudget,
-      () => this.mesh.liveVmsCount,
-    );
-    const context: relay.RelayContext = {
-      ...ports,
-      random: ports.random.fork(),
-      vmName: settings.vmName,
-      dataCentre: settings.dataCentre,
-      directory,
-      connector: this.links.connector,
-      trust: this.trust,
-      dispatcher: this.dispatcher,
-      lengths: new dispatch.OutputLengths(),
-      budget,
-      backpressure,
-      overloadGuard,
-      crashMonitor: this.crashMonitor,
-      onAnswerHead: answerObservers.observeAnswerHeads({
-        log: ports.log,
-        directory,
-        backpressure,
-        overloadGuard,
-      }),
-    };
-    const plain = new relay.PlainRelay(context);
-    const generations = this.resources.add(new relay.GenerationRelay(context));
-    const relayPlain = plain.relay.bind(plain);
-    return new callerServers.CallerServer({
-      settings,
-      ports,
-      view: this.view,
-      budget,
-      relays: {
-        [routing.RouteKind.Idempotent]: relayPlain,
-        [routing.RouteKind.OnceOnly]: relayPlain,
-        [routing.RouteKind.Generation]: generations.relay.bind(generations),
-      },
-      getTimeToStopMs: () =>
-        this.stopAtMs === null ? null : Math.max(0, this.stopAtMs - ports.clock.nowMs()),
-    });
-  }
-
   private onServerLeaving(server: servers.KnownServer): void {
     recordServerLeaving.recordServerLeaving(this.ports, this.view, server);
     this.dispatcher.requestScan();
@@ -284,5 +258,7 @@
     const serverIds = new Set(this.directory.listAll().map(({ entry }) => entry.id));
     this.trust.retain(serverIds);
     this.backpressure.retain(serverIds);
+    this.coldLimits.retain(serverIds);
+    this.reportColdServers();
   }
 }
--- a/standins/platform/gatewayFleet/index.ts
+++ b/standins/platform/gatewayFleet/index.ts
@@ -14,6 +14,7 @@
 import * as freePorts from "../../freePorts/index.js";
 import * as backendServers from "../backendServer/index.js";
 import * as callerRequests from "../callerRequest/index.js";
+import * as gatewayConfigurations from "../gatewayConfiguration/index.js";
 import * as serverNetworks from "../serverNetwork/index.js";
 import * as platformLogStores from "../logStore/index.js";
 
@@ -25,13 +26,8 @@
 /** Data centre of gateways and servers, unless a test says otherwise. */
 const DEFAULT_DATA_CENTRE = "dc-a";
 
-/** Name of the plain service. */
-export const PLAIN_SERVICE = "plain";
-
-/** Name of the service with model engines. */
-export const ENGINE_SERVICE = "engines";
-
 export * from "../callerRequest/index.js";
+export { ENGINE_SERVICE, PLAIN_SERVICE } from "../gatewayConfiguration/index.js";
 
 /** A decision log that keeps its records in memory for tests. */
 export class RecordingLog implements diagnostics.DecisionLog {
@@ -60,6 +56,8 @@
   readonly dataCentres = new Map<string, string>();
   /** Retries in a window that the fleet may spend whatever its traffic; applies to gateways added later. */
   retrySlackCount = DEFAULT_RETRY_SLACK_COUNT;
+  /** What configurations state of the service with model engines, besides what they always do. */
+  engineServiceFields: Readonly<Record<string, unknown>> = {};
   private readonly silentVms = new Set<string>();
   private readonly settings: gateways.GatewaySettings[] = [];
   private readonly resources = new disposableStore.DisposableStore();
@@ -126,7 +124,12 @@
     id: string,
     service: string,
     port: number,
-    fields: { readonly state?: string; readonly slots?: number } = {},
+    fields: {
+      readonly state?: string;
+      readonly slots?: number;
+      readonly cold_remaining_ms?: number;
+      readonly born?: number;
+    } = {},
   ): void {
     this.sequence += 1;
     this.store.put(names.TOPIC_NAMES.servers, id, {
@@ -136,47 +139,19 @@
       version: "v1",
       slots: DEFAULT_SLOTS_COUNT,
       state: "ready",
-      ...fields,
       cold_remaining_ms: 0,
-      sequence: this.sequence,
       born: 1_000,
+      ...fields,
+      sequence: this.sequence,
     });
   }
 
   /** Writes a new configuration version with the default routes; `overrides` replaces its top-level fields. */
   configure(overrides: Readonly<Record<string, unknown>> = {}): void {
     this.version += 1;
-    const route = (name: string, kind: string, fields: object): object => {
-      const service = kind === "streaming" ? ENGINE_SERVICE : PLAIN_SERVICE;
-      const path_prefix = `/${name}/`;
-      return {
-        name,
-        host: callerRequests.HOST,
-        path_prefix,
-        kind,
-        service,
-        ...ROUTE_DEFAULTS,
-        ...fields,
-      };
-    };
-    this.store.put(names.TOPIC_NAMES.configuration, names.CONFIGURATION_KEY, {
-      version: this.version,
-      routes: [
-        route("lookup", "idempotent", { max_attempts: 2 }),
-        route("status", "idempotent", { max_attempts: 3 }),
-        route("file", "non_idempotent", {}),
-        route("draft", "streaming", { target_gap_ms: 180 }),
-        route("answer", "streaming", { target_gap_ms: 180, resumable: true, max_attempts: 2 }),
-        route("short", "idempotent", { timeout_ms: 200 }),
-      ],
-      services: [
-        { name: PLAIN_SERVICE, max_connections: 100 },
-        { name: ENGINE_SERVICE, max_connections: 100, engine: ENGINE_TRAITS },
-      ],
-      limits: CALLER_LIMITS,
-      tenants: [{ name: "acme", api_keys: [callerRequests.API_KEY] }],
-      ...overrides,
-    });
+    const defaults = gatewayConfigurations.createConfiguration(this.engineServiceFields);
+    const record = { version: this.version, ...defaults, ...overrides };
+    this.store.put(names.TOPIC_NAMES.configuration, names.CONFIGURATION_KEY, record);
   }
 
   /** Starts a gateway and waits until it listens; it may not be ready yet. */
@@ -267,33 +242,11 @@
       revocationMs: 3_000,
       configurationApplyMs: 2_000,
       retryBudget: { ratio: 0.2, slackCount: this.retrySlackCount, windowMs: 10_000 },
+      coldBounds: { overrunRatio: 1.5, toleranceCount: 5 },
     };
   }
 }
 
-const ROUTE_DEFAULTS = {
-  timeout_ms: 20_000,
-  target_latency_ms: 1_000,
-  priority: 1,
-  max_attempts: 1,
-  anonymous: false,
-};
-
-const ENGINE_TRAITS = {
-  slots: 24,
-  kv_capacity_tokens: 34_000,
-  stride: 4,
-  moves: true,
-  backups: true,
-};
-
-const CALLER_LIMITS = {
-  max_header_bytes: 16_384,
-  max_body_bytes: 65_536,
-  header_timeout_ms: 3_000,
-  idle_timeout_ms: 15_000,
-};
-
 function pause(durationMs: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, durationMs));
 }
