Name the evacuated data centre in a log field of its own

Cause: each log line names the VM's data centre as `dataCentre`, which the line of an evacuation overwrote.

--- a/src/gateway/currentView/index.ts
+++ b/src/gateway/currentView/index.ts
@@ -162,7 +162,7 @@
     const event = isInForce ? LogEvent.DataCentreEvacuated : LogEvent.DataCentreTakenBack;
     const local = this.directory.listAll().filter(({ entry }) => entry.dataCentre === dataCentre);
     this.ports.log.record(Importance.StateChange, event, {
-      dataCentre,
+      evacuatedDataCentre: dataCentre,
       serversCount: local.filter(({ leaving }) => leaving === null).length,
       evacuatedMs: isInForce ? null : Math.round(this.ports.clock.nowMs() - knownSinceMs),
       viewAgeMs: Math.round(Math.min(1e9, this.configurationAgeMs)),
