Cover ranks among all known VMs and assumed cold times by tests

Cause: the rank that counts VMs which are only listed, and the assumption that others may make of a server, had no test of their own. Change: one test each, in sharedView/peerMesh and servers/coldLimits.

--- a/src/servers/coldLimits/test.ts
+++ b/src/servers/coldLimits/test.ts
@@ -207,6 +207,17 @@
   },
 );
 
+tap.test("a server that is assumed to be cold is so for as long as after a start", async (t) => {
+  const clock = new virtualClocks.VirtualClock();
+  const { directory, limits } = createVm(clock, 10, { rank: 40, vmsCount: 58 });
+  const entry = fixtures.entry();
+  directory.apply(entry);
+  limits.assumeCold("e1");
+  t.equal(limits.delayMs(entry), 1_000);
+  await clock.runForMs(1_000);
+  t.equal(limits.delayMs(entry), 0);
+});
+
 tap.test("nothing is limited without a stated rate or without bounds", async (t) => {
   const clock = new virtualClocks.VirtualClock();
   const directory = new servers.ServerDirectory(clock);
--- a/src/sharedView/peerMesh/test.ts
+++ b/src/sharedView/peerMesh/test.ts
@@ -80,6 +80,17 @@
   },
 );
 
+tap.test(
+  "a VM that is only listed counts among all known VMs, and not among live ones",
+  async (t) => {
+    const { vms } = await setUp(["a", "b", "c"]);
+    const [first] = vms as [testMeshes.Vm];
+    first.mesh.addPeerAddress({ vmName: "listed", host: "listed", port: 1 });
+    t.equal(first.mesh.rankFor("server").vmsCount, 3);
+    t.equal(first.mesh.rankFor("server", true).vmsCount, 4);
+  },
+);
+
 tap.test("records read by one VM are applied at the others", async (t) => {
   const { clock, vms } = await setUp(["a", "b"]);
   const [reader, other] = vms as [testMeshes.Vm, testMeshes.Vm];
