Share plain calls among servers by capacity, at positions that divide what all VMs send at once

Cause: each VM chose the server with the least expected time, from its own pending calls, a mean of old answers and up to 8 ms at random. VMs that choose at one moment choose alike; a server that was slow once is left out until the others are as slow.

Change: dispatch/selectPlainServer leaves out servers that cost a call time more than the best one and draws among the others by capacity (slots over the time of their fastest answers). The position of the draw (dispatch/spreadSequence) starts from the VM's rank and goes on in steps of the golden ratio, so that the calls of all VMs divide evenly. servers/serverLoads learns fastest answers and rejections; two servers of it go along in each heartbeat (optional field, empty by default). Means older than 2 s no longer count, so that a server that was slow is tried again.

The fixture of selectPlainServer's test now asks at 100 positions instead of one seed, so that each statement holds for all of them.

--- a/src/dispatch/constants.ts
+++ b/src/dispatch/constants.ts
@@ -96,6 +96,15 @@
  */
 export const CROSS_DATA_CENTRE_TOKENS_PER_MS = 8;
 
+/** Lower bound of the time of a server's fastest answers: what the network takes. */
+export const MIN_CALL_TIME_MS = 1;
+
+/**
+ * How a server's share of the calls falls with the time that it takes for one. It is above 1, at which all
+ * servers are filled alike, because the calls that wait at a slower server also wait longer.
+ */
+export const CALL_TIME_EXPONENT = 1.2;
+
 /** Cost of a plain server in another data centre, as added time to the call. */
 export const OTHER_DATA_CENTRE_CALL_COST_MS = 2;
 
--- a/src/dispatch/index.ts
+++ b/src/dispatch/index.ts
@@ -14,5 +14,6 @@
 export * from "./selectEngine/index.js";
 export * from "./selectMigrationTarget/index.js";
 export * from "./selectPlainServer/index.js";
+export * from "./spreadSequence/index.js";
 export * from "./types.js";
 export * from "./fleetQueue/index.js";
--- a/src/dispatch/selectPlainServer/test.ts
+++ b/src/dispatch/selectPlainServer/test.ts
@@ -1,6 +1,5 @@
 import tap from "tap";
 
-import * as randoms from "../../_lib/random/index.js";
 import * as dispatch from "../index.js";
 
 function server(overrides: Partial<dispatch.PlainCandidate> = {}): dispatch.PlainCandidate {
@@ -12,21 +11,31 @@
     isPartitioned: false,
     typicalMs: 20,
     admissionDelayMs: 0,
+    slotsCount: 1,
+    fastMs: null,
+    shareAfterRejections: 1,
     ...overrides,
   };
 }
 
+/** Positions of calls, over the whole range. */
+const POSITIONS = Array.from({ length: 100 }, (_, index) => (index + 0.5) / 100);
+
+/** Returns the servers that calls at all positions go to, joined; a single one if all choose alike. */
 function choose(
   servers: readonly dispatch.PlainCandidate[],
-  overrides: { readonly avoidedIds?: ReadonlySet<string>; readonly failureWeight?: number } = {},
+  overrides: Partial<dispatch.PlainSelection> = {},
 ): string | undefined {
-  return dispatch.selectPlainServer(servers, {
-    dataCentre: "dc-a",
-    avoidedIds: new Set(),
-    failureWeight: 2,
-    random: randoms.createRandom(1),
-    ...overrides,
-  })?.serverId;
+  const chosen = POSITIONS.map((position) => {
+    const selection = { dataCentre: "dc-a", avoidedIds: new Set<string>(), failureWeight: 2 };
+    return dispatch.selectPlainServer(servers, {
+      ...selection,
+      position,
+      tolerableMs: 0,
+      ...overrides,
+    })?.serverId;
+  });
+  return chosen.every((id) => id === undefined) ? undefined : [...new Set(chosen)].join();
 }
 
 tap.test("a call is sent to the server with the least work in progress", async (t) => {
--- a/src/dispatch/types.ts
+++ b/src/dispatch/types.ts
@@ -90,10 +90,16 @@
   readonly failureRatio: number;
   /** Whether a network partition to its data centre is suspected. */
   readonly isPartitioned: boolean;
-  /** Moving average of the server's answer time; null before the first answer. */
+  /** Moving average of the server's answer time; null if it has not answered lately. */
   readonly typicalMs: number | null;
   /** Time until the server takes another request of this VM; Infinity if it takes none. */
   readonly admissionDelayMs: number;
+  /** Limit of concurrent requests. */
+  readonly slotsCount: number;
+  /** Time of the server's fastest answers; null while it is not known. */
+  readonly fastMs: number | null;
+  /** Share of its usual calls that it gets after rejections, from 0 to 1. */
+  readonly shareAfterRejections: number;
 }
 
 /** A generation that waits for engine capacity. */
--- a/src/gateway/_lib/createMesh/index.ts
+++ b/src/gateway/_lib/createMesh/index.ts
@@ -15,6 +15,7 @@
   readonly fleetQueue: dispatch.FleetQueue;
   readonly links: createServerLinks.ServerLinks;
   readonly overloadGuard: servers.OverloadGuard;
+  readonly loads: servers.ServerLoads;
   readonly view: currentViews.CurrentView;
   readonly getDispatcher: () => relay.EngineDispatcher;
   /** Whether the store answered this VM's last calls. */
@@ -25,7 +26,7 @@
 export function createMesh(
   settings: types.GatewaySettings,
   { clock, log, socket }: types.GatewayPorts,
-  { backpressure, crashMonitor, getDispatcher, links, overloadGuard, ...parts }: MeshParts,
+  { backpressure, crashMonitor, getDispatcher, links, loads, overloadGuard, ...parts }: MeshParts,
 ): sharedView.PeerMesh {
   const { replicas } = parts.view;
   const client = new sharedView.ReplicaClient({ clock, log, replicas });
@@ -45,6 +46,8 @@
     onWorkChange: () => getDispatcher().requestScan(),
     listOverloads: () => overloadGuard.listOverloads(),
     onOverload: (overload) => overloadGuard.recordPeerOverload(overload),
+    listLoads: () => loads.listStatements(),
+    onLoad: (statement) => loads.recordPeerStatement(statement),
     listRateStatements: () => backpressure.listOwnStatements(),
     onRateStatement: (statement) => backpressure.recordPeerStatement(statement),
     listSuspects: () => crashMonitor.listReports(),
--- a/src/gateway/_lib/virtualFleet/index.ts
+++ b/src/gateway/_lib/virtualFleet/index.ts
@@ -110,6 +110,8 @@
       onWorkChange: () => undefined,
       listOverloads: () => [],
       onOverload: () => undefined,
+      listLoads: () => [],
+      onLoad: () => undefined,
       listRateStatements: () => [],
       onRateStatement: () => undefined,
       listSuspects: () => [],
--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -37,6 +37,7 @@
   private readonly trust: servers.ServerTrust;
   private readonly backpressure: servers.ServerBackpressure;
   private readonly overloadGuard: servers.OverloadGuard;
+  private readonly loads: servers.ServerLoads;
   private readonly links: createServerLinks.ServerLinks;
   private readonly crashMonitor: crashes.CrashMonitor;
   private readonly claims: dispatch.ClaimTable;
@@ -61,6 +62,7 @@
     );
     this.backpressure = new servers.ServerBackpressure(clock, (id) => this.mesh.rankFor(id));
     this.overloadGuard = new servers.OverloadGuard(clock, (id) => this.mesh.rankFor(id));
+    this.loads = new servers.ServerLoads(clock);
     this.links = createServerLinks.createServerLinks({
       settings,
       ports,
@@ -86,10 +88,11 @@
         this.crashMonitor.restoreArchive();
       },
     });
-    const { backpressure, claims, crashMonitor, fleetQueue, links, overloadGuard, view } = this;
-    const parts = { backpressure, claims, crashMonitor, fleetQueue, links, overloadGuard, view };
+    const { backpressure, claims, crashMonitor, fleetQueue, links, loads, overloadGuard } = this;
+    const parts = { backpressure, claims, crashMonitor, fleetQueue, links, loads, overloadGuard };
     this.mesh = createMeshes.createMesh(settings, ports, {
       ...parts,
+      view: this.view,
       getDispatcher: () => this.dispatcher,
       reachesStore: () => this.readers.every((reader) => reader.reachesStore),
     });
@@ -106,7 +109,7 @@
       broadcast: this.mesh.work,
       engineTraits: (name) => this.view.routingTable?.servicesByName.get(name)?.engine ?? null,
     });
-    const { directory, mesh } = this;
+    const { directory, mesh, view } = this;
     this.readers = createReaders.createReaders({ ports, directory, mesh, view });
     this.discovery = new vmDiscoveries.VmDiscovery({
       clock,
@@ -237,6 +240,12 @@
       directory,
       connector: this.links.connector,
       trust: this.trust,
+      loads: this.loads,
+      spread: new dispatch.SpreadSequence(
+        ports.clock,
+        (serviceName) => this.mesh.rankFor(serviceName),
+        ports.random.fork().next(),
+      ),
       dispatcher: this.dispatcher,
       lengths: new dispatch.OutputLengths(),
       budget,
@@ -281,5 +290,6 @@
     const serverIds = new Set(this.directory.listAll().map(({ entry }) => entry.id));
     this.trust.retain(serverIds);
     this.backpressure.retain(serverIds);
+    this.loads.retain(serverIds);
   }
 }
--- a/src/relay/_lib/plainCall/index.ts
+++ b/src/relay/_lib/plainCall/index.ts
@@ -178,6 +178,7 @@
   private selectServer(): servers.KnownServer | undefined {
     return plainTargets.selectPlainTarget(this.context, {
       serviceName: this.call.serviceName,
+      objectiveMs: this.call.route.objectiveMs,
       pendingCounts: this.pendingCounts,
       triedIds: this.triedIds,
       possiblyRanIds: this.possiblyRanIds,
@@ -233,6 +234,8 @@
   }
 
   private sendNow(server: servers.ServerEntry): void {
+    this.context.spread.advance(this.call.serviceName);
+    this.context.loads.recordSend(server);
     this.progress.sendsCount += 1;
     this.progress.pendingCount += 1;
     void this.sendTo(server);
--- a/src/relay/_lib/recordPlainAttempt/index.ts
+++ b/src/relay/_lib/recordPlainAttempt/index.ts
@@ -39,7 +39,7 @@
 
 /** Records the outcome of an attempt as evidence about the server, and logs and counts it. */
 export function recordPlainAttempt(
-  { trust, meters, log }: relayContext.RelayContext,
+  { trust, loads, meters, log }: relayContext.RelayContext,
   call: types.Call,
   { server, outcome, elapsedMs }: PlainAttempt,
 ): void {
@@ -47,7 +47,12 @@
   const verdict = sends.verdictOf(outcome);
   trust.recordOutcome(server, verdict, elapsedMs);
   meters.attempts.inc({ service: call.serviceName, outcome: verdict });
-  if (verdict === servers.AttemptVerdict.Served) return;
+  if (verdict === servers.AttemptVerdict.Served) {
+    loads.recordAnswer(server, elapsedMs);
+    return;
+  }
+  const isRejection = verdict === servers.AttemptVerdict.Refused && !isOtherServer(outcome);
+  if (isRejection) loads.recordRejection(server);
   log.record(Importance.Notable, LogEvent.AttemptEnded, {
     requestId: call.head.id,
     serverId: server.id,
@@ -78,3 +83,7 @@
     elapsedMs: Math.round(clock.nowMs() - call.arrivedAtMs),
   });
 }
+
+function isOtherServer(outcome: sends.SendOutcome): boolean {
+  return outcome.kind === sends.SendKind.NotRun && outcome.isOtherServer;
+}
--- a/src/relay/_lib/selectPlainTarget/index.ts
+++ b/src/relay/_lib/selectPlainTarget/index.ts
@@ -6,6 +6,8 @@
 /** State of a call that the selection of its next server takes into account. */
 export interface PlainTargetQuery {
   readonly serviceName: string;
+  /** Objective of the call's route. */
+  readonly objectiveMs: number;
   /** Calls of this VM in progress, by server. */
   readonly pendingCounts: ReadonlyMap<string, number>;
   /** Servers that have received the call. */
@@ -22,7 +24,7 @@
   context: relayContext.RelayContext,
   query: PlainTargetQuery,
 ): servers.KnownServer | undefined {
-  const { directory, trust, backpressure } = context;
+  const { directory, trust, backpressure, loads, spread } = context;
   const available = directory
     .listAvailable(query.serviceName)
     .filter(({ entry }) => hasPlaceAt(context, query.pendingCounts, entry));
@@ -37,9 +39,12 @@
       dataCentre: entry.dataCentre,
       pendingCount: query.pendingCounts.get(entry.id) ?? 0,
       failureRatio: trust.failureRatio(entry.id),
-      typicalMs: trust.typicalMs(entry.id),
+      typicalMs: trust.recentMs(entry.id),
       isPartitioned: trust.isPartitionSuspected(entry.dataCentre),
       admissionDelayMs: backpressure.delayMs(entry),
+      slotsCount: Math.max(1, entry.slotsCount),
+      fastMs: loads.fastMs(entry.id),
+      shareAfterRejections: loads.shareAfterRejections(entry.id),
     };
   });
   const chosen = dispatch.selectPlainServer(candidates, {
@@ -48,7 +53,8 @@
     failureWeight: query.isIdempotent
       ? constants.IDEMPOTENT_FAILURE_WEIGHT
       : constants.ONCE_ONLY_FAILURE_WEIGHT,
-    random: context.random,
+    position: spread.peek(query.serviceName),
+    tolerableMs: constants.TOLERABLE_OBJECTIVE_RATIO * query.objectiveMs,
   });
   return chosen && directory.find(chosen.serverId);
 }
--- a/src/relay/constants.ts
+++ b/src/relay/constants.ts
@@ -36,6 +36,9 @@
 /** Timeout for one copy of a run's memory to another engine. */
 export const MIGRATION_COPY_TIMEOUT_MS = 3_000;
 
+/** Share of the objective up to which the times of plain servers count as equally good. */
+export const TOLERABLE_OBJECTIVE_RATIO = 0.5;
+
 /**
  * Weight of the failure ratio against the typical answer time when a server is selected for an
  * idempotent call.
--- a/src/relay/relayContext.ts
+++ b/src/relay/relayContext.ts
@@ -21,6 +21,10 @@
   readonly directory: servers.ServerDirectory;
   readonly trust: servers.ServerTrust;
   readonly dispatcher: engineDispatcher.EngineDispatcher;
+  /** The load of plain servers, as answers and peers tell. */
+  readonly loads: servers.ServerLoads;
+  /** Where this VM's calls fall among the plain servers. */
+  readonly spread: dispatch.SpreadSequence;
   /** Limits on the rate of requests that servers name. */
   readonly backpressure: servers.ServerBackpressure;
   /** Limits concurrent requests at brittle servers. */
--- a/src/servers/constants.ts
+++ b/src/servers/constants.ts
@@ -22,6 +22,9 @@
 /** Weight of the newest answer in the moving average of a server's answer time. */
 export const LATENCY_WEIGHT = 0.15;
 
+/** How long the average of a server's answer times holds; then it is tried again as any other. */
+export const RECENT_ANSWER_MS = 2_000;
+
 /** Count of unreachable servers of a data centre from which a network partition is suspected. */
 export const PARTITION_SERVERS_COUNT = 2;
 
@@ -45,3 +48,33 @@
 
 /** Most overloaded services in one message to the peers, so that it fits a datagram. */
 export const MAX_SHARED_OVERLOADS_COUNT = 4;
+
+/** Weight of an answer that is faster than the fastest answers known of its server, or of a peer's such time. */
+export const FASTER_ANSWER_WEIGHT = 0.5;
+
+/** Weight of a slower answer: most are slower, as calls wait, and the estimate stays near the fastest tenth. */
+export const SLOWER_ANSWER_WEIGHT = 0.02;
+
+/** Weight of a slower time that a peer states. */
+export const SLOWER_PEER_WEIGHT = 0.1;
+
+/** How long rejections that peers report count. */
+export const REJECTION_RETENTION_MS = 1_000;
+
+/** How long a rejection of its own call keeps a VM from a server: about the time in which a full queue halves. */
+export const OWN_REJECTION_MEMORY_MS = 150;
+
+/**
+ * Share of its calls that all VMs withdraw from a server of which a rejection is reported. If it were
+ * more, one chance rejection would make all of them turn to the other servers at once.
+ */
+export const PEER_REJECTION_REDUCTION = 0.1;
+
+/** Most servers whose load one heartbeat states, so that it stays small. */
+export const MAX_LOAD_STATEMENTS_COUNT = 2;
+
+/** Interval at which the statements go on to the next servers; the shortest between heartbeats. */
+export const LOAD_STATEMENT_INTERVAL_MS = 250;
+
+/** Interval over which sent calls are counted for metrics. */
+export const SEND_COUNT_INTERVAL_MS = 10_000;
--- a/src/servers/serverTrust/index.ts
+++ b/src/servers/serverTrust/index.ts
@@ -5,6 +5,7 @@
 interface TrustRecord {
   failureRatio: number;
   typicalMs: number | null;
+  servedAtMs: number;
   suspensionMs: number;
   suspendedUntilMs: number;
 }
@@ -68,6 +69,7 @@
     this.recordReachability(server, verdict);
     VERDICT_HANDLERS[verdict](record, this.clock.nowMs());
     if (verdict !== types.AttemptVerdict.Served) return;
+    record.servedAtMs = this.clock.nowMs();
     const previousMs = record.typicalMs ?? elapsedMs;
     record.typicalMs = previousMs + constants.LATENCY_WEIGHT * (elapsedMs - previousMs);
   }
@@ -82,6 +84,14 @@
     return this.records.get(serverId)?.typicalMs ?? null;
   }
 
+  /** The moving average of a server's answer time; null if this VM had no answer lately, and it may have changed. */
+  recentMs(serverId: string): number | null {
+    const record = this.records.get(serverId);
+    if (record === undefined) return null;
+    const isRecent = this.clock.nowMs() - record.servedAtMs < constants.RECENT_ANSWER_MS;
+    return isRecent ? record.typicalMs : null;
+  }
+
   /** Whether a server is suspended after failed connections or incomplete answers. */
   isSuspended(serverId: string): boolean {
     return (this.records.get(serverId)?.suspendedUntilMs ?? 0) > this.clock.nowMs();
@@ -130,7 +140,13 @@
   private getOrCreateRecord(serverId: string): TrustRecord {
     const known = this.records.get(serverId);
     if (known !== undefined) return known;
-    const created = { failureRatio: 0, typicalMs: null, suspensionMs: 0, suspendedUntilMs: 0 };
+    const created = {
+      failureRatio: 0,
+      typicalMs: null,
+      servedAtMs: -Infinity,
+      suspensionMs: 0,
+      suspendedUntilMs: 0,
+    };
     this.records.set(serverId, created);
     return created;
   }
--- a/src/sharedView/_lib/datagrams/index.ts
+++ b/src/sharedView/_lib/datagrams/index.ts
@@ -44,6 +44,14 @@
   ageMs: zod.number().nonnegative(),
 });
 
+/** What the sender has learned of a server's load: id, start, time of fast answers, time since a rejection. */
+const encodedLoad = zod.tuple([
+  name,
+  zod.number(),
+  zod.number().nonnegative(),
+  zod.number().nonnegative().nullable(),
+]);
+
 const heartbeat = zod.object({
   kind: zod.literal(DatagramKind.Heartbeat),
   vmName: name,
@@ -75,6 +83,8 @@
   rateStatements: zod.array(rateStatement).max(64).readonly().default([]),
   /** Services whose servers have rejected requests lately; absent as above. */
   overloads: zod.array(overload).max(64).readonly().default([]),
+  /** Loads of plain servers; absent as above. */
+  loads: zod.array(encodedLoad).max(64).readonly().default([]),
 });
 
 const record = zod.tuple([name, count, bytes.nullable()]);
--- a/src/sharedView/_lib/testMesh/index.ts
+++ b/src/sharedView/_lib/testMesh/index.ts
@@ -101,6 +101,8 @@
       onWorkChange: () => undefined,
       listOverloads: () => [],
       onOverload: () => undefined,
+      listLoads: () => [],
+      onLoad: () => undefined,
       listRateStatements: () => [],
       onRateStatement: () => undefined,
       listSuspects: () => this.suspects,
--- a/src/sharedView/peerMesh/index.ts
+++ b/src/sharedView/peerMesh/index.ts
@@ -7,6 +7,7 @@
 import * as peerTables from "../_lib/peerTable/index.js";
 import * as encodeRecordParts from "../_lib/encodeRecordParts/index.js";
 import * as ownEchoes from "../_lib/readOwnEcho/index.js";
+import * as serverReports from "../_lib/serverReports/index.js";
 import * as topicStateCodec from "../_lib/topicStateCodec/index.js";
 import * as workExchanges from "../_lib/workExchange/index.js";
 import * as workAggregators from "../_lib/workAggregator/index.js";
@@ -172,8 +173,7 @@
       linkState: linkState(),
       isHub: this.isHub,
       replicaOf: (topic) => this.replicaOf(topic),
-      rateStatements: this.context.listRateStatements(),
-      overloads: this.context.listOverloads(),
+      reports: serverReports.listServerReports(this.context),
     });
     this.context.socket.send(datagrams.encodeDatagram(message), address.host, address.port);
   }
@@ -212,8 +212,7 @@
       this.context.log.record(Importance.StateChange, LogEvent.PeerUp, fields);
       this.sendHeartbeat(peer);
     }
-    message.rateStatements.forEach(this.context.onRateStatement);
-    message.overloads.forEach(this.context.onOverload);
+    serverReports.applyServerReports(message, this.context);
     const { clock, self } = this.context;
     const echo = ownEchoes.readOwnEcho(message, self.startedAtWallMs, clock);
     for (const reported of topicStateCodec.decodeTopicStates(message))
--- a/src/sharedView/peerMesh/test.ts
+++ b/src/sharedView/peerMesh/test.ts
@@ -211,6 +211,7 @@
       topicRevisions: [],
       rateStatements: [],
       overloads: [],
+      loads: [],
     });
     await clock.runForMs(100);
     restarted.confirm(5);
--- a/src/sharedView/peerMesh/types.ts
+++ b/src/sharedView/peerMesh/types.ts
@@ -3,13 +3,13 @@
 import type * as diagnostics from "../../diagnostics/index.js";
 import type * as fleet from "../../fleet/index.js";
 import type * as serverLinks from "../../serverLinks/index.js";
-import type * as servers from "../../servers/index.js";
+import type * as serverReports from "../_lib/serverReports/index.js";
 import type * as workExchanges from "../_lib/workExchange/index.js";
 import type * as topicReplicas from "../topicReplica/index.js";
 import type * as types from "../types.js";
 
 /** Dependencies of the peer mesh. */
-export interface MeshContext extends workExchanges.WorkContext {
+export interface MeshContext extends workExchanges.WorkContext, serverReports.ServerReportContext {
   readonly clock: clocks.Clock;
   readonly socket: fleet.DatagramSocket;
   readonly self: types.MeshIdentity;
@@ -25,14 +25,6 @@
     peer: types.Peer,
     peerState: types.ReplicaState,
   ) => void;
-  /** Lists the services whose servers have rejected requests lately. */
-  readonly listOverloads: () => readonly servers.Overload[];
-  /** Called with each such service that a peer reports. */
-  readonly onOverload: (overload: servers.Overload) => void;
-  /** Lists the statements on rates that this VM has received from servers. */
-  readonly listRateStatements: () => readonly servers.RateStatement[];
-  /** Called with each statement that a peer has received. */
-  readonly onRateStatement: (statement: servers.RateStatement) => void;
   /** Lists what this VM knows of work that ends servers. */
   readonly listSuspects: () => readonly crashes.SuspectReport[];
   /** Called with what a peer knows of it. */
