--- a/src/gateway/_lib/createCallerServer/index.ts
+++ b/src/gateway/_lib/createCallerServer/index.ts
@@ -18,6 +18,7 @@
   readonly directory: servers.ServerDirectory;
   readonly dispatcher: relay.EngineDispatcher;
   readonly links: createServerLinks.ServerLinks;
+  readonly loads: servers.ServerLoads;
   readonly mesh: sharedView.PeerMesh;
   readonly overloadGuard: servers.OverloadGuard;
   readonly trust: servers.ServerTrust;
@@ -40,6 +41,11 @@
     ...ports,
     ...parts,
     random: ports.random.fork(),
+    spread: new dispatch.SpreadSequence(
+      clock,
+      (serviceName) => mesh.rankFor(serviceName),
+      ports.random.fork().next(),
+    ),
     vmName: settings.vmName,
     dataCentre: settings.dataCentre,
     connector: links.connector,
--- a/src/gateway/_lib/createColdLimits/index.ts
+++ b/src/gateway/_lib/createColdLimits/index.ts
@@ -32,6 +32,18 @@
   });
 }
 
+/** Takes the servers of a data centre to be cold when it is taken back, as their entries may tell later. */
+export function assumeColdAfterEvacuations(
+  directory: servers.ServerDirectory,
+  coldLimits: Pick<servers.ColdLimits, "assumeCold">,
+): Disposable {
+  return directory.evacuations.onChange(({ evacuation, isInForce }) => {
+    if (isInForce) return;
+    for (const { entry } of directory.listAll())
+      if (entry.dataCentre === evacuation.dataCentre) coldLimits.assumeCold(entry.id);
+  });
+}
+
 /** Returns a function that logs which servers have turned cold or warm since its last call. */
 export function createColdReporter(
   coldLimits: Pick<servers.ColdLimits, "listCold">,
--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -41,6 +41,7 @@
   private readonly reportColdServers: () => void;
   private readonly backpressure: servers.ServerBackpressure;
   private readonly overloadGuard: servers.OverloadGuard;
+  private readonly loads: servers.ServerLoads;
   private readonly links: createServerLinks.ServerLinks;
   private readonly crashMonitor: crashes.CrashMonitor;
   private readonly claims: dispatch.ClaimTable;
@@ -74,6 +75,7 @@
     const rankOf = (serverId: string): servers.VmRank => this.mesh.rankFor(serverId);
     this.backpressure = new servers.ServerBackpressure(clock, rankOf, this.coldLimits);
     this.overloadGuard = new servers.OverloadGuard(clock, rankOf);
+    this.loads = new servers.ServerLoads(clock);
     this.links = createServerLinks.createServerLinks({
       settings,
       ports,
@@ -99,10 +101,11 @@
         this.crashMonitor.restoreArchive();
       },
     });
-    const { backpressure, claims, crashMonitor, fleetQueue, links, overloadGuard, view } = this;
-    const parts = { backpressure, claims, crashMonitor, fleetQueue, links, overloadGuard, view };
+    const { backpressure, claims, crashMonitor, fleetQueue, links, loads, overloadGuard } = this;
+    const parts = { backpressure, claims, crashMonitor, fleetQueue, links, loads, overloadGuard };
     this.mesh = createMeshes.createMesh(settings, ports, {
       ...parts,
+      view: this.view,
       getDispatcher: () => this.dispatcher,
       reachesStore: () => this.readers.every((reader) => reader.reachesStore),
     });
@@ -119,7 +122,7 @@
       broadcast: this.mesh.work,
       engineTraits: (name) => this.view.routingTable?.servicesByName.get(name)?.engine ?? null,
     });
-    const { directory, mesh } = this;
+    const { directory, mesh, view } = this;
     this.readers = createReaders.createReaders({ ports, directory, mesh, view });
     this.discovery = new vmDiscoveries.VmDiscovery({
       clock,
@@ -130,7 +133,7 @@
     const { dispatcher, trust } = this;
     this.callerServer = createCallerServers.createCallerServer(settings, ports, {
       ...parts,
-      ...{ directory, dispatcher, mesh, trust },
+      ...{ directory, dispatcher, mesh, trust, view },
       resources: this.resources,
       getTimeToStopMs: () =>
         this.stopAtMs === null ? null : Math.max(0, this.stopAtMs - clock.nowMs()),
@@ -173,6 +176,7 @@
     this.resources.add(this.links.tunnelServer);
     this.resources.add(this.discovery);
     this.resources.add(this.directory.onLeaving((server) => this.onServerLeaving(server)));
+    this.resources.add(createColdLimits.assumeColdAfterEvacuations(directory, this.coldLimits));
     const onPause = (): void => this.crashMonitor.recordPause();
     this.resources.add(pauseMonitors.monitorPauses(ports.clock, ports.log, ports.meters, onPause));
     for (const reader of this.readers) {
@@ -260,5 +264,6 @@
     this.backpressure.retain(serverIds);
     this.coldLimits.retain(serverIds);
     this.reportColdServers();
+    this.loads.retain(serverIds);
   }
 }
