--- a/src/relay/_lib/plainCall/index.ts
+++ b/src/relay/_lib/plainCall/index.ts
@@ -27,15 +27,20 @@
   private readonly isIdempotent: boolean;
   private readonly maxServersCount: number;
   private readonly ending: callEndings.CallEnding;
+  private hedgeTimer: Disposable | null = null;
   private pausesCount = 0;
   private endedServersCount = 0;
 
+  /**
+   * @param sendBuffered - sends one attempt; replaced in tests on a virtual clock
+   */
   constructor(
     private readonly context: relayContext.RelayContext,
     private readonly pendingCounts: Map<string, number>,
     private readonly call: types.Call,
     sink: callSink.CallSink,
     private readonly scope: attemptScopes.AttemptScope,
+    private readonly sendBuffered: typeof sends.sendBuffered = sends.sendBuffered,
   ) {
     this.isIdempotent = call.route.kind === routing.RouteKind.Idempotent;
     this.maxServersCount = this.isIdempotent ? Math.max(1, call.route.maxServersCount) : 1;
@@ -44,9 +49,9 @@
 
   async run(): Promise<void> {
     this.send();
-    const hedgeTimer = this.scheduleHedge();
+    this.scheduleHedge();
     await this.ending.finished;
-    hedgeTimer?.[Symbol.dispose]();
+    this.hedgeTimer?.[Symbol.dispose]();
   }
 
   private send(): void {
@@ -78,7 +83,7 @@
     });
     const timeLeftMs = call.deadlineAtMs - startedAtMs;
     const options = { ...types.PLAIN_ATTEMPT_OPTIONS, server, timeLeftMs };
-    const outcome = await sends.sendBuffered(context, call, options, this.scope.signal);
+    const outcome = await this.sendBuffered(context, call, options, this.scope.signal);
     this.changePendingCount(server.id, -1);
     this.progress.pendingCount -= 1;
     if (this.ending.isSettled) return;
@@ -241,17 +246,28 @@
     void this.sendTo(server);
   }
 
-  private scheduleHedge(): Disposable | null {
-    if (!this.isIdempotent || this.maxServersCount < 2) return null;
-    const delayMs = constants.HEDGE_OBJECTIVE_RATIO * this.call.route.objectiveMs;
-    return this.context.clock.schedule(delayMs, () => {
-      if (this.ending.isSettled || this.progress.pendingCount !== 1) return;
-      if (this.progress.sendsCount >= constants.MAX_SENDS_COUNT) return;
-      if (!consumeRetries.consumeRetry(this.context, this.call, true)) return;
-      const fields = { requestId: this.call.head.id, afterMs: Math.round(delayMs) };
-      this.context.log.record(Importance.Routine, LogEvent.Hedged, fields);
-      this.send();
-    });
+  /**
+   * Sends an idempotent call to a second server when its objective is near. It waits longer while calls at its
+   * server take that long at present: then it is in a queue, and a second one would only lengthen another.
+   */
+  private scheduleHedge(): void {
+    if (!this.isIdempotent || this.maxServersCount < 2) return;
+    const { clock, log, trust } = this.context;
+    const [firstId = ""] = this.triedIds;
+    const objectiveDelayMs = constants.HEDGE_OBJECTIVE_RATIO * this.call.route.objectiveMs;
+    const queueDelayMs = constants.HEDGE_TIME_RATIO * (trust.recentMs(firstId) ?? 0);
+    const elapsedMs = clock.nowMs() - this.call.arrivedAtMs;
+    const dueInMs = Math.max(objectiveDelayMs, queueDelayMs) - elapsedMs;
+    if (dueInMs >= 1) {
+      this.hedgeTimer = clock.schedule(dueInMs, () => this.scheduleHedge());
+      return;
+    }
+    if (this.ending.isSettled || this.progress.pendingCount !== 1) return;
+    if (this.progress.sendsCount >= constants.MAX_SENDS_COUNT) return;
+    if (!consumeRetries.consumeRetry(this.context, this.call, true)) return;
+    const fields = { requestId: this.call.head.id, afterMs: Math.round(elapsedMs) };
+    log.record(Importance.Routine, LogEvent.Hedged, fields);
+    this.send();
   }
 
   private changePendingCount(serverId: string, change: 1 | -1): void {
--- a/src/relay/constants.ts
+++ b/src/relay/constants.ts
@@ -18,6 +18,9 @@
 /** Fraction of the objective after which an idempotent call is also sent to a second server. */
 export const HEDGE_OBJECTIVE_RATIO = 0.8;
 
+/** How much longer than the calls of its server a call has to take before it is sent to a second one. */
+export const HEDGE_TIME_RATIO = 2;
+
 /** Maximum number of times that one generation is sent, over all engines, and a plain call without a pause. */
 export const MAX_SENDS_COUNT = 3;
 
