--- a/src/relay/_lib/plainCall/index.ts
+++ b/src/relay/_lib/plainCall/index.ts
@@ -6,7 +6,9 @@
 import * as attemptScopes from "../attemptScope/index.js";
 import type * as callSink from "../callSink/index.js";
 import * as callEndings from "../callEnding/index.js";
+import * as counts from "../changeCount/index.js";
 import * as consumeRetries from "../consumeRetry/index.js";
+import * as peerTargets from "../findPeerTarget/index.js";
 import * as plainAttempts from "../recordPlainAttempt/index.js";
 import * as unplacedCalls from "../refuseUnplaced/index.js";
 import * as plainTargets from "../selectPlainTarget/index.js";
@@ -28,16 +30,20 @@
   private readonly isIdempotent: boolean;
   private readonly maxServersCount: number;
   private readonly ending: callEndings.CallEnding;
+  private hedgeTimer: Disposable | null = null;
   private pausesCount = 0;
   private endedServersCount = 0;
-  private hedgeTimer: Disposable | null = null;
 
+  /**
+   * @param sendBuffered - sends one attempt; replaced in tests on a virtual clock
+   */
   constructor(
     private readonly context: relayContext.RelayContext,
     private readonly pendingCounts: Map<string, number>,
     private readonly call: types.Call,
     sink: callSink.CallSink,
     private readonly scope: attemptScopes.AttemptScope,
+    private readonly sendBuffered: typeof sends.sendBuffered = sends.sendBuffered,
   ) {
     this.isIdempotent = call.route.kind === routing.RouteKind.Idempotent;
     this.maxServersCount = this.isIdempotent ? Math.max(1, call.route.maxServersCount) : 1;
@@ -72,7 +78,7 @@
     const startedAtMs = context.clock.nowMs();
     this.triedIds.add(server.id);
     this.possiblyRanIds.add(server.id);
-    this.changePendingCount(server.id, 1);
+    counts.changeCount(this.pendingCounts, server.id, 1);
     plainAttempts.recordPlacement(context, call, {
       server,
       pendingCount: this.pendingCounts.get(server.id) ?? 0,
@@ -80,8 +86,8 @@
     });
     const timeLeftMs = call.deadlineAtMs - startedAtMs;
     const options = { ...types.PLAIN_ATTEMPT_OPTIONS, server, timeLeftMs, prefersPeer };
-    const outcome = await sends.sendBuffered(context, call, options, this.scope.signal);
-    this.changePendingCount(server.id, -1);
+    const outcome = await this.sendBuffered(context, call, options, this.scope.signal);
+    counts.changeCount(this.pendingCounts, server.id, -1);
     this.progress.pendingCount -= 1;
     if (this.ending.isSettled) return;
     const elapsedMs = context.clock.nowMs() - startedAtMs;
@@ -238,21 +244,34 @@
     void this.sendTo(server, prefersPeer);
   }
 
+  /**
+   * Sends an idempotent call to a second server when its objective is near. It waits longer while calls at its
+   * server take that long at present: then it is in a queue, and a second one would only lengthen another.
+   */
   private scheduleHedge(): void {
     if (!this.isIdempotent || this.maxServersCount < 2) return;
-    const { clock } = this.context;
-    const delayMs = constants.HEDGE_OBJECTIVE_RATIO * this.call.route.objectiveMs;
-    this.hedgeTimer = clock.schedule(delayMs, () => {
-      this.hedgeTimer = clock.schedule(Math.max(delayMs, serverLinks.SILENCE_TIMEOUT_MS), () => {
+    const { clock, log, trust } = this.context;
+    const [firstId = ""] = this.triedIds;
+    const objectiveDelayMs = constants.HEDGE_OBJECTIVE_RATIO * this.call.route.objectiveMs;
+    const queueDelayMs = constants.HEDGE_TIME_RATIO * (trust.recentMs(firstId) ?? 0);
+    const elapsedMs = clock.nowMs() - this.call.arrivedAtMs;
+    const dueInMs = Math.max(objectiveDelayMs, queueDelayMs) - elapsedMs;
+    if (dueInMs >= 1) {
+      this.hedgeTimer = clock.schedule(dueInMs, () => this.scheduleHedge());
+      return;
+    }
+    this.hedgeTimer = clock.schedule(
+      Math.max(objectiveDelayMs, serverLinks.SILENCE_TIMEOUT_MS),
+      () => {
         this.sendThroughPeer();
-      });
-      if (this.ending.isSettled || this.progress.pendingCount !== 1) return;
-      if (this.progress.sendsCount >= constants.MAX_SENDS_COUNT) return;
-      if (!consumeRetries.consumeRetry(this.context, this.call, true)) return;
-      const fields = { requestId: this.call.head.id, afterMs: Math.round(delayMs) };
-      this.context.log.record(Importance.Routine, LogEvent.Hedged, fields);
-      this.send();
-    });
+      },
+    );
+    if (this.ending.isSettled || this.progress.pendingCount !== 1) return;
+    if (this.progress.sendsCount >= constants.MAX_SENDS_COUNT) return;
+    if (!consumeRetries.consumeRetry(this.context, this.call, true)) return;
+    const fields = { requestId: this.call.head.id, afterMs: Math.round(elapsedMs) };
+    log.record(Importance.Routine, LogEvent.Hedged, fields);
+    this.send();
   }
 
   /**
@@ -260,23 +279,16 @@
    * be silent towards this VM alone. A failure of it leaves the other attempts in progress.
    */
   private sendThroughPeer(): void {
-    const { connector, directory, backpressure } = this.context;
+    const { backpressure, connector } = this.context;
     const isUnanswered = !this.ending.isSettled && this.progress.pendingCount > 0;
     if (!isUnanswered || !connector.mayBeSilent) return;
-    const server = directory
-      .listAvailable(this.call.serviceName)
-      .find(({ entry }) => this.possiblyRanIds.has(entry.id) && backpressure.delayMs(entry) === 0);
+    const { serviceName } = this.call;
+    const server = peerTargets.findPeerTarget(this.context, serviceName, this.possiblyRanIds);
     if (server === undefined) return;
     if (!consumeRetries.consumeRetry(this.context, this.call)) return;
     backpressure.reserve(server.entry);
     this.sendNow(server.entry, true);
   }
-
-  private changePendingCount(serverId: string, change: 1 | -1): void {
-    const count = (this.pendingCounts.get(serverId) ?? 0) + change;
-    if (count > 0) this.pendingCounts.set(serverId, count);
-    else this.pendingCounts.delete(serverId);
-  }
 }
 
 type Handler = (call: PlainCall, outcome: never, server: servers.ServerEntry) => void;
