Learn each engine's speed from all VMs' streams, and place runs by it

Cause: a VM learned the slowness of an engine from its own first events alone, which are too few; the speed of writing was a constant and pauses were not looked at.

Change: first events and windows of eight events feed a decaying mean per engine start; heartbeats carry the six that a VM observed last. Ratios to the service's mean are used in the expected first event, the backlog, the cost of memory held for longer, the expected end at a notice, and against the routes' target_gap_ms, which is decoded now.

--- a/src/diagnostics/meters/index.ts
+++ b/src/diagnostics/meters/index.ts
@@ -61,6 +61,25 @@
     });
   }
 
+  /** Registers a gauge with one value for each set of labels, read as above. */
+  labelledGauge<T extends string>(
+    name: string,
+    help: string,
+    labelNames: readonly T[],
+    read: () => readonly { readonly labels: Readonly<Record<T, string>>; readonly value: number }[],
+  ): void {
+    new promClient.Gauge({
+      name: `chiveferry_${name}`,
+      help,
+      labelNames,
+      registers: [this.registry],
+      collect() {
+        this.reset();
+        for (const { labels, value } of read()) this.set(labels, value);
+      },
+    });
+  }
+
   /** Returns all metrics in the Prometheus text format. */
   text(): Promise<string> {
     return this.registry.metrics();
--- a/src/dispatch/claimTable/index.ts
+++ b/src/dispatch/claimTable/index.ts
@@ -85,8 +85,12 @@
     return serverId === undefined ? undefined : this.claimsByServer.get(serverId)?.get(key);
   }
 
-  /** Sums the claims on an engine; all values are 0 where there are none. */
-  computeLoad(serverId: string): types.EngineLoad {
+  /**
+   * Sums the claims on an engine; all values are 0 where there are none.
+   *
+   * @param slownessRatio - time that the engine takes to read prompts, as a multiple of the typical
+   */
+  computeLoad(serverId: string, slownessRatio = 1): types.EngineLoad {
     const claims = this.claimsByServer.get(serverId);
     if (claims === undefined || claims.size === 0) return EMPTY_LOAD;
     let committedTokens = 0;
@@ -106,7 +110,7 @@
       )
         overdueCount += 1;
     }
-    const backlogTokens = this.computeBacklogTokens(claims);
+    const backlogTokens = this.computeBacklogTokens(claims, slownessRatio);
     return { committedTokens, usedTokens, runningCount, overdueCount, backlogTokens };
   }
 
@@ -116,7 +120,10 @@
   }
 
   /** Prompt tokens left to prefill, less an estimate of those prefilled since the oldest claim. */
-  private computeBacklogTokens(claims: ReadonlyMap<string, types.TimedClaim>): number {
+  private computeBacklogTokens(
+    claims: ReadonlyMap<string, types.TimedClaim>,
+    slownessRatio: number,
+  ): number {
     let unreadTokens = 0;
     let oldestMs = Infinity;
     for (const claim of claims.values()) {
@@ -126,7 +133,8 @@
       oldestMs = Math.min(oldestMs, claim.sinceMs);
     }
     if (unreadTokens === 0) return 0;
-    const prefilledTokens = (this.clock.nowMs() - oldestMs) * constants.PREFILL_TOKENS_PER_MS;
+    const tokensPerMs = constants.PREFILL_TOKENS_PER_MS / slownessRatio;
+    const prefilledTokens = (this.clock.nowMs() - oldestMs) * tokensPerMs;
     return Math.max(0, unreadTokens - prefilledTokens);
   }
 
--- a/src/dispatch/constants.ts
+++ b/src/dispatch/constants.ts
@@ -98,3 +98,48 @@
 
 /** Cost of a plain server in another data centre, as added time to the call. */
 export const OTHER_DATA_CENTRE_CALL_COST_MS = 2;
+
+/**
+ * Half-life of observations of an engine's speed: several times the length of disturbances by other
+ * work on its hardware, and a fraction of the lifetime of engines that are reclaimed often.
+ */
+export const SPEED_HALF_LIFE_MS = 5_000;
+
+/** Interval at which the speeds of a service's engines are computed from the observations. */
+export const SPEED_REFRESH_INTERVAL_MS = 100;
+
+/** Observations older than this are removed. */
+export const SPEED_RETENTION_MS = 20_000;
+
+/** Weight of the assumption that an engine is typical, as duration of observations. */
+export const SPEED_PRIOR_WEIGHT_MS = 2_000;
+
+/** Duration of observations above which an engine counts for the typical speed of its service. */
+export const MIN_SPEED_WEIGHT_MS = 500;
+
+/** Logarithm of the ratio to the typical speed below which an engine counts as typical: 1.2. */
+export const SPEED_DEAD_BAND_LOG = Math.log(1.2);
+
+/** Bound on the logarithm of one observation of an engine's speed, and of a peer's mean. */
+export const MAX_SPEED_LOG = Math.log(8);
+
+/** Most engines in one message to the peers, so that it fits a datagram. */
+export const MAX_SHARED_SPEEDS_COUNT = 6;
+
+/** Time that each run adds to a decoding step, as a share of the shortest step. */
+export const STEP_GROWTH_RATIO = 0.017;
+
+/** Half-life of the longest pause: several disturbances of an engine are as far apart. */
+export const PAUSE_HALF_LIFE_MS = 15_000;
+
+/** Observed pauses below which no pauses are expected of any engine. */
+export const MIN_PAUSES_COUNT = 4;
+
+/**
+ * Cost of an engine whose streams would pause for longer than their route allows: an objective of
+ * the first event, which is missed just as well.
+ */
+export const LONG_PAUSES_COST_MS = 1_500;
+
+/** Duration of a run that meets a disturbance of its engine; shorter runs do so more rarely. */
+export const DISTURBED_RUN_MS = 2_000;
--- a/src/dispatch/index.ts
+++ b/src/dispatch/index.ts
@@ -1,7 +1,9 @@
 export * from "./allocateCapacity/index.js";
 export * from "./claimTable/index.js";
+export * from "./compareSpeeds/index.js";
 export { TOKEN_TIME_MS } from "./constants.js";
 export * from "./decideAdmission/index.js";
+export * from "./engineSpeeds/index.js";
 export * from "./estimateFirstEvent/index.js";
 export * from "./estimateRemainingOutput/index.js";
 export * from "./estimateCapacityWait/index.js";
--- a/src/dispatch/selectEngine/index.ts
+++ b/src/dispatch/selectEngine/index.ts
@@ -31,7 +31,7 @@
 
 /**
  * Selects the engine for a generation: the one with the earliest expected first event, plus costs
- * for committed memory, failures, suspected partitions and other data centres. The load comes from
+ * for committed memory, failures, suspected partitions, long pauses, slow output and other data centres. The load comes from
  * claims instead of load reports, whose delay would let prompts pile up on one engine that looked
  * free.
  *
@@ -69,6 +69,37 @@
     constants.FULL_MEMORY_COST_MS * committedRatio ** 2 +
     constants.FAILURE_COST_MS * engine.failureRatio ** 2 +
     (engine.isPartitioned ? constants.PARTITION_COST_MS : 0) +
+    computePausesCostMs(need, engine) +
+    computeOccupancyCostMs(need, engine) +
     distanceMs
   );
 }
+
+/**
+ * Computes the cost of pauses that are longer than the route allows: long runs meet them, short ones
+ * rarely do.
+ */
+function computePausesCostMs(need: types.GenerationNeed, engine: types.EngineCandidate): number {
+  if (engine.runningCount < engine.smoothRunsCount) return 0;
+  const metShare = Math.min(1, computeRemainingMs(need) / constants.DISTURBED_RUN_MS);
+  return constants.LONG_PAUSES_COST_MS * metShare;
+}
+
+/**
+ * Computes what a run's duration costs the runs that need its memory next, against a typical
+ * engine: a slow engine holds the run's share of its memory for longer, a fast one releases it
+ * sooner. Long outputs therefore go to fast engines, and short ones may use slow engines.
+ */
+function computeOccupancyCostMs(need: types.GenerationNeed, engine: types.EngineCandidate): number {
+  const addedMs = computeRemainingMs(need) * (engine.writingRatio - 1);
+  return (addedMs * estimateTokens(need)) / engine.memoryTokens;
+}
+
+/** Expected time for the rest of a run's output on a typical engine. */
+function computeRemainingMs({
+  expectedOutputTokens,
+  producedTokens,
+}: types.GenerationNeed): number {
+  const { estimateRemainingOutput } = estimateRemainingOutputs;
+  return constants.TOKEN_TIME_MS * estimateRemainingOutput(expectedOutputTokens, producedTokens);
+}
--- a/src/dispatch/types.ts
+++ b/src/dispatch/types.ts
@@ -76,8 +76,12 @@
   readonly failureRatio: number;
   /** Whether a network partition to its data centre is suspected. */
   readonly isPartitioned: boolean;
-  /** Observed time to the first event divided by the expected time. */
+  /** Time for reading a prompt, as a multiple of that of a typical engine. */
   readonly slownessRatio: number;
+  /** Time for writing output, as a multiple of that of a typical engine. */
+  readonly writingRatio: number;
+  /** Runs with which its streams' pauses stay within the routes' bound; Infinity if unknown. */
+  readonly smoothRunsCount: number;
 }
 
 /** State of a plain server that server selection takes into account. */
--- a/src/gateway/_lib/createMesh/index.ts
+++ b/src/gateway/_lib/createMesh/index.ts
@@ -47,6 +47,8 @@
     onOverload: (overload) => overloadGuard.recordPeerOverload(overload),
     listRateStatements: () => backpressure.listOwnStatements(),
     onRateStatement: (statement) => backpressure.recordPeerStatement(statement),
+    listEngineSpeeds: () => getDispatcher().speeds.listOwnStatements(),
+    onEngineSpeed: (vm, statement) => getDispatcher().speeds.recordPeerStatement(vm, statement),
     listSuspects: () => crashMonitor.listReports(),
     onSuspects: (reports) => crashMonitor.applyReports(reports),
   });
--- a/src/gateway/_lib/registerGauges/index.ts
+++ b/src/gateway/_lib/registerGauges/index.ts
@@ -35,9 +35,36 @@
   meters.gauge("servers_age_seconds", "Age of what is known of backend servers.", () => {
     return view.replicaOf(sharedView.Topic.Servers).ageMs / 1_000;
   });
+  meters.labelledGauge(
+    "engine_time_ratio",
+    "Time of a service's engines for prompts and output against the typical one, by extreme.",
+    ["service", "work", "extreme"],
+    () => [...dispatcher.speeds.listComparisons()].flatMap(listExtremes),
+  );
   for (const [topic, replica] of view.replicas) {
     meters.gauge(`${topic}_end_offset`, "Offset after the last known record.", () => {
       return replica.endOffset;
     });
   }
 }
+
+interface RatioSample {
+  readonly labels: Readonly<Record<"service" | "work" | "extreme", string>>;
+  readonly value: number;
+}
+
+/** Lists the ratios of a service's fastest and slowest engine. */
+function listExtremes([service, speeds]: [
+  string,
+  readonly dispatch.EngineSpeed[],
+]): readonly RatioSample[] {
+  if (speeds.length === 0) return [];
+  const ratiosByWork = {
+    reading: speeds.map(({ readingRatio }) => readingRatio),
+    writing: speeds.map(({ writingRatio }) => writingRatio),
+  };
+  return Object.entries(ratiosByWork).flatMap(([work, ratios]) => [
+    { labels: { service, work, extreme: "fastest" }, value: Math.min(...ratios) },
+    { labels: { service, work, extreme: "slowest" }, value: Math.max(...ratios) },
+  ]);
+}
--- a/src/gateway/_lib/virtualFleet/index.ts
+++ b/src/gateway/_lib/virtualFleet/index.ts
@@ -112,6 +112,8 @@
       onOverload: () => undefined,
       listRateStatements: () => [],
       onRateStatement: () => undefined,
+      listEngineSpeeds: () => [],
+      onEngineSpeed: () => undefined,
       listSuspects: () => [],
       onSuspects: () => undefined,
     });
--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -105,6 +105,7 @@
       fleetQueue: this.fleetQueue,
       broadcast: this.mesh.work,
       engineTraits: (name) => this.view.routingTable?.servicesByName.get(name)?.engine ?? null,
+      targetGapMs: (name) => this.view.routingTable?.targetGapMsByService.get(name) ?? null,
     });
     const { directory, mesh } = this;
     this.readers = createReaders.createReaders({ ports, directory, mesh, view });
@@ -281,5 +282,6 @@
     const serverIds = new Set(this.directory.listAll().map(({ entry }) => entry.id));
     this.trust.retain(serverIds);
     this.backpressure.retain(serverIds);
+    this.dispatcher.speeds.retain(serverIds);
   }
 }
--- a/src/relay/_lib/generationRun/index.ts
+++ b/src/relay/_lib/generationRun/index.ts
@@ -124,6 +124,7 @@
     let stream: engineStreams.EngineStream | null = started.stream;
     while (stream !== null) {
       this.stream = stream;
+      this.timing.restartWindow();
       this.forwarding = stream.forward(this, this.context.clock);
       const end = engineStreams.requireEvents(await this.forwarding, this.lastEventId);
       if (end === engineStreams.StreamEnd.Complete) {
@@ -147,6 +148,11 @@
     if (this.lastEventId % constants.PROGRESS_EVENTS_COUNT === 0) {
       this.claims.recordProgress(this.lastEventId);
     }
+    // A caller that reads slowly delays its engine's events.
+    if (!this.isDrained) this.timing.restartWindow();
+    const window = this.timing.takeWindow(constants.PROGRESS_EVENTS_COUNT);
+    if (window !== null && this.stream !== null)
+      this.claims.recordWriting(this.stream.server, window);
   }
 
   private beginHandover(cause: handovers.HandoverCause): void {
@@ -166,7 +172,9 @@
   ): Promise<engineStreams.EngineStream | null> {
     const { clock } = this.context;
     const noticedAtMs = clock.nowMs();
-    const remainingMs = this.claims.estimateTokensLeft(this.lastEventId) * dispatch.TOKEN_TIME_MS;
+    const { writingRatio } = this.context.dispatcher.speedOf(stream.server);
+    const tokenMs = dispatch.TOKEN_TIME_MS * writingRatio;
+    const remainingMs = this.claims.estimateTokensLeft(this.lastEventId) * tokenMs;
     const isStaying = remainingMs < constants.MIN_HANDOVER_REMAINING_MS;
     const hasBackup = this.continuation.backupTarget !== null;
     const method = isStaying ? "stays" : hasBackup ? "backup" : "move";
--- a/src/relay/_lib/placeRun/index.ts
+++ b/src/relay/_lib/placeRun/index.ts
@@ -88,7 +88,10 @@
   if (outcome.kind === engineStreams.OpenKind.Withheld) return outcome;
   const elapsedMs = clock.nowMs() - startedAtMs;
   if (outcome.kind === engineStreams.OpenKind.Open) {
-    context.dispatcher.recordFirstEvent(server.id, placement.expectedFirstEventMs, elapsedMs);
+    if (server.coldRemainingMs === 0) {
+      const { speeds } = context.dispatcher;
+      speeds.recordFirstEvent(server, placement.nominalFirstEventMs, elapsedMs);
+    }
   }
   if (scope.signal.aborted) return outcome;
   const verdict = verdictOf(outcome);
--- a/src/relay/_lib/runClaims/index.ts
+++ b/src/relay/_lib/runClaims/index.ts
@@ -2,6 +2,7 @@
 import type * as servers from "../../../servers/index.js";
 import type * as relayContext from "../../relayContext.js";
 import type * as types from "../../types.js";
+import type * as streamTimings from "../streamTiming/index.js";
 
 const { ClaimRole } = dispatch;
 
@@ -98,6 +99,21 @@
     this.context.dispatcher.recordProgress(this.call.head.id, lastEventId * this.tokensPerEvent);
   }
 
+  /** Updates the learned speed of an engine from some events that it wrote. */
+  recordWriting(
+    server: servers.ServerEntry,
+    { eventsCount, elapsedMs, maxGapMs }: streamTimings.EventWindow,
+  ): void {
+    if (server.coldRemainingMs > 0) return;
+    const { dispatcher } = this.context;
+    dispatcher.speeds.recordWriting(server, {
+      tokensCount: eventsCount * this.tokensPerEvent,
+      elapsedMs,
+      maxGapMs,
+      runningCount: dispatcher.loadOf(server.id).runningCount,
+    });
+  }
+
   /** Updates the learned output lengths from a complete output. */
   recordOutputLength(eventsCount: number): void {
     const { hintedOutputTokens } = this.generation;
--- a/src/relay/constants.ts
+++ b/src/relay/constants.ts
@@ -1,14 +1,6 @@
 /** Interval of queue scans while generations wait; short compared with an objective of 1.5 s. */
 export const QUEUE_SCAN_INTERVAL_MS = 20;
 
-/** Weight of the newest sample in the moving average of an engine's slowness ratio. */
-export const SLOWNESS_WEIGHT = 0.25;
-
-/** Lower bound on one sample of an engine's slowness ratio, so that no outlier dominates it. */
-export const MIN_SLOWNESS_RATIO = 0.5;
-/** Upper bound on one sample, so that an outlier does not exclude the engine. */
-export const MAX_SLOWNESS_RATIO = 8;
-
 /** Largest answer of a plain server; answers are buffered until they are complete. */
 export const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
 
--- a/src/relay/engineDispatcher/index.ts
+++ b/src/relay/engineDispatcher/index.ts
@@ -4,7 +4,6 @@
 import type * as routing from "../../routing/index.js";
 import type * as servers from "../../servers/index.js";
 import * as createClaims from "../_lib/createClaim/index.js";
-import * as engineSlowness from "../_lib/engineSlowness/index.js";
 import * as constants from "../constants.js";
 import type * as types from "./types.js";
 
@@ -22,11 +21,14 @@
  * VM keeps a view of the fleet's whole queue and allocates capacity in its order.
  */
 export class EngineDispatcher implements Disposable {
+  /** Speeds of engines that this VM and its peers have observed. */
+  readonly speeds: dispatch.EngineSpeeds;
   private readonly waiting = new Set<LocalWaitingGeneration>();
-  private readonly slowness = new engineSlowness.EngineSlowness();
   private scanTimer: Disposable | null = null;
 
-  constructor(private readonly context: types.DispatcherContext) {}
+  constructor(private readonly context: types.DispatcherContext) {
+    this.speeds = new dispatch.EngineSpeeds(context.clock);
+  }
 
   /** Number of generations that wait for capacity at this VM. */
   get waitingCount(): number {
@@ -122,9 +124,11 @@
     this.requestScan();
   }
 
-  /** Updates an engine's slowness ratio from its time to a first event, in milliseconds. */
-  recordFirstEvent(serverId: string, expectedMs: number, observedMs: number): void {
-    this.slowness.recordFirstEvent(serverId, expectedMs, observedMs);
+  /** Returns how an engine's speed differs from the typical one of its service. */
+  speedOf({ id, serviceName }: servers.ServerEntry): dispatch.EngineSpeed {
+    const known = this.context.directory.listAll().map(({ entry }) => entry);
+    const engines = known.filter((entry) => entry.serviceName === serviceName);
+    return this.speeds.compare(serviceName, engines).get(id) ?? dispatch.TYPICAL_SPEED;
   }
 
   /**
@@ -202,12 +206,14 @@
     const server = this.context.directory.find(engine.serverId);
     // One scan may allocate several generations to an engine that takes only one at a time.
     if (server === undefined || !this.isUsable(server.entry)) return;
+    const typicalEngine = { ...engine, slownessRatio: 1 };
     this.context.backpressure.reserve(server.entry);
     this.setClaim(createClaims.createClaim(request, engine.serverId, this.context.vmName));
     waiting.settle(
       neverthrow.ok({
         server,
         expectedFirstEventMs: dispatch.estimateFirstEvent(request.need, engine),
+        nominalFirstEventMs: dispatch.estimateFirstEvent(request.need, typicalEngine),
         waitedMs: this.context.clock.nowMs() - waiting.enqueuedAtMs,
         candidatesCount: queueState.candidates.length,
         queuedCount: queueState.queuedCount,
@@ -254,8 +260,10 @@
     { entry }: servers.KnownServer,
     traits: routing.EngineTraits,
   ): dispatch.EngineCandidate {
+    const speed = this.speedOf(entry);
+    const targetGapMs = this.context.targetGapMs?.(entry.serviceName) ?? null;
     return {
-      ...this.context.claims.computeLoad(entry.id),
+      ...this.context.claims.computeLoad(entry.id, speed.readingRatio),
       serverId: entry.id,
       dataCentre: entry.dataCentre,
       memoryTokens: traits.memoryTokens,
@@ -263,7 +271,9 @@
       coldRemainingMs: entry.coldRemainingMs,
       failureRatio: this.context.trust.failureRatio(entry.id),
       isPartitioned: this.context.trust.isPartitionSuspected(entry.dataCentre),
-      slownessRatio: this.slowness.ratioOf(entry.id),
+      slownessRatio: speed.readingRatio,
+      writingRatio: speed.writingRatio,
+      smoothRunsCount: dispatch.countSmoothRuns(speed, targetGapMs),
     };
   }
 
--- a/src/relay/engineDispatcher/types.ts
+++ b/src/relay/engineDispatcher/types.ts
@@ -28,6 +28,8 @@
   readonly server: servers.KnownServer;
   /** Expected time from the claim to the first event. */
   readonly expectedFirstEventMs: number;
+  /** The same on an engine of typical speed. */
+  readonly nominalFirstEventMs: number;
   /** Time between the request for the placement and the claim. */
   readonly waitedMs: number;
   /** Number of engines that were considered. */
@@ -59,4 +61,6 @@
   readonly broadcast: dispatch.WorkBroadcast;
   /** Returns the traits of a service's engines; null for plain services. */
   readonly engineTraits: (serviceName: string) => routing.EngineTraits | null;
+  /** Returns the longest pause between events that the routes to a service allow; null if not set. */
+  readonly targetGapMs?: (serviceName: string) => number | null;
 }
--- a/src/routing/createRoutingTable/index.ts
+++ b/src/routing/createRoutingTable/index.ts
@@ -8,6 +8,7 @@
     configuration,
     routesByHost: groupByHost(configuration.routes),
     servicesByName: new Map(configuration.services.map((service) => [service.name, service])),
+    targetGapMsByService: findTargetGaps(configuration.routes),
     accountsByKey: indexKeys(configuration.accounts ?? []),
   };
 }
@@ -25,6 +26,18 @@
   return routesByHost;
 }
 
+function findTargetGaps(routes: readonly types.Route[]): Map<string, number> {
+  const targetGapMsByService = new Map<string, number>();
+  for (const { shares, targetGapMs } of routes) {
+    if (targetGapMs === null || targetGapMs === 0) continue;
+    for (const { serviceName } of shares) {
+      const knownMs = targetGapMsByService.get(serviceName) ?? Infinity;
+      targetGapMsByService.set(serviceName, Math.min(knownMs, targetGapMs));
+    }
+  }
+  return targetGapMsByService;
+}
+
 function indexKeys(accounts: readonly types.Account[]): Map<string, types.Account> {
   const accountsByKey = new Map<string, types.Account>();
   for (const account of accounts) {
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -26,6 +26,8 @@
   readonly timeoutMs: number;
   /** Target time to the answer or its first event. */
   readonly objectiveMs: number;
+  /** Target interval between two events of a stream; null if the route states none. */
+  readonly targetGapMs: number | null;
   /** 0 is the most urgent. */
   readonly priority: number;
   /** Limit of servers to which one attempt of a caller may be sent. */
@@ -93,6 +95,8 @@
   /** Routes of each host, longest path prefix first. */
   readonly routesByHost: ReadonlyMap<string, readonly Route[]>;
   readonly servicesByName: ReadonlyMap<string, Service>;
+  /** The shortest of the pauses that the routes to a service allow, by name; absent if none is set. */
+  readonly targetGapMsByService: ReadonlyMap<string, number>;
   /** Accounts by API key. */
   readonly accountsByKey: ReadonlyMap<string, Account>;
 }
--- a/src/sharedView/_lib/createHeartbeat/index.ts
+++ b/src/sharedView/_lib/createHeartbeat/index.ts
@@ -1,6 +1,6 @@
 import type * as clocks from "../../../_lib/clock/index.js";
 import * as serverLinks from "../../../serverLinks/index.js";
-import type * as servers from "../../../servers/index.js";
+import type * as meshTypes from "../../peerMesh/types.js";
 import type * as topicReplicas from "../../topicReplica/index.js";
 import type * as types from "../../types.js";
 import * as clockReadings from "../clockReading/index.js";
@@ -15,8 +15,11 @@
   readonly linkState: serverLinks.LinkState;
   readonly isHub: boolean;
   readonly replicaOf: (topic: types.Topic) => topicReplicas.TopicReplica;
-  readonly rateStatements: readonly servers.RateStatement[];
-  readonly overloads: readonly servers.Overload[];
+  /** What this VM has learned of servers. */
+  readonly learned: Pick<
+    meshTypes.MeshContext,
+    "listRateStatements" | "listOverloads" | "listEngineSpeeds"
+  >;
 }
 
 /** Creates a heartbeat for one peer. */
@@ -39,7 +42,8 @@
     linkState: state.linkState,
     isAnchor: state.isHub,
     ...topicStateCodec.encodeTopicStates(state.replicaOf),
-    rateStatements: state.rateStatements,
-    overloads: state.overloads,
+    rateStatements: state.learned.listRateStatements(),
+    overloads: state.learned.listOverloads(),
+    engineSpeeds: state.learned.listEngineSpeeds(),
   };
 }
--- a/src/sharedView/_lib/datagrams/index.ts
+++ b/src/sharedView/_lib/datagrams/index.ts
@@ -44,6 +44,18 @@
   ageMs: zod.number().nonnegative(),
 });
 
+/** What the sender has observed of an engine's speed. */
+const engineSpeed = zod.object({
+  serverId: name,
+  bornAtWallMs: zod.number(),
+  readingLog: zod.number(),
+  writingLog: zod.number(),
+  readingWeightMs: zod.number().nonnegative(),
+  writingWeightMs: zod.number().nonnegative(),
+  pauseMs: zod.number().nonnegative(),
+  ageMs: zod.number().nonnegative(),
+});
+
 const heartbeat = zod.object({
   kind: zod.literal(DatagramKind.Heartbeat),
   vmName: name,
@@ -75,6 +87,8 @@
   rateStatements: zod.array(rateStatement).max(64).readonly().default([]),
   /** Services whose servers have rejected requests lately; absent as above. */
   overloads: zod.array(overload).max(64).readonly().default([]),
+  /** The engines whose speed the sender observed last; absent as above. */
+  engineSpeeds: zod.array(engineSpeed).max(64).readonly().default([]).catch([]),
 });
 
 const record = zod.tuple([name, count, bytes.nullable()]);
--- a/src/sharedView/_lib/testMesh/index.ts
+++ b/src/sharedView/_lib/testMesh/index.ts
@@ -103,6 +103,8 @@
       onOverload: () => undefined,
       listRateStatements: () => [],
       onRateStatement: () => undefined,
+      listEngineSpeeds: () => [],
+      onEngineSpeed: () => undefined,
       listSuspects: () => this.suspects,
       onSuspects: (reports) => this.receivedSuspects.push(...reports),
     });
--- a/src/sharedView/peerMesh/index.ts
+++ b/src/sharedView/peerMesh/index.ts
@@ -172,8 +172,7 @@
       linkState: linkState(),
       isHub: this.isHub,
       replicaOf: (topic) => this.replicaOf(topic),
-      rateStatements: this.context.listRateStatements(),
-      overloads: this.context.listOverloads(),
+      learned: this.context,
     });
     this.context.socket.send(datagrams.encodeDatagram(message), address.host, address.port);
   }
@@ -214,6 +213,7 @@
     }
     message.rateStatements.forEach(this.context.onRateStatement);
     message.overloads.forEach(this.context.onOverload);
+    for (const speed of message.engineSpeeds) this.context.onEngineSpeed(peer.vmName, speed);
     const { clock, self } = this.context;
     const echo = ownEchoes.readOwnEcho(message, self.startedAtWallMs, clock);
     for (const reported of topicStateCodec.decodeTopicStates(message))
--- a/src/sharedView/peerMesh/test.ts
+++ b/src/sharedView/peerMesh/test.ts
@@ -211,6 +211,7 @@
       topicRevisions: [],
       rateStatements: [],
       overloads: [],
+      engineSpeeds: [],
     });
     await clock.runForMs(100);
     restarted.confirm(5);
--- a/src/sharedView/peerMesh/types.ts
+++ b/src/sharedView/peerMesh/types.ts
@@ -1,6 +1,7 @@
 import type * as clocks from "../../_lib/clock/index.js";
 import type * as crashes from "../../crashes/index.js";
 import type * as diagnostics from "../../diagnostics/index.js";
+import type * as dispatch from "../../dispatch/index.js";
 import type * as fleet from "../../fleet/index.js";
 import type * as serverLinks from "../../serverLinks/index.js";
 import type * as servers from "../../servers/index.js";
@@ -33,6 +34,10 @@
   readonly listRateStatements: () => readonly servers.RateStatement[];
   /** Called with each statement that a peer has received. */
   readonly onRateStatement: (statement: servers.RateStatement) => void;
+  /** Lists what this VM has observed of engines' speeds. */
+  readonly listEngineSpeeds: () => readonly dispatch.SpeedStatement[];
+  /** Called with what a peer has observed of an engine's speed. */
+  readonly onEngineSpeed: (vmName: string, statement: dispatch.SpeedStatement) => void;
   /** Lists what this VM knows of work that ends servers. */
   readonly listSuspects: () => readonly crashes.SuspectReport[];
   /** Called with what a peer knows of it. */
