Let the distance between data centres cost what it costs now

Cause: leaving the data centre cost 0.08 of a run's time, 0.7 s for a run of 9 s, whatever was seen of the network, and engines elsewhere were not considered before that wait. Change: the share is 0.01 while no cut is seen and 0.08 after one, with a half-life of 60 s; engines elsewhere compete at once where home has room, and after the cost as a wait where it has none; a remote run's copy is made near its VM. Result: tests of the waves, of a cut and of the copies pass (tap run build/src/dispatch/*/test.js).

--- a/src/dispatch/allocateCapacity/index.ts
+++ b/src/dispatch/allocateCapacity/index.ts
@@ -76,18 +76,29 @@
 }
 
 /**
- * Restricts a generation to the engines of its data centre until it has waited as long as the cost
- * of another one. Migrating runs, and generations without an engine in their data centre, may use
- * all.
+ * Restricts a generation for which its data centre has no capacity to the engines there until it has
+ * waited as long as another one costs. Where its data centre has capacity the engines' costs decide,
+ * which contain the distance. Migrating runs, and generations without an engine in their data
+ * centre, may use all.
+ *
+ * The load pattern: demand that rises and falls in each data centre at another time. Since all VMs
+ * allocate from the same claims, the overflow of several data centres goes to the engines with the
+ * most free memory, wherever they are.
  */
 function selectPermittedEngines(
   need: types.GenerationNeed,
   engines: readonly types.EngineCandidate[],
   waitedMs: number,
 ): readonly types.EngineCandidate[] {
-  if (isMigrating(need) || waitedMs >= selectEngines.computeDistanceCostMs(need)) return engines;
+  if (isMigrating(need)) return engines;
   const sameDataCentre = engines.filter(({ dataCentre }) => dataCentre === need.dataCentre);
-  return sameDataCentre.length > 0 ? sameDataCentre : engines;
+  const isLocalFull = !sameDataCentre.some((engine) => selectEngines.hasCapacity(need, engine));
+  if (sameDataCentre.length === 0 || !isLocalFull) return engines;
+  return engines.filter(
+    ({ dataCentre, cutRiskRatio }) =>
+      dataCentre === need.dataCentre ||
+      waitedMs >= selectEngines.computeDistanceCostMs(need, cutRiskRatio),
+  );
 }
 
 function selectEngineFor(
--- a/src/dispatch/allocateCapacity/test.ts
+++ b/src/dispatch/allocateCapacity/test.ts
@@ -139,3 +139,69 @@
     { seed: 11, numRuns: 200 },
   );
 });
+
+/** Full engines of the two data centres with a wave of load, and free ones of two others. */
+function unevenDataCentres(): readonly dispatch.EngineCandidate[] {
+  const need = fixtures.need();
+  const full = { committedTokens: 33_000, runningCount: 9 };
+  const limitTokens = constants.MAX_COMMITTED_RATIO * fixtures.engine().memoryTokens;
+  const engineWith = (serverId: string, dataCentre: string, freeRunsCount: number) =>
+    fixtures.engine({
+      serverId,
+      dataCentre,
+      committedTokens: limitTokens - (freeRunsCount + 0.5) * dispatch.estimateTokens(need),
+      runningCount: 1,
+    });
+  return [
+    fixtures.engine({ ...full, serverId: "a1", dataCentre: "dc-a" }),
+    fixtures.engine({ ...full, serverId: "b1", dataCentre: "dc-b" }),
+    engineWith("c1", "dc-c", 4),
+    engineWith("c2", "dc-c", 4),
+    engineWith("d1", "dc-d", 4),
+  ];
+}
+
+/** A wave of generations from two data centres, which have waited for 200 ms. */
+function wave(count: number): readonly dispatch.FleetWaiting[] {
+  return Array.from({ length: count }, (_, index) =>
+    fixtures.waiting({
+      requestId: `r${index}`,
+      vmName: `vm-${index}`,
+      need: fixtures.need({ dataCentre: index % 2 === 0 ? "dc-a" : "dc-b" }),
+      enqueuedAtWallMs: NOW_MS - 200,
+    }),
+  );
+}
+
+tap.test("the overflow of two data centres is shared by the others' free memory", async (t) => {
+  const ordered = dispatch.orderWaiting(wave(6), NOW_MS);
+  const allocated = dispatch.allocateCapacity(ordered, unevenDataCentres(), NOW_MS);
+  const dataCentres = [...allocated.values()].map(({ dataCentre }) => dataCentre);
+  t.equal(dataCentres.filter((name) => name === "dc-c").length, 4, "two thirds of the free memory");
+  t.equal(dataCentres.filter((name) => name === "dc-d").length, 2);
+});
+
+tap.test("during a cut each data centre keeps its generations, also with a wave", async (t) => {
+  const ordered = dispatch.orderWaiting(wave(6), NOW_MS);
+  const cutFromA = unevenDataCentres().map((engine) => {
+    return { ...engine, isPartitioned: engine.dataCentre !== "dc-a" };
+  });
+  t.equal(dispatch.allocateCapacity(ordered, cutFromA, NOW_MS).size, 0);
+  const relieved = cutFromA.map((engine) =>
+    engine.serverId === "a1" ? { ...engine, committedTokens: 20_000, runningCount: 5 } : engine,
+  );
+  const allocated = dispatch.allocateCapacity(ordered, relieved, NOW_MS);
+  t.ok(allocated.size > 0);
+  t.ok([...allocated.values()].every(({ dataCentre }) => dataCentre === "dc-a"));
+});
+
+tap.test("a fast engine elsewhere is used at once, instead of one with long pauses", async (t) => {
+  const pausing = fixtures.engine({ serverId: "near", smoothRunsCount: 0, writingRatio: 1.4 });
+  const fast = fixtures.engine({ serverId: "far", dataCentre: "dc-b", writingRatio: 0.6 });
+  const selected = (need: dispatch.GenerationNeed): string | undefined => {
+    const waiting = fixtures.waiting({ need, enqueuedAtWallMs: NOW_MS });
+    return dispatch.allocateCapacity([waiting], [pausing, fast], NOW_MS).get(waiting)?.serverId;
+  };
+  t.equal(selected(fixtures.need()), "far");
+  t.equal(selected(fixtures.need({ expectedOutputTokens: 8 })), "near", "short outputs stay");
+});
--- a/src/dispatch/constants.ts
+++ b/src/dispatch/constants.ts
@@ -45,13 +45,23 @@
 export const FAILURE_COST_MS = 4_000;
 
 /**
- * Cost of leaving the data centre, as a share of a run's expected duration. A partition between
- * data centres stalls the streams that cross it, and callers leave after some seconds. For a run of
- * 9 s the cost is 0.7 s, which leaves half of its objective of 1.8 s.
+ * Cost of leaving the data centre while no cut has been seen, as a share of a run's expected
+ * duration. A cut stalls the streams that cross it, and callers leave after some seconds. A lost
+ * stream costs as much as a first event that is late by its objective of 1.8 s, so that the share
+ * is this time multiplied by the cuts expected in a time: one in three minutes.
  */
-export const OTHER_DATA_CENTRE_COST_RATIO = 0.08;
+export const CUT_RISK_RATIO = 0.01;
 
-/** Fixed part of the cost of leaving the data centre, which applies to the shortest runs too. */
+/** The same right after a cut, which is often followed by another: one in 20 s. */
+export const RECENT_CUT_RISK_RATIO = 0.08;
+
+/** Half-life of the risk that a cut is followed by another. */
+export const CUT_RISK_HALF_LIFE_MS = 60_000;
+
+/**
+ * Fixed part of the cost of leaving the data centre, which applies to the shortest runs too: some
+ * round trips between data centres, and the operators' price of the bytes.
+ */
 export const OTHER_DATA_CENTRE_COST_MS = 40;
 
 /** Typical time of one output token on a shared engine; a decoding step takes at least 7 ms. */
@@ -142,4 +152,4 @@
 export const LONG_PAUSES_COST_MS = 1_500;
 
 /** Duration of a run that meets a disturbance of its engine; shorter runs do so more rarely. */
-export const DISTURBED_RUN_MS = 2_000;
+export const DISTURBED_RUN_MS = 5_000;
--- a/src/dispatch/index.ts
+++ b/src/dispatch/index.ts
@@ -2,6 +2,7 @@
 export * from "./claimTable/index.js";
 export * from "./compareSpeeds/index.js";
 export { TOKEN_TIME_MS } from "./constants.js";
+export * from "./cutRisk/index.js";
 export * from "./decideAdmission/index.js";
 export * from "./engineSpeeds/index.js";
 export * from "./estimateFirstEvent/index.js";
--- a/src/dispatch/migrationOrder/index.ts
+++ b/src/dispatch/migrationOrder/index.ts
@@ -1,4 +1,6 @@
+import type * as claimTables from "../claimTable/index.js";
 import * as constants from "../constants.js";
+import * as types from "../types.js";
 
 /** A run that has to migrate off an engine with its memory. */
 export interface MigratingRun {
@@ -7,6 +9,20 @@
   readonly usedTokens: number;
 }
 
+/** Lists the runs of an engine that have produced their first event and have no backup. */
+export function listMigratingRuns(
+  claims: Pick<claimTables.ClaimTable, "listByServer" | "find">,
+  serverId: string,
+): readonly MigratingRun[] {
+  return claims
+    .listByServer(serverId)
+    .filter(({ role, hasFirstEvent }) => role === types.ClaimRole.Run && hasFirstEvent)
+    .filter(({ requestId }) => claims.find(requestId, types.ClaimRole.Backup) === undefined)
+    .map(({ requestId, promptTokens, producedTokens }) => {
+      return { requestId, usedTokens: promptTokens + producedTokens };
+    });
+}
+
 /**
  * Lists the runs of a leaving engine that migrate before a given one. All VMs order them by request
  * id, so they need no coordination messages.
--- a/src/dispatch/selectBackupEngine/test.ts
+++ b/src/dispatch/selectBackupEngine/test.ts
@@ -17,6 +17,19 @@
   t.equal(dispatch.selectBackupEngine(fixtures.need(), [crowded], "own"), undefined);
 });
 
+tap.test("the backup of a run in another data centre is placed near its caller's VM", async (t) => {
+  const engines = [
+    fixtures.engine({ serverId: "own", dataCentre: "dc-b" }),
+    fixtures.engine({ serverId: "far", dataCentre: "dc-b" }),
+    fixtures.engine({ serverId: "near", committedTokens: 8_000 }),
+  ];
+  t.equal(dispatch.selectBackupEngine(fixtures.need(), engines, "own")?.serverId, "near");
+  const [own, far, near] = engines;
+  const crowded = { ...near!, committedTokens: 20_000 };
+  const chosen = dispatch.selectBackupEngine(fixtures.need(), [own!, far!, crowded], "own");
+  t.equal(chosen?.serverId, "far", "where none is suitable there");
+});
+
 tap.test("no backup is placed behind a suspected partition", async (t) => {
   const cut = fixtures.engine({ serverId: "cut", isPartitioned: true });
   t.equal(dispatch.selectBackupEngine(fixtures.need(), [cut], "own"), undefined);
--- a/src/dispatch/selectEngine/index.ts
+++ b/src/dispatch/selectEngine/index.ts
@@ -55,15 +55,21 @@
 
 /**
  * Computes the cost of an engine in another data centre, as added milliseconds to the first event.
+ *
+ * @param cutRiskRatio - cost of the stream, as a share of its duration
  */
-export function computeDistanceCostMs(need: types.GenerationNeed): number {
+export function computeDistanceCostMs(
+  need: types.GenerationNeed,
+  cutRiskRatio: number = constants.CUT_RISK_RATIO,
+): number {
   const runMs = constants.TOKEN_TIME_MS * need.expectedOutputTokens;
-  return constants.OTHER_DATA_CENTRE_COST_MS + constants.OTHER_DATA_CENTRE_COST_RATIO * runMs;
+  return constants.OTHER_DATA_CENTRE_COST_MS + cutRiskRatio * runMs;
 }
 
 function computeCostMs(need: types.GenerationNeed, engine: types.EngineCandidate): number {
   const committedRatio = (engine.committedTokens + estimateTokens(need)) / engine.memoryTokens;
-  const distanceMs = engine.dataCentre === need.dataCentre ? 0 : computeDistanceCostMs(need);
+  const isNear = engine.dataCentre === need.dataCentre;
+  const distanceMs = isNear ? 0 : computeDistanceCostMs(need, engine.cutRiskRatio);
   return (
     estimateFirstEvents.estimateFirstEvent(need, engine) +
     constants.FULL_MEMORY_COST_MS * committedRatio ** 2 +
--- a/src/dispatch/types.ts
+++ b/src/dispatch/types.ts
@@ -76,6 +76,8 @@
   readonly failureRatio: number;
   /** Whether a network partition to its data centre is suspected. */
   readonly isPartitioned: boolean;
+  /** Cost of a stream from its data centre to another, as a share of the stream's duration. */
+  readonly cutRiskRatio: number;
   /** Time for reading a prompt, as a multiple of that of a typical engine. */
   readonly slownessRatio: number;
   /** Time for writing output, as a multiple of that of a typical engine. */
--- a/src/relay/engineDispatcher/index.ts
+++ b/src/relay/engineDispatcher/index.ts
@@ -23,11 +23,13 @@
 export class EngineDispatcher implements Disposable {
   /** Speeds of engines that this VM and its peers have observed. */
   readonly speeds: dispatch.EngineSpeeds;
+  private readonly cutRisk: dispatch.CutRisk;
   private readonly waiting = new Set<LocalWaitingGeneration>();
   private scanTimer: Disposable | null = null;
 
   constructor(private readonly context: types.DispatcherContext) {
     this.speeds = new dispatch.EngineSpeeds(context.clock);
+    this.cutRisk = new dispatch.CutRisk(context.clock);
   }
 
   /** Number of generations that wait for capacity at this VM. */
@@ -87,16 +89,9 @@
     return this.context.claims.computeLoad(serverId);
   }
 
-  /** Lists the runs of an engine that have produced their first event and have no backup. */
+  /** Lists the runs of an engine that have to migrate when it leaves. */
   listRunsToMigrate(serverId: string): readonly dispatch.MigratingRun[] {
-    const { claims } = this.context;
-    return claims
-      .listByServer(serverId)
-      .filter(({ role, hasFirstEvent }) => role === dispatch.ClaimRole.Run && hasFirstEvent)
-      .filter(({ requestId }) => claims.find(requestId, dispatch.ClaimRole.Backup) === undefined)
-      .map(({ requestId, promptTokens, producedTokens }) => {
-        return { requestId, usedTokens: promptTokens + producedTokens };
-      });
+    return dispatch.listMigratingRuns(this.context.claims, serverId);
   }
 
   /** Finds a claim of this VM or another one. */
@@ -261,6 +256,8 @@
     traits: routing.EngineTraits,
   ): dispatch.EngineCandidate {
     const speed = this.speedOf(entry);
+    const isPartitioned = this.context.trust.isPartitionSuspected(entry.dataCentre);
+    this.cutRisk.record(entry.dataCentre, isPartitioned);
     const targetGapMs = this.context.targetGapMs?.(entry.serviceName) ?? null;
     return {
       ...this.context.claims.computeLoad(entry.id, speed.readingRatio),
@@ -270,7 +267,8 @@
       slotsCount: entry.slotsCount,
       coldRemainingMs: entry.coldRemainingMs,
       failureRatio: this.context.trust.failureRatio(entry.id),
-      isPartitioned: this.context.trust.isPartitionSuspected(entry.dataCentre),
+      isPartitioned,
+      cutRiskRatio: this.cutRisk.ratioOf(entry.dataCentre),
       slownessRatio: speed.readingRatio,
       writingRatio: speed.writingRatio,
       smoothRunsCount: dispatch.countSmoothRuns(speed, targetGapMs),
