Save more streams of engines that leave

Change: targets are spread by request id and by what their links have to transfer; the smallest runs go first, at the link's stated speed, and none waits past the time for its own transfer; runs that stay or fail are handed over again; short resumable runs take no backup memory. Result: tests of the order, the spread and the recheck pass (tap run build/src/dispatch/*/test.js build/src/relay/_lib/*/test.js).

--- a/src/dispatch/allocateCapacity/index.ts
+++ b/src/dispatch/allocateCapacity/index.ts
@@ -42,7 +42,7 @@
       reachability.selectReachableEngines(candidates, waitedMs),
       waitedMs,
     );
-    const engine = selectEngineFor(waiting.need, choices);
+    const engine = selectEngineFor(waiting, choices);
     if (engine !== undefined) {
       allocated.set(waiting, engine);
       remaining = remaining.map((other) =>
@@ -102,11 +102,11 @@
 }
 
 function selectEngineFor(
-  need: types.GenerationNeed,
+  { need, requestId }: types.WaitingGeneration,
   engines: readonly types.EngineCandidate[],
 ): types.EngineCandidate | undefined {
   return isMigrating(need)
-    ? selectMigrationTargets.selectMigrationTarget(need, engines)
+    ? selectMigrationTargets.selectMigrationTarget(need, engines, requestId)
     : selectEngines.selectEngine(need, engines);
 }
 
@@ -118,10 +118,12 @@
 }
 
 function withRun(engine: types.EngineCandidate, need: types.GenerationNeed): types.EngineCandidate {
+  const usedTokens = need.promptTokens + need.producedTokens;
   return {
     ...engine,
     committedTokens: engine.committedTokens + selectEngines.estimateTokens(need),
-    usedTokens: engine.usedTokens + need.promptTokens + need.producedTokens,
+    usedTokens: engine.usedTokens + usedTokens,
+    incomingTokens: engine.incomingTokens + (isMigrating(need) ? usedTokens : 0),
     backlogTokens: engine.backlogTokens + need.unreadTokens,
     runningCount: engine.runningCount + 1,
   };
--- a/src/dispatch/claimTable/index.ts
+++ b/src/dispatch/claimTable/index.ts
@@ -6,6 +6,7 @@
 const EMPTY_LOAD: types.EngineLoad = {
   committedTokens: 0,
   usedTokens: 0,
+  incomingTokens: 0,
   backlogTokens: 0,
   runningCount: 0,
   overdueCount: 0,
@@ -95,6 +96,7 @@
     if (claims === undefined || claims.size === 0) return EMPTY_LOAD;
     let committedTokens = 0;
     let usedTokens = 0;
+    let incomingTokens = 0;
     let runningCount = 0;
     let overdueCount = 0;
     const overdueSinceMs = this.clock.nowMs() - constants.FIRST_EVENT_OVERDUE_MS;
@@ -102,6 +104,8 @@
       committedTokens += computeCommittedTokens(claim);
       usedTokens += claim.promptTokens + claim.producedTokens;
       if (claim.role === types.ClaimRole.Backup) continue;
+      if (claim.role === types.ClaimRole.Migration)
+        incomingTokens += claim.promptTokens + claim.producedTokens;
       runningCount += 1;
       if (
         claim.role === types.ClaimRole.Run &&
@@ -111,7 +115,8 @@
         overdueCount += 1;
     }
     const backlogTokens = this.computeBacklogTokens(claims, slownessRatio);
-    return { committedTokens, usedTokens, runningCount, overdueCount, backlogTokens };
+    const memory = { committedTokens, usedTokens, incomingTokens };
+    return { ...memory, runningCount, overdueCount, backlogTokens };
   }
 
   /** Recent rate at which claims of all VMs released memory, in tokens per millisecond. */
--- a/src/dispatch/constants.ts
+++ b/src/dispatch/constants.ts
@@ -100,11 +100,22 @@
 export const RELEASE_RATE_HALF_LIFE_MS = 5_000;
 
 /**
- * Tokens of memory that an engine transfers in a millisecond between data centres. The platform's
- * example states 24 Gbit/s and 160 KB a token, half that speed between data centres; a tenth is
- * deducted for the time that the orders to the engines take.
+ * Tokens of memory that an engine transfers in a millisecond if its service does not state it: about
+ * 24 Gbit/s and 160 KB a token.
  */
-export const CROSS_DATA_CENTRE_TOKENS_PER_MS = 8;
+export const DEFAULT_TRANSFER_TOKENS_PER_MS = 18;
+
+/** Share of a link's speed that is left beside the orders to the engines. */
+export const TRANSFER_EFFICIENCY = 0.9;
+
+/** Transfers between data centres take this many times as long as within one. */
+export const CROSS_TRANSFER_RATIO = 2;
+
+/** Shortest time between an engine's termination notice and its end. */
+export const MIN_NOTICE_MS = 1_500;
+
+/** A run that is expected to end within this time stays on its leaving engine. */
+export const MIN_MIGRATION_REMAINING_MS = 500;
 
 /** Cost of a plain server in another data centre, as added time to the call. */
 export const OTHER_DATA_CENTRE_CALL_COST_MS = 2;
--- a/src/dispatch/selectEngine/index.ts
+++ b/src/dispatch/selectEngine/index.ts
@@ -35,17 +35,19 @@
  * claims instead of load reports, whose delay would let prompts pile up on one engine that looked
  * free.
  *
+ * @param addedCostMs - cost of an engine beside these
  * @returns undefined where no engine has capacity
  */
 export function selectEngine(
   need: types.GenerationNeed,
   engines: readonly types.EngineCandidate[],
+  addedCostMs: (engine: types.EngineCandidate) => number = () => 0,
 ): types.EngineCandidate | undefined {
   let best: types.EngineCandidate | undefined;
   let lowestCostMs = Infinity;
   for (const engine of engines) {
     if (!hasCapacity(need, engine)) continue;
-    const costMs = computeCostMs(need, engine);
+    const costMs = computeCostMs(need, engine) + addedCostMs(engine);
     if (costMs >= lowestCostMs) continue;
     best = engine;
     lowestCostMs = costMs;
--- a/src/dispatch/types.ts
+++ b/src/dispatch/types.ts
@@ -39,6 +39,8 @@
   readonly committedTokens: number;
   /** Memory that they use now, from the output tokens known so far. */
   readonly usedTokens: number;
+  /** Memory that runs transfer to it while they migrate. */
+  readonly incomingTokens: number;
   /** Prompt tokens that the engine prefills before a new prompt. */
   readonly backlogTokens: number;
   /** Runs, including those that are migrating to the engine, without backups. */
@@ -68,6 +70,8 @@
   readonly serverId: string;
   readonly dataCentre: string;
   readonly memoryTokens: number;
+  /** Tokens of memory that its link transfers in a millisecond within the data centre. */
+  readonly transferTokensPerMs: number;
   /** Limit of concurrent runs. */
   readonly slotsCount: number;
   /** Time for which the engine is still slow after its start. */
--- a/src/relay/_lib/generationRun/index.ts
+++ b/src/relay/_lib/generationRun/index.ts
@@ -1,4 +1,3 @@
-import * as dispatch from "../../../dispatch/index.js";
 import * as servers from "../../../servers/index.js";
 import * as constants from "../../constants.js";
 import type * as relayContext from "../../relayContext.js";
@@ -8,6 +7,7 @@
 import * as engineStreams from "../engineStream/index.js";
 import * as eventSequences from "../eventSequence/index.js";
 import type * as eventSplitter from "../eventSplitter/index.js";
+import * as handoverChecks from "../handoverCheck/index.js";
 import * as handovers from "../handover/index.js";
 import * as resumeRuns from "../resumeRun/index.js";
 import * as runContinuations from "../runContinuation/index.js";
@@ -39,8 +39,7 @@
   private handover: Promise<engineStreams.EngineStream | null> | null = null;
   private isFinished = false;
   private readonly timing = new streamTimings.StreamTiming();
-  /** The leaving server for which a handover was already decided, so that it is decided only once. */
-  private checkedServerId: string | null = null;
+  private readonly handoverCheck = new handoverChecks.HandoverCheck();
   private readonly sequence: eventSequences.EventSequence;
   private readonly continuation: runContinuations.RunContinuation;
   /** Whether the caller's connection accepts more events at once. */
@@ -87,10 +86,9 @@
   handOverIfLeaving(): void {
     const { serverId } = this;
     if (serverId === null || this.sequence.awaitsFirstEvent) return;
-    if (this.checkedServerId === serverId) return;
     if (this.context.directory.find(serverId)?.leaving === null) return;
-    this.checkedServerId = serverId;
-    this.beginHandover(handovers.HandoverCause.Leaving);
+    if (this.handoverCheck.isDue(serverId, this.context.clock.nowMs()))
+      this.beginHandover(handovers.HandoverCause.Leaving);
   }
 
   handleEvent(event: eventSplitter.StreamEvent): boolean {
@@ -171,20 +169,25 @@
     stream: engineStreams.EngineStream,
   ): Promise<engineStreams.EngineStream | null> {
     const { clock } = this.context;
-    const noticedAtMs = clock.nowMs();
-    const { writingRatio } = this.context.dispatcher.speedOf(stream.server);
-    const tokenMs = dispatch.TOKEN_TIME_MS * writingRatio;
-    const remainingMs = this.claims.estimateTokensLeft(this.lastEventId) * tokenMs;
+    const nowMs = clock.nowMs();
+    const noticedAtMs = this.context.directory.find(stream.server.id)?.leavingSinceMs ?? nowMs;
+    const remainingMs = this.claims.estimateRemainingMs(stream.server, this.lastEventId);
     const isStaying = remainingMs < constants.MIN_HANDOVER_REMAINING_MS;
     const hasBackup = this.continuation.backupTarget !== null;
     const method = isStaying ? "stays" : hasBackup ? "backup" : "move";
     this.runLog.recordHandover(this.position, handovers.HandoverCause.Leaving, method, remainingMs);
-    if (isStaying) return null;
+    if (isStaying) {
+      this.handoverCheck.recheckAfter(nowMs, remainingMs);
+      return null;
+    }
     if (hasBackup) {
       const next = await this.switchToBackup(stream);
       if (next !== null || stream.isClosedLocally || this.isFinished) return next;
     }
-    return this.claims.canMigrate ? this.migrate(stream, noticedAtMs) : null;
+    if (!this.claims.canMigrate) return null;
+    const migrated = await this.migrate(stream, noticedAtMs);
+    if (migrated === null) this.handoverCheck.recheckAfter(clock.nowMs(), 0);
+    return migrated;
   }
 
   /** Hands the run over to its backup, or resumes it, if its engine is silent and cannot be connected to. */
--- a/src/relay/_lib/handover/index.ts
+++ b/src/relay/_lib/handover/index.ts
@@ -99,15 +99,26 @@
   return null;
 }
 
-/** Waits until the predecessors have left the engine, or have had enough time to do so. */
+/**
+ * Waits until the predecessors have left the engine, have had enough time to do so, or leave only
+ * the time for this run's own transfer.
+ */
 async function waitForPredecessors(
   context: relayContext.RelayContext,
-  { requestId, from, noticedAtMs, streamEnded }: MigrationRequest,
+  { requestId, serviceName, from, need, noticedAtMs, streamEnded }: MigrationRequest,
 ): Promise<void> {
   const { clock, dispatcher } = context;
   const listPredecessors = (): readonly dispatch.MigratingRun[] =>
     dispatch.listPredecessors(dispatcher.listRunsToMigrate(from.id), requestId);
-  const waitEndAtMs = noticedAtMs + dispatch.computeMaxPredecessorWaitMs(listPredecessors());
+  const { transferTokensPerMs: statedTokensPerMs } = dispatcher.traitsOf(serviceName) ?? {};
+  const tokensPerMs = dispatch.estimateTransferRate(statedTokensPerMs);
+  const usedTokens = need.promptTokens + need.producedTokens;
+  const waitEndAtMs =
+    noticedAtMs +
+    Math.min(
+      dispatch.computeMaxPredecessorWaitMs(listPredecessors(), tokensPerMs),
+      dispatch.computeLatestTransferMs(usedTokens, tokensPerMs),
+    );
   while (clock.nowMs() < waitEndAtMs && listPredecessors().length > 0 && !streamEnded.aborted) {
     await clock.sleep(
       Math.min(constants.MIGRATION_ORDER_CHECK_INTERVAL_MS, waitEndAtMs - clock.nowMs()),
--- a/src/relay/_lib/placeRun/index.ts
+++ b/src/relay/_lib/placeRun/index.ts
@@ -128,6 +128,8 @@
     expectedFirstEventMs: Math.round(placement.expectedFirstEventMs),
     committedTokens: Math.round(load.committedTokens),
     runningCount: load.runningCount,
+    writingRatio: Number(context.dispatcher.speedOf(entry).writingRatio.toFixed(2)),
+    isRemote: entry.dataCentre !== context.dataCentre,
     candidatesCount: placement.candidatesCount,
     queuedCount: placement.queuedCount,
     ...(call.route.isResumable ? { lastEventId, streamKey: streamKeyOf(call) } : {}),
--- a/src/relay/_lib/runClaims/index.ts
+++ b/src/relay/_lib/runClaims/index.ts
@@ -1,5 +1,6 @@
 import * as dispatch from "../../../dispatch/index.js";
 import type * as servers from "../../../servers/index.js";
+import * as constants from "../../constants.js";
 import type * as relayContext from "../../relayContext.js";
 import type * as types from "../../types.js";
 import type * as streamTimings from "../streamTiming/index.js";
@@ -65,15 +66,27 @@
     return dispatch.estimateRemainingOutput(this.expectedOutputTokens, producedTokens);
   }
 
+  /** Estimates how long an engine takes for the rest of the run's output. */
+  estimateRemainingMs(server: servers.ServerEntry, lastEventId: number): number {
+    const { writingRatio } = this.context.dispatcher.speedOf(server);
+    return this.estimateTokensLeft(lastEventId) * dispatch.TOKEN_TIME_MS * writingRatio;
+  }
+
   /** Selects an engine for the backup of a run on another engine; null if none has capacity. */
   selectBackup(runServerId: string, lastEventId: number): servers.KnownServer | null {
-    if (!this.canBackUp) return null;
+    if (!this.canBackUp || this.isShortAndResumable(lastEventId)) return null;
     const need = this.createContinuationNeed(lastEventId);
     const candidates = this.context.dispatcher.listCandidates(this.call.serviceName, new Set());
     const engine = dispatch.selectBackupEngine(need, candidates, runServerId);
     return (engine && this.context.directory.find(engine.serverId)) ?? null;
   }
 
+  /** Whether a run costs less to repeat than the memory of its backup, which longer runs need. */
+  private isShortAndResumable(lastEventId: number): boolean {
+    const remainingMs = this.estimateTokensLeft(lastEventId) * dispatch.TOKEN_TIME_MS;
+    return this.call.route.isResumable && remainingMs < constants.MIN_HANDOVER_REMAINING_MS;
+  }
+
   /** Claims memory for the run's backup. */
   claimBackup(server: servers.KnownServer, lastEventId: number): void {
     this.backupServer = server;
--- a/src/relay/constants.ts
+++ b/src/relay/constants.ts
@@ -63,6 +63,12 @@
  */
 export const MIN_HANDOVER_REMAINING_MS = 500;
 
+/**
+ * Time after which a run that is still on its leaving engine is handed over again, as it produced
+ * more than expected or the engine did not know it yet.
+ */
+export const HANDOVER_RECHECK_INTERVAL_MS = 200;
+
 /** Longest time for which a run may execute on two engines; the platform's limit is 400 ms. */
 export const MAX_OVERLAP_MS = 250;
 
--- a/src/relay/engineDispatcher/index.ts
+++ b/src/relay/engineDispatcher/index.ts
@@ -264,6 +264,7 @@
       serverId: entry.id,
       dataCentre: entry.dataCentre,
       memoryTokens: traits.memoryTokens,
+      transferTokensPerMs: dispatch.estimateTransferRate(traits.transferTokensPerMs),
       slotsCount: entry.slotsCount,
       coldRemainingMs: entry.coldRemainingMs,
       failureRatio: this.context.trust.failureRatio(entry.id),
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -50,6 +50,8 @@
   readonly tokensPerEvent: number;
   /** Whether an engine can transfer the memory of a run to another engine. */
   readonly canMoveRuns: boolean;
+  /** Tokens of memory that an engine's link transfers in a millisecond; absent if not stated. */
+  readonly transferTokensPerMs?: number;
   /** Whether an engine can keep a backup of a run's memory on a second engine up to date. */
   readonly canBackUpRuns: boolean;
 }
