Send engines' speeds as short tuples

Cause: six speeds with named fields made a heartbeat about 1 kB longer, and a hub of a fleet of hundreds sends one to every VM each interval. Change: a codec sends whole numbers in a tuple; unreadable speeds of a later release are left out and the heartbeat counts.

--- a/src/sharedView/_lib/createHeartbeat/index.ts
+++ b/src/sharedView/_lib/createHeartbeat/index.ts
@@ -5,6 +5,7 @@
 import type * as types from "../../types.js";
 import * as clockReadings from "../clockReading/index.js";
 import * as datagrams from "../datagrams/index.js";
+import * as speedCodec from "../speedCodec/index.js";
 import * as topicStateCodec from "../topicStateCodec/index.js";
 
 /** What a heartbeat reports besides the sender's identity. */
@@ -44,6 +45,17 @@
     ...topicStateCodec.encodeTopicStates(state.replicaOf),
     rateStatements: state.learned.listRateStatements(),
     overloads: state.learned.listOverloads(),
-    engineSpeeds: state.learned.listEngineSpeeds(),
+    engineSpeeds: state.learned.listEngineSpeeds().map(speedCodec.encodeSpeed),
   };
 }
+
+/** Applies what a peer has learned of servers, as its heartbeat reports it. */
+export function applyLearned(
+  { vmName, rateStatements, overloads, engineSpeeds }: datagrams.Heartbeat,
+  context: Pick<meshTypes.MeshContext, "onRateStatement" | "onOverload" | "onEngineSpeed">,
+): void {
+  rateStatements.forEach(context.onRateStatement);
+  overloads.forEach(context.onOverload);
+  for (const speed of engineSpeeds.map(speedCodec.decodeSpeed))
+    context.onEngineSpeed(vmName, speed);
+}
--- a/src/sharedView/_lib/datagrams/index.ts
+++ b/src/sharedView/_lib/datagrams/index.ts
@@ -44,17 +44,20 @@
   ageMs: zod.number().nonnegative(),
 });
 
-/** What the sender has observed of an engine's speed. */
-const engineSpeed = zod.object({
-  serverId: name,
-  bornAtWallMs: zod.number(),
-  readingLog: zod.number(),
-  writingLog: zod.number(),
-  readingWeightMs: zod.number().nonnegative(),
-  writingWeightMs: zod.number().nonnegative(),
-  pauseMs: zod.number().nonnegative(),
-  ageMs: zod.number().nonnegative(),
-});
+/**
+ * What the sender has observed of an engine's speed: server id, start of the server, logarithms of
+ * the times for reading and writing in thousandths, their weights, longest pause, age.
+ */
+const encodedSpeed = zod.tuple([
+  name,
+  zod.number(),
+  zod.number(),
+  zod.number(),
+  zod.number().nonnegative(),
+  zod.number().nonnegative(),
+  zod.number().nonnegative(),
+  zod.number().nonnegative(),
+]);
 
 const heartbeat = zod.object({
   kind: zod.literal(DatagramKind.Heartbeat),
@@ -88,7 +91,7 @@
   /** Services whose servers have rejected requests lately; absent as above. */
   overloads: zod.array(overload).max(64).readonly().default([]),
   /** The engines whose speed the sender observed last; absent as above. */
-  engineSpeeds: zod.array(engineSpeed).max(64).readonly().default([]).catch([]),
+  engineSpeeds: zod.array(encodedSpeed).max(64).readonly().default([]).catch([]),
 });
 
 const record = zod.tuple([name, count, bytes.nullable()]);
@@ -220,6 +223,8 @@
 export type Crashes = zod.infer<typeof crashes>;
 /** A request or prompt part that may make servers crash, as encoded in a message. */
 export type EncodedSuspect = zod.infer<typeof encodedSuspect>;
+/** An engine's speed in a message. */
+export type EncodedSpeed = zod.infer<typeof encodedSpeed>;
 /** A waiting generation in a message. */
 export type EncodedWaiting = zod.infer<typeof encodedWaiting>;
 
--- a/src/sharedView/_lib/testMesh/index.ts
+++ b/src/sharedView/_lib/testMesh/index.ts
@@ -57,6 +57,10 @@
   readonly suspects: crashes.SuspectReport[] = [];
   /** What its peers have told it. */
   readonly receivedSuspects: crashes.SuspectReport[] = [];
+  /** What this VM has observed of engines' speeds, which its heartbeats contain. */
+  readonly speeds: dispatch.SpeedStatement[] = [];
+  /** What its peers have observed, with their names. */
+  readonly receivedSpeeds: (readonly [string, dispatch.SpeedStatement])[] = [];
   readonly mesh: sharedView.PeerMesh;
   /** Topics of which a peer reported a higher end offset, with the peer's name. */
   readonly behindReports: string[] = [];
@@ -103,8 +107,8 @@
       onOverload: () => undefined,
       listRateStatements: () => [],
       onRateStatement: () => undefined,
-      listEngineSpeeds: () => [],
-      onEngineSpeed: () => undefined,
+      listEngineSpeeds: () => this.speeds,
+      onEngineSpeed: (vmName, statement) => void this.receivedSpeeds.push([vmName, statement]),
       listSuspects: () => this.suspects,
       onSuspects: (reports) => this.receivedSuspects.push(...reports),
     });
--- a/src/sharedView/peerMesh/index.ts
+++ b/src/sharedView/peerMesh/index.ts
@@ -211,9 +211,7 @@
       this.context.log.record(Importance.StateChange, LogEvent.PeerUp, fields);
       this.sendHeartbeat(peer);
     }
-    message.rateStatements.forEach(this.context.onRateStatement);
-    message.overloads.forEach(this.context.onOverload);
-    for (const speed of message.engineSpeeds) this.context.onEngineSpeed(peer.vmName, speed);
+    heartbeats.applyLearned(message, this.context);
     const { clock, self } = this.context;
     const echo = ownEchoes.readOwnEcho(message, self.startedAtWallMs, clock);
     for (const reported of topicStateCodec.decodeTopicStates(message))
