Merge the speeds of engines, the cost of distance and the handover of leaving engines

Conflicts: heartbeats carry loads of plain servers and speeds of engines side by side, both through serverReports; the test of the configuration's decoder has the fields of cold servers and of links.

--- a/src/dispatch/claimTable/index.ts
+++ b/src/dispatch/claimTable/index.ts
@@ -6,6 +6,7 @@
 const EMPTY_LOAD: types.EngineLoad = {
   committedTokens: 0,
   usedTokens: 0,
+  incomingTokens: 0,
   backlogTokens: 0,
   runningCount: 0,
   overdueCount: 0,
@@ -85,12 +86,17 @@
     return serverId === undefined ? undefined : this.claimsByServer.get(serverId)?.get(key);
   }
 
-  /** Sums the claims on an engine; all values are 0 where there are none. */
-  computeLoad(serverId: string): types.EngineLoad {
+  /**
+   * Sums the claims on an engine; all values are 0 where there are none.
+   *
+   * @param slownessRatio - time that the engine takes to read prompts, as a multiple of the typical
+   */
+  computeLoad(serverId: string, slownessRatio = 1): types.EngineLoad {
     const claims = this.claimsByServer.get(serverId);
     if (claims === undefined || claims.size === 0) return EMPTY_LOAD;
     let committedTokens = 0;
     let usedTokens = 0;
+    let incomingTokens = 0;
     let runningCount = 0;
     let overdueCount = 0;
     const overdueSinceMs = this.clock.nowMs() - constants.FIRST_EVENT_OVERDUE_MS;
@@ -98,6 +104,8 @@
       committedTokens += computeCommittedTokens(claim);
       usedTokens += claim.promptTokens + claim.producedTokens;
       if (claim.role === types.ClaimRole.Backup) continue;
+      if (claim.role === types.ClaimRole.Migration)
+        incomingTokens += claim.promptTokens + claim.producedTokens;
       runningCount += 1;
       if (
         claim.role === types.ClaimRole.Run &&
@@ -106,8 +114,9 @@
       )
         overdueCount += 1;
     }
-    const backlogTokens = this.computeBacklogTokens(claims);
-    return { committedTokens, usedTokens, runningCount, overdueCount, backlogTokens };
+    const backlogTokens = this.computeBacklogTokens(claims, slownessRatio);
+    const memory = { committedTokens, usedTokens, incomingTokens };
+    return { ...memory, runningCount, overdueCount, backlogTokens };
   }
 
   /** Recent rate at which claims of all VMs released memory, in tokens per millisecond. */
@@ -116,7 +125,10 @@
   }
 
   /** Prompt tokens left to prefill, less an estimate of those prefilled since the oldest claim. */
-  private computeBacklogTokens(claims: ReadonlyMap<string, types.TimedClaim>): number {
+  private computeBacklogTokens(
+    claims: ReadonlyMap<string, types.TimedClaim>,
+    slownessRatio: number,
+  ): number {
     let unreadTokens = 0;
     let oldestMs = Infinity;
     for (const claim of claims.values()) {
@@ -126,7 +138,8 @@
       oldestMs = Math.min(oldestMs, claim.sinceMs);
     }
     if (unreadTokens === 0) return 0;
-    const prefilledTokens = (this.clock.nowMs() - oldestMs) * constants.PREFILL_TOKENS_PER_MS;
+    const tokensPerMs = constants.PREFILL_TOKENS_PER_MS / slownessRatio;
+    const prefilledTokens = (this.clock.nowMs() - oldestMs) * tokensPerMs;
     return Math.max(0, unreadTokens - prefilledTokens);
   }
 
--- a/src/dispatch/constants.ts
+++ b/src/dispatch/constants.ts
@@ -45,13 +45,23 @@
 export const FAILURE_COST_MS = 4_000;
 
 /**
- * Cost of leaving the data centre, as a share of a run's expected duration. A partition between
- * data centres stalls the streams that cross it, and callers leave after some seconds. For a run of
- * 9 s the cost is 0.7 s, which leaves half of its objective of 1.8 s.
+ * Cost of leaving the data centre while no cut has been seen, as a share of a run's expected
+ * duration. A cut stalls the streams that cross it, and callers leave after some seconds. A lost
+ * stream costs as much as a first event that is late by its objective of 1.8 s, so that the share
+ * is this time multiplied by the cuts expected in a time: one in three minutes.
  */
-export const OTHER_DATA_CENTRE_COST_RATIO = 0.08;
+export const CUT_RISK_RATIO = 0.01;
 
-/** Fixed part of the cost of leaving the data centre, which applies to the shortest runs too. */
+/** The same right after a cut, which is often followed by another: one in 20 s. */
+export const RECENT_CUT_RISK_RATIO = 0.08;
+
+/** Half-life of the risk that a cut is followed by another. */
+export const CUT_RISK_HALF_LIFE_MS = 60_000;
+
+/**
+ * Fixed part of the cost of leaving the data centre, which applies to the shortest runs too: some
+ * round trips between data centres, and the operators' price of the bytes.
+ */
 export const OTHER_DATA_CENTRE_COST_MS = 40;
 
 /** Typical time of one output token on a shared engine; a decoding step takes at least 7 ms. */
@@ -90,11 +100,22 @@
 export const RELEASE_RATE_HALF_LIFE_MS = 5_000;
 
 /**
- * Tokens of memory that an engine transfers in a millisecond between data centres. The platform's
- * example states 24 Gbit/s and 160 KB a token, half that speed between data centres; a tenth is
- * deducted for the time that the orders to the engines take.
+ * Tokens of memory that an engine transfers in a millisecond if its service does not state it: about
+ * 24 Gbit/s and 160 KB a token.
  */
-export const CROSS_DATA_CENTRE_TOKENS_PER_MS = 8;
+export const DEFAULT_TRANSFER_TOKENS_PER_MS = 18;
+
+/** Share of a link's speed that is left beside the orders to the engines. */
+export const TRANSFER_EFFICIENCY = 0.9;
+
+/** Transfers between data centres take this many times as long as within one. */
+export const CROSS_TRANSFER_RATIO = 2;
+
+/** Shortest time between an engine's termination notice and its end. */
+export const MIN_NOTICE_MS = 1_500;
+
+/** A run that is expected to end within this time stays on its leaving engine. */
+export const MIN_MIGRATION_REMAINING_MS = 500;
 
 /** Lower bound of the time of a server's fastest answers: what the network takes. */
 export const MIN_CALL_TIME_MS = 1;
@@ -125,3 +146,47 @@
 
 /** Share of the time that a caller gives which is left to it for a retry of its own. */
 export const CALLER_TIME_RATIO = 0.5;
+/**
+ * Half-life of observations of an engine's speed: several times the length of disturbances by other
+ * work on its hardware, and a fraction of the lifetime of engines that are reclaimed often.
+ */
+export const SPEED_HALF_LIFE_MS = 5_000;
+
+/** Interval at which the speeds of a service's engines are computed from the observations. */
+export const SPEED_REFRESH_INTERVAL_MS = 100;
+
+/** Observations older than this are removed. */
+export const SPEED_RETENTION_MS = 20_000;
+
+/** Weight of the assumption that an engine is typical, as duration of observations. */
+export const SPEED_PRIOR_WEIGHT_MS = 2_000;
+
+/** Duration of observations above which an engine counts for the typical speed of its service. */
+export const MIN_SPEED_WEIGHT_MS = 500;
+
+/** Logarithm of the ratio to the typical speed below which an engine counts as typical: 1.2. */
+export const SPEED_DEAD_BAND_LOG = Math.log(1.2);
+
+/** Bound on the logarithm of one observation of an engine's speed, and of a peer's mean. */
+export const MAX_SPEED_LOG = Math.log(8);
+
+/** Most engines in one message to the peers, so that it fits a datagram. */
+export const MAX_SHARED_SPEEDS_COUNT = 6;
+
+/** Time that each run adds to a decoding step, as a share of the shortest step. */
+export const STEP_GROWTH_RATIO = 0.017;
+
+/** Half-life of the longest pause: several disturbances of an engine are as far apart. */
+export const PAUSE_HALF_LIFE_MS = 15_000;
+
+/** Observed pauses below which no pauses are expected of any engine. */
+export const MIN_PAUSES_COUNT = 4;
+
+/**
+ * Cost of an engine whose streams would pause for longer than their route allows: an objective of
+ * the first event, which is missed just as well.
+ */
+export const LONG_PAUSES_COST_MS = 1_500;
+
+/** Duration of a run that meets a disturbance of its engine; shorter runs do so more rarely. */
+export const DISTURBED_RUN_MS = 5_000;
--- a/src/dispatch/types.ts
+++ b/src/dispatch/types.ts
@@ -39,6 +39,8 @@
   readonly committedTokens: number;
   /** Memory that they use now, from the output tokens known so far. */
   readonly usedTokens: number;
+  /** Memory that runs transfer to it while they migrate. */
+  readonly incomingTokens: number;
   /** Prompt tokens that the engine prefills before a new prompt. */
   readonly backlogTokens: number;
   /** Runs, including those that are migrating to the engine, without backups. */
@@ -68,6 +70,8 @@
   readonly serverId: string;
   readonly dataCentre: string;
   readonly memoryTokens: number;
+  /** Tokens of memory that its link transfers in a millisecond within the data centre. */
+  readonly transferTokensPerMs: number;
   /** Limit of concurrent runs. */
   readonly slotsCount: number;
   /** Time for which the engine is still slow after its start. */
@@ -76,8 +80,14 @@
   readonly failureRatio: number;
   /** Whether a network partition to its data centre is suspected. */
   readonly isPartitioned: boolean;
-  /** Observed time to the first event divided by the expected time. */
+  /** Cost of a stream from its data centre to another, as a share of the stream's duration. */
+  readonly cutRiskRatio: number;
+  /** Time for reading a prompt, as a multiple of that of a typical engine. */
   readonly slownessRatio: number;
+  /** Time for writing output, as a multiple of that of a typical engine. */
+  readonly writingRatio: number;
+  /** Runs with which its streams' pauses stay within the routes' bound; Infinity if unknown. */
+  readonly smoothRunsCount: number;
 }
 
 /** State of a plain server that server selection takes into account. */
--- a/src/gateway/_lib/createMesh/index.ts
+++ b/src/gateway/_lib/createMesh/index.ts
@@ -50,6 +50,8 @@
     onLoad: (statement) => loads.recordPeerStatement(statement),
     listRateStatements: () => backpressure.listOwnStatements(),
     onRateStatement: (statement) => backpressure.recordPeerStatement(statement),
+    listEngineSpeeds: () => getDispatcher().speeds.listOwnStatements(),
+    onEngineSpeed: (vm, statement) => getDispatcher().speeds.recordPeerStatement(vm, statement),
     listSuspects: () => crashMonitor.listReports(),
     onSuspects: (reports) => crashMonitor.applyReports(reports),
   });
--- a/src/gateway/_lib/virtualFleet/index.ts
+++ b/src/gateway/_lib/virtualFleet/index.ts
@@ -126,6 +126,8 @@
       onLoad: () => undefined,
       listRateStatements: () => [],
       onRateStatement: () => undefined,
+      listEngineSpeeds: () => [],
+      onEngineSpeed: () => undefined,
       listSuspects: () => [],
       onSuspects: () => undefined,
     });
--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -121,6 +121,7 @@
       fleetQueue: this.fleetQueue,
       broadcast: this.mesh.work,
       engineTraits: (name) => this.view.routingTable?.servicesByName.get(name)?.engine ?? null,
+      targetGapMs: (name) => this.view.routingTable?.targetGapMsByService.get(name) ?? null,
     });
     const { directory, mesh, view } = this;
     this.readers = createReaders.createReaders({ ports, directory, mesh, view });
@@ -265,5 +266,6 @@
     this.coldLimits.retain(serverIds);
     this.reportColdServers();
     this.loads.retain(serverIds);
+    this.dispatcher.speeds.retain(serverIds);
   }
 }
--- a/src/relay/_lib/findPeerTarget/index.ts
+++ b/src/relay/_lib/findPeerTarget/index.ts
@@ -1,5 +1,6 @@
 import type * as servers from "../../../servers/index.js";
 import type * as relayContext from "../../relayContext.js";
+import type * as types from "../../types.js";
 
 /**
  * Finds the server at which an unanswered call may be repeated through a peer: one that has received it
@@ -7,7 +8,7 @@
  */
 export function findPeerTarget(
   { backpressure, directory }: Pick<relayContext.RelayContext, "backpressure" | "directory">,
-  serviceName: string,
+  { serviceName }: Pick<types.Call, "serviceName">,
   receivedIds: ReadonlySet<string>,
 ): servers.KnownServer | undefined {
   return directory
--- a/src/relay/_lib/placeRun/index.ts
+++ b/src/relay/_lib/placeRun/index.ts
@@ -88,7 +88,10 @@
   if (outcome.kind === engineStreams.OpenKind.Withheld) return outcome;
   const elapsedMs = clock.nowMs() - startedAtMs;
   if (outcome.kind === engineStreams.OpenKind.Open) {
-    context.dispatcher.recordFirstEvent(server.id, placement.expectedFirstEventMs, elapsedMs);
+    if (server.coldRemainingMs === 0) {
+      const { speeds } = context.dispatcher;
+      speeds.recordFirstEvent(server, placement.nominalFirstEventMs, elapsedMs);
+    }
   }
   if (scope.signal.aborted) return outcome;
   const verdict = verdictOf(outcome);
@@ -125,6 +128,8 @@
     expectedFirstEventMs: Math.round(placement.expectedFirstEventMs),
     committedTokens: Math.round(load.committedTokens),
     runningCount: load.runningCount,
+    writingRatio: Number(context.dispatcher.speedOf(entry).writingRatio.toFixed(2)),
+    isRemote: entry.dataCentre !== context.dataCentre,
     candidatesCount: placement.candidatesCount,
     queuedCount: placement.queuedCount,
     ...(call.route.isResumable ? { lastEventId, streamKey: streamKeyOf(call) } : {}),
--- a/src/relay/_lib/plainCall/index.ts
+++ b/src/relay/_lib/plainCall/index.ts
@@ -280,10 +280,8 @@
    */
   private sendThroughPeer(): void {
     const { backpressure, connector } = this.context;
-    const isUnanswered = !this.ending.isSettled && this.progress.pendingCount > 0;
-    if (!isUnanswered || !connector.mayBeSilent) return;
-    const { serviceName } = this.call;
-    const server = peerTargets.findPeerTarget(this.context, serviceName, this.possiblyRanIds);
+    if (this.ending.isSettled || !connector.mayBeSilent) return;
+    const server = peerTargets.findPeerTarget(this.context, this.call, this.possiblyRanIds);
     if (server === undefined) return;
     if (!consumeRetries.consumeRetry(this.context, this.call)) return;
     backpressure.reserve(server.entry);
--- a/src/relay/_lib/runClaims/index.ts
+++ b/src/relay/_lib/runClaims/index.ts
@@ -1,7 +1,9 @@
 import * as dispatch from "../../../dispatch/index.js";
 import type * as servers from "../../../servers/index.js";
+import * as constants from "../../constants.js";
 import type * as relayContext from "../../relayContext.js";
 import type * as types from "../../types.js";
+import type * as streamTimings from "../streamTiming/index.js";
 
 const { ClaimRole } = dispatch;
 
@@ -64,15 +66,27 @@
     return dispatch.estimateRemainingOutput(this.expectedOutputTokens, producedTokens);
   }
 
+  /** Estimates how long an engine takes for the rest of the run's output. */
+  estimateRemainingMs(server: servers.ServerEntry, lastEventId: number): number {
+    const { writingRatio } = this.context.dispatcher.speedOf(server);
+    return this.estimateTokensLeft(lastEventId) * dispatch.TOKEN_TIME_MS * writingRatio;
+  }
+
   /** Selects an engine for the backup of a run on another engine; null if none has capacity. */
   selectBackup(runServerId: string, lastEventId: number): servers.KnownServer | null {
-    if (!this.canBackUp) return null;
+    if (!this.canBackUp || this.isShortAndResumable(lastEventId)) return null;
     const need = this.createContinuationNeed(lastEventId);
     const candidates = this.context.dispatcher.listCandidates(this.call.serviceName, new Set());
     const engine = dispatch.selectBackupEngine(need, candidates, runServerId);
     return (engine && this.context.directory.find(engine.serverId)) ?? null;
   }
 
+  /** Whether a run costs less to repeat than the memory of its backup, which longer runs need. */
+  private isShortAndResumable(lastEventId: number): boolean {
+    const remainingMs = this.estimateTokensLeft(lastEventId) * dispatch.TOKEN_TIME_MS;
+    return this.call.route.isResumable && remainingMs < constants.MIN_HANDOVER_REMAINING_MS;
+  }
+
   /** Claims memory for the run's backup. */
   claimBackup(server: servers.KnownServer, lastEventId: number): void {
     this.backupServer = server;
@@ -98,6 +112,21 @@
     this.context.dispatcher.recordProgress(this.call.head.id, lastEventId * this.tokensPerEvent);
   }
 
+  /** Updates the learned speed of an engine from some events that it wrote. */
+  recordWriting(
+    server: servers.ServerEntry,
+    { eventsCount, elapsedMs, maxGapMs }: streamTimings.EventWindow,
+  ): void {
+    if (server.coldRemainingMs > 0) return;
+    const { dispatcher } = this.context;
+    dispatcher.speeds.recordWriting(server, {
+      tokensCount: eventsCount * this.tokensPerEvent,
+      elapsedMs,
+      maxGapMs,
+      runningCount: dispatcher.loadOf(server.id).runningCount,
+    });
+  }
+
   /** Updates the learned output lengths from a complete output. */
   recordOutputLength(eventsCount: number): void {
     const { hintedOutputTokens } = this.generation;
--- a/src/relay/constants.ts
+++ b/src/relay/constants.ts
@@ -1,14 +1,6 @@
 /** Interval of queue scans while generations wait; short compared with an objective of 1.5 s. */
 export const QUEUE_SCAN_INTERVAL_MS = 20;
 
-/** Weight of the newest sample in the moving average of an engine's slowness ratio. */
-export const SLOWNESS_WEIGHT = 0.25;
-
-/** Lower bound on one sample of an engine's slowness ratio, so that no outlier dominates it. */
-export const MIN_SLOWNESS_RATIO = 0.5;
-/** Upper bound on one sample, so that an outlier does not exclude the engine. */
-export const MAX_SLOWNESS_RATIO = 8;
-
 /** Largest answer of a plain server; answers are buffered until they are complete. */
 export const MAX_ANSWER_BYTES = 8 * 1024 * 1024;
 
@@ -83,6 +75,12 @@
  */
 export const MIN_HANDOVER_REMAINING_MS = 500;
 
+/**
+ * Time after which a run that is still on its leaving engine is handed over again, as it produced
+ * more than expected or the engine did not know it yet.
+ */
+export const HANDOVER_RECHECK_INTERVAL_MS = 200;
+
 /** Longest time for which a run may execute on two engines; the platform's limit is 400 ms. */
 export const MAX_OVERLAP_MS = 250;
 
--- a/src/relay/engineDispatcher/index.ts
+++ b/src/relay/engineDispatcher/index.ts
@@ -4,7 +4,6 @@
 import type * as routing from "../../routing/index.js";
 import * as servers from "../../servers/index.js";
 import * as createClaims from "../_lib/createClaim/index.js";
-import * as engineSlowness from "../_lib/engineSlowness/index.js";
 import * as constants from "../constants.js";
 import type * as types from "./types.js";
 
@@ -22,11 +21,16 @@
  * VM keeps a view of the fleet's whole queue and allocates capacity in its order.
  */
 export class EngineDispatcher implements Disposable {
+  /** Speeds of engines that this VM and its peers have observed. */
+  readonly speeds: dispatch.EngineSpeeds;
+  private readonly cutRisk: dispatch.CutRisk;
   private readonly waiting = new Set<LocalWaitingGeneration>();
-  private readonly slowness = new engineSlowness.EngineSlowness();
   private scanTimer: Disposable | null = null;
 
-  constructor(private readonly context: types.DispatcherContext) {}
+  constructor(private readonly context: types.DispatcherContext) {
+    this.speeds = new dispatch.EngineSpeeds(context.clock);
+    this.cutRisk = new dispatch.CutRisk(context.clock);
+  }
 
   /** Number of generations that wait for capacity at this VM. */
   get waitingCount(): number {
@@ -85,16 +89,9 @@
     return this.context.claims.computeLoad(serverId);
   }
 
-  /** Lists the runs of an engine that have produced their first event and have no backup. */
+  /** Lists the runs of an engine that have to migrate when it leaves. */
   listRunsToMigrate(serverId: string): readonly dispatch.MigratingRun[] {
-    const { claims } = this.context;
-    return claims
-      .listByServer(serverId)
-      .filter(({ role, hasFirstEvent }) => role === dispatch.ClaimRole.Run && hasFirstEvent)
-      .filter(({ requestId }) => claims.find(requestId, dispatch.ClaimRole.Backup) === undefined)
-      .map(({ requestId, promptTokens, producedTokens }) => {
-        return { requestId, usedTokens: promptTokens + producedTokens };
-      });
+    return dispatch.listMigratingRuns(this.context.claims, serverId);
   }
 
   /** Finds a claim of this VM or another one. */
@@ -122,9 +119,11 @@
     this.requestScan();
   }
 
-  /** Updates an engine's slowness ratio from its time to a first event, in milliseconds. */
-  recordFirstEvent(serverId: string, expectedMs: number, observedMs: number): void {
-    this.slowness.recordFirstEvent(serverId, expectedMs, observedMs);
+  /** Returns how an engine's speed differs from the typical one of its service. */
+  speedOf({ id, serviceName }: servers.ServerEntry): dispatch.EngineSpeed {
+    const known = this.context.directory.listAll().map(({ entry }) => entry);
+    const engines = known.filter((entry) => entry.serviceName === serviceName);
+    return this.speeds.compare(serviceName, engines).get(id) ?? dispatch.TYPICAL_SPEED;
   }
 
   /**
@@ -202,12 +201,14 @@
     const server = this.context.directory.find(engine.serverId);
     // One scan may allocate several generations to an engine that takes only one at a time.
     if (server === undefined || !this.isUsable(server.entry)) return;
+    const typicalEngine = { ...engine, slownessRatio: 1 };
     this.context.backpressure.reserve(server.entry);
     this.setClaim(createClaims.createClaim(request, engine.serverId, this.context.vmName));
     waiting.settle(
       neverthrow.ok({
         server,
         expectedFirstEventMs: dispatch.estimateFirstEvent(request.need, engine),
+        nominalFirstEventMs: dispatch.estimateFirstEvent(request.need, typicalEngine),
         waitedMs: this.context.clock.nowMs() - waiting.enqueuedAtMs,
         candidatesCount: queueState.candidates.length,
         queuedCount: queueState.queuedCount,
@@ -260,16 +261,24 @@
     traits: routing.EngineTraits,
   ): dispatch.EngineCandidate {
     const { entry } = server;
+    const speed = this.speedOf(entry);
+    const isPartitioned = this.context.trust.isPartitionSuspected(entry.dataCentre);
+    this.cutRisk.record(entry.dataCentre, isPartitioned);
+    const targetGapMs = this.context.targetGapMs?.(entry.serviceName) ?? null;
     return {
-      ...this.context.claims.computeLoad(entry.id),
+      ...this.context.claims.computeLoad(entry.id, speed.readingRatio),
       serverId: entry.id,
       dataCentre: entry.dataCentre,
       memoryTokens: traits.memoryTokens,
+      transferTokensPerMs: dispatch.estimateTransferRate(traits.transferTokensPerMs),
       slotsCount: entry.slotsCount,
       coldRemainingMs: servers.coldRemainingMs(server, this.context.clock.nowMs()),
       failureRatio: this.context.trust.failureRatio(entry.id),
-      isPartitioned: this.context.trust.isPartitionSuspected(entry.dataCentre),
-      slownessRatio: this.slowness.ratioOf(entry.id),
+      isPartitioned,
+      cutRiskRatio: this.cutRisk.ratioOf(entry.dataCentre),
+      slownessRatio: speed.readingRatio,
+      writingRatio: speed.writingRatio,
+      smoothRunsCount: dispatch.countSmoothRuns(speed, targetGapMs),
     };
   }
 
--- a/src/routing/types.ts
+++ b/src/routing/types.ts
@@ -50,6 +50,8 @@
   readonly tokensPerEvent: number;
   /** Whether an engine can transfer the memory of a run to another engine. */
   readonly canMoveRuns: boolean;
+  /** Tokens of memory that an engine's link transfers in a millisecond; absent if not stated. */
+  readonly transferTokensPerMs?: number;
   /** Whether an engine can keep a backup of a run's memory on a second engine up to date. */
   readonly canBackUpRuns: boolean;
 }
@@ -105,6 +107,8 @@
   /** Routes of each host, longest path prefix first. */
   readonly routesByHost: ReadonlyMap<string, readonly Route[]>;
   readonly servicesByName: ReadonlyMap<string, Service>;
+  /** The shortest of the pauses that the routes to a service allow, by name; absent if none is set. */
+  readonly targetGapMsByService: ReadonlyMap<string, number>;
   /** Accounts by API key. */
   readonly accountsByKey: ReadonlyMap<string, Account>;
 }
--- a/src/sharedView/_lib/createHeartbeat/index.ts
+++ b/src/sharedView/_lib/createHeartbeat/index.ts
@@ -14,7 +14,10 @@
   readonly linkState: serverLinks.LinkState;
   readonly isHub: boolean;
   readonly replicaOf: (topic: types.Topic) => topicReplicas.TopicReplica;
-  readonly reports: Pick<datagrams.Heartbeat, "rateStatements" | "overloads" | "loads">;
+  readonly reports: Pick<
+    datagrams.Heartbeat,
+    "rateStatements" | "overloads" | "loads" | "engineSpeeds"
+  >;
 }
 
 /** Creates a heartbeat for one peer. */
--- a/src/sharedView/_lib/datagrams/index.ts
+++ b/src/sharedView/_lib/datagrams/index.ts
@@ -52,6 +52,21 @@
   zod.number().nonnegative().nullable(),
 ]);
 
+/**
+ * What the sender has observed of an engine's speed: server id, start of the server, logarithms of
+ * the times for reading and writing in thousandths, their weights, longest pause, age.
+ */
+const encodedSpeed = zod.tuple([
+  name,
+  zod.number(),
+  zod.number(),
+  zod.number(),
+  zod.number().nonnegative(),
+  zod.number().nonnegative(),
+  zod.number().nonnegative(),
+  zod.number().nonnegative(),
+]);
+
 const heartbeat = zod.object({
   kind: zod.literal(DatagramKind.Heartbeat),
   vmName: name,
@@ -85,6 +100,8 @@
   overloads: zod.array(overload).max(64).readonly().default([]),
   /** Loads of plain servers; absent as above. */
   loads: zod.array(encodedLoad).max(64).readonly().default([]),
+  /** The engines whose speed the sender observed last; absent as above. */
+  engineSpeeds: zod.array(encodedSpeed).max(64).readonly().default([]).catch([]),
 });
 
 const record = zod.tuple([name, count, bytes.nullable()]);
@@ -216,6 +233,8 @@
 export type Crashes = zod.infer<typeof crashes>;
 /** A request or prompt part that may make servers crash, as encoded in a message. */
 export type EncodedSuspect = zod.infer<typeof encodedSuspect>;
+/** An engine's speed in a message. */
+export type EncodedSpeed = zod.infer<typeof encodedSpeed>;
 /** A waiting generation in a message. */
 export type EncodedWaiting = zod.infer<typeof encodedWaiting>;
 
--- a/src/sharedView/peerMesh/test.ts
+++ b/src/sharedView/peerMesh/test.ts
@@ -223,6 +223,7 @@
       rateStatements: [],
       overloads: [],
       loads: [],
+      engineSpeeds: [],
     });
     await clock.runForMs(100);
     restarted.confirm(5);
