Move the division by demand to the shared library

Cause: the gateway's decisions need max-min fairness too, and src/accounts keeps it private. Change: divideByDemand stands in src/_lib; the daemon's share ledger imports it from there.

--- a/src/accounts/_lib/shareLedger/index.ts
+++ b/src/accounts/_lib/shareLedger/index.ts
@@ -1,6 +1,6 @@
 import type * as types from "../../types.js";
 import * as accountShare from "../accountShare/index.js";
-import * as divideByDemand from "../divideByDemand/index.js";
+import * as divideByDemand from "../../../_lib/divideByDemand/index.js";
 
 /** A VM's report of its demand, sent when it requests its share. */
 export interface Demand {
