Name the account and the priority of claims and waiting generations

Cause: VMs see each other's claims and queues, but not whose they are, so that no share can be told. Change: optional lists beside the encoded tuples, in the same order; earlier releases accept no longer tuples and pass over what they do not know. What they send has no accounts.

--- a/src/dispatch/types.ts
+++ b/src/dispatch/types.ts
@@ -23,6 +23,16 @@
   readonly expectedOutputTokens: number;
   readonly producedTokens: number;
   readonly hasFirstEvent: boolean;
+  /** Absent in what a VM of an earlier release claims. */
+  readonly origin?: WorkOrigin;
+}
+
+/** Whose work a generation is. */
+export interface WorkOrigin {
+  /** Name of the client account; null for anonymous callers. */
+  readonly accountName: string | null;
+  /** 0 is the most urgent; negative for continuations of streams. */
+  readonly priority: number;
 }
 
 /** A claim with the local times at which this VM first and last received it. */
@@ -108,6 +118,8 @@
   readonly objectiveAtWallMs: number;
   /** Servers that refused the generation or could not be reached. */
   readonly avoidedIds: ReadonlySet<string>;
+  /** Name of the client account; null for anonymous callers, absent if an earlier release announces it. */
+  readonly accountName?: string | null;
 }
 
 /** A waiting generation with its VM and service, as announced to the other VMs. */
--- a/src/relay/_lib/createClaim/index.ts
+++ b/src/relay/_lib/createClaim/index.ts
@@ -17,5 +17,13 @@
     expectedOutputTokens: request.need.expectedOutputTokens,
     producedTokens: request.need.producedTokens,
     hasFirstEvent: request.need.unreadTokens === 0,
+    ...createOrigin(request),
   };
 }
+
+function createOrigin({
+  accountName,
+  priority,
+}: dispatcherTypes.PlacementRequest): Pick<dispatch.Claim, "origin"> {
+  return accountName === undefined ? {} : { origin: { accountName, priority } };
+}
--- a/src/relay/_lib/placeRun/index.ts
+++ b/src/relay/_lib/placeRun/index.ts
@@ -51,6 +51,7 @@
     ...terms,
     requestId: call.head.id,
     serviceName: call.serviceName,
+    accountName: call.account?.name ?? null,
     need: claims.createInitialNeed(lastEventId),
     role: dispatch.ClaimRole.Run,
     avoidedIds: new Set(avoidedIds),
--- a/src/relay/_lib/runClaims/index.ts
+++ b/src/relay/_lib/runClaims/index.ts
@@ -2,6 +2,7 @@
 import type * as servers from "../../../servers/index.js";
 import type * as relayContext from "../../relayContext.js";
 import type * as types from "../../types.js";
+import * as placeRuns from "../placeRun/index.js";
 
 const { ClaimRole } = dispatch;
 
@@ -137,6 +138,10 @@
       vmName: this.context.vmName,
       serverId,
       hasFirstEvent,
+      origin: {
+        accountName: this.call.account?.name ?? null,
+        priority: placeRuns.priorityOf(this.call),
+      },
     });
   }
 }
--- a/src/relay/engineDispatcher/types.ts
+++ b/src/relay/engineDispatcher/types.ts
@@ -12,6 +12,8 @@
   /** Purpose of the claim. */
   readonly role: dispatch.ClaimRole.Run | dispatch.ClaimRole.Migration;
   readonly priority: number;
+  /** Name of the client account; null for anonymous callers, absent for migrations. */
+  readonly accountName?: string | null;
   /** Expected duration of the run; its placement must leave this time before the deadline. */
   readonly expectedRunMs: number;
   /** When the objective for the first event ends, on this VM's monotonic clock. */
--- a/src/sharedView/_lib/claimCodec/index.ts
+++ b/src/sharedView/_lib/claimCodec/index.ts
@@ -20,8 +20,32 @@
   ];
 }
 
-/** Decodes a claim from a datagram of the given VM. */
-export function decodeClaim(vmName: string, encoded: datagrams.EncodedClaim): dispatch.Claim {
+/** Encodes whose work claims are; absent if it is not known of any of them. */
+export function encodeOrigins(
+  claims: readonly dispatch.Claim[],
+): Pick<datagrams.Claims, "origins"> {
+  if (claims.every(({ origin }) => origin === undefined)) return {};
+  const accounts = claims.map(({ origin }) => origin?.accountName ?? null);
+  return {
+    origins: { accounts, priorities: claims.map(({ origin }) => origin?.priority ?? null) },
+  };
+}
+
+/** Decodes the claims of a datagram. */
+export function decodeClaims({
+  vmName,
+  put,
+  origins,
+}: datagrams.Claims): readonly dispatch.Claim[] {
+  return put.map((encoded, index) => {
+    const claim = decodeClaim(vmName, encoded);
+    const priority = origins?.priorities[index] ?? null;
+    if (priority === null) return claim;
+    return { ...claim, origin: { accountName: origins?.accounts[index] ?? null, priority } };
+  });
+}
+
+function decodeClaim(vmName: string, encoded: datagrams.EncodedClaim): dispatch.Claim {
   const [requestId, role, serverId, unreadTokens, promptTokens, ...rest] = encoded;
   const [expectedOutputTokens, producedTokens, hasFirstEvent] = rest;
   return {
--- a/src/sharedView/_lib/datagrams/index.ts
+++ b/src/sharedView/_lib/datagrams/index.ts
@@ -91,6 +91,20 @@
   records: zod.array(record),
 });
 
+/** Most claims or waiting generations whose accounts a message names. */
+const MAX_ENTRIES_COUNT = 1_000;
+
+/** Accounts and priorities beside a list of claims: earlier releases accept no longer claims. */
+const origins = zod
+  .object({
+    /** Names; null for anonymous callers or where it is not known whose work it is. */
+    accounts: zod.array(name.nullable()).max(MAX_ENTRIES_COUNT),
+    /** Null where it is not known whose work it is. */
+    priorities: zod.array(zod.number().nullable()).max(MAX_ENTRIES_COUNT),
+  })
+  .optional()
+  .catch(undefined);
+
 /** Index of a claim's role in the list of the claim codec. */
 const roleIndex = count.max(2);
 
@@ -119,6 +133,8 @@
   /** Claims that were made or changed, or all claims in a summary. */
   put: zod.array(encodedClaim),
   released: zod.array(releasedClaim),
+  /** Whose work each of `put` is, in the same order; absent in messages of earlier releases. */
+  origins,
 });
 
 /**
@@ -147,6 +163,8 @@
   put: zod.array(encodedWaiting),
   /** Request ids of generations that no longer wait there. */
   removedIds: zod.array(name),
+  /** Account of each of `put`, in the same order; null for anonymous callers; absent as above. */
+  accounts: zod.array(name.nullable()).max(MAX_ENTRIES_COUNT).optional().catch(undefined),
 });
 
 /** Encoded work updates of one or more VMs, as their senders encoded them. */
--- a/src/sharedView/_lib/waitingCodec/index.ts
+++ b/src/sharedView/_lib/waitingCodec/index.ts
@@ -17,11 +17,30 @@
   ];
 }
 
-/** Decodes a waiting generation from a datagram of the given VM. */
-export function decodeWaiting(
-  vmName: string,
-  encoded: datagrams.EncodedWaiting,
-): dispatch.FleetWaiting {
+/** Encodes the accounts of waiting generations; absent if one of them is not known. */
+export function encodeAccounts(
+  waiting: readonly dispatch.FleetWaiting[],
+): Pick<datagrams.Waiting, "accounts"> {
+  const accounts = waiting.flatMap(({ accountName }) =>
+    accountName === undefined ? [] : [accountName],
+  );
+  return waiting.length > 0 && accounts.length === waiting.length ? { accounts } : {};
+}
+
+/** Decodes the waiting generations of a datagram. */
+export function decodeAllWaiting({
+  vmName,
+  put,
+  accounts,
+}: datagrams.Waiting): readonly dispatch.FleetWaiting[] {
+  return put.map((encoded, index) => {
+    const waiting = decodeWaiting(vmName, encoded);
+    const accountName = accounts?.[index];
+    return accountName === undefined ? waiting : { ...waiting, accountName };
+  });
+}
+
+function decodeWaiting(vmName: string, encoded: datagrams.EncodedWaiting): dispatch.FleetWaiting {
   const [requestId, serviceName, dataCentre, priority, ...rest] = encoded;
   const [enqueuedAtWallMs, objectiveAtWallMs, ...tokens] = rest;
   const [unreadTokens, promptTokens, expectedOutputTokens, producedTokens] = tokens;
--- a/src/sharedView/_lib/workExchange/index.ts
+++ b/src/sharedView/_lib/workExchange/index.ts
@@ -52,21 +52,21 @@
   }
 
   /** Applies claims that a peer has made or released. */
-  onClaims({ vmName, put, released }: datagrams.Claims): void {
+  onClaims(message: datagrams.Claims): void {
     const { claims } = this.context;
-    for (const encoded of put) claims.put(claimCodec.decodeClaim(vmName, encoded));
-    for (const [requestId, role] of released) {
+    for (const claim of claimCodec.decodeClaims(message)) claims.put(claim);
+    for (const [requestId, role] of message.released) {
       claims.release(requestId, claimCodec.decodeRole(role));
     }
     this.context.onWorkChange();
   }
 
   /** Applies a peer's update of the generations that wait at it. */
-  onWaiting({ vmName, put, removedIds }: datagrams.Waiting): void {
+  onWaiting(message: datagrams.Waiting): void {
     const { fleetQueue } = this.context;
-    for (const encoded of put) fleetQueue.put(waitingCodec.decodeWaiting(vmName, encoded));
-    for (const requestId of removedIds) fleetQueue.remove(requestId);
-    if (removedIds.length > 0) this.context.onWorkChange();
+    for (const waiting of waitingCodec.decodeAllWaiting(message)) fleetQueue.put(waiting);
+    for (const requestId of message.removedIds) fleetQueue.remove(requestId);
+    if (message.removedIds.length > 0) this.context.onWorkChange();
   }
 
   /** Removes the claims and the waiting generations of a VM that left, failed or restarted. */
@@ -79,18 +79,16 @@
     const { vmName, startedAtWallMs } = this.context.self;
     const kind = DatagramKind.Claims;
     const encoded = put.map(claimCodec.encodeClaim);
-    this.broadcast(
-      datagrams.encodeDatagram({ kind, vmName, startedAtWallMs, put: encoded, released }),
-    );
+    const message = { kind, vmName, startedAtWallMs, put: encoded, released } as const;
+    this.broadcast(datagrams.encodeDatagram({ ...message, ...claimCodec.encodeOrigins(put) }));
   }
 
   private sendWaiting(put: readonly dispatch.FleetWaiting[], removedIds: string[]): void {
     const { vmName, startedAtWallMs } = this.context.self;
     const kind = DatagramKind.Waiting;
     const encoded = put.map(waitingCodec.encodeWaiting);
-    this.broadcast(
-      datagrams.encodeDatagram({ kind, vmName, startedAtWallMs, put: encoded, removedIds }),
-    );
+    const message = { kind, vmName, startedAtWallMs, put: encoded, removedIds } as const;
+    this.broadcast(datagrams.encodeDatagram({ ...message, ...waitingCodec.encodeAccounts(put) }));
   }
 }
 
