Serve accounts within their shares first when generations do not fit

Change: with several accounts waiting for memory that does not suffice, what is within an account's max-min share goes first, then by priority, then the account that uses least; kinds of work and one large generation have a floor. Otherwise the order is as before. The dispatcher's entries and the scan of the queue have their own files.

--- a/src/dispatch/claimTable/index.ts
+++ b/src/dispatch/claimTable/index.ts
@@ -73,6 +73,16 @@
       .filter((claim) => claim.vmName === vmName);
   }
 
+  /** The runs' claims of all VMs on some engines, without backups and migrations. */
+  listRuns(serverIds: Iterable<string>): readonly types.TimedClaim[] {
+    const claims: types.TimedClaim[] = [];
+    for (const serverId of serverIds) {
+      for (const claim of this.claimsByServer.get(serverId)?.values() ?? [])
+        if (claim.role === types.ClaimRole.Run) claims.push(claim);
+    }
+    return claims;
+  }
+
   /** The claims of all VMs on one engine. */
   listByServer(serverId: string): readonly types.TimedClaim[] {
     return [...(this.claimsByServer.get(serverId)?.values() ?? [])];
--- a/src/dispatch/constants.ts
+++ b/src/dispatch/constants.ts
@@ -98,3 +98,12 @@
 
 /** Cost of a plain server in another data centre, as added time to the call. */
 export const OTHER_DATA_CENTRE_CALL_COST_MS = 2;
+
+/**
+ * Share of the engines' memory that all kinds of work together, by priority, are owed before the order of
+ * priorities applies. It is divided evenly among the kinds that wait.
+ */
+export const KINDS_FLOOR_RATIO = 0.2;
+
+/** Memory of a generation, relative to the mean of those that wait, from which it counts as large. */
+export const LARGE_NEED_RATIO = 2;
--- a/src/dispatch/index.ts
+++ b/src/dispatch/index.ts
@@ -1,5 +1,6 @@
 export * from "./allocateCapacity/index.js";
 export * from "./claimTable/index.js";
+export * from "./computeAccountShares/index.js";
 export { TOKEN_TIME_MS } from "./constants.js";
 export * from "./decideAdmission/index.js";
 export * from "./estimateFirstEvent/index.js";
@@ -7,6 +8,7 @@
 export * from "./estimateCapacityWait/index.js";
 export * from "./migrationOrder/index.js";
 export * from "./outputLengths/index.js";
+export * from "./orderByShares/index.js";
 export * from "./orderWaiting/index.js";
 export * from "./selectReachableEngines/index.js";
 export * from "./selectBackupEngine/index.js";
--- a/src/relay/engineDispatcher/index.ts
+++ b/src/relay/engineDispatcher/index.ts
@@ -5,24 +5,19 @@
 import type * as servers from "../../servers/index.js";
 import * as createClaims from "../_lib/createClaim/index.js";
 import * as engineSlowness from "../_lib/engineSlowness/index.js";
+import * as localWaitings from "../_lib/localWaiting/index.js";
+import * as scanQueues from "../_lib/scanQueue/index.js";
 import * as constants from "../constants.js";
 import type * as types from "./types.js";
 
 export type * from "./types.js";
 
-interface LocalWaitingGeneration extends dispatch.FleetWaiting {
-  readonly request: types.PlacementRequest;
-  /** On this VM's monotonic clock. */
-  readonly enqueuedAtMs: number;
-  readonly settle: (result: neverthrow.Result<types.Placement, types.PlacementRefusal>) => void;
-}
-
 /**
  * Claims engines for this VM's generations, and queues those for which no engine has capacity. Each
  * VM keeps a view of the fleet's whole queue and allocates capacity in its order.
  */
 export class EngineDispatcher implements Disposable {
-  private readonly waiting = new Set<LocalWaitingGeneration>();
+  private readonly waiting = new Set<localWaitings.LocalWaitingGeneration>();
   private readonly slowness = new engineSlowness.EngineSlowness();
   private scanTimer: Disposable | null = null;
 
@@ -43,7 +38,7 @@
     request: types.PlacementRequest,
   ): Promise<neverthrow.Result<types.Placement, types.PlacementRefusal>> {
     return new Promise((resolve) => {
-      const waiting = this.createWaiting(request, (result) => {
+      const waiting = localWaitings.createLocalWaiting(request, this.context, (result) => {
         this.waiting.delete(waiting);
         request.signal.removeEventListener("abort", onAborted);
         if (isAnnounced) this.context.broadcast.announceWaitingEnd(request.requestId);
@@ -149,54 +144,21 @@
     }
   }
 
-  private createWaiting(
-    request: types.PlacementRequest,
-    settle: LocalWaitingGeneration["settle"],
-  ): LocalWaitingGeneration {
-    const { clock, vmName } = this.context;
-    const nowMs = clock.nowMs();
-    const nowWallMs = clock.wallTimeMs();
-    return {
-      request,
-      requestId: request.requestId,
-      vmName,
-      serviceName: request.serviceName,
-      priority: request.priority,
-      need: request.need,
-      avoidedIds: request.avoidedIds,
-      enqueuedAtMs: nowMs,
-      enqueuedAtWallMs: nowWallMs,
-      objectiveAtWallMs: nowWallMs + request.objectiveAtMs - nowMs,
-      settle,
-    };
-  }
-
   private scanService(serviceName: string): void {
-    const { fleetQueue, clock } = this.context;
-    const nowWallMs = clock.wallTimeMs();
-    const others = fleetQueue.listByService(serviceName);
     const local = [...this.waiting].filter((waiting) => waiting.serviceName === serviceName);
-    const ordered = dispatch.orderWaiting([...local, ...others], nowWallMs);
     const candidates = this.listCandidates(serviceName, new Set());
-    // Generations behind the last one of this VM do not affect its own allocations.
-    const lastLocalIndex = ordered.findLastIndex(({ vmName }) => vmName === this.context.vmName);
-    const relevant = ordered.slice(0, lastLocalIndex + 1);
-    const allocated = dispatch.allocateCapacity(relevant, candidates, nowWallMs);
-    for (const other of others) fleetQueue.recordAllocation(other.requestId, allocated.has(other));
+    const queue = scanQueues.scanQueue(this.context, serviceName, local, candidates);
     for (const waiting of local) {
-      const engine = allocated.get(waiting);
-      if (engine === undefined) this.refuseIfUnsatisfiable(waiting, ordered, candidates);
-      else this.placeOn(waiting, engine, { candidates, queuedCount: ordered.length });
+      const engine = queue.allocated.get(waiting);
+      if (engine === undefined) this.refuseIfUnsatisfiable(waiting, queue);
+      else this.placeOn(waiting, engine, queue);
     }
   }
 
   private placeOn(
-    waiting: LocalWaitingGeneration,
+    waiting: localWaitings.LocalWaitingGeneration,
     engine: dispatch.EngineCandidate,
-    queueState: {
-      readonly candidates: readonly dispatch.EngineCandidate[];
-      readonly queuedCount: number;
-    },
+    { candidates, ordered }: scanQueues.ScannedQueue,
   ): void {
     const { request } = waiting;
     const server = this.context.directory.find(engine.serverId);
@@ -209,16 +171,15 @@
         server,
         expectedFirstEventMs: dispatch.estimateFirstEvent(request.need, engine),
         waitedMs: this.context.clock.nowMs() - waiting.enqueuedAtMs,
-        candidatesCount: queueState.candidates.length,
-        queuedCount: queueState.queuedCount,
+        candidatesCount: candidates.length,
+        queuedCount: ordered.length,
       }),
     );
   }
 
   private refuseIfUnsatisfiable(
-    waiting: LocalWaitingGeneration,
-    ordered: readonly dispatch.WaitingGeneration[],
-    candidates: readonly dispatch.EngineCandidate[],
+    waiting: localWaitings.LocalWaitingGeneration,
+    { ordered, candidates }: scanQueues.ScannedQueue,
   ): void {
     const { request } = waiting;
     const usable = candidates.filter(({ serverId }) => !request.avoidedIds.has(serverId));
@@ -234,7 +195,7 @@
   }
 
   private estimateWaitMs(
-    waiting: LocalWaitingGeneration,
+    waiting: dispatch.FleetWaiting,
     ordered: readonly dispatch.WaitingGeneration[],
     candidates: readonly dispatch.EngineCandidate[],
   ): number {
--- a/src/relay/engineDispatcher/test.ts
+++ b/src/relay/engineDispatcher/test.ts
@@ -65,13 +65,14 @@
     });
   }
 
-  async place(requestId: string): Promise<void> {
+  async place(requestId: string, accountName: string | null = null): Promise<void> {
     const placed = await this.dispatcher.place({
       requestId,
       serviceName: fixtures.SERVICE_NAME,
       need: NEED,
       role: dispatch.ClaimRole.Run,
       priority: 1,
+      accountName,
       expectedRunMs: 9_000,
       objectiveAtMs: this.fleet.clock.nowMs() + 1_800,
       deadlineAtMs: this.fleet.clock.nowMs() + 39_000,
@@ -198,3 +199,26 @@
   );
   t.equal(fleet.vms[2]!.placedServerIds.length, 0);
 });
+
+tap.test(
+  "all VMs place an account within its share before one that floods, once room is released",
+  async (t) => {
+    using fleet = new Fleet(12);
+    fleet.announce(fixtures.createServerEntry("full", 1));
+    for (let index = 0; index < RUNS_PER_ENGINE_COUNT; index += 1) {
+      void fleet.vms[0]!.place(`running-${index}`, "flood");
+    }
+    await fleet.clock.runForMs(10);
+    for (const vm of fleet.vms) void vm.place(`flood of ${vm.name}`, "flood");
+    await fleet.clock.runForMs(100);
+    void fleet.vms[11]!.place("small", "small");
+    await fleet.clock.runForMs(30);
+    fleet.vms[0]!.dispatcher.releaseClaim("running-0", dispatch.ClaimRole.Run);
+    await fleet.clock.runForMs(30);
+    t.same(
+      fleet.vms.map((vm) => vm.placedServerIds.length),
+      fleet.vms.map((_, index) => [RUNS_PER_ENGINE_COUNT, 1][[0, 11].indexOf(index)] ?? 0),
+      "the last VM, where the small account waits, has the released room",
+    );
+  },
+);
