Refuse a generation that cannot end in time before it takes memory that others wait for

Cause: a generation to which capacity was allocated was placed however little time was left, so that it held memory in vain; a refusal told neither the wait nor the account's share. Change: with others waiting for memory that does not suffice, a run that cannot end in its caller's time even on an engine that writes at full speed is refused; alone it is placed. Decisions on waits stand apart from the dispatcher. Refusals are logged with wait, queue, account, share and use; gauges show accounts beyond their shares and those that wait, at most 20 of each.

--- a/src/diagnostics/meters/index.ts
+++ b/src/diagnostics/meters/index.ts
@@ -3,6 +3,15 @@
 /** Bucket bounds of the latency histograms; they cover the objectives of 0.1 to 1.8 s. */
 const LATENCY_BUCKETS_S = [0.01, 0.03, 0.06, 0.12, 0.25, 0.5, 1, 1.5, 1.8, 2.5, 5, 10, 20, 40];
 
+/** Most accounts that one gauge shows. */
+const MAX_ACCOUNT_LABELS_COUNT = 20;
+
+/** A value of one account. */
+export interface AccountValue {
+  readonly account: string;
+  readonly value: number;
+}
+
 /** The metrics of the process, exported in the Prometheus text format. */
 export class Meters {
   private readonly registry = new promClient.Registry();
@@ -61,6 +70,24 @@
     });
   }
 
+  /**
+   * Registers a gauge with a value for each account that is listed when the metrics are fetched; at most
+   * `MAX_ACCOUNT_LABELS_COUNT` of them, so that the metrics stay small.
+   */
+  accountGauge(name: string, help: string, read: () => readonly AccountValue[]): void {
+    new promClient.Gauge({
+      name: `chiveferry_${name}`,
+      help,
+      labelNames: ["account"],
+      registers: [this.registry],
+      collect() {
+        this.reset();
+        for (const { account, value } of read().slice(0, MAX_ACCOUNT_LABELS_COUNT))
+          this.set({ account }, value);
+      },
+    });
+  }
+
   /** Returns all metrics in the Prometheus text format. */
   text(): Promise<string> {
     return this.registry.metrics();
--- a/src/dispatch/constants.ts
+++ b/src/dispatch/constants.ts
@@ -119,3 +119,6 @@
 
 /** Time after which a VM's report of its demand no longer counts: a few intervals of reports. */
 export const CALL_DEMAND_RETENTION_MS = 1_500;
+
+/** Duration of a run on an engine that writes as fast as it can, relative to the expected duration. */
+export const FASTEST_RUN_RATIO = 7 / TOKEN_TIME_MS;
--- a/src/dispatch/decideAdmission/index.ts
+++ b/src/dispatch/decideAdmission/index.ts
@@ -26,6 +26,18 @@
   return neededMs <= request.timeLeftMs ? Admission.Wait : Admission.Refuse;
 }
 
+/**
+ * Whether a generation that has waited for capacity may still end in time, if its engine writes as fast as
+ * engines do at most. One that cannot would hold memory in vain that others wait for. The load that it
+ * answers is a queue that is longer than the callers' time.
+ */
+export function canEndInTime({
+  expectedRunMs,
+  timeLeftMs,
+}: Omit<AdmissionInput, "expectedWaitMs">): boolean {
+  return constants.FASTEST_RUN_RATIO * expectedRunMs <= timeLeftMs;
+}
+
 /**
  * Time in milliseconds after which a refused caller should retry: the bounded expected wait, plus a
  * random delay of up to the same length, so that callers refused together do not retry together.
--- a/src/gateway/_lib/registerGauges/index.ts
+++ b/src/gateway/_lib/registerGauges/index.ts
@@ -12,6 +12,7 @@
   readonly dispatcher: relay.EngineDispatcher;
   readonly fleetQueue: dispatch.FleetQueue;
   readonly crashMonitor: crashes.CrashMonitor;
+  readonly callGate: relay.CallGate;
   readonly activeCallsCount: () => number;
 }
 
@@ -28,6 +29,7 @@
   meters.gauge("blamed_suspects", "What ends servers and is kept from them.", () => {
     return crashMonitor.blamedCount;
   });
+  registerShareGauges(meters, sources);
   meters.gauge("live_vms", "VMs that are up, this one included.", () => mesh.liveVmsCount);
   meters.gauge("configuration_age_seconds", "Age of the configuration in force.", () => {
     return view.configurationAgeMs / 1_000;
@@ -41,3 +43,51 @@
     });
   }
 }
+
+type AccountValues = Parameters<diagnostics.Meters["accountGauge"]>[2];
+
+/** Gauges of the accounts beyond their shares, and of those below that want more. */
+function registerShareGauges(
+  meters: diagnostics.Meters,
+  { dispatcher, callGate }: GaugeSources,
+): void {
+  const listShares =
+    (read: (share: dispatch.AccountShare) => number): AccountValues =>
+    () =>
+      [...dispatcher.accountShares]
+        .filter(([, { shareTokens, usedTokens, queuedTokens }]) => {
+          return usedTokens > shareTokens || queuedTokens > 0;
+        })
+        .map(([name, share]) => ({ account: name ?? "", value: read(share) }));
+  const listCallShares =
+    (read: (share: dispatch.CallShare) => number): AccountValues =>
+    () =>
+      [...callGate.sharesByService.values()]
+        .flatMap((shares) => [...shares])
+        .map(([name, share]) => ({ account: name ?? "", value: read(share) }));
+  meters.accountGauge(
+    "account_share_tokens",
+    "Engine memory that an account may use.",
+    listShares(({ shareTokens }) => shareTokens),
+  );
+  meters.accountGauge(
+    "account_used_tokens",
+    "Engine memory that an account uses.",
+    listShares(({ usedTokens }) => usedTokens),
+  );
+  meters.accountGauge(
+    "account_queued_tokens",
+    "Engine memory that an account waits for.",
+    listShares(({ queuedTokens }) => queuedTokens),
+  );
+  meters.accountGauge(
+    "account_share_calls",
+    "Plain calls a second that are taken of an account beyond its share.",
+    listCallShares(({ sharePerSecond }) => sharePerSecond),
+  );
+  meters.accountGauge(
+    "account_demand_calls",
+    "Plain calls a second that an account beyond its share sends.",
+    listCallShares(({ demandPerSecond }) => demandPerSecond),
+  );
+}
--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -172,6 +172,7 @@
       view: this.view,
       mesh: this.mesh,
       dispatcher: this.dispatcher,
+      callGate: this.callGate,
       fleetQueue: this.fleetQueue,
       crashMonitor: this.crashMonitor,
       activeCallsCount: () => this.activeCallsCount,
--- a/src/relay/_lib/localWaiting/index.ts
+++ b/src/relay/_lib/localWaiting/index.ts
@@ -1,4 +1,4 @@
-import * as neverthrow from "neverthrow";
+import type * as neverthrow from "neverthrow";
 
 import type * as clocks from "../../../_lib/clock/index.js";
 import type * as dispatch from "../../../dispatch/index.js";
@@ -39,10 +39,3 @@
     settle,
   };
 }
-
-/** Creates the result of a placement that was refused. */
-export function createPlacementRefusal(
-  refusal: types.PlacementRefusal,
-): neverthrow.Result<never, types.PlacementRefusal> {
-  return neverthrow.err(refusal);
-}
--- a/src/relay/_lib/startRun/index.ts
+++ b/src/relay/_lib/startRun/index.ts
@@ -166,7 +166,21 @@
     return;
   }
   const retryAfterMs = dispatch.computeRetryAfterMs(refusal.expectedWaitMs, context.random);
-  refuse(context, call, sink, refusals.createRefusal(reason, retryAfterMs));
+  const { expectedWaitMs, queuedCount, share } = refusal;
+  refuse(context, call, sink, refusals.createRefusal(reason, retryAfterMs), {
+    expectedWaitMs: Math.round(Math.min(constants.MAX_LOGGED_WAIT_MS, expectedWaitMs)),
+    queuedCount,
+    ...(share === undefined ? {} : describeShare(call, share)),
+  });
+}
+
+function describeShare(call: types.Call, share: dispatch.AccountShare): diagnostics.LogFields {
+  return {
+    account: call.account?.name,
+    shareTokens: Math.round(share.shareTokens),
+    usedTokens: Math.round(share.usedTokens),
+    queuedTokens: Math.round(share.queuedTokens),
+  };
 }
 
 function answerTimeout(
@@ -203,7 +217,8 @@
   call: types.Call,
   sink: callSink.CallSink,
   refusal: types.Refusal,
+  details: diagnostics.LogFields = {},
 ): void {
   const { waitingCount } = context.dispatcher;
-  answerRefusals.answerRefusal(context, call, sink, refusal, { waitingCount });
+  answerRefusals.answerRefusal(context, call, sink, refusal, { waitingCount, ...details });
 }
--- a/src/relay/callGate/index.ts
+++ b/src/relay/callGate/index.ts
@@ -90,7 +90,12 @@
 
   /** The accounts beyond their shares, by service. */
   get sharesByService(): ReadonlyMap<string, ReadonlyMap<string | null, dispatch.CallShare>> {
-    return new Map([...this.services].map(([name, { shares }]) => [name, shares]));
+    const oldestMs = this.context.clock.nowMs() - constants.CALL_SHARES_RETENTION_MS;
+    return new Map(
+      [...this.services]
+        .filter(([, { computedAtMs }]) => computedAtMs >= oldestMs)
+        .map(([name, { shares }]) => [name, shares]),
+    );
   }
 
   private updateState(serviceName: string): ServiceState {
--- a/src/relay/constants.ts
+++ b/src/relay/constants.ts
@@ -104,6 +104,9 @@
 /** Interval at which the shares of the accounts that call a service are computed again. */
 export const CALL_SHARES_INTERVAL_MS = 50;
 
+/** Time after which the shares of a service without calls are no longer shown. */
+export const CALL_SHARES_RETENTION_MS = 2_000;
+
 /** Interval at which a VM tells the others its demand for a service that is short of room. */
 export const CALL_DEMAND_INTERVAL_MS = 250;
 
@@ -116,3 +119,6 @@
  * have recovered, are in use again within seconds.
  */
 export const TAKEN_GROWTH_PER_SQUARE_SECOND = 0.5;
+
+/** Longest expected wait that is logged; it is infinite where no memory is being released. */
+export const MAX_LOGGED_WAIT_MS = 1e9;
--- a/src/relay/engineDispatcher/index.ts
+++ b/src/relay/engineDispatcher/index.ts
@@ -4,6 +4,7 @@
 import type * as routing from "../../routing/index.js";
 import type * as servers from "../../servers/index.js";
 import * as createClaims from "../_lib/createClaim/index.js";
+import * as decideWaits from "../_lib/decideWait/index.js";
 import * as engineSlowness from "../_lib/engineSlowness/index.js";
 import * as localWaitings from "../_lib/localWaiting/index.js";
 import * as scanQueues from "../_lib/scanQueue/index.js";
@@ -19,6 +20,7 @@
 export class EngineDispatcher implements Disposable {
   private readonly waiting = new Set<localWaitings.LocalWaitingGeneration>();
   private readonly slowness = new engineSlowness.EngineSlowness();
+  private readonly sharesByService = new Map<string, dispatch.AccountShares | null>();
   private scanTimer: Disposable | null = null;
 
   constructor(private readonly context: types.DispatcherContext) {}
@@ -28,6 +30,12 @@
     return this.waiting.size;
   }
 
+  /** Shares of the accounts that compete for the engines' memory, as of the last scan of a queue. */
+  get accountShares(): dispatch.AccountShares {
+    if (this.waiting.size === 0) return new Map();
+    return new Map([...this.sharesByService.values()].flatMap((shares) => [...(shares ?? [])]));
+  }
+
   /** Generations that wait for capacity at this VM. */
   get localWaiting(): readonly dispatch.FleetWaiting[] {
     return [...this.waiting];
@@ -148,10 +156,17 @@
     const local = [...this.waiting].filter((waiting) => waiting.serviceName === serviceName);
     const candidates = this.listCandidates(serviceName, new Set());
     const queue = scanQueues.scanQueue(this.context, serviceName, local, candidates);
+    this.sharesByService.set(serviceName, queue.shares);
+    const releaseTokensPerMs = this.context.claims.estimateReleaseRate();
+    const waitContext = { nowMs: this.context.clock.nowMs(), releaseTokensPerMs };
     for (const waiting of local) {
       const engine = queue.allocated.get(waiting);
-      if (engine === undefined) this.refuseIfUnsatisfiable(waiting, queue);
-      else this.placeOn(waiting, engine, queue);
+      const refusal =
+        engine === undefined
+          ? decideWaits.refuseUnsatisfiable(waiting, queue, waitContext)
+          : decideWaits.refuseTooLate(waiting, queue, waitContext);
+      if (refusal !== null) waiting.settle(neverthrow.err(refusal));
+      else if (engine !== undefined) this.placeOn(waiting, engine, queue);
     }
   }
 
@@ -177,40 +192,6 @@
     );
   }
 
-  private refuseIfUnsatisfiable(
-    waiting: localWaitings.LocalWaitingGeneration,
-    { ordered, candidates }: scanQueues.ScannedQueue,
-  ): void {
-    const { request } = waiting;
-    const usable = candidates.filter(({ serverId }) => !request.avoidedIds.has(serverId));
-    const expectedWaitMs = this.estimateWaitMs(waiting, ordered, usable);
-    const admission = dispatch.decideAdmission({
-      expectedWaitMs: Number.isFinite(expectedWaitMs) ? expectedWaitMs : 0,
-      expectedRunMs: request.expectedRunMs,
-      timeLeftMs: request.deadlineAtMs - this.context.clock.nowMs(),
-    });
-    if (admission === dispatch.Admission.Wait) return;
-    const kind = usable.length === 0 ? "no-server" : "no-room";
-    waiting.settle(createRefusal(kind, expectedWaitMs, ordered.length));
-  }
-
-  private estimateWaitMs(
-    waiting: dispatch.FleetWaiting,
-    ordered: readonly dispatch.WaitingGeneration[],
-    candidates: readonly dispatch.EngineCandidate[],
-  ): number {
-    const predecessors = ordered.slice(0, ordered.indexOf(waiting));
-    return dispatch.estimateCapacityWait({
-      aheadTokens: predecessors.reduce((sum, { need }) => sum + dispatch.estimateTokens(need), 0),
-      neededTokens: dispatch.estimateTokens(waiting.need),
-      freeTokens: candidates.reduce(
-        (sum, engine) => sum + Math.max(0, engine.memoryTokens - engine.committedTokens),
-        0,
-      ),
-      releaseTokensPerMs: this.context.claims.estimateReleaseRate(),
-    });
-  }
-
   private createCandidate(
     { entry }: servers.KnownServer,
     traits: routing.EngineTraits,
--- a/src/relay/engineDispatcher/types.ts
+++ b/src/relay/engineDispatcher/types.ts
@@ -43,6 +43,8 @@
   readonly kind: "no-server" | "no-room" | "caller-gone";
   readonly expectedWaitMs: number;
   readonly queuedCount: number;
+  /** Share and use of its account; absent unless accounts compete for memory that does not suffice. */
+  readonly share?: dispatch.AccountShare;
 }
 
 /** Dependencies of the dispatcher. */
