Forget refusals of plain calls after half a second, and play floods of an account in the soak

Cause: in the soak 33 of 50 calls of a small account were served: refusals at the start of a flood counted for seconds, as their rate decayed by half-lives, and kept what is let through at a third of the capacity. Change: rates are counted in windows (1 s, refusals 0.5 s); a service is short from one refused call of a hundred and then lets through 0.98 of what it serves.

--- a/experiments/soak/checks/index.ts
+++ b/experiments/soak/checks/index.ts
@@ -2,6 +2,9 @@
 import * as rateChecks from "../rateCheck/index.js";
 import type * as backendServers from "../../../standins/platform/backendServer/index.js";
 
+/** Part of the calls of an account within its share that have to be served beside a flood. */
+const MIN_SERVED_RATIO_OF_SHARE = 0.95;
+
 /** Falls of brittle servers that are allowed, besides a tenth of their number. */
 const MAX_FALLS_COUNT = 2;
 
@@ -139,6 +142,13 @@
     this.recordViolation("brittle servers are not overloaded until they end", detail);
   }
 
+  /** Checks how many calls of an account within its share were served while another one flooded. */
+  checkShare(servedCount: number, sentCount: number): void {
+    if (servedCount >= MIN_SERVED_RATIO_OF_SHARE * sentCount) return;
+    const detail = `${servedCount} of ${sentCount} calls`;
+    this.recordViolation("an account within its share is served beside a flood", detail);
+  }
+
   /** Checks the events of a stream so far, over all requests by which its caller has resumed it. */
   recordResumedStream(
     id: string,
--- a/experiments/soak/faults/index.ts
+++ b/experiments/soak/faults/index.ts
@@ -1,6 +1,7 @@
 import type * as randoms from "../../../src/_lib/random/index.js";
 import * as backendServers from "../../../standins/platform/backendServer/index.js";
 import * as platformLogStores from "../../../standins/platform/logStore/index.js";
+import * as accountFloods from "../accountFlood/index.js";
 import * as crashCauses from "../crashCauses/index.js";
 import type * as soakFleets from "../soakFleet/index.js";
 
@@ -83,6 +84,7 @@
     ),
   "request crashes servers": (fleet, random) =>
     fleet.makeCrashingCalls(crashCauses.CrashKind.Request, random, 7_000 + 2_000 * random.next()),
+  "account floods": (fleet, random) => accountFloods.floodAccount(fleet, random),
   "servers brittle": async (fleet, random) => {
     await fleet.makePlainServersBrittle(6_000 + 4_000 * random.next());
   },
--- a/experiments/soak/main.ts
+++ b/experiments/soak/main.ts
@@ -105,6 +105,7 @@
   while (Date.now() < endsAtMs) {
     const [name, inject] = faults.drawOne(candidates, random);
     injectedFaults.push(name);
+    if (name !== "account floods") fleet.disturbancesCount += 1;
     await inject(fleet, random);
     await pause(400 * random.next());
   }
--- a/experiments/soak/soakFleet/index.ts
+++ b/experiments/soak/soakFleet/index.ts
@@ -1,10 +1,12 @@
 import type * as http from "node:http";
+import * as timers from "node:timers/promises";
 
 import type * as randoms from "../../../src/_lib/random/index.js";
 import * as backendServers from "../../../standins/platform/backendServer/index.js";
 import * as brittleBehaviours from "../../../standins/platform/brittleBehaviour/index.js";
 import * as gatewayFleets from "../../../standins/platform/gatewayFleet/index.js";
 import * as platformLogStores from "../../../standins/platform/logStore/index.js";
+import * as accountFloods from "../accountFlood/index.js";
 import * as callers from "../callers/index.js";
 import type * as checks from "../checks/index.js";
 import * as crashCauses from "../crashCauses/index.js";
@@ -20,8 +22,13 @@
 /** Time between a server's leave announcement and its removal. */
 const SERVER_DRAIN_MS = 2_500;
 
+/** Servers of each service. */
+const SERVERS_COUNT = 3;
+
 const EVENT_INTERVAL_MS = 25;
 
+const pause = timers.setTimeout;
+
 /** Time from the begin of work that makes a server crash until the crash, and until its replacement. */
 const CRASH_DELAY_MS = 50;
 const SERVER_DOWN_MS = 1_500;
@@ -47,12 +54,14 @@
   private serversCount = 0;
   private causesCount = 0;
   private isBrittle = false;
+  /** Faults injected so far other than floods of an account. */
+  disturbancesCount = 0;
   /** Recent copies of the store, the oldest first. */
   private readonly copies: platformLogStores.StoreCopy[] = [];
   private copyTimer: NodeJS.Timeout | null = null;
 
   constructor(
-    private readonly checker: checks.InvariantChecker,
+    readonly checker: checks.InvariantChecker,
     private readonly directory: string,
   ) {}
 
@@ -69,10 +78,8 @@
       if (this.copies.length > COPIES_COUNT) this.copies.shift();
     }, COPY_INTERVAL_MS);
     this.publishConfiguration();
-    for (const service of [PLAIN_SERVICE, PLAIN_SERVICE, PLAIN_SERVICE])
-      await this.addServer(service);
-    for (const service of [ENGINE_SERVICE, ENGINE_SERVICE, ENGINE_SERVICE])
-      await this.addServer(service);
+    for (const service of [PLAIN_SERVICE, ENGINE_SERVICE])
+      for (let count = 0; count < SERVERS_COUNT; count += 1) await this.addServer(service);
     for (let index = 0; index < vmsCount; index += 1) {
       const vm = new processes.GatewayProcess(index, this.store.port, this.directory, () =>
         this.checker.recordVmDisturbance(index),
@@ -84,7 +91,8 @@
 
   /** Publishes a new configuration version with the current API key. */
   publishConfiguration(): void {
-    this.platform.configure({ tenants: [{ name: "acme", api_keys: [this.apiKey] }] });
+    const others = accountFloods.ACCOUNT_KEYS.map((key) => ({ name: key, api_keys: [key] }));
+    this.platform.configure({ tenants: [{ name: "acme", api_keys: [this.apiKey] }, ...others] });
   }
 
   /** Replaces the API key by a new one in the configuration. */
@@ -112,7 +120,7 @@
     const isUnreadable = mode !== platformLogStores.StoreMode.LosesAnswers;
     if (isUnreadable) this.checker.recordStoreDisturbance();
     this.store.setMode(mode);
-    await new Promise((resolve) => setTimeout(resolve, durationMs));
+    await pause(durationMs);
     this.store.setMode(platformLogStores.StoreMode.Serves);
     if (isUnreadable) this.checker.recordStoreRecovery();
   }
@@ -289,7 +297,3 @@
 function countFalls(servers: readonly backendServers.BackendServer[]): number {
   return servers.reduce((sum, { overloadCrashesCount }) => sum + overloadCrashesCount, 0);
 }
-
-function pause(durationMs: number): Promise<void> {
-  return new Promise((resolve) => setTimeout(resolve, durationMs));
-}
--- a/src/dispatch/callDemandTable/index.ts
+++ b/src/dispatch/callDemandTable/index.ts
@@ -91,7 +91,7 @@
     if (known !== undefined) return known;
     const created: ServiceRates = {
       served: this.createRate(),
-      refused: this.createRate(),
+      refused: new movingRates.MovingRate(this.clock, constants.REFUSED_RATE_WINDOW_MS),
       byAccount: new Map(),
       peers: new Map(),
     };
@@ -100,6 +100,6 @@
   }
 
   private createRate(): movingRates.MovingRate {
-    return new movingRates.MovingRate(this.clock, constants.CALL_RATE_HALF_LIFE_MS);
+    return new movingRates.MovingRate(this.clock, constants.CALL_RATE_WINDOW_MS);
   }
 }
--- a/src/dispatch/constants.ts
+++ b/src/dispatch/constants.ts
@@ -108,8 +108,11 @@
 /** Memory of a generation, relative to the mean of those that wait, from which it counts as large. */
 export const LARGE_NEED_RATIO = 2;
 
-/** Half-life of the rates of plain calls; shares have to be in force within a second. */
-export const CALL_RATE_HALF_LIFE_MS = 700;
+/** Window of the rates of plain calls; shares have to be in force within a second. */
+export const CALL_RATE_WINDOW_MS = 1_000;
+
+/** Window of the calls that no server took: shorter, so that the end of a shortage is seen soon. */
+export const REFUSED_RATE_WINDOW_MS = 500;
 
 /** Rate below which an account's calls are no longer counted. */
 export const MIN_CALL_RATE_PER_SECOND = 0.01;
--- a/src/relay/callGate/index.ts
+++ b/src/relay/callGate/index.ts
@@ -115,7 +115,10 @@
     const calmSeconds = (nowMs - state.shortAtMs) / MS_PER_SECOND;
     const growth = constants.TAKEN_GROWTH_PER_SQUARE_SECOND * calmSeconds ** 2;
     state.shares = isDivisible
-      ? dispatch.computeCallShares(total, servedPerSecond * (1 + growth))
+      ? dispatch.computeCallShares(
+          total,
+          servedPerSecond * (1 - constants.SHORT_MARGIN_RATIO + growth),
+        )
       : new Map();
     return state;
   }
--- a/src/relay/constants.ts
+++ b/src/relay/constants.ts
@@ -93,7 +93,10 @@
 export const PLACE_CHECK_INTERVAL_MS = 10;
 
 /** Part of a service's calls that no server takes from which the service is short of room. */
-export const SHORT_REFUSED_RATIO = 0.02;
+export const SHORT_REFUSED_RATIO = 0.01;
+
+/** Part of what a service serves that is not given out while it is short, so that its servers recover. */
+export const SHORT_MARGIN_RATIO = 0.02;
 
 /** Time after which a service without such refusals is no longer short of room. */
 export const SHORT_RETENTION_MS = 10_000;
