Merge fair shares among accounts

Conflicts: a generation whose service is evacuated is refused in decideWait, where the dispatcher's decisions on waiting stand now; heartbeats, gauges and the gateway's composition carry both sides.

--- a/experiments/soak/soakFleet/index.ts
+++ b/experiments/soak/soakFleet/index.ts
@@ -6,6 +6,7 @@
 import * as brittleBehaviours from "../../../standins/platform/brittleBehaviour/index.js";
 import * as gatewayFleets from "../../../standins/platform/gatewayFleet/index.js";
 import * as platformLogStores from "../../../standins/platform/logStore/index.js";
+import * as accountFloods from "../accountFlood/index.js";
 import * as callers from "../callers/index.js";
 import type * as checks from "../checks/index.js";
 import * as coldReturns from "../coldReturn/index.js";
@@ -13,31 +14,12 @@
 import * as soakEvacuations from "../evacuations/index.js";
 import * as fallCounts from "../countFalls/index.js";
 import * as faults from "../faults/index.js";
+import * as constants from "../constants.js";
 import * as processes from "../processes/index.js";
 
 const { ENGINE_SERVICE, PLAIN_SERVICE } = gatewayFleets;
 
-/** Interval at which the store is copied, and the number of copies that are kept. */
-const COPY_INTERVAL_MS = 250;
-const COPIES_COUNT = 20;
-
-/** Time between a server's leave announcement and its removal. */
-const SERVER_DRAIN_MS = 2_500;
-
-const EVENT_INTERVAL_MS = 25;
-
-/** Time from the begin of work that makes a server crash until the crash, and until its replacement. */
-const CRASH_DELAY_MS = 50;
-const SERVER_DOWN_MS = 1_500;
-
-const CRASHING_CALL_INTERVAL_MS = 150;
-
-const BRITTLE_WORK: brittleBehaviours.BrittleOptions = {
-  slotsCount: 4,
-  workMs: 250,
-  downMs: 1_500,
-};
-const MAX_REJECTIONS_PER_SECOND = 5;
+const pause = timers.setTimeout;
 
 /**
  * The fleet of a soak test: gateway processes with in-process fakes of the store and the servers.
@@ -52,6 +34,8 @@
   private serversCount = 0;
   private causesCount = 0;
   private isBrittle = false;
+  /** Faults injected so far other than floods of an account. */
+  disturbancesCount = 0;
   /** Recent copies of the store, the oldest first. */
   private readonly copies: platformLogStores.StoreCopy[] = [];
   private copyTimer: NodeJS.Timeout | null = null;
@@ -74,11 +58,12 @@
     this.platform.engineServiceFields = coldReturns.ENGINE_SERVICE_FIELDS;
     this.copyTimer = setInterval(() => {
       this.copies.push(this.store.copy());
-      if (this.copies.length > COPIES_COUNT) this.copies.shift();
-    }, COPY_INTERVAL_MS);
+      if (this.copies.length > constants.COPIES_COUNT) this.copies.shift();
+    }, constants.COPY_INTERVAL_MS);
     this.publishConfiguration();
     for (const service of [PLAIN_SERVICE, ENGINE_SERVICE])
-      for (let count = 0; count < 3; count += 1) await this.addServer(service);
+      for (let count = 0; count < constants.SERVERS_COUNT; count += 1)
+        await this.addServer(service);
     for (let index = 0; index < vmsCount; index += 1) {
       const vm = new processes.GatewayProcess(index, this.store.port, this.directory, () =>
         this.checker.recordVmDisturbance(index),
@@ -90,7 +75,8 @@
 
   /** Publishes a new configuration version with the current API key. */
   publishConfiguration(): void {
-    this.platform.configure({ tenants: [{ name: "acme", api_keys: [this.apiKey] }] });
+    const others = accountFloods.ACCOUNT_KEYS.map((key) => ({ name: key, api_keys: [key] }));
+    this.platform.configure({ tenants: [{ name: "acme", api_keys: [this.apiKey] }, ...others] });
   }
 
   /** Replaces the API key by a new one in the configuration. */
@@ -121,7 +107,7 @@
     const isUnreadable = mode !== platformLogStores.StoreMode.LosesAnswers;
     if (isUnreadable) this.checker.recordStoreDisturbance();
     this.store.setMode(mode);
-    await timers.setTimeout(durationMs);
+    await pause(durationMs);
     this.store.setMode(platformLogStores.StoreMode.Serves);
     if (isUnreadable) this.checker.recordStoreRecovery();
   }
@@ -153,7 +139,7 @@
     setTimeout(() => {
       this.store.put("keyed.servers", leaving.id, null);
       void leaving[Symbol.asyncDispose]();
-    }, SERVER_DRAIN_MS);
+    }, constants.SERVER_DRAIN_MS);
     await this.addServer(service);
   }
 
@@ -170,7 +156,7 @@
     for (let index = 0; Date.now() < endsAtMs; index += 1) {
       const id = `${cause.name}-call-${index}`;
       void callers.makeCrashingCall(id, cause, this, random, this.checker);
-      await timers.setTimeout(CRASHING_CALL_INTERVAL_MS);
+      await timers.setTimeout(constants.CRASHING_CALL_INTERVAL_MS);
     }
   }
 
@@ -213,12 +199,12 @@
     this.isBrittle = true;
     const brittle = this.servers.filter(({ id }) => this.services.get(id) === PLAIN_SERVICE);
     const fallsBefore = fallCounts.countFalls(brittle);
-    const { slotsCount } = BRITTLE_WORK;
+    const { slotsCount } = constants.BRITTLE_WORK;
     for (const server of brittle) {
-      server.maxRejectionsPerSecond = MAX_REJECTIONS_PER_SECOND;
+      server.maxRejectionsPerSecond = constants.MAX_REJECTIONS_PER_SECOND;
       this.platform.register(server, PLAIN_SERVICE, "ready", slotsCount);
       const work = brittleBehaviours.createBrittleBehaviour(
-        BRITTLE_WORK,
+        constants.BRITTLE_WORK,
         (call) => `answer to ${call.id}`,
       );
       this.setFaultyBehaviour(server, work);
@@ -239,7 +225,7 @@
   }
 
   private normalBehaviourOf({ id }: backendServers.BackendServer): backendServers.Behaviour {
-    const script = { eventsCount: callers.STREAM_EVENTS_COUNT, gapMs: EVENT_INTERVAL_MS };
+    const script = { eventsCount: callers.STREAM_EVENTS_COUNT, gapMs: constants.EVENT_INTERVAL_MS };
     if (this.services.get(id) === ENGINE_SERVICE) return backendServers.stream(script);
     return (call, response, self) =>
       backendServers.answerCompletely(`answer to ${call.id}`)(call, response, self);
@@ -271,14 +257,14 @@
     }
     this.checker.recordExecution(server, call);
     const behaviour = isEngine
-      ? backendServers.crashAfterBegin(CRASH_DELAY_MS)
-      : backendServers.crashWithoutAnswer(CRASH_DELAY_MS);
+      ? backendServers.crashAfterBegin(constants.CRASH_DELAY_MS)
+      : backendServers.crashWithoutAnswer(constants.CRASH_DELAY_MS);
     await behaviour(call, response, server);
     const at = this.servers.indexOf(server);
     if (at < 0) return;
     this.servers.splice(at, 1);
     this.checker.crashes.recordCrash(causeName);
-    await timers.setTimeout(SERVER_DOWN_MS);
+    await timers.setTimeout(constants.SERVER_DOWN_MS);
     this.store.put("keyed.servers", server.id, null);
     await this.addServer(this.services.get(server.id) ?? PLAIN_SERVICE);
   }
--- a/src/dispatch/constants.ts
+++ b/src/dispatch/constants.ts
@@ -190,3 +190,29 @@
 
 /** Duration of a run that meets a disturbance of its engine; shorter runs do so more rarely. */
 export const DISTURBED_RUN_MS = 5_000;
+/**
+ * Share of the engines' memory that all kinds of work together, by priority, are owed before the order of
+ * priorities applies. It is divided evenly among the kinds that wait.
+ */
+export const KINDS_FLOOR_RATIO = 0.2;
+
+/** Memory of a generation, relative to the mean of those that wait, from which it counts as large. */
+export const LARGE_NEED_RATIO = 2;
+
+/** Window of the rates of plain calls; shares have to be in force within a second. */
+export const CALL_RATE_WINDOW_MS = 1_000;
+
+/** Window of the calls that no server took: shorter, so that the end of a shortage is seen soon. */
+export const REFUSED_RATE_WINDOW_MS = 500;
+
+/** Rate below which an account's calls are no longer counted. */
+export const MIN_CALL_RATE_PER_SECOND = 0.01;
+
+/** Most accounts of a service in a VM's report, so that it fits a datagram. */
+export const MAX_REPORTED_ACCOUNTS_COUNT = 16;
+
+/** Time after which a VM's report of its demand no longer counts: a few intervals of reports. */
+export const CALL_DEMAND_RETENTION_MS = 1_500;
+
+/** Duration of a run on an engine that writes as fast as it can, relative to the expected duration. */
+export const FASTEST_RUN_RATIO = 7 / TOKEN_TIME_MS;
--- a/src/dispatch/index.ts
+++ b/src/dispatch/index.ts
@@ -1,6 +1,9 @@
 export * from "./allocateCapacity/index.js";
 export * from "./claimTable/index.js";
 export * from "./compareSpeeds/index.js";
+export * from "./callDemandTable/index.js";
+export * from "./computeCallShares/index.js";
+export * from "./computeAccountShares/index.js";
 export { TOKEN_TIME_MS } from "./constants.js";
 export * from "./cutRisk/index.js";
 export * from "./decideAdmission/index.js";
@@ -10,6 +13,7 @@
 export * from "./estimateCapacityWait/index.js";
 export * from "./migrationOrder/index.js";
 export * from "./outputLengths/index.js";
+export * from "./orderByShares/index.js";
 export * from "./orderWaiting/index.js";
 export * from "./planRetry/index.js";
 export * from "./selectReachableEngines/index.js";
--- a/src/gateway/_lib/createCallerServer/index.ts
+++ b/src/gateway/_lib/createCallerServer/index.ts
@@ -14,6 +14,7 @@
 /** The parts of a VM that serve its callers. */
 export interface CallerServerParts {
   readonly backpressure: servers.ServerBackpressure;
+  readonly callGate: relay.CallGate;
   readonly crashMonitor: crashes.CrashMonitor;
   readonly directory: servers.ServerDirectory;
   readonly dispatcher: relay.EngineDispatcher;
@@ -33,7 +34,7 @@
 export function createCallerServer(
   settings: types.GatewaySettings,
   ports: types.GatewayPorts,
-  { links, mesh, resources, view, getTimeToStopMs, ...parts }: CallerServerParts,
+  { callGate, links, mesh, resources, view, getTimeToStopMs, ...parts }: CallerServerParts,
 ): callerServers.CallerServer {
   const { clock, log } = ports;
   const budget = new relay.RetryBudget(clock, settings.retryBudget, () => mesh.liveVmsCount);
@@ -53,7 +54,7 @@
     budget,
     onAnswerHead: answerObservers.observeAnswerHeads({ log, ...parts }),
   };
-  const plain = new relay.PlainRelay(context);
+  const plain = new relay.PlainRelay(context, callGate);
   const generations = resources.add(new relay.GenerationRelay(context));
   const relayPlain = plain.relay.bind(plain);
   return new callerServers.CallerServer({
--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -48,6 +48,7 @@
   private readonly fleetQueue: dispatch.FleetQueue;
   private readonly view: currentViews.CurrentView;
   private readonly mesh: sharedView.PeerMesh;
+  private readonly callGate: relay.CallGate;
   private readonly dispatcher: relay.EngineDispatcher;
   private readonly callerServer: callerServers.CallerServer;
   private readonly discovery: vmDiscoveries.VmDiscovery;
@@ -106,9 +107,15 @@
     this.mesh = createMeshes.createMesh(settings, ports, {
       ...parts,
       view: this.view,
+      getCallGate: () => this.callGate,
       getDispatcher: () => this.dispatcher,
       reachesStore: () => this.readers.every((reader) => reader.reachesStore),
     });
+    this.callGate = new relay.CallGate({
+      clock,
+      random,
+      announce: (report) => this.mesh.work.announceCallDemand(report),
+    });
     this.dispatcher = new relay.EngineDispatcher({
       clock,
       random: random.fork(),
@@ -134,7 +141,7 @@
     const { dispatcher, trust } = this;
     this.callerServer = createCallerServers.createCallerServer(settings, ports, {
       ...parts,
-      ...{ directory, dispatcher, mesh, trust, view },
+      ...{ callGate: this.callGate, directory, dispatcher, mesh, trust, view },
       resources: this.resources,
       getTimeToStopMs: () =>
         this.stopAtMs === null ? null : Math.max(0, this.stopAtMs - clock.nowMs()),
@@ -192,6 +199,7 @@
       view: this.view,
       mesh: this.mesh,
       dispatcher: this.dispatcher,
+      callGate: this.callGate,
       fleetQueue: this.fleetQueue,
       crashMonitor: this.crashMonitor,
       coldLimits: this.coldLimits,
--- a/src/relay/_lib/runClaims/index.ts
+++ b/src/relay/_lib/runClaims/index.ts
@@ -4,6 +4,7 @@
 import type * as relayContext from "../../relayContext.js";
 import type * as types from "../../types.js";
 import type * as streamTimings from "../streamTiming/index.js";
+import * as placeRuns from "../placeRun/index.js";
 
 const { ClaimRole } = dispatch;
 
@@ -166,6 +167,10 @@
       vmName: this.context.vmName,
       serverId,
       hasFirstEvent,
+      origin: {
+        accountName: this.call.account?.name ?? null,
+        priority: placeRuns.priorityOf(this.call),
+      },
     });
   }
 }
--- a/src/relay/constants.ts
+++ b/src/relay/constants.ts
@@ -101,3 +101,37 @@
 
 /** Interval at which a call checks whether a brittle server has a place for it; a fraction of a call's work. */
 export const PLACE_CHECK_INTERVAL_MS = 10;
+
+/** Part of a service's calls that no server takes from which the service is short of room. */
+export const SHORT_REFUSED_RATIO = 0.01;
+
+/** Part of what a service serves that is not given out while it is short, so that its servers recover. */
+export const SHORT_MARGIN_RATIO = 0.02;
+
+/** Time after which a service without such refusals is no longer short of room. */
+export const SHORT_RETENTION_MS = 10_000;
+
+/** Credit of an account that goes beyond its share, in seconds of the share: bursts within it pass. */
+export const CALL_BURST_SECONDS = 0.25;
+
+/** Interval at which the shares of the accounts that call a service are computed again. */
+export const CALL_SHARES_INTERVAL_MS = 50;
+
+/** Time after which the shares of a service without calls are no longer shown. */
+export const CALL_SHARES_RETENTION_MS = 2_000;
+
+/** Interval at which a VM tells the others its demand for a service that is short of room. */
+export const CALL_DEMAND_INTERVAL_MS = 250;
+
+/** Calls served a second below which servers are missing, so that there is nothing to divide. */
+export const MIN_DIVIDED_CALLS_PER_SECOND = 10;
+
+/**
+ * Growth of the calls that are let through, times the square of the seconds without notable refusals: little
+ * at first, since servers that are nearly full turn calls away by chance, while servers that are added, or
+ * have recovered, are in use again within seconds.
+ */
+export const TAKEN_GROWTH_PER_SQUARE_SECOND = 0.5;
+
+/** Longest expected wait that is logged; it is infinite where no memory is being released. */
+export const MAX_LOGGED_WAIT_MS = 1e9;
--- a/src/relay/engineDispatcher/index.ts
+++ b/src/relay/engineDispatcher/index.ts
@@ -4,18 +4,14 @@
 import type * as routing from "../../routing/index.js";
 import * as servers from "../../servers/index.js";
 import * as createClaims from "../_lib/createClaim/index.js";
+import * as decideWaits from "../_lib/decideWait/index.js";
+import * as localWaitings from "../_lib/localWaiting/index.js";
+import * as scanQueues from "../_lib/scanQueue/index.js";
 import * as constants from "../constants.js";
 import type * as types from "./types.js";
 
 export type * from "./types.js";
 
-interface LocalWaitingGeneration extends dispatch.FleetWaiting {
-  readonly request: types.PlacementRequest;
-  /** On this VM's monotonic clock. */
-  readonly enqueuedAtMs: number;
-  readonly settle: (result: neverthrow.Result<types.Placement, types.PlacementRefusal>) => void;
-}
-
 /**
  * Claims engines for this VM's generations, and queues those for which no engine has capacity. Each
  * VM keeps a view of the fleet's whole queue and allocates capacity in its order.
@@ -24,7 +20,8 @@
   /** Speeds of engines that this VM and its peers have observed. */
   readonly speeds: dispatch.EngineSpeeds;
   private readonly cutRisk: dispatch.CutRisk;
-  private readonly waiting = new Set<LocalWaitingGeneration>();
+  private readonly waiting = new Set<localWaitings.LocalWaitingGeneration>();
+  private readonly sharesByService = new Map<string, dispatch.AccountShares | null>();
   private scanTimer: Disposable | null = null;
 
   constructor(private readonly context: types.DispatcherContext) {
@@ -37,6 +34,12 @@
     return this.waiting.size;
   }
 
+  /** Shares of the accounts that compete for the engines' memory, as of the last scan of a queue. */
+  get accountShares(): dispatch.AccountShares {
+    if (this.waiting.size === 0) return new Map();
+    return new Map([...this.sharesByService.values()].flatMap((shares) => [...(shares ?? [])]));
+  }
+
   /** Generations that wait for capacity at this VM. */
   get localWaiting(): readonly dispatch.FleetWaiting[] {
     return [...this.waiting];
@@ -47,7 +50,7 @@
     request: types.PlacementRequest,
   ): Promise<neverthrow.Result<types.Placement, types.PlacementRefusal>> {
     return new Promise((resolve) => {
-      const waiting = this.createWaiting(request, (result) => {
+      const waiting = localWaitings.createLocalWaiting(request, this.context, (result) => {
         this.waiting.delete(waiting);
         request.signal.removeEventListener("abort", onAborted);
         if (isAnnounced) this.context.broadcast.announceWaitingEnd(request.requestId);
@@ -148,54 +151,29 @@
     }
   }
 
-  private createWaiting(
-    request: types.PlacementRequest,
-    settle: LocalWaitingGeneration["settle"],
-  ): LocalWaitingGeneration {
-    const { clock, vmName } = this.context;
-    const nowMs = clock.nowMs();
-    const nowWallMs = clock.wallTimeMs();
-    return {
-      request,
-      requestId: request.requestId,
-      vmName,
-      serviceName: request.serviceName,
-      priority: request.priority,
-      need: request.need,
-      avoidedIds: request.avoidedIds,
-      enqueuedAtMs: nowMs,
-      enqueuedAtWallMs: nowWallMs,
-      objectiveAtWallMs: nowWallMs + request.objectiveAtMs - nowMs,
-      settle,
-    };
-  }
-
   private scanService(serviceName: string): void {
-    const { fleetQueue, clock } = this.context;
-    const nowWallMs = clock.wallTimeMs();
-    const others = fleetQueue.listByService(serviceName);
     const local = [...this.waiting].filter((waiting) => waiting.serviceName === serviceName);
-    const ordered = dispatch.orderWaiting([...local, ...others], nowWallMs);
     const candidates = this.listCandidates(serviceName, new Set());
-    // Generations behind the last one of this VM do not affect its own allocations.
-    const lastLocalIndex = ordered.findLastIndex(({ vmName }) => vmName === this.context.vmName);
-    const relevant = ordered.slice(0, lastLocalIndex + 1);
-    const allocated = dispatch.allocateCapacity(relevant, candidates, nowWallMs);
-    for (const other of others) fleetQueue.recordAllocation(other.requestId, allocated.has(other));
+    const queue = scanQueues.scanQueue(this.context, serviceName, local, candidates);
+    this.sharesByService.set(serviceName, queue.shares);
+    const releaseTokensPerMs = this.context.claims.estimateReleaseRate();
+    const isEvacuated = this.context.directory.isServiceEvacuated(serviceName);
+    const waitContext = { nowMs: this.context.clock.nowMs(), releaseTokensPerMs, isEvacuated };
     for (const waiting of local) {
-      const engine = allocated.get(waiting);
-      if (engine === undefined) this.refuseIfUnsatisfiable(waiting, ordered, candidates);
-      else this.placeOn(waiting, engine, { candidates, queuedCount: ordered.length });
+      const engine = queue.allocated.get(waiting);
+      const refusal =
+        engine === undefined
+          ? decideWaits.refuseUnsatisfiable(waiting, queue, waitContext)
+          : decideWaits.refuseTooLate(waiting, queue, waitContext);
+      if (refusal !== null) waiting.settle(neverthrow.err(refusal));
+      else if (engine !== undefined) this.placeOn(waiting, engine, queue);
     }
   }
 
   private placeOn(
-    waiting: LocalWaitingGeneration,
+    waiting: localWaitings.LocalWaitingGeneration,
     engine: dispatch.EngineCandidate,
-    queueState: {
-      readonly candidates: readonly dispatch.EngineCandidate[];
-      readonly queuedCount: number;
-    },
+    { candidates, ordered }: scanQueues.ScannedQueue,
   ): void {
     const { request } = waiting;
     const server = this.context.directory.find(engine.serverId);
@@ -210,52 +188,12 @@
         expectedFirstEventMs: dispatch.estimateFirstEvent(request.need, engine),
         nominalFirstEventMs: dispatch.estimateFirstEvent(request.need, typicalEngine),
         waitedMs: this.context.clock.nowMs() - waiting.enqueuedAtMs,
-        candidatesCount: queueState.candidates.length,
-        queuedCount: queueState.queuedCount,
+        candidatesCount: candidates.length,
+        queuedCount: ordered.length,
       }),
     );
   }
 
-  private refuseIfUnsatisfiable(
-    waiting: LocalWaitingGeneration,
-    ordered: readonly dispatch.WaitingGeneration[],
-    candidates: readonly dispatch.EngineCandidate[],
-  ): void {
-    const { request } = waiting;
-    if (this.context.directory.isServiceEvacuated(request.serviceName)) {
-      const { EVACUATED_RETRY_AFTER_MS } = constants;
-      waiting.settle(createRefusal("evacuated", EVACUATED_RETRY_AFTER_MS, ordered.length));
-      return;
-    }
-    const usable = candidates.filter(({ serverId }) => !request.avoidedIds.has(serverId));
-    const expectedWaitMs = this.estimateWaitMs(waiting, ordered, usable);
-    const admission = dispatch.decideAdmission({
-      expectedWaitMs: Number.isFinite(expectedWaitMs) ? expectedWaitMs : 0,
-      expectedRunMs: request.expectedRunMs,
-      timeLeftMs: request.deadlineAtMs - this.context.clock.nowMs(),
-    });
-    if (admission === dispatch.Admission.Wait) return;
-    const kind = usable.length === 0 ? "no-server" : "no-room";
-    waiting.settle(createRefusal(kind, expectedWaitMs, ordered.length));
-  }
-
-  private estimateWaitMs(
-    waiting: LocalWaitingGeneration,
-    ordered: readonly dispatch.WaitingGeneration[],
-    candidates: readonly dispatch.EngineCandidate[],
-  ): number {
-    const predecessors = ordered.slice(0, ordered.indexOf(waiting));
-    return dispatch.estimateCapacityWait({
-      aheadTokens: predecessors.reduce((sum, { need }) => sum + dispatch.estimateTokens(need), 0),
-      neededTokens: dispatch.estimateTokens(waiting.need),
-      freeTokens: candidates.reduce(
-        (sum, engine) => sum + Math.max(0, engine.memoryTokens - engine.committedTokens),
-        0,
-      ),
-      releaseTokensPerMs: this.context.claims.estimateReleaseRate(),
-    });
-  }
-
   private createCandidate(
     server: servers.KnownServer,
     traits: routing.EngineTraits,
--- a/src/sharedView/_lib/datagrams/index.ts
+++ b/src/sharedView/_lib/datagrams/index.ts
@@ -118,6 +118,20 @@
   records: zod.array(record),
 });
 
+/** Most claims or waiting generations whose accounts a message names. */
+const MAX_ENTRIES_COUNT = 1_000;
+
+/** Accounts and priorities beside a list of claims: earlier releases accept no longer claims. */
+const origins = zod
+  .object({
+    /** Names; null for anonymous callers or where it is not known whose work it is. */
+    accounts: zod.array(name.nullable()).max(MAX_ENTRIES_COUNT),
+    /** Null where it is not known whose work it is. */
+    priorities: zod.array(zod.number().nullable()).max(MAX_ENTRIES_COUNT),
+  })
+  .optional()
+  .catch(undefined);
+
 /** Index of a claim's role in the list of the claim codec. */
 const roleIndex = count.max(2);
 
@@ -146,6 +160,8 @@
   /** Claims that were made or changed, or all claims in a summary. */
   put: zod.array(encodedClaim),
   released: zod.array(releasedClaim),
+  /** Whose work each of `put` is, in the same order; absent in messages of earlier releases. */
+  origins,
 });
 
 /**
@@ -166,6 +182,17 @@
   zod.number(),
 ]);
 
+const rate = zod.number().nonnegative();
+
+/** Rates of the calls to a plain service: all in calls a second, with the accounts that send most. */
+const callDemand = zod.object({
+  serviceName: name,
+  served: rate,
+  refused: rate,
+  others: rate,
+  accounts: zod.array(zod.tuple([name.nullable(), rate])).max(64),
+});
+
 const waiting = zod.object({
   kind: zod.literal(DatagramKind.Waiting),
   vmName: name,
@@ -174,6 +201,10 @@
   put: zod.array(encodedWaiting),
   /** Request ids of generations that no longer wait there. */
   removedIds: zod.array(name),
+  /** Account of each of `put`, in the same order; null for anonymous callers; absent as above. */
+  accounts: zod.array(name.nullable()).max(MAX_ENTRIES_COUNT).optional().catch(undefined),
+  /** Plain calls to a service that is short of room at the sender; absent as above. */
+  callDemand: callDemand.optional().catch(undefined),
 });
 
 /** Encoded work updates of one or more VMs, as their senders encoded them. */
@@ -235,6 +266,9 @@
 export type EncodedSuspect = zod.infer<typeof encodedSuspect>;
 /** An engine's speed in a message. */
 export type EncodedSpeed = zod.infer<typeof encodedSpeed>;
+
+/** Rates of the calls to a plain service in a message. */
+export type EncodedCallDemand = zod.infer<typeof callDemand>;
 /** A waiting generation in a message. */
 export type EncodedWaiting = zod.infer<typeof encodedWaiting>;
 
