Divide the targets of migrations among engines that leave together

Change: each leaving engine has targets of its own, by position in the sorted ids, while they have capacity. Result: the division's test and those of the handover pass (tap run build/src/dispatch/divideTargets/test.js build/src/relay/_lib/handover/test.js).

--- a/src/dispatch/index.ts
+++ b/src/dispatch/index.ts
@@ -4,6 +4,7 @@
 export { TOKEN_TIME_MS } from "./constants.js";
 export * from "./cutRisk/index.js";
 export * from "./decideAdmission/index.js";
+export * from "./divideTargets/index.js";
 export * from "./engineSpeeds/index.js";
 export * from "./estimateFirstEvent/index.js";
 export * from "./estimateRemainingOutput/index.js";
--- a/src/relay/_lib/handover/index.ts
+++ b/src/relay/_lib/handover/index.ts
@@ -142,24 +142,51 @@
   avoidedIds: ReadonlySet<string>,
 ): Promise<servers.ServerEntry | null> {
   const { clock, dispatcher } = context;
-  const { requestId, serviceName, from, streamEnded } = request;
+  const { requestId, serviceName, streamEnded } = request;
   const waitEndAtMs = request.noticedAtMs + constants.MIGRATION_WAIT_LIMIT_MS;
+  const othersTargetIds = listOthersTargets(context, request, avoidedIds);
   using scope = new attemptScopes.AttemptScope(clock, waitEndAtMs, streamEnded);
   const placed = await dispatcher.place({
     requestId,
     serviceName,
-    need: { ...request.need, dataCentre: from.dataCentre },
+    need: needOf(request),
     role: dispatch.ClaimRole.Migration,
     priority: constants.MIGRATION_PRIORITY,
     expectedRunMs: 0,
     objectiveAtMs: waitEndAtMs,
     deadlineAtMs: waitEndAtMs,
-    avoidedIds: new Set(avoidedIds),
+    avoidedIds: new Set([...avoidedIds, ...othersTargetIds]),
     signal: scope.signal,
   });
   return placed.isOk() ? placed.value.server.entry : null;
 }
 
+/** What a migrating run requires: it prefers the data centre of its engine to that of its VM. */
+function needOf({ need, from }: MigrationRequest): dispatch.GenerationNeed {
+  return { ...need, dataCentre: from.dataCentre };
+}
+
+/** Lists the targets of other engines that leave too; none where the run's own ones have no capacity. */
+function listOthersTargets(
+  { clock, directory, dispatcher }: relayContext.RelayContext,
+  request: MigrationRequest,
+  avoidedIds: ReadonlySet<string>,
+): readonly string[] {
+  const { requestId, serviceName, from } = request;
+  const sinceMs = clock.nowMs() - constants.MIGRATION_COPY_TIMEOUT_MS;
+  const leaving = directory
+    .listAll()
+    .filter(({ entry, leaving: sign }) => sign !== null && entry.serviceName === serviceName)
+    .filter(({ entry, leavingSinceMs }) => entry.id === from.id || leavingSinceMs >= sinceMs)
+    .map(({ entry }) => ({ serverId: entry.id, dataCentre: entry.dataCentre }));
+  const candidates = dispatcher.listCandidates(serviceName, avoidedIds);
+  const ownIds = dispatch.divideTargets(leaving, candidates, from.id);
+  const own = candidates.filter(({ serverId }) => ownIds.has(serverId));
+  const isServed = dispatch.selectMigrationTarget(needOf(request), own, requestId) !== undefined;
+  if (!isServed) return [];
+  return candidates.flatMap(({ serverId }) => (ownIds.has(serverId) ? [] : [serverId]));
+}
+
 /** Copies the memory while the run executes, and again after stopping it; returns the handle. */
 async function copyTwice(
   context: relayContext.RelayContext,
