Share plain calls by capacity only once servers reject, and show operators how even the load is

Change: while no server of the service has rejected a call for 10 s, the former rule decides; a server that has not answered yet counts as the mean of the others, as 36 of 40 calls went to one that came back empty. Shares fall with a VM's calls in progress. Gauges of calls and rejections by server, and of spread. Hedges wait for three times the usual time of the server. Ranks in the replay are by rendezvous, as in the fleet.

--- a/src/diagnostics/meters/index.ts
+++ b/src/diagnostics/meters/index.ts
@@ -61,6 +61,24 @@
     });
   }
 
+  /** Registers a gauge with one value for each backend server, read as above; other servers are left out. */
+  serverGauge(
+    name: string,
+    help: string,
+    read: () => readonly { readonly serverId: string; readonly value: number }[],
+  ): void {
+    new promClient.Gauge({
+      name: `chiveferry_${name}`,
+      help,
+      labelNames: ["server"],
+      registers: [this.registry],
+      collect() {
+        this.reset();
+        for (const { serverId, value } of read()) this.set({ server: serverId }, value);
+      },
+    });
+  }
+
   /** Returns all metrics in the Prometheus text format. */
   text(): Promise<string> {
     return this.registry.metrics();
--- a/src/dispatch/selectPlainServer/test.ts
+++ b/src/dispatch/selectPlainServer/test.ts
@@ -1,5 +1,6 @@
 import tap from "tap";
 
+import * as randoms from "../../_lib/random/index.js";
 import * as dispatch from "../index.js";
 
 function server(overrides: Partial<dispatch.PlainCandidate> = {}): dispatch.PlainCandidate {
@@ -10,6 +11,7 @@
     failureRatio: 0,
     isPartitioned: false,
     typicalMs: 20,
+    recentMs: 20,
     admissionDelayMs: 0,
     slotsCount: 1,
     fastMs: null,
@@ -26,15 +28,20 @@
   servers: readonly dispatch.PlainCandidate[],
   overrides: Partial<dispatch.PlainSelection> = {},
 ): string | undefined {
-  const chosen = POSITIONS.map((position) => {
-    const selection = { dataCentre: "dc-a", avoidedIds: new Set<string>(), failureWeight: 2 };
-    return dispatch.selectPlainServer(servers, {
-      ...selection,
-      position,
-      tolerableMs: 0,
-      ...overrides,
-    })?.serverId;
-  });
+  const random = randoms.createRandom(1);
+  const chosen = [true, false].flatMap((isContended) =>
+    POSITIONS.map((position) => {
+      const selection = { dataCentre: "dc-a", avoidedIds: new Set<string>(), failureWeight: 2 };
+      return dispatch.selectPlainServer(servers, {
+        ...selection,
+        position,
+        tolerableMs: 0,
+        isContended,
+        random,
+        ...overrides,
+      })?.serverId;
+    }),
+  );
   return chosen.every((id) => id === undefined) ? undefined : [...new Set(chosen)].join();
 }
 
--- a/src/dispatch/types.ts
+++ b/src/dispatch/types.ts
@@ -90,8 +90,10 @@
   readonly failureRatio: number;
   /** Whether a network partition to its data centre is suspected. */
   readonly isPartitioned: boolean;
-  /** Moving average of the server's answer time; null if it has not answered lately. */
+  /** Moving average of the server's answer time; null before the first answer. */
   readonly typicalMs: number | null;
+  /** The same; null if the server has not answered lately. */
+  readonly recentMs: number | null;
   /** Time until the server takes another request of this VM; Infinity if it takes none. */
   readonly admissionDelayMs: number;
   /** Limit of concurrent requests. */
--- a/src/gateway/_lib/registerGauges/index.ts
+++ b/src/gateway/_lib/registerGauges/index.ts
@@ -2,6 +2,7 @@
 import type * as diagnostics from "../../../diagnostics/index.js";
 import type * as dispatch from "../../../dispatch/index.js";
 import type * as relay from "../../../relay/index.js";
+import type * as servers from "../../../servers/index.js";
 import * as sharedView from "../../../sharedView/index.js";
 import type * as currentViews from "../../currentView/index.js";
 
@@ -12,12 +13,13 @@
   readonly dispatcher: relay.EngineDispatcher;
   readonly fleetQueue: dispatch.FleetQueue;
   readonly crashMonitor: crashes.CrashMonitor;
+  readonly loads: servers.ServerLoads;
   readonly activeCallsCount: () => number;
 }
 
 /** Registers the gauges of a gateway. */
 export function registerGauges(meters: diagnostics.Meters, sources: GaugeSources): void {
-  const { view, mesh, dispatcher, fleetQueue, crashMonitor, activeCallsCount } = sources;
+  const { view, mesh, dispatcher, fleetQueue, crashMonitor, loads, activeCallsCount } = sources;
   meters.gauge("active_calls", "Calls being served.", activeCallsCount);
   meters.gauge("waiting_generations", "Generations that wait for room.", () => {
     return dispatcher.waitingCount;
@@ -35,6 +37,18 @@
   meters.gauge("servers_age_seconds", "Age of what is known of backend servers.", () => {
     return view.replicaOf(sharedView.Topic.Servers).ageMs / 1_000;
   });
+  meters.serverGauge("plain_server_calls", "This VM's calls in the last 10 to 20 s.", () => {
+    return loads.listCounts().map(({ serverId, sentCount }) => ({ serverId, value: sentCount }));
+  });
+  meters.serverGauge("plain_server_rejections", "Calls of this VM that were rejected.", () => {
+    const counts = loads.listCounts();
+    return counts.map(({ serverId, rejectionsCount }) => ({ serverId, value: rejectionsCount }));
+  });
+  meters.gauge("plain_load_spread", "Calls to the busiest plain server over the mean.", () => {
+    const counts = loads.listCounts().map(({ sentCount }) => sentCount);
+    const sum = counts.reduce((total, count) => total + count, 0);
+    return sum === 0 ? 1 : (Math.max(...counts) * counts.length) / sum;
+  });
   for (const [topic, replica] of view.replicas) {
     meters.gauge(`${topic}_end_offset`, "Offset after the last known record.", () => {
       return replica.endOffset;
--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -170,6 +170,7 @@
       dispatcher: this.dispatcher,
       fleetQueue: this.fleetQueue,
       crashMonitor: this.crashMonitor,
+      loads: this.loads,
       activeCallsCount: () => this.activeCallsCount,
     });
     const { callers, peers } = settings;
--- a/src/relay/_lib/plainCall/index.ts
+++ b/src/relay/_lib/plainCall/index.ts
@@ -253,9 +253,9 @@
   private scheduleHedge(): void {
     if (!this.isIdempotent || this.maxServersCount < 2) return;
     const { clock, log, trust } = this.context;
-    const [firstId = ""] = this.triedIds;
+    const serverId = [...this.triedIds].at(-1) ?? "";
     const objectiveDelayMs = constants.HEDGE_OBJECTIVE_RATIO * this.call.route.objectiveMs;
-    const queueDelayMs = constants.HEDGE_TIME_RATIO * (trust.recentMs(firstId) ?? 0);
+    const queueDelayMs = constants.HEDGE_TIME_RATIO * (trust.typicalMs(serverId) ?? 0);
     const elapsedMs = clock.nowMs() - this.call.arrivedAtMs;
     const dueInMs = Math.max(objectiveDelayMs, queueDelayMs) - elapsedMs;
     if (dueInMs >= 1) {
--- a/src/relay/_lib/plainReplay/index.ts
+++ b/src/relay/_lib/plainReplay/index.ts
@@ -2,6 +2,7 @@
 import * as virtualClocks from "../../../_lib/virtualClock/index.js";
 import * as diagnostics from "../../../diagnostics/index.js";
 import * as dispatch from "../../../dispatch/index.js";
+import * as fleet from "../../../fleet/index.js";
 import * as routing from "../../../routing/index.js";
 import * as servers from "../../../servers/index.js";
 import type * as relayContext from "../../relayContext.js";
@@ -181,7 +182,9 @@
     const heard = Array.from({ length: vmsCount }, (_, peer) => peer).filter(
       (peer) => peer === vm || !this.isCut(peer, vm),
     );
-    const rank = { rank: heard.indexOf(vm), vmsCount: heard.length };
+    const names = heard.map((peer) => ({ name: `vm-${peer}` }));
+    const order = fleet.rankByRendezvous(SERVICE_NAME, names).map(({ name }) => name);
+    const rank = { rank: order.indexOf(`vm-${vm}`), vmsCount: heard.length };
     const budget = { ratio: 0.2, slackCount: 50, windowMs: 10_000 };
     return {
       clock,
--- a/src/relay/_lib/selectPlainTarget/index.ts
+++ b/src/relay/_lib/selectPlainTarget/index.ts
@@ -39,7 +39,8 @@
       dataCentre: entry.dataCentre,
       pendingCount: query.pendingCounts.get(entry.id) ?? 0,
       failureRatio: trust.failureRatio(entry.id),
-      typicalMs: trust.recentMs(entry.id),
+      typicalMs: trust.typicalMs(entry.id),
+      recentMs: trust.recentMs(entry.id),
       isPartitioned: trust.isPartitionSuspected(entry.dataCentre),
       admissionDelayMs: backpressure.delayMs(entry),
       slotsCount: Math.max(1, entry.slotsCount),
@@ -54,6 +55,8 @@
       ? constants.IDEMPOTENT_FAILURE_WEIGHT
       : constants.ONCE_ONLY_FAILURE_WEIGHT,
     position: spread.peek(query.serviceName),
+    isContended: available.some(({ entry }) => loads.hasRejectedLately(entry.id)),
+    random: context.random,
     tolerableMs: constants.TOLERABLE_OBJECTIVE_RATIO * query.objectiveMs,
   });
   return chosen && directory.find(chosen.serverId);
--- a/src/relay/constants.ts
+++ b/src/relay/constants.ts
@@ -19,7 +19,7 @@
 export const HEDGE_OBJECTIVE_RATIO = 0.8;
 
 /** How much longer than the calls of its server a call has to take before it is sent to a second one. */
-export const HEDGE_TIME_RATIO = 2;
+export const HEDGE_TIME_RATIO = 3;
 
 /** Maximum number of times that one generation is sent, over all engines, and a plain call without a pause. */
 export const MAX_SENDS_COUNT = 3;
@@ -40,7 +40,7 @@
 export const MIGRATION_COPY_TIMEOUT_MS = 3_000;
 
 /** Share of the objective up to which the times of plain servers count as equally good. */
-export const TOLERABLE_OBJECTIVE_RATIO = 0.5;
+export const TOLERABLE_OBJECTIVE_RATIO = 0.65;
 
 /**
  * Weight of the failure ratio against the typical answer time when a server is selected for an
--- a/src/relay/evenLoad/test.ts
+++ b/src/relay/evenLoad/test.ts
@@ -59,3 +59,62 @@
     checkWaves(t, replay);
   });
 }
+
+/** Calls that reached each server since the last count. */
+function countNewArrivals(replay: plainReplays.PlainReplay): () => readonly number[] {
+  let former: readonly number[] = [];
+  return () => {
+    const counts = replay.servers.map((server) => server.arrivalsCount);
+    const news = counts.map((count, index) => count - (former[index] ?? 0));
+    former = counts;
+    return news;
+  };
+}
+
+const EQUAL_SERVER = { slotsCount: 4, placesCount: 12, workMs: 60 };
+
+function createEvenReplay(
+  vmsCount: number,
+  overrides: Partial<plainReplays.ReplayOptions> = {},
+): plainReplays.PlainReplay {
+  const options = { isIdempotent: false, objectiveMs: 300, knowledgeAgeMs: 1_000, seed: 2 };
+  const replay = new plainReplays.PlainReplay({ vmsCount, ...options, ...overrides });
+  for (const id of ["s0", "s1", "s2", "s3"]) replay.addServer(id, EQUAL_SERVER);
+  return replay;
+}
+
+tap.test("a server that comes back empty gets its share, and not all calls", async (t) => {
+  const vmsCount = 60;
+  const replay = createEvenReplay(vmsCount);
+  const takeCounts = countNewArrivals(replay);
+  await playWaves(replay, { vmsCount, callsCount: 40, wavesCount: 8 });
+  takeCounts();
+  replay.addServer("s4", EQUAL_SERVER);
+  await playWaves(replay, { vmsCount, callsCount: 40, wavesCount: 1 });
+  const newest = takeCounts().at(-1) ?? 0;
+  // Its four slots and twelve places hold sixteen calls at a time.
+  t.ok(newest > 0 && newest <= 16, `${newest} of 40 calls`);
+});
+
+tap.test("VMs that do not hear each other do not all choose the same server", async (t) => {
+  const vmsCount = 60;
+  const isolated = createEvenReplay(vmsCount, { isCut: () => true });
+  const halves = createEvenReplay(vmsCount, { isCut: (from, to) => from % 2 !== to % 2 });
+  for (const replay of [isolated, halves]) {
+    await playWaves(replay, { vmsCount, callsCount: 40, wavesCount: 20 });
+    t.equal(replay.answerTimesMs.length, replay.statuses.length, "all calls are served");
+  }
+});
+
+tap.test("one VM that has as many calls as ten others spreads its own", async (t) => {
+  const vmsCount = 12;
+  const replay = createEvenReplay(vmsCount);
+  for (let wave = 0; wave < 20; wave += 1) {
+    for (let index = 0; index < 40; index += 1)
+      replay.call(replay.random.next() < 0.5 ? 0 : Math.floor(replay.random.next() * vmsCount));
+    await replay.clock.runForMs(WAVE_INTERVAL_MS);
+  }
+  await replay.clock.runForMs(10_000);
+  t.equal(replay.answerTimesMs.length, replay.statuses.length, "all calls are served");
+  t.ok(percentile(replay.answerTimesMs, 0.99) <= 300, "within the objective");
+});
--- a/src/servers/constants.ts
+++ b/src/servers/constants.ts
@@ -78,3 +78,6 @@
 
 /** Interval over which sent calls are counted for metrics. */
 export const SEND_COUNT_INTERVAL_MS = 10_000;
+
+/** How long after a rejection the calls to a service are shared by capacity. */
+export const CONTENTION_RETENTION_MS = 10_000;
--- a/src/servers/serverLoads/index.ts
+++ b/src/servers/serverLoads/index.ts
@@ -15,12 +15,20 @@
   readonly rejectedAgoMs: number | null;
 }
 
+/** Calls of one VM to a server, for metrics. */
+export interface LoadCounts {
+  readonly serverId: string;
+  readonly sentCount: number;
+  readonly rejectionsCount: number;
+}
+
 interface LoadRecord {
   readonly bornAtWallMs: number;
   fastMs: number | null;
   ownRejectedAtMs: number;
   peerRejectedAtMs: number;
   /** Calls sent in the present and in the former interval. */
+  rejectionsCount: number;
   sentCount: number;
   formerSentCount: number;
 }
@@ -53,7 +61,9 @@
 
   /** Records that a server rejected a call of this VM for lack of room. */
   recordRejection(server: ServerStart): void {
-    this.getOrCreate(server).ownRejectedAtMs = this.clock.nowMs();
+    const record = this.getOrCreate(server);
+    record.ownRejectedAtMs = this.clock.nowMs();
+    record.rejectionsCount += 1;
   }
 
   /** Records what a peer has learned of a server. */
@@ -108,11 +118,21 @@
     return Math.min(1, Math.max(0, ownRatio)) * peerShare;
   }
 
-  /** Calls that this VM has sent to a server in the last ten to twenty seconds. */
-  countSends(serverId: string): number {
-    this.startInterval();
+  /** Whether a server has lately rejected a call of this VM or of a peer. */
+  hasRejectedLately(serverId: string): boolean {
     const record = this.records.get(serverId);
-    return record === undefined ? 0 : record.sentCount + record.formerSentCount;
+    if (record === undefined) return false;
+    const rejectedAtMs = Math.max(record.ownRejectedAtMs, record.peerRejectedAtMs);
+    return this.clock.nowMs() - rejectedAtMs < constants.CONTENTION_RETENTION_MS;
+  }
+
+  /** Counts this VM's calls to each server in the last ten to twenty seconds, and rejections since it started. */
+  listCounts(): readonly LoadCounts[] {
+    this.startInterval();
+    return [...this.records].map(([serverId, record]) => {
+      const sentCount = record.sentCount + record.formerSentCount;
+      return { serverId, sentCount, rejectionsCount: record.rejectionsCount };
+    });
   }
 
   /** Removes the records of all servers except the given ones. */
@@ -138,6 +158,7 @@
       fastMs: null,
       ownRejectedAtMs: -Infinity,
       peerRejectedAtMs: -Infinity,
+      rejectionsCount: 0,
       sentCount: 0,
       formerSentCount: 0,
     };
--- a/src/sharedView/_lib/datagrams/test.ts
+++ b/src/sharedView/_lib/datagrams/test.ts
@@ -86,5 +86,6 @@
     const decoded = datagrams.decodeDatagram(msgpackr.pack(heartbeat));
     if (decoded?.kind !== datagrams.DatagramKind.Heartbeat) throw new Error("not decoded");
     t.equal(datagrams.linkStateOf(decoded), expected, JSON.stringify(fields));
+    t.same(decoded.loads, [], "loads of servers are optional");
   }
 });
