--- a/src/gateway/_lib/registerGauges/index.ts
+++ b/src/gateway/_lib/registerGauges/index.ts
@@ -15,12 +15,13 @@
   readonly crashMonitor: crashes.CrashMonitor;
   readonly coldLimits: servers.ColdLimits;
   readonly callGate: relay.CallGate;
+  readonly loads: servers.ServerLoads;
   readonly activeCallsCount: () => number;
 }
 
 /** Registers the gauges of a gateway. */
 export function registerGauges(meters: diagnostics.Meters, sources: GaugeSources): void {
-  const { view, mesh, dispatcher, fleetQueue, crashMonitor, activeCallsCount } = sources;
+  const { view, mesh, dispatcher, fleetQueue, crashMonitor, loads, activeCallsCount } = sources;
   meters.gauge("active_calls", "Calls being served.", activeCallsCount);
   meters.gauge("waiting_generations", "Generations that wait for room.", () => {
     return dispatcher.waitingCount;
@@ -51,6 +52,27 @@
     ["service", "work", "extreme"],
     () => [...dispatcher.speeds.listComparisons()].flatMap(listExtremes),
   );
+  const listByServer = (read: (counts: ServerCounts) => number) => (): ReturnType<LabelledRead> =>
+    loads.listCounts().map((counts) => {
+      return { labels: { server: counts.serverId }, value: read(counts) };
+    });
+  meters.labelledGauge(
+    "plain_server_calls",
+    "This VM's calls in the last 10 to 20 s.",
+    ["server"],
+    listByServer(({ sentCount }) => sentCount),
+  );
+  meters.labelledGauge(
+    "plain_server_rejections",
+    "Calls of this VM that were rejected.",
+    ["server"],
+    listByServer(({ rejectionsCount }) => rejectionsCount),
+  );
+  meters.gauge("plain_load_spread", "Calls to the busiest plain server over the mean.", () => {
+    const counts = loads.listCounts().map(({ sentCount }) => sentCount);
+    const sum = counts.reduce((total, count) => total + count, 0);
+    return sum === 0 ? 1 : (Math.max(...counts) * counts.length) / sum;
+  });
   for (const [topic, replica] of view.replicas) {
     meters.gauge(`${topic}_end_offset`, "Offset after the last known record.", () => {
       return replica.endOffset;
@@ -58,6 +80,13 @@
   }
 }
 
+type ServerCounts = ReturnType<servers.ServerLoads["listCounts"]>[number];
+
+type LabelledRead = () => readonly {
+  readonly labels: Readonly<Record<"server", string>>;
+  readonly value: number;
+}[];
+
 interface RatioSample {
   readonly labels: Readonly<Record<"service" | "work" | "extreme", string>>;
   readonly value: number;
--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -203,6 +203,7 @@
       fleetQueue: this.fleetQueue,
       crashMonitor: this.crashMonitor,
       coldLimits: this.coldLimits,
+      loads: this.loads,
       activeCallsCount: () => this.activeCallsCount,
     });
     const { callers, peers } = settings;
