Let runs whose backup is missing take their turn among migrations

Change: such a run releases the backup's claim and waits for one round of the aggregators before it looks for its predecessors. Result: tap run build/src/gateway/gateway/generations/test.js build/src/relay/_lib/handover/test.js passed.

--- a/src/relay/_lib/generationRun/index.ts
+++ b/src/relay/_lib/generationRun/index.ts
@@ -183,6 +183,9 @@
     if (hasBackup) {
       const next = await this.switchToBackup(stream);
       if (next !== null || stream.isClosedLocally || this.isFinished) return next;
+      // Runs of other VMs wait for this one only when they know that it has no backup.
+      this.claims.releaseBackup();
+      await clock.sleep(constants.CLAIM_UPDATE_DELAY_MS);
     }
     if (!this.claims.canMigrate) return null;
     const migrated = await this.migrate(stream, noticedAtMs);
--- a/src/relay/constants.ts
+++ b/src/relay/constants.ts
@@ -63,6 +63,9 @@
  */
 export const MIN_HANDOVER_REMAINING_MS = 500;
 
+/** Time until the other VMs know of a changed claim: one round of the aggregators, and some network. */
+export const CLAIM_UPDATE_DELAY_MS = 60;
+
 /**
  * Time after which a run that is still on its leaving engine is handed over again, as it produced
  * more than expected or the engine did not know it yet.
