--- a/src/gateway/_lib/createServerLinks/index.ts
+++ b/src/gateway/_lib/createServerLinks/index.ts
@@ -18,6 +18,7 @@
   readonly settings: types.GatewaySettings;
   readonly ports: types.GatewayPorts;
   readonly directory: servers.ServerDirectory;
+  readonly coldLimits: Pick<servers.ColdLimits, "recordRefusedConnection">;
   readonly backpressure: servers.ServerBackpressure;
   readonly listPeers: () => readonly sharedView.Peer[];
   readonly isStopping: () => boolean;
@@ -44,6 +45,7 @@
     random: ports.random.fork(),
     vmName: settings.vmName,
     dataCentre: settings.dataCentre,
+    onRefused: (serverId) => context.coldLimits.recordRefusedConnection(serverId),
     listServers: () =>
       directory.listAll().flatMap((known) => (directory.acceptsWork(known) ? [known.entry] : [])),
   });
--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -80,6 +80,7 @@
     this.links = createServerLinks.createServerLinks({
       settings,
       ports,
+      coldLimits: this.coldLimits,
       directory: this.directory,
       backpressure: this.backpressure,
       listPeers: () => this.mesh.livePeers(),
--- a/src/serverLinks/serverConnector/index.ts
+++ b/src/serverLinks/serverConnector/index.ts
@@ -16,6 +16,9 @@
 const { Importance, LogEvent } = diagnostics;
 const { LinkState } = types;
 
+/** What the cause of a failed connection contains if nothing listens at the address. */
+const REFUSED_CODE = "ECONNREFUSED";
+
 /** Opens TCP connections over the network of this VM. */
 export const dialTcp: types.Dial = ({ host, port }) =>
   net.connect({ host, port, noDelay: true, allowHalfOpen: true });
@@ -33,6 +36,8 @@
   readonly dial: types.Dial;
   /** Lists the servers of all services that accept work. */
   readonly listServers: () => readonly servers.ServerEntry[];
+  /** Called when a server's address refused a connection, as nothing listens there. */
+  readonly onRefused?: (serverId: string) => void;
 }
 
 /** What a connection to a server is opened for. */
@@ -130,6 +135,7 @@
     const opened = await connections.openConnection(this.context.dial, server, options);
     if (opened.isErr()) {
       if (!signal.aborted) this.monitor.recordFailed(server.id);
+      if (opened.error.includes(REFUSED_CODE)) this.context.onRefused?.(server.id);
       return opened;
     }
     const { cutOffMs } = this.monitor;
--- a/src/servers/coldLimits/index.ts
+++ b/src/servers/coldLimits/index.ts
@@ -75,13 +75,16 @@
   }
 
   /**
-   * Takes up the outcome of an attempt. A server that refuses connections may restart under the same id
-   * before its entry tells; once it answers, it is taken to be cold for as long as after a start.
+   * Records that a server refused a connection: it may restart under the same id before its entry tells. A
+   * connection that times out tells nothing of a restart, and would keep the fleet from sound servers.
    */
+  recordRefusedConnection(serverId: string): void {
+    this.assume(serverId, () => constants.RESTART_SUSPICION_MS);
+  }
+
+  /** Records the outcome of an attempt: once a server answers, it is cold for no longer than after a start. */
   recordOutcome(serverId: string, verdict: types.AttemptVerdict): void {
-    if (verdict === types.AttemptVerdict.Unreachable)
-      this.assume(serverId, () => constants.RESTART_SUSPICION_MS);
-    else if (verdict === types.AttemptVerdict.Served && this.assumptions.has(serverId))
+    if (verdict === types.AttemptVerdict.Served && this.assumptions.has(serverId))
       this.shorten(serverId);
   }
 
--- a/src/servers/coldLimits/test.ts
+++ b/src/servers/coldLimits/test.ts
@@ -194,13 +194,15 @@
     for (const { directory } of vms) directory.apply(entry);
     await clock.runForMs(SETTLED_MS);
     for (const { limits } of vms) limits.recordOutcome("e1", Unreachable);
+    t.equal(vms[0]?.limits.delayMs(entry), 0, "a connection that timed out shows no restart");
+    for (const { limits } of vms) limits.recordRefusedConnection("e1");
     const most = maxPerSecond(await sendEagerly(clock, vms, 2_000));
     t.ok(most <= allowedCount(10), `${most} of ${allowedCount(10)}`);
     const [first] = vms as [Vm];
     first.limits.recordOutcome("e1", Served);
     await clock.runForMs(1_000);
     t.equal(first.limits.delayMs(entry), 0, "it is warm a cold time after its first answer");
-    first.limits.recordOutcome("e1", Unreachable);
+    first.limits.recordRefusedConnection("e1");
     const restarted = { ...entry, bornAtWallMs: 2_000, sequence: 0 };
     first.directory.apply(restarted);
     t.equal(first.limits.delayMs(restarted), 0, "the entry of a new start is believed");
