--- a/experiments/soak/coldReturn/index.ts
+++ b/experiments/soak/coldReturn/index.ts
@@ -44,7 +44,7 @@
   await Promise.all(returning.map(({ server }) => server.crashAndRestart(downMs)));
   const born = Date.now();
   const register = (coldMs: number): void => {
-    // Servers that another fault has replaced meanwhile stay away.
+    // Servers that another fault has replaced in the meantime are not registered again.
     for (const { id, port } of returning.filter(({ server }) => servers.includes(server)))
       platform.registerAddress(id, ENGINE_SERVICE, port, { cold_remaining_ms: coldMs, born });
   };
--- a/src/dispatch/_lib/decayingMaximum/index.ts
+++ b/src/dispatch/_lib/decayingMaximum/index.ts
@@ -17,7 +17,7 @@
     return this.sample * 2 ** ((this.sampledAtMs - this.clock.nowMs()) / this.halfLifeMs);
   }
 
-  /** Adds a sample, which counts if it is larger than the decayed value. */
+  /** Adds a sample; it replaces the maximum if it is at least as large as the decayed one. */
   add(sample: number): void {
     if (sample < this.value) return;
     this.sample = sample;
--- a/src/dispatch/constants.ts
+++ b/src/dispatch/constants.ts
@@ -138,10 +138,10 @@
 /** First pause before a further attempt of a call that servers failed; about the time of one call. */
 export const MIN_RETRY_PAUSE_MS = 50;
 
-/** Most such pauses of one call: about a second in all. */
+/** Most pauses between attempts of one plain call: about a second in all. */
 export const MAX_RETRY_PAUSES_COUNT = 5;
 
-/** Longest such pause. */
+/** Longest pause before a further attempt of a plain call that servers failed. */
 export const MAX_RETRY_PAUSE_MS = 400;
 
 /** Share of the time that a caller gives which is left to it for a retry of its own. */
--- a/src/sharedView/_lib/datagrams/index.ts
+++ b/src/sharedView/_lib/datagrams/index.ts
@@ -264,7 +264,7 @@
 export type Crashes = zod.infer<typeof crashes>;
 /** A request or prompt part that may make servers crash, as encoded in a message. */
 export type EncodedSuspect = zod.infer<typeof encodedSuspect>;
-/** An engine's speed in a message. */
+/** Wire format of one observation of an engine speed in a heartbeat. */
 export type EncodedSpeed = zod.infer<typeof encodedSpeed>;
 
 /** Rates of the calls to a plain service in a message. */
