Review: a moving run is sent to an engine that drains

Cause: while a run is copied, nobody looks whether its target has begun to leave. Change: case 4 of the review; the stand-in of the engine can move runs and drain.

--- a/review/lib/engine.mjs
+++ b/review/lib/engine.mjs
@@ -10,6 +10,9 @@
   runs = [];
   /** Headers that every answer carries, such as statements of the engine. */
   statements = {};
+  state = "ready";
+  /** async (call, response): copies a run to another engine; engines without it know no runs. */
+  move = (call, response) => response.writeHead(404).end();
   fallsCount = 0;
   #sockets = new Set();
   #sequence = 0;
@@ -57,7 +60,7 @@
       zone: this.zone,
       version: 1,
       slots: this.slots,
-      state: "ready",
+      state: this.state,
       cold_remaining_ms: 0,
       sequence: this.#sequence,
       born: this.#bornMs,
@@ -77,6 +80,14 @@
     setTimeout(() => void this.#restart(formerId), downMs);
   }
 
+  /** Exits after it has drained: its entry goes, its channels are reset, new ones are refused. */
+  leave() {
+    clearInterval(this.#timer);
+    this.record.write("engine", `${this.id} exits`);
+    this.store.put("keyed.servers", this.id, null);
+    this.crash();
+  }
+
   stop() {
     clearInterval(this.#timer);
     this.#isDown = true;
@@ -162,7 +173,7 @@
       return;
     }
     if (url === "/kv-move") {
-      response.writeHead(404).end();
+      await this.move(call, response);
       return;
     }
     const from =
@@ -185,7 +196,12 @@
 }
 
 /** Runs a generation: a stream of events with increasing ids, one after each gap. */
-export async function writeEvents(call, response, engine, { eventsCount, gapMs, firstMs = gapMs }) {
+export async function writeEvents(
+  call,
+  response,
+  engine,
+  { eventsCount, gapMs, firstMs = gapMs, onEvent = () => undefined },
+) {
   const after = Number(call.headers["last-event-id"] ?? 0);
   response.writeHead(200, { ...engine.headersFor(call), "Content-Type": "text/event-stream" });
   response.flushHeaders();
@@ -193,6 +209,7 @@
   for (let id = after + 1; id <= eventsCount; id += 1) {
     if (response.destroyed || engine.isDown) return false;
     response.write(`id: ${id}\ndata: ${call.id} ${id}\n\n`);
+    onEvent(id);
     await pause(gapMs);
   }
   if (response.destroyed) return false;
