--- a/review/lib/scene.mjs
+++ b/review/lib/scene.mjs
@@ -225,7 +225,10 @@
       fs.rmSync(scene.folder, { recursive: true, force: true });
     process.exit(code);
   };
-  for (const signal of ["SIGINT", "SIGTERM"]) process.once(signal, finish);
+  for (const signal of ["SIGINT", "SIGTERM", "SIGHUP"]) process.once(signal, finish);
+  // However this process ends, and also if nobody reads its output, its gateways end with it.
+  process.on("exit", () => scene?.stop());
+  process.stdout.on("error", () => undefined);
   setTimeout(finish, 118_000).unref();
   try {
     scene = new Scene(caseFolder);
