--- a/src/diagnostics/meters/index.ts
+++ b/src/diagnostics/meters/index.ts
@@ -33,6 +33,11 @@
     "way",
     "outcome",
   ]);
+  readonly internalErrors = this.counter(
+    "internal_errors_total",
+    "Errors that no code expected, by what they have ended.",
+    ["origin"],
+  );
   readonly storeCalls = this.counter("store_calls_total", "Calls to the platform's store.", [
     "call",
     "outcome",
--- /dev/null
+++ b/src/diagnostics/recordInternalError/index.ts
@@ -0,0 +1,47 @@
+import type * as meters from "../meters/index.js";
+import * as types from "../types.js";
+
+/** Longest stack that a log line holds. */
+const MAX_STACK_LENGTH = 2_000;
+
+/** What an unexpected error has ended. */
+export enum ErrorOrigin {
+  /** One request of a caller. */
+  Request = "request",
+  /** The transfer of one run to another engine. */
+  Handover = "handover",
+  /** One message of a peer. */
+  Datagram = "datagram",
+  /** One tunnel that a peer has asked for. */
+  Tunnel = "tunnel",
+  /** A round of a task that is repeated. */
+  Task = "task",
+  /** Nothing that is known: no code has handled the error. */
+  Unhandled = "unhandled",
+}
+
+/** Where unexpected errors are reported. */
+export interface ErrorReportContext {
+  readonly log: types.DecisionLog;
+  readonly meters: Pick<meters.Meters, "internalErrors">;
+}
+
+/** Logs an unexpected error with its stack, and counts it. */
+export function recordInternalError(
+  { log, meters }: ErrorReportContext,
+  origin: ErrorOrigin,
+  error: unknown,
+  fields: types.LogFields = {},
+): void {
+  meters.internalErrors.inc({ origin });
+  log.record(types.Importance.StateChange, types.LogEvent.InternalError, {
+    origin,
+    ...fields,
+    error: describe(error),
+  });
+}
+
+function describe(error: unknown): string {
+  const text = error instanceof Error ? (error.stack ?? error.message) : String(error);
+  return text.slice(0, MAX_STACK_LENGTH);
+}
--- a/src/diagnostics/types.ts
+++ b/src/diagnostics/types.ts
@@ -70,6 +70,8 @@
   RequestServed = "request-served",
   RequestFailed = "request-failed",
   MalformedInput = "malformed-input",
+  /** An error that no code expected; the work during which it occurred has ended, and nothing else. */
+  InternalError = "internal-error",
 }
 
 /** Fields of a log line; never contain an API key or a prompt. */
