Take only final statuses for answers, and let an error end its request alone

Cause: Node's parser accepts any three digits as a status, and nothing asked whether they are that of a final answer. writeHead threw for it, in a step of the call that was started with void; Node ends a process at a rejected promise that nobody handles. Streams, handovers and the admission of requests had the same shape. Ruled out: the parser itself, as the 16 other kinds of spoiled heads that were tried ended as failures. Change: findHeadFault decides first what can be an answer to the call: a status of 200 to 599, and the call's id, also for what states that it was not run. Each step of a plain call, each handover and the handling of each request end what they belong to, with 502 and a line internal-error. What cannot be written as HTTP was not sent, and counts as such. Why it works: a status that is no answer never reaches the writer; any other error ends where its request is known.

--- a/src/gateway/callerServer/index.ts
+++ b/src/gateway/callerServer/index.ts
@@ -5,6 +5,7 @@
 import * as diagnostics from "../../diagnostics/index.js";
 import * as relay from "../../relay/index.js";
 import * as routing from "../../routing/index.js";
+import * as answerErrors from "../_lib/answerErrors/index.js";
 import * as headBytes from "../_lib/measureHeadBytes/index.js";
 import * as constants from "../constants.js";
 import type * as currentView from "../currentView/index.js";
@@ -35,13 +36,17 @@
   constructor(private readonly context: CallerServerContext) {
     this.server = http.createServer(
       { maxHeaderSize: constants.MAX_HEAD_BYTES, keepAlive: true, noDelay: true },
-      (request, response) => void this.handle(request, response),
+      (request, response) => {
+        this.handle(request, response).catch((error: unknown) =>
+          answerErrors.answerInternalError(context.ports, error, request, response),
+        );
+      },
     );
     this.server.headersTimeout = constants.DEFAULT_HEADER_TIMEOUT_MS;
     this.server.requestTimeout = 0;
     this.server.keepAliveTimeout = constants.DEFAULT_IDLE_TIMEOUT_MS + constants.IDLE_MARGIN_MS;
     this.server.on("clientError", (error: NodeJS.ErrnoException, socket: net.Socket) =>
-      this.answerMalformed(error, socket),
+      answerErrors.answerMalformed(context.ports, error, socket),
     );
   }
 
@@ -244,27 +249,8 @@
     const outcome = isComplete ? String(response.statusCode) : "broken";
     meters.requests.inc({ kind, outcome });
   }
-
-  private answerMalformed(error: NodeJS.ErrnoException, socket: net.Socket): void {
-    const status = MALFORMED_STATUS[error.code ?? ""] ?? "400 Bad Request";
-    this.context.ports.log.record(Importance.Notable, LogEvent.MalformedInput, {
-      code: error.code ?? error.message,
-    });
-    const isAnswerable = socket.writable && error.code !== "ECONNRESET";
-    if (isAnswerable) {
-      socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
-    } else {
-      socket.destroy();
-    }
-  }
 }
 
-/** HTTP status lines for input that cannot be parsed, by the parser's error code. */
-const MALFORMED_STATUS: Readonly<Partial<Record<string, string>>> = {
-  HPE_HEADER_OVERFLOW: "431 Request Header Fields Too Large",
-  ERR_HTTP_REQUEST_TIMEOUT: "408 Request Timeout",
-};
-
 interface Admission {
   readonly route: routing.Route;
   readonly account: routing.Account | null;
--- /dev/null
+++ b/src/gateway/spoiledHeads/test.ts
@@ -0,0 +1,103 @@
+import tap, { type Test } from "tap";
+
+import type * as backendServers from "../../../standins/platform/backendServer/index.js";
+import * as gatewayFleets from "../../../standins/platform/gatewayFleet/index.js";
+import * as rawAnswers from "../../../standins/platform/rawAnswer/index.js";
+import * as testFleets from "../_lib/testFleet/index.js";
+
+const { ENGINE_SERVICE, PLAIN_SERVICE } = gatewayFleets;
+
+const BODY = "id: 1\ndata: a\n\n";
+
+/** Status lines of which a byte or two are wrong, and heads whose lines are. */
+const SPOILED_HEADS: Readonly<Record<string, readonly string[]>> = {
+  "a status of 000": ["HTTP/1.1 000 OK"],
+  "a status of 001": ["HTTP/1.1 001 OK"],
+  "a status of 099": ["HTTP/1.1 099 OK"],
+  "a status of 100": ["HTTP/1.1 100 OK"],
+  "a status of 101": ["HTTP/1.1 101 OK"],
+  "a status of 199": ["HTTP/1.1 199 OK"],
+  "a status of 600": ["HTTP/1.1 600 OK"],
+  "a status of 999": ["HTTP/1.1 999 OK"],
+  "a letter in its status": ["HTTP/1.1 2o0 OK"],
+  "a status of two digits": ["HTTP/1.1 20 OK"],
+  "a status of four digits": ["HTTP/1.1 2000 OK"],
+  "another protocol version": ["HTTP/7.1 200 OK"],
+  "another protocol": ["HTXP/1.1 200 OK"],
+  "a zero byte in a header": ["HTTP/1.1 200 OK", "X-Odd: a\0b"],
+  "a header without a colon": ["HTTP/1.1 200 OK", "X-Odd"],
+  "a header name with a space": ["HTTP/1.1 200 OK", "X Odd: a"],
+  "two lengths": ["HTTP/1.1 200 OK", "Content-Length: 3"],
+  "a length below zero": ["HTTP/1.1 200 OK", "Content-Length: -1"],
+};
+
+/** Requests of each kind of route: one that may be repeated, one that may not, and a stream. */
+const REQUESTS = {
+  lookup: { path: "/lookup/" },
+  file: { path: "/file/", method: "POST", body: "permit" },
+  draft: { ...testFleets.DRAFT_REQUEST, path: "/draft/" },
+} as const;
+
+function createHead(
+  lines: readonly string[],
+  call: backendServers.ReceivedCall,
+  server: backendServers.BackendServer,
+): string {
+  const headers = Object.entries(server.createAnswerHeaders(call)).map(
+    ([name, value]) => `${name}: ${String(value)}`,
+  );
+  return [...lines, ...headers, `Content-Length: ${BODY.length}`, "", ""].join("\r\n");
+}
+
+async function startFleetWith(
+  t: Test,
+  behaviour: backendServers.Behaviour,
+): Promise<gatewayFleets.GatewayFleet> {
+  const fleet = await testFleets.startReadyFleet(t);
+  await fleet.addServer("p1", PLAIN_SERVICE, behaviour);
+  await fleet.addServer("e1", ENGINE_SERVICE, behaviour);
+  await testFleets.waitUntilServersKnown(fleet, 2);
+  return fleet;
+}
+
+// Guards against the end of a gateway's process at an answer that cannot be written out again.
+for (const [name, lines] of Object.entries(SPOILED_HEADS)) {
+  tap.test(`an answer with ${name} is a failure of its request alone`, async (t) => {
+    const fleet = await startFleetWith(
+      t,
+      rawAnswers.answerRaw((call, server) => `${createHead(lines, call, server)}${BODY}`),
+    );
+    const answers = Object.entries(REQUESTS).map(async ([kind, request]) => {
+      const answer = await fleet.call({ ...request, id: kind });
+      t.equal(answer.status, 502, `${kind} may have run`);
+    });
+    await Promise.all(answers);
+  });
+}
+
+// Guards against answers that look complete although the head of the server's answer was not.
+tap.test("an answer that ends inside its head is a failure, wherever it ends", async (t) => {
+  let cutAt = 0;
+  let headBytes = Infinity;
+  const ranIds = new Set<string>();
+  const fleet = await startFleetWith(
+    t,
+    rawAnswers.answerRaw((call, server) => {
+      ranIds.add(call.id);
+      const head = createHead(["HTTP/1.1 200 OK"], call, server);
+      headBytes = head.length;
+      return head.slice(0, cutAt);
+    }),
+  );
+  for (; cutAt < headBytes; cutAt += 1) {
+    const answers = Object.entries(REQUESTS).map(async ([kind, request]) => {
+      const id = `${kind}-${cutAt}`;
+      const answer = await fleet.call({ ...request, id });
+      // A server that has failed often gets no more of some kinds.
+      const expected = ranIds.has(id) ? 502 : 503;
+      if (answer.status !== expected) t.fail(`${id}: ${answer.status} instead of ${expected}`);
+    });
+    await Promise.all(answers);
+  }
+  t.ok(cutAt > 0, `${cutAt} places tried`);
+});
--- a/src/relay/_lib/callEnding/index.ts
+++ b/src/relay/_lib/callEnding/index.ts
@@ -71,6 +71,17 @@
     else if (!this.isFinished) this.refuse(refusal, refusals.describeBlame(blame));
   }
 
+  /** Ends a call at an unexpected error: it may have been executed, and what servers answered may be the cause. */
+  finishFailed(error: unknown): void {
+    const { context, call, sink } = this;
+    const requestId = call.head.id;
+    diagnostics.recordInternalError(context, diagnostics.ErrorOrigin.Request, error, { requestId });
+    if (this.isFinished) return;
+    if (sink.hasStarted) sink.abort();
+    else this.refuse(refusals.createRefusal(types.RefusalReason.InternalError));
+    this.finish();
+  }
+
   private finishWithoutAnswer(
     reason: types.RefusalReason,
     retryAfterMs = constants.DEFAULT_RETRY_AFTER_MS,
--- a/src/relay/_lib/createRefusal/index.ts
+++ b/src/relay/_lib/createRefusal/index.ts
@@ -23,6 +23,7 @@
   [types.RefusalReason.TimedOutNotRun]: 503,
   [types.RefusalReason.TimedOut]: 504,
   [types.RefusalReason.OutcomeUnknown]: 502,
+  [types.RefusalReason.InternalError]: 502,
 };
 
 /** Creates the refusal for a reason, with the status that belongs to it. */
--- a/src/relay/_lib/engineStream/index.ts
+++ b/src/relay/_lib/engineStream/index.ts
@@ -133,18 +133,18 @@
 ): Promise<OpenOutcome> {
   const head = codec.decodeAnswer(opening.message);
   onAnswerHead(server, head, opening.peer);
-  if (head.isNotRun) {
-    watched[Symbol.dispose]();
-    opening.close();
-    const cause = `status ${head.status}`;
-    return { kind: OpenKind.NotRun, cause, wasSent: true, isOtherServer: head.isOtherServer };
-  }
   const fault = headFaults.findHeadFault(call, head);
   if (fault !== null) {
     watched[Symbol.dispose]();
     opening.close();
     return { kind: OpenKind.Unknown, cause: fault };
   }
+  if (head.isNotRun) {
+    watched[Symbol.dispose]();
+    opening.close();
+    const cause = `status ${head.status}`;
+    return { kind: OpenKind.NotRun, cause, wasSent: true, isOtherServer: head.isOtherServer };
+  }
   if (head.status === OK_STATUS) {
     watched.recordBegin();
     const stream = new EngineStream(server, opening, watched);
--- a/src/relay/_lib/generationRun/index.ts
+++ b/src/relay/_lib/generationRun/index.ts
@@ -7,6 +7,7 @@
 import * as engineStreams from "../engineStream/index.js";
 import * as eventSequences from "../eventSequence/index.js";
 import type * as eventSplitter from "../eventSplitter/index.js";
+import * as beginHandovers from "../beginHandover/index.js";
 import * as handoverChecks from "../handoverCheck/index.js";
 import * as handovers from "../handover/index.js";
 import * as resumeRuns from "../resumeRun/index.js";
@@ -16,16 +17,6 @@
 import * as streamTimings from "../streamTiming/index.js";
 import * as startRuns from "../startRun/index.js";
 
-type Handover = (
-  run: GenerationRun,
-  stream: engineStreams.EngineStream,
-) => Promise<engineStreams.EngineStream | null>;
-
-const HANDOVER_BY_CAUSE: Readonly<Record<handovers.HandoverCause, Handover>> = {
-  [handovers.HandoverCause.Leaving]: (run, stream) => run.handOverFromLeaving(stream),
-  [handovers.HandoverCause.Silent]: (run, stream) => run.handOverFromSilent(stream),
-};
-
 /**
  * One generation: placed on an engine, forwarded as its events arrive, and continued from its memory
  * on another engine when the first one leaves or fails.
@@ -62,6 +53,10 @@
     return this.sequence.lastEventId;
   }
 
+  get requestId(): string {
+    return this.call.head.id;
+  }
+
   /** Id of the server whose stream is forwarded; null before the first stream. */
   get serverId(): string | null {
     return this.stream?.server.id ?? null;
@@ -78,6 +73,7 @@
     try {
       await this.serve(scope);
     } finally {
+      if (!this.isFinished) this.stream?.close();
       this.claims.releaseAll();
     }
   }
@@ -117,9 +113,9 @@
     if (started === null) return;
     this.scope = scope;
     this.continuation.scope = scope;
+    let stream: engineStreams.EngineStream | null = (this.stream = started.stream);
     this.sink.startStream(started.head.forwardedHeaders);
     this.timing.start(this.context.clock.nowMs());
-    let stream: engineStreams.EngineStream | null = started.stream;
     while (stream !== null) {
       this.stream = stream;
       this.timing.restartWindow();
@@ -156,12 +152,11 @@
   private beginHandover(cause: handovers.HandoverCause): void {
     const { stream } = this;
     if (stream === null || this.handover !== null) return;
-    const handover = HANDOVER_BY_CAUSE[cause](this, stream).then((next) => {
+    this.handover = beginHandovers.beginHandover(this.context, this, cause, stream).then((next) => {
       // A successful handover is kept until the old stream has ended.
       if (next === null) this.handover = null;
       return next;
     });
-    this.handover = handover;
   }
 
   /** Hands the run over to its backup, or migrates its memory, unless the run ends soon. */
@@ -201,7 +196,7 @@
     const { canResume } = this.continuation;
     if (this.scope === null || (!hasBackup && !canResume)) return null;
     const { signal } = this.scope;
-    const requestId = this.call.head.id;
+    const { requestId } = this;
     const { connector } = this.context;
     const isReachable = await connector.isReachable(stream.server, { requestId, signal });
     if (isReachable) return null;
@@ -240,7 +235,7 @@
     const streamEnded = new AbortController();
     void this.forwarding?.then(() => streamEnded.abort());
     const target = await handovers.migrateMemory(this.context, {
-      requestId: this.call.head.id,
+      requestId: this.requestId,
       serviceName: this.call.serviceName,
       from: stream.server,
       need: this.claims.createContinuationNeed(this.lastEventId),
--- a/src/relay/_lib/openAttempt/index.ts
+++ b/src/relay/_lib/openAttempt/index.ts
@@ -70,46 +70,68 @@
   return sendRequest(request, connected.value);
 }
 
+/** Sends the request on an open connection; nothing was sent if it cannot be written as HTTP. */
 function sendRequest(
   request: AttemptRequest,
-  { socket, peer, recordBytes }: serverLinks.ServerConnection,
+  connection: serverLinks.ServerConnection,
 ): Promise<Opening> {
   return new Promise((resolve) => {
-    const outgoing = http.request({
-      createConnection: () => socket,
-      method: request.method,
-      path: request.target,
-      setHost: false,
-    });
-    const headers = request.headers();
-    for (let index = 0; index < headers.length; index += 2) {
-      outgoing.appendHeader(headers[index] ?? "", headers[index + 1] ?? "");
+    try {
+      const outgoing = createRequest(request, connection.socket);
+      awaitAnswer(request, connection, outgoing, resolve);
+      outgoing.end(request.body);
+    } catch (error) {
+      connection.socket.destroy();
+      const cause = error instanceof Error ? error.message : String(error);
+      resolve({ kind: OpeningKind.NotSent, cause: `not written: ${cause}` });
     }
-    const wasReset = watchForReset(socket);
-    const close = (): void => void outgoing.destroy();
-    request.signal.addEventListener("abort", close, { once: true });
-    outgoing.once("close", () => request.signal.removeEventListener("abort", close));
-    let informationCount = 0;
-    outgoing.on("information", () => {
-      informationCount += 1;
-      if (informationCount > constants.MAX_INFORMATIONAL_ANSWERS_COUNT)
-        outgoing.destroy(new Error(`${informationCount} informational answers before the answer`));
-    });
-    outgoing.once("response", (message) => {
-      recordBytes();
-      // The reader of the body detects errors by "close" without "complete".
-      message.on("error", () => undefined);
-      const isTruncatedByReset = async (): Promise<boolean> => !isFramed(message) && wasReset();
-      resolve({ kind: OpeningKind.Answered, message, peer, close, isTruncatedByReset });
-    });
-    outgoing.on("error", (error) => resolve({ kind: OpeningKind.Lost, cause: error.message }));
-    outgoing.once("close", () =>
-      resolve({ kind: OpeningKind.Lost, cause: "closed without an answer" }),
-    );
-    outgoing.end(request.body);
   });
 }
 
+function createRequest(request: AttemptRequest, socket: net.Socket): http.ClientRequest {
+  const outgoing = http.request({
+    createConnection: () => socket,
+    method: request.method,
+    path: request.target,
+    setHost: false,
+  });
+  outgoing.on("error", () => undefined);
+  const headers = request.headers();
+  for (let index = 0; index < headers.length; index += 2) {
+    outgoing.appendHeader(headers[index] ?? "", headers[index + 1] ?? "");
+  }
+  return outgoing;
+}
+
+function awaitAnswer(
+  request: AttemptRequest,
+  { socket, peer, recordBytes }: serverLinks.ServerConnection,
+  outgoing: http.ClientRequest,
+  resolve: (opening: Opening) => void,
+): void {
+  const wasReset = watchForReset(socket);
+  const close = (): void => void outgoing.destroy();
+  request.signal.addEventListener("abort", close, { once: true });
+  outgoing.once("close", () => request.signal.removeEventListener("abort", close));
+  let informationCount = 0;
+  outgoing.on("information", () => {
+    informationCount += 1;
+    if (informationCount > constants.MAX_INFORMATIONAL_ANSWERS_COUNT)
+      outgoing.destroy(new Error(`${informationCount} informational answers before the answer`));
+  });
+  outgoing.once("response", (message) => {
+    recordBytes();
+    // The reader of the body detects errors by "close" without "complete".
+    message.on("error", () => undefined);
+    const isTruncatedByReset = async (): Promise<boolean> => !isFramed(message) && wasReset();
+    resolve({ kind: OpeningKind.Answered, message, peer, close, isTruncatedByReset });
+  });
+  outgoing.on("error", (error) => resolve({ kind: OpeningKind.Lost, cause: error.message }));
+  outgoing.once("close", () =>
+    resolve({ kind: OpeningKind.Lost, cause: "closed without an answer" }),
+  );
+}
+
 /**
  * Distinguishes an orderly end of a connection from a reset. Node reports a reset that arrives
  * together with the last bytes as an end; an empty write then fails if the connection was reset.
--- a/src/relay/_lib/plainCall/index.ts
+++ b/src/relay/_lib/plainCall/index.ts
@@ -9,6 +9,7 @@
 import * as counts from "../changeCount/index.js";
 import * as consumeRetries from "../consumeRetry/index.js";
 import * as peerTargets from "../findPeerTarget/index.js";
+import * as planCallRetries from "../planCallRetry/index.js";
 import * as plainAttempts from "../recordPlainAttempt/index.js";
 import * as unplacedCalls from "../refuseUnplaced/index.js";
 import * as plainTargets from "../selectPlainTarget/index.js";
@@ -66,7 +67,7 @@
     if (server === undefined) {
       this.waitForPlace();
     } else if (delayMs > 0) {
-      void this.sendWhenDue(server, delayMs);
+      this.contain(this.sendWhenDue(server, delayMs));
     } else {
       this.context.backpressure.reserve(server.entry);
       this.sendNow(server.entry);
@@ -86,9 +87,11 @@
     });
     const timeLeftMs = call.deadlineAtMs - startedAtMs;
     const options = { ...types.PLAIN_ATTEMPT_OPTIONS, server, timeLeftMs, prefersPeer };
-    const outcome = await this.sendBuffered(context, call, options, this.scope.signal);
-    counts.changeCount(this.pendingCounts, server.id, -1);
-    this.progress.pendingCount -= 1;
+    const sent = this.sendBuffered(context, call, options, this.scope.signal);
+    const outcome = await sent.finally(() => {
+      counts.changeCount(this.pendingCounts, server.id, -1);
+      this.progress.pendingCount -= 1;
+    });
     if (this.ending.isSettled) return;
     const elapsedMs = context.clock.nowMs() - startedAtMs;
     plainAttempts.recordPlainAttempt(context, call, { server, outcome, elapsedMs });
@@ -131,13 +134,20 @@
   /** Sends the call again as planned, or finishes it. */
   private retryOrFinish(failure: dispatch.AttemptFailure): void {
     if (this.progress.pendingCount > 0) return;
-    const plan = this.planRetry(failure);
+    const plan = planCallRetries.planCallRetry(this.context, this.call, {
+      failure,
+      sendsCount: this.progress.sendsCount,
+      pausesCount: this.pausesCount,
+      canUseNewServer: this.possiblyRanIds.size < this.maxServersCount,
+      hasSoundServer: this.hasSoundServer(),
+      triedIds: this.triedIds,
+    });
     if (plan === null) {
       this.ending.finishUnsent(types.RefusalReason.ServersRefused);
       return;
     }
     if (plan.delayMs > 0) {
-      void this.retryLater(failure, plan);
+      this.contain(this.retryLater(failure, plan));
       return;
     }
     const isAllowed = !plan.usesBudget || consumeRetries.consumeRetry(this.context, this.call);
@@ -159,23 +169,6 @@
     else this.retryOrFinish(failure);
   }
 
-  private planRetry(failure: dispatch.AttemptFailure): dispatch.RetryPlan | null {
-    const { context, call } = this;
-    const nowMs = context.clock.nowMs();
-    const callTimesMs = [...this.triedIds].map((id) => context.trust.typicalMs(id) ?? 0);
-    return dispatch.planRetry({
-      failure,
-      sendsCount: this.progress.sendsCount,
-      pausesCount: this.pausesCount,
-      canUseNewServer: this.possiblyRanIds.size < this.maxServersCount,
-      hasSoundServer: this.hasSoundServer(),
-      timeGivenMs: call.deadlineAtMs - call.arrivedAtMs,
-      timeLeftMs: call.deadlineAtMs - nowMs,
-      objectiveLeftMs: call.arrivedAtMs + call.route.objectiveMs - nowMs,
-      callMs: Math.min(...callTimesMs),
-    });
-  }
-
   private hasSoundServer(): boolean {
     const server = this.selectServer();
     if (server === undefined) return false;
@@ -205,13 +198,14 @@
       this.ending.finishUnsent(refused.reason, refused.retryAfterMs);
       return;
     }
-    const sendAgain = (): void => {
-      if (!this.ending.isSettled) this.send();
-    };
+    this.contain(this.sendAfterPause());
+  }
+
+  private async sendAfterPause(): Promise<void> {
+    const { clock } = this.context;
     // Rejects only if the call has ended.
-    void this.context.clock
-      .sleep(constants.PLACE_CHECK_INTERVAL_MS, this.scope.signal)
-      .then(sendAgain, () => null);
+    await clock.sleep(constants.PLACE_CHECK_INTERVAL_MS, this.scope.signal).catch(() => null);
+    if (!this.ending.isSettled) this.send();
   }
 
   /**
@@ -236,12 +230,17 @@
     else this.send();
   }
 
+  /** Lets an error of a step of this call end the call, and no more. */
+  private contain(step: Promise<void>): void {
+    step.catch((error: unknown) => this.ending.finishFailed(error));
+  }
+
   private sendNow(server: servers.ServerEntry, prefersPeer = false): void {
     this.context.spread.advance(this.call.serviceName);
     this.context.loads.recordSend(server);
     this.progress.sendsCount += 1;
     this.progress.pendingCount += 1;
-    void this.sendTo(server, prefersPeer);
+    this.contain(this.sendTo(server, prefersPeer));
   }
 
   /**
--- a/src/relay/_lib/sendBuffered/index.ts
+++ b/src/relay/_lib/sendBuffered/index.ts
@@ -144,21 +144,15 @@
   head: types.AnswerHead,
   collected: collectBodies.CollectedBody,
 ): SendOutcome {
+  const unknown = (cause: string): Unknown => {
+    return { kind: SendKind.Unknown, cause, hasServerEnded: false };
+  };
+  const fault = headFaults.findHeadFault(call, head);
+  if (fault !== null) return unknown(fault);
   if (head.isNotRun) {
     const { isOtherServer } = head;
     return { kind: SendKind.NotRun, cause: `status ${head.status}`, wasSent: true, isOtherServer };
   }
-  const fault = findAnswerFault(call, head, collected);
-  if (fault !== null) return { kind: SendKind.Unknown, cause: fault, hasServerEnded: false };
+  if (collected.end !== collectBodies.BodyEnd.Complete) return unknown(`body ${collected.end}`);
   return { kind: SendKind.Answered, serverId, head, body: collected.body };
 }
-
-function findAnswerFault(
-  call: types.Call,
-  head: types.AnswerHead,
-  collected: collectBodies.CollectedBody,
-): string | null {
-  const headFault = headFaults.findHeadFault(call, head);
-  if (headFault !== null) return headFault;
-  return collected.end === collectBodies.BodyEnd.Complete ? null : `body ${collected.end}`;
-}
--- a/src/relay/types.ts
+++ b/src/relay/types.ts
@@ -175,6 +175,8 @@
   TimedOutNotRun = "timed-out-not-run",
   TimedOut = "timed-out",
   OutcomeUnknown = "outcome-unknown",
+  /** An error that no code expected; the call may have been executed. */
+  InternalError = "internal-error",
 }
 
 /** An answer that this VM gives instead of a server's. */
