Answer what waits at a stopping VM, instead of closing its connection

Cause: the time of the stop bounded only calls that came after it. What waited kept its caller's deadline, and the queue was settled only after all connections had been closed. A plain call that a server still ran lost its connection in the same way. Change: the queue knows when its VM closes its connections. What cannot end before that, by its expected wait and run, is refused at once with 503 and the time to come back; it has not run. 100 ms before the end each call without an answer gets one of the VM: 503 if it was not sent, else 504. Ruled out: a shorter deadline alone, which would tell callers seven seconds late. Why it works: no path is left on which the connection closes before the call has been settled.

--- a/src/gateway/_lib/createCallerServer/index.ts
+++ b/src/gateway/_lib/createCallerServer/index.ts
@@ -28,13 +28,24 @@
   readonly resources: disposableStore.DisposableStore;
   /** Returns the milliseconds until this VM stops; null if it is not stopping. */
   readonly getTimeToStopMs: () => number | null;
+  /** Aborted when this VM is about to close its callers' connections. */
+  readonly vmClosing: AbortSignal;
 }
 
 /** Creates a VM's server for callers, with the relays that it passes their calls to. */
 export function createCallerServer(
   settings: types.GatewaySettings,
   ports: types.GatewayPorts,
-  { callGate, links, mesh, resources, view, getTimeToStopMs, ...parts }: CallerServerParts,
+  {
+    callGate,
+    links,
+    mesh,
+    resources,
+    view,
+    getTimeToStopMs,
+    vmClosing,
+    ...parts
+  }: CallerServerParts,
 ): callerServers.CallerServer {
   const { clock, log } = ports;
   const budget = new relay.RetryBudget(clock, settings.retryBudget, () => mesh.liveVmsCount);
@@ -68,5 +79,6 @@
       [routing.RouteKind.Generation]: generations.relay.bind(generations),
     },
     getTimeToStopMs,
+    vmClosing,
   });
 }
--- a/src/gateway/callerServer/index.ts
+++ b/src/gateway/callerServer/index.ts
@@ -26,6 +26,8 @@
   readonly relays: Readonly<Record<routing.RouteKind, Relay>>;
   /** Returns the milliseconds until this VM stops; null if it is not stopping. */
   readonly getTimeToStopMs: () => number | null;
+  /** Aborted when this VM is about to close its callers' connections. */
+  readonly vmClosing: AbortSignal;
 }
 
 /** HTTP server for callers: admits or refuses their calls, and passes admitted calls to a relay. */
@@ -156,6 +158,7 @@
       arrivedAtMs,
       deadlineAtMs: this.computeDeadline(head, route, arrivedAtMs),
       callerDisconnected,
+      vmClosing: this.context.vmClosing,
       suspects: crashes.listSuspects(serviceName, fingerprint, partIds),
     };
     await this.context.relays[route.kind](call, sink);
--- a/src/gateway/constants.ts
+++ b/src/gateway/constants.ts
@@ -42,6 +42,12 @@
 /** Interval at which a stopping process checks whether all its calls are answered. */
 export const DRAIN_CHECK_INTERVAL_MS = 50;
 
+/**
+ * Time before a stopping process closes its callers' connections at which calls without an answer get one of
+ * this VM's own, so that the answers can be sent.
+ */
+export const FINAL_ANSWERS_MS = 100;
+
 /**
  * Shortest time left to a stopping process for which it still accepts plain calls: a few times the
  * longest objective of those, 0.4 s.
--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -54,6 +54,7 @@
   private readonly discovery: vmDiscoveries.VmDiscovery;
   private readonly readers: readonly sharedView.TopicReader[];
   private stopAtMs: number | null = null;
+  private readonly closing = new AbortController();
   private wasReady = false;
 
   constructor(
@@ -146,6 +147,7 @@
       resources: this.resources,
       getTimeToStopMs: () =>
         this.stopAtMs === null ? null : Math.max(0, this.stopAtMs - clock.nowMs()),
+      vmClosing: this.closing.signal,
     });
   }
 
@@ -222,14 +224,17 @@
     const startedAtMs = clock.nowMs();
     this.stopAtMs = startedAtMs + this.settings.graceMs - constants.GRACE_MARGIN_MS;
     log.record(Importance.StateChange, LogEvent.Stopping, { activeCount: this.activeCallsCount });
+    this.dispatcher.finishBy(this.stopAtMs);
     const drainedAtMs = startedAtMs + constants.MIN_DRAIN_MS;
+    const answersAtMs = this.stopAtMs - constants.FINAL_ANSWERS_MS;
     for (;;) {
       const nowMs = clock.nowMs();
       const openCount = this.activeCallsCount + this.links.tunnelServer.tunnelsCount;
       const isIdle = openCount === 0 && nowMs >= drainedAtMs;
-      if (isIdle || nowMs >= this.stopAtMs) break;
+      if (isIdle || nowMs >= answersAtMs) break;
       await clock.sleep(constants.DRAIN_CHECK_INTERVAL_MS);
     }
+    this.closing.abort();
     const cutCount = await this.callerServer.finish(this.stopAtMs);
     log.record(Importance.StateChange, LogEvent.Stopped, { cutCount });
     this.mesh.sendLeave();
--- /dev/null
+++ b/src/gateway/shutdown/test.ts
@@ -0,0 +1,54 @@
+import tap, { type Test } from "tap";
+
+import * as backendServers from "../../../standins/platform/backendServer/index.js";
+import * as gatewayFleets from "../../../standins/platform/gatewayFleet/index.js";
+import * as testFleets from "../_lib/testFleet/index.js";
+
+const { ENGINE_SERVICE, PLAIN_SERVICE } = gatewayFleets;
+
+/** Sends a draft that occupies the only place of an engine for longer than a VM takes to stop. */
+async function occupyEngine(
+  t: Test,
+  fleet: gatewayFleets.GatewayFleet,
+): Promise<backendServers.BackendServer> {
+  const endless = backendServers.stream({ eventsCount: 10_000, gapMs: 20 });
+  const engine = await fleet.addServer("e1", ENGINE_SERVICE, endless, 1);
+  await testFleets.waitUntilServersKnown(fleet, 1);
+  const running = testFleets.requestDraft(fleet, "running").catch(() => null);
+  t.teardown(() => running);
+  await testFleets.waitUntil(() => engine.runs.length === 1);
+  return engine;
+}
+
+// Guards against accepted generations that a stopping VM lets wait, and then cuts off without an answer.
+tap.test("a generation that waits when its VM is told to stop is refused at once", async (t) => {
+  const fleet = await testFleets.startReadyFleet(t);
+  const engine = await occupyEngine(t, fleet);
+  const waiting = testFleets.requestDraft(fleet, "waiting");
+  await testFleets.waitUntil(() => fleet.gateways[0]?.activeCallsCount === 2);
+  const startedAtMs = Date.now();
+  const stopped = fleet.gateways[0]?.stop();
+  const answer = await waiting;
+  t.equal(answer.status, 503, "it has not run, and its caller can come back to another VM");
+  t.ok(Number(answer.headers["retry-after"]) < 1, "at once");
+  t.equal(answer.headers.connection, "close");
+  t.ok(Date.now() - startedAtMs < 1_000, "it does not wait for the end of the grace period");
+  t.notOk(engine.runs.includes("waiting"));
+  await stopped;
+  await fleet.gateways[0]?.[Symbol.asyncDispose]();
+});
+
+// Guards against connections that are closed without a word at the end of the grace period.
+tap.test(
+  "a call that a server still runs when its VM closes gets an answer of the VM",
+  async (t) => {
+    const fleet = await testFleets.startReadyFleet(t);
+    const server = await fleet.addServer("p1", PLAIN_SERVICE, backendServers.neverAnswer());
+    await testFleets.waitUntilServersKnown(fleet, 1);
+    const call = fleet.call({ path: "/file/", method: "POST", id: "f1", body: "permit" });
+    await testFleets.waitUntil(() => server.runs.length === 1);
+    await fleet.gateways[0]?.stop();
+    await fleet.gateways[0]?.[Symbol.asyncDispose]();
+    t.match(await call, { status: 504, isComplete: true }, "it promises nothing");
+  },
+);
--- a/src/relay/_lib/attemptScope/index.ts
+++ b/src/relay/_lib/attemptScope/index.ts
@@ -1,8 +1,16 @@
 import type * as clocks from "../../../_lib/clock/index.js";
 
+/** What ends the attempts of a call besides its deadline. */
+export interface ScopeSignals {
+  /** Aborted when the caller disconnects. */
+  readonly callerDisconnected: AbortSignal;
+  /** Aborted when this VM is about to close its callers' connections. */
+  readonly vmClosing?: AbortSignal;
+}
+
 /**
- * The lifetime of one call's attempts. It ends when the caller disconnects, at the deadline, or when
- * the scope is disposed.
+ * The lifetime of one call's attempts. It ends when the caller disconnects, at the deadline, shortly before
+ * this VM closes the caller's connection, or when the scope is disposed.
  */
 export class AttemptScope implements Disposable {
   private readonly controller = new AbortController();
@@ -12,15 +20,15 @@
   constructor(
     clock: clocks.Clock,
     deadlineAtMs: number,
-    private readonly parent: AbortSignal,
+    private readonly signals: ScopeSignals,
   ) {
     const remainingMs = Math.max(0, deadlineAtMs - clock.nowMs());
-    this.timer = clock.schedule(remainingMs, () => {
-      this.timedOut = true;
-      this.controller.abort();
-    });
-    if (parent.aborted) this.controller.abort();
-    parent.addEventListener("abort", this.end, { once: true });
+    const { callerDisconnected, vmClosing } = signals;
+    this.timer = clock.schedule(remainingMs, this.timeOut);
+    if (callerDisconnected.aborted) this.controller.abort();
+    callerDisconnected.addEventListener("abort", this.end, { once: true });
+    if (vmClosing?.aborted === true) this.timeOut();
+    vmClosing?.addEventListener("abort", this.timeOut, { once: true });
   }
 
   /** Aborted when the scope ends. */
@@ -28,7 +36,7 @@
     return this.controller.signal;
   }
 
-  /** Whether the deadline has passed. */
+  /** Whether the deadline has passed, or this VM closes the caller's connection. */
   get isTimedOut(): boolean {
     return this.timedOut;
   }
@@ -40,7 +48,13 @@
 
   [Symbol.dispose](): void {
     this.timer[Symbol.dispose]();
-    this.parent.removeEventListener("abort", this.end);
+    this.signals.callerDisconnected.removeEventListener("abort", this.end);
+    this.signals.vmClosing?.removeEventListener("abort", this.timeOut);
     this.controller.abort();
   }
+
+  private readonly timeOut = (): void => {
+    if (!this.controller.signal.aborted) this.timedOut = true;
+    this.controller.abort();
+  };
 }
--- a/src/relay/_lib/decideWait/index.ts
+++ b/src/relay/_lib/decideWait/index.ts
@@ -11,6 +11,37 @@
   readonly releaseTokensPerMs: number;
   /** Whether all servers of the service are in evacuated data centres. */
   readonly isEvacuated: boolean;
+  /** When this VM closes its callers' connections, on its monotonic clock; Infinity if it is not stopping. */
+  readonly closesAtMs: number;
+}
+
+/**
+ * Decides whether a generation goes on waiting at a VM that stops: it does if its run can end before the
+ * connection to its caller is closed. Another VM has more time for it.
+ *
+ * @param engine - the engine whose capacity is allocated to it; undefined if there is none
+ * @returns why it is refused; null if it stays
+ */
+export function refuseAtShutdown(
+  waiting: localWaitings.LocalWaitingGeneration,
+  engine: dispatch.EngineCandidate | undefined,
+  queue: scanQueues.ScannedQueue,
+  context: WaitContext,
+): types.PlacementRefusal | null {
+  if (context.closesAtMs === Infinity) return null;
+  const { request } = waiting;
+  const estimatedMs =
+    engine === undefined
+      ? estimateWaitMs(waiting, queue.ordered, usableOf(waiting, queue), context)
+      : 0;
+  const admission = dispatch.decideAdmission({
+    expectedWaitMs: Number.isFinite(estimatedMs) ? estimatedMs : 0,
+    expectedRunMs: request.expectedRunMs,
+    timeLeftMs: context.closesAtMs - context.nowMs,
+  });
+  if (admission === dispatch.Admission.Wait) return null;
+  const expectedWaitMs = constants.STOPPING_RETRY_AFTER_MS;
+  return { kind: "stopping", expectedWaitMs, queuedCount: queue.ordered.length };
 }
 
 /**
@@ -28,7 +59,7 @@
     const expectedWaitMs = constants.EVACUATED_RETRY_AFTER_MS;
     return { kind: "evacuated", expectedWaitMs, queuedCount: queue.ordered.length };
   }
-  const usable = queue.candidates.filter(({ serverId }) => !request.avoidedIds.has(serverId));
+  const usable = usableOf(waiting, queue);
   const expectedWaitMs = estimateWaitMs(waiting, queue.ordered, usable, context);
   const admission = dispatch.decideAdmission({
     expectedWaitMs: Number.isFinite(expectedWaitMs) ? expectedWaitMs : 0,
@@ -65,6 +96,13 @@
   };
 }
 
+function usableOf(
+  { request }: localWaitings.LocalWaitingGeneration,
+  { candidates }: scanQueues.ScannedQueue,
+): readonly dispatch.EngineCandidate[] {
+  return candidates.filter(({ serverId }) => !request.avoidedIds.has(serverId));
+}
+
 function shareOf(
   { accountName }: dispatch.FleetWaiting,
   { shares }: scanQueues.ScannedQueue,
--- a/src/relay/_lib/decideWait/test.ts
+++ b/src/relay/_lib/decideWait/test.ts
@@ -63,7 +63,7 @@
   return { ordered, candidates: [ENGINE], allocated: new Map(), shares };
 }
 
-const CONTEXT = { nowMs: 0, releaseTokensPerMs: 3, isEvacuated: false };
+const CONTEXT = { nowMs: 0, releaseTokensPerMs: 3, isEvacuated: false, closesAtMs: Infinity };
 
 tap.test("a run that cannot end in time takes no memory that others wait for", async (t) => {
   const late = createWaiting("late", 5_000);
@@ -93,3 +93,23 @@
   const unknown = { ...CONTEXT, releaseTokensPerMs: 0 };
   t.equal(decideWaits.refuseUnsatisfiable(last, queue, unknown), null, "nothing released yet");
 });
+
+// Guards against generations that wait at a stopping VM until it closes their connections.
+tap.test(
+  "a stopping VM refuses at once what cannot end before it closes its connections",
+  async (t) => {
+    // Each is expected to run for 9 s.
+    const waiting = createWaiting("w", 39_000);
+    const queue = createQueue([waiting]);
+    const refuse = (
+      closesAtMs: number,
+      engine?: typeof ENGINE,
+    ): ReturnType<typeof decideWaits.refuseAtShutdown> =>
+      decideWaits.refuseAtShutdown(waiting, engine, queue, { ...CONTEXT, closesAtMs });
+    t.match(refuse(7_600), { kind: "stopping", queuedCount: 1 });
+    t.match(refuse(7_600, ENGINE), { kind: "stopping" }, "also if an engine has capacity");
+    t.equal(refuse(12_000, ENGINE), null, "it is placed if it can end");
+    t.equal(refuse(30_000), null, "it waits if it can end after the wait");
+    t.equal(refuse(Infinity), null, "nothing changes at other VMs");
+  },
+);
--- a/src/relay/_lib/generationRun/index.ts
+++ b/src/relay/_lib/generationRun/index.ts
@@ -65,11 +65,7 @@
   /** Serves the generation and answers its caller. */
   async run(): Promise<void> {
     const { clock } = this.context;
-    using scope = new attemptScopes.AttemptScope(
-      clock,
-      this.call.deadlineAtMs,
-      this.call.callerDisconnected,
-    );
+    using scope = new attemptScopes.AttemptScope(clock, this.call.deadlineAtMs, this.call);
     try {
       await this.serve(scope);
     } finally {
--- a/src/relay/_lib/handover/index.ts
+++ b/src/relay/_lib/handover/index.ts
@@ -153,7 +153,9 @@
   const { requestId, serviceName, streamEnded } = request;
   const waitEndAtMs = request.noticedAtMs + constants.MIGRATION_WAIT_LIMIT_MS;
   const othersTargetIds = listOthersTargets(context, request, avoidedIds);
-  using scope = new attemptScopes.AttemptScope(clock, waitEndAtMs, streamEnded);
+  using scope = new attemptScopes.AttemptScope(clock, waitEndAtMs, {
+    callerDisconnected: streamEnded,
+  });
   const placed = await dispatcher.place({
     requestId,
     serviceName,
--- a/src/relay/_lib/plainReplay/index.ts
+++ b/src/relay/_lib/plainReplay/index.ts
@@ -139,7 +139,9 @@
       refuse: ({ status }: types.Refusal) => this.statuses.push(status),
     } as unknown as callSink.CallSink;
     const { signal } = new AbortController();
-    const scope = new attemptScopes.AttemptScope(clock, call.deadlineAtMs, signal);
+    const scope = new attemptScopes.AttemptScope(clock, call.deadlineAtMs, {
+      callerDisconnected: signal,
+    });
     const { context, pendingCounts } = sender;
     context.budget.recordCall(SERVICE_NAME);
     const send: typeof sends.sendBuffered = (_context, _call, { server }) => this.send(server.id);
--- a/src/relay/_lib/startRun/index.ts
+++ b/src/relay/_lib/startRun/index.ts
@@ -146,6 +146,7 @@
   evacuated: types.RefusalReason.Evacuated,
   "no-room": types.RefusalReason.NoCapacity,
   "caller-gone": null,
+  stopping: types.RefusalReason.Stopping,
 } as const;
 
 function refusePlacement(
--- a/src/relay/engineDispatcher/index.ts
+++ b/src/relay/engineDispatcher/index.ts
@@ -23,6 +23,8 @@
   private readonly waiting = new Set<localWaitings.LocalWaitingGeneration>();
   private readonly sharesByService = new Map<string, dispatch.AccountShares | null>();
   private scanTimer: Disposable | null = null;
+  /** When this VM closes its callers' connections; Infinity if it is not stopping. */
+  private closesAtMs = Infinity;
 
   constructor(private readonly context: types.DispatcherContext) {
     this.speeds = new dispatch.EngineSpeeds(context.clock);
@@ -68,6 +70,15 @@
     });
   }
 
+  /**
+   * Refuses generations whose runs cannot end by a time on the monotonic clock, at which this VM closes its
+   * callers' connections: those that wait, and those that come.
+   */
+  finishBy(closesAtMs: number): void {
+    this.closesAtMs = closesAtMs;
+    this.scan();
+  }
+
   /** Lists the engines of a service that accept new runs, with their loads. */
   listCandidates(
     serviceName: string,
@@ -158,13 +169,16 @@
     this.sharesByService.set(serviceName, queue.shares);
     const releaseTokensPerMs = this.context.claims.estimateReleaseRate();
     const isEvacuated = this.context.directory.isServiceEvacuated(serviceName);
-    const waitContext = { nowMs: this.context.clock.nowMs(), releaseTokensPerMs, isEvacuated };
+    const { closesAtMs } = this;
+    const nowMs = this.context.clock.nowMs();
+    const waitContext = { nowMs, releaseTokensPerMs, isEvacuated, closesAtMs };
     for (const waiting of local) {
       const engine = queue.allocated.get(waiting);
       const refusal =
-        engine === undefined
+        decideWaits.refuseAtShutdown(waiting, engine, queue, waitContext) ??
+        (engine === undefined
           ? decideWaits.refuseUnsatisfiable(waiting, queue, waitContext)
-          : decideWaits.refuseTooLate(waiting, queue, waitContext);
+          : decideWaits.refuseTooLate(waiting, queue, waitContext));
       if (refusal !== null) waiting.settle(neverthrow.err(refusal));
       else if (engine !== undefined) this.placeOn(waiting, engine, queue);
     }
--- a/src/relay/engineDispatcher/types.ts
+++ b/src/relay/engineDispatcher/types.ts
@@ -42,7 +42,7 @@
 
 /** Why no engine was claimed for a generation. */
 export interface PlacementRefusal {
-  readonly kind: "no-server" | "evacuated" | "no-room" | "caller-gone";
+  readonly kind: "no-server" | "evacuated" | "no-room" | "caller-gone" | "stopping";
   readonly expectedWaitMs: number;
   readonly queuedCount: number;
   /** Share and use of its account; absent unless accounts compete for memory that does not suffice. */
--- a/src/relay/plainRelay/index.ts
+++ b/src/relay/plainRelay/index.ts
@@ -30,11 +30,7 @@
       this.refuse(call, sink, refusal);
       return;
     }
-    using scope = new attemptScopes.AttemptScope(
-      this.context.clock,
-      call.deadlineAtMs,
-      call.callerDisconnected,
-    );
+    using scope = new attemptScopes.AttemptScope(this.context.clock, call.deadlineAtMs, call);
     await new plainCalls.PlainCall(this.context, this.pendingCounts, call, sink, scope).run();
     this.recordEnd(call, sink);
   }
--- a/src/relay/types.ts
+++ b/src/relay/types.ts
@@ -47,6 +47,8 @@
   readonly deadlineAtMs: number;
   /** Aborted when the caller disconnects. */
   readonly callerDisconnected: AbortSignal;
+  /** Aborted when this VM is about to close its callers' connections. */
+  readonly vmClosing?: AbortSignal;
   /** What the call may have in common with others that made a server crash. */
   readonly suspects: readonly crashes.Suspect[];
 }
