--- a/src/_lib/repeat/index.ts
+++ b/src/_lib/repeat/index.ts
@@ -5,8 +5,12 @@
   let timer: Disposable;
   const scheduleNext = (): void => {
     timer = clock.schedule(intervalMs, () => {
-      callback();
-      scheduleNext();
+      // An error in one round does not end all later ones.
+      try {
+        callback();
+      } finally {
+        scheduleNext();
+      }
     });
   };
   scheduleNext();
--- a/src/diagnostics/meters/index.ts
+++ b/src/diagnostics/meters/index.ts
@@ -38,6 +38,11 @@
     "Errors that no code expected, by what they have ended.",
     ["origin"],
   );
+  readonly unreadableRecords = this.counter(
+    "unreadable_records_total",
+    "Records of the platform's store that cannot be used.",
+    [],
+  );
   readonly storeCalls = this.counter("store_calls_total", "Calls to the platform's store.", [
     "call",
     "outcome",
--- a/src/diagnostics/recordInternalError/index.ts
+++ b/src/diagnostics/recordInternalError/index.ts
@@ -41,6 +41,20 @@
   });
 }
 
+/** Runs a step; an unexpected error ends the step alone, and is reported. */
+export function contain(
+  context: ErrorReportContext,
+  origin: ErrorOrigin,
+  fields: types.LogFields,
+  step: () => void,
+): void {
+  try {
+    step();
+  } catch (error) {
+    recordInternalError(context, origin, error, fields);
+  }
+}
+
 function describe(error: unknown): string {
   const text = error instanceof Error ? (error.stack ?? error.message) : String(error);
   return text.slice(0, MAX_STACK_LENGTH);
--- a/src/fleet/udpSocket/index.ts
+++ b/src/fleet/udpSocket/index.ts
@@ -31,7 +31,11 @@
   }
 
   send(bytes: Uint8Array, address: string, port: number): void {
-    this.socket.send(bytes, port, address, () => undefined);
+    try {
+      this.socket.send(bytes, port, address, () => undefined);
+    } catch {
+      // Thrown for a port out of range, and after the socket was closed; counts as a lost datagram, too.
+    }
   }
 
   onMessage(listener: (bytes: Uint8Array, address: string, port: number) => void): Disposable {
--- a/src/gateway/_lib/createMesh/index.ts
+++ b/src/gateway/_lib/createMesh/index.ts
@@ -26,7 +26,7 @@
 /** Creates a VM's mesh with the other VMs. */
 export function createMesh(
   settings: types.GatewaySettings,
-  { clock, log, socket }: types.GatewayPorts,
+  { clock, log, meters, socket }: types.GatewayPorts,
   { backpressure, crashMonitor, getDispatcher, links, loads, overloadGuard, ...parts }: MeshParts,
 ): sharedView.PeerMesh {
   const { replicas } = parts.view;
@@ -35,6 +35,7 @@
   return new sharedView.PeerMesh({
     clock,
     log,
+    meters,
     socket,
     replicas,
     claims: parts.claims,
--- a/src/gateway/_lib/virtualFleet/index.ts
+++ b/src/gateway/_lib/virtualFleet/index.ts
@@ -91,8 +91,10 @@
   ) {
     const { clock } = fleet;
     const log = diagnostics.NOOP_DECISION_LOG;
+    const meters = new diagnostics.Meters();
     this.directory = new servers.ServerDirectory(clock);
-    this.view = new currentViews.CurrentView({ clock, decoder: DECODER, log }, this.directory, {
+    const ports = { clock, decoder: DECODER, log, meters };
+    this.view = new currentViews.CurrentView(ports, this.directory, {
       onConfiguration: () => undefined,
       onStoreRestored: () => undefined,
     });
@@ -103,6 +105,7 @@
     this.mesh = new sharedView.PeerMesh({
       clock,
       log,
+      meters,
       socket: this.resources.add(fleet.hub.open(name, PORT)),
       self: {
         vmName: name,
--- a/src/gateway/currentView/index.ts
+++ b/src/gateway/currentView/index.ts
@@ -1,3 +1,5 @@
+import * as lruCache from "lru-cache";
+
 import * as diagnostics from "../../diagnostics/index.js";
 import * as routing from "../../routing/index.js";
 import * as servers from "../../servers/index.js";
@@ -13,6 +15,13 @@
   [servers.EntryEffect.Returned]: LogEvent.ServerReturned,
 };
 
+/** Unreadable records of which it is known that they were logged. */
+const MAX_UNREADABLE_RECORDS_COUNT = 1_000;
+
+/** Longest key and longest cause in a log line. */
+const MAX_LOGGED_KEY_LENGTH = 80;
+const MAX_LOGGED_CAUSE_LENGTH = 500;
+
 /** Receives changes of the view. */
 export interface ViewListener {
   /** Called when a configuration takes effect. */
@@ -29,9 +38,13 @@
   /** This VM's replicas of the store's topics. */
   readonly replicas: ReadonlyMap<sharedView.Topic, sharedView.TopicReplica>;
   private table: routing.RoutingTable | null = null;
+  /** Offsets of the unreadable records that were logged, by key. */
+  private readonly unreadableOffsets = new lruCache.LRUCache<string, number>({
+    max: MAX_UNREADABLE_RECORDS_COUNT,
+  });
 
   constructor(
-    private readonly ports: Pick<types.GatewayPorts, "clock" | "decoder" | "log">,
+    private readonly ports: Pick<types.GatewayPorts, "clock" | "decoder" | "log" | "meters">,
     private readonly directory: servers.ServerDirectory,
     private readonly listener: ViewListener,
   ) {
@@ -42,7 +55,7 @@
         sharedView.Topic.Configuration,
         new sharedView.TopicReplica(clock, {
           onRecords: (records, { source }) => {
-            for (const record of records) this.applyEvacuation(record);
+            this.applyEach(records, (record) => this.applyEvacuation(record));
             this.applyConfigurations(records, source);
           },
           onListing: (records, { source, isRestored }) => {
@@ -92,7 +105,7 @@
     records: readonly sharedView.ViewRecord[],
     source: sharedView.ViewSource,
   ): void {
-    for (const record of records) this.applyConfiguration(record, source);
+    this.applyEach(records, (record) => this.applyConfiguration(record, source));
   }
 
   private applyConfiguration(record: sharedView.ViewRecord, source: sharedView.ViewSource): void {
@@ -174,13 +187,10 @@
     origin: sharedView.RecordOrigin,
   ): void {
     this.reportOutageIfStale(origin);
-    for (const record of records) {
-      if (record.value === null) {
-        this.directory.remove(record.key);
-        continue;
-      }
-      this.applyServer(record);
-    }
+    this.applyEach(records, (record) => {
+      if (record.value === null) this.directory.remove(record.key);
+      else this.applyServer(record);
+    });
   }
 
   private applyServer(record: sharedView.ViewRecord): void {
@@ -203,7 +213,7 @@
     origin: sharedView.RecordOrigin,
   ): void {
     this.reportOutageIfStale(origin);
-    for (const record of records) this.applyServer(record);
+    this.applyEach(records, (record) => this.applyServer(record));
     this.directory.retainListed(new Set(records.map(({ key }) => key)));
   }
 
@@ -221,11 +231,27 @@
     return null;
   }
 
-  private recordUnreadable(record: sharedView.ViewRecord, cause: string): void {
+  /** Applies records one by one, so that an error at one of them does not keep the others from being followed. */
+  private applyEach(
+    records: readonly sharedView.ViewRecord[],
+    apply: (record: sharedView.ViewRecord) => void,
+  ): void {
+    const { Task } = diagnostics.ErrorOrigin;
+    for (const record of records) {
+      const fields = { key: record.key.slice(0, MAX_LOGGED_KEY_LENGTH), offset: record.offset };
+      diagnostics.contain(this.ports, Task, fields, () => apply(record));
+    }
+  }
+
+  /** Counts a record that cannot be used, and logs it once, however often it is listed. */
+  private recordUnreadable({ key, offset }: sharedView.ViewRecord, cause: string): void {
+    if (this.unreadableOffsets.get(key) === offset) return;
+    this.unreadableOffsets.set(key, offset);
+    this.ports.meters.unreadableRecords.inc();
     this.ports.log.record(Importance.Notable, LogEvent.StoreRecordUnreadable, {
-      key: record.key.slice(0, 80),
-      offset: record.offset,
-      cause,
+      key: key.slice(0, MAX_LOGGED_KEY_LENGTH),
+      offset,
+      cause: cause.slice(0, MAX_LOGGED_CAUSE_LENGTH),
     });
   }
 }
--- a/src/gateway/currentView/test.ts
+++ b/src/gateway/currentView/test.ts
@@ -47,7 +47,8 @@
     decodeEvacuation: () => null,
     decodeServer: ({ key }) => neverthrow.ok({ ...ENTRY, id: key }),
   };
-  const ports = { clock, decoder, log: diagnostics.NOOP_DECISION_LOG };
+  const log = diagnostics.NOOP_DECISION_LOG;
+  const ports = { clock, decoder, log, meters: new diagnostics.Meters() };
   const view = new currentViews.CurrentView(ports, directory, {
     onConfiguration: () => undefined,
     onStoreRestored: () => undefined,
--- a/src/serverLinks/_lib/openConnection/index.ts
+++ b/src/serverLinks/_lib/openConnection/index.ts
@@ -1,4 +1,4 @@
-import type * as net from "node:net";
+import * as net from "node:net";
 
 import * as neverthrow from "neverthrow";
 
@@ -23,7 +23,11 @@
       resolve(neverthrow.err("aborted before connecting"));
       return;
     }
-    const socket = dial(address);
+    const socket = tryDial(dial, address);
+    if (!(socket instanceof net.Socket)) {
+      resolve(neverthrow.err(socket.cause));
+      return;
+    }
     const fail = (cause: string): void => {
       cleanUp();
       socket.destroy();
@@ -47,3 +51,15 @@
     });
   });
 }
+
+/** Starts to connect; returns the cause if the address cannot be one of a server. */
+function tryDial(
+  dial: types.Dial,
+  address: types.Address,
+): net.Socket | { readonly cause: string } {
+  try {
+    return dial(address);
+  } catch (error) {
+    return { cause: error instanceof Error ? error.message : String(error) };
+  }
+}
--- a/src/sharedView/_lib/testMesh/index.ts
+++ b/src/sharedView/_lib/testMesh/index.ts
@@ -85,6 +85,7 @@
     this.queue = new dispatch.FleetQueue(clock);
     this.mesh = new sharedView.PeerMesh({
       clock,
+      meters: new diagnostics.Meters(),
       socket: network.openSocket(name),
       self: {
         vmName: name,
--- a/src/sharedView/peerMesh/index.ts
+++ b/src/sharedView/peerMesh/index.ts
@@ -59,7 +59,7 @@
       onReports: context.onSuspects,
     });
     this.subscription = context.socket.onMessage((bytes) => this.receive(bytes));
-    this.timer = context.clock.schedule(0, () => this.runHeartbeatRound());
+    this.timer = context.clock.schedule(0, this.runHeartbeatRound);
   }
 
   /** Peers whose heartbeats are not overdue. */
@@ -104,13 +104,13 @@
     const isSameEpoch = (this.sentEpochs.get(topic) ?? batch.epoch) === batch.epoch;
     this.sentEpochs.set(topic, batch.epoch);
     if (!isSameEpoch) {
-      this.sendHeartbeatsToAll();
+      this.table.listAddresses().forEach(this.sendHeartbeat);
       return;
     }
     if (batch.records.length === 0) return;
     const { vmName } = this.context.self;
     const messages = encodeRecordParts.encodeRecordParts(vmName, topic, fromOffset, batch);
-    if (messages === null) this.sendHeartbeatsToAll();
+    if (messages === null) this.table.listAddresses().forEach(this.sendHeartbeat);
     else for (const message of messages) this.broadcast(message);
   }
 
@@ -126,7 +126,10 @@
     this.aggregator[Symbol.dispose]();
   }
 
-  private runHeartbeatRound(): void {
+  private readonly runHeartbeatRound = (): void => {
+    // Scheduled first, so that an error in one round does not end all later ones.
+    const intervalMs = this.table.heartbeatIntervalMs();
+    this.timer = this.context.clock.schedule(intervalMs, this.runHeartbeatRound);
     this.heartbeatRoundsCount += 1;
     this.isHub = this.table.isHub(this.context.reachesStore());
     this.dropWorkOfSilentPeers();
@@ -135,10 +138,7 @@
       this.work.sendSummary();
       this.crashes.sendDueSummaries();
     }
-    this.timer = this.context.clock.schedule(this.table.heartbeatIntervalMs(), () =>
-      this.runHeartbeatRound(),
-    );
-  }
+  };
 
   /** Marks peers as silent, removes their claims and waiting generations, and logs them. */
   private dropWorkOfSilentPeers(): void {
@@ -160,11 +160,7 @@
     }
   }
 
-  private sendHeartbeatsToAll(): void {
-    for (const address of this.table.listAddresses()) this.sendHeartbeat(address);
-  }
-
-  private sendHeartbeat(address: types.VmAddress): void {
+  private readonly sendHeartbeat = (address: types.VmAddress): void => {
     const { self, clock, reachesStore, linkState } = this.context;
     const message = heartbeats.createHeartbeat(self, {
       clock,
@@ -176,7 +172,7 @@
       reports: serverReports.listServerReports(this.context),
     });
     this.context.socket.send(datagrams.encodeDatagram(message), address.host, address.port);
-  }
+  };
 
   private broadcast(message: Buffer): void {
     for (const { host, port } of this.table.livePeers())
@@ -191,7 +187,10 @@
       return;
     }
     if (message.vmName === this.context.self.vmName) return;
-    HANDLERS[message.kind](this, message as never);
+    const fields = { peer: message.vmName, kind: message.kind };
+    diagnostics.contain(this.context, diagnostics.ErrorOrigin.Datagram, fields, () =>
+      HANDLERS[message.kind](this, message as never),
+    );
   }
 
   /** Applies a message of a bundle; only work updates of other VMs are accepted. */
--- a/src/sharedView/peerMesh/types.ts
+++ b/src/sharedView/peerMesh/types.ts
@@ -15,6 +15,7 @@
   readonly self: types.MeshIdentity;
   readonly replicas: ReadonlyMap<types.Topic, topicReplicas.TopicReplica>;
   readonly log: diagnostics.DecisionLog;
+  readonly meters: Pick<diagnostics.Meters, "internalErrors">;
   /** Whether the store answered this VM's last calls. */
   readonly reachesStore: () => boolean;
   /** What this VM has seen of its own links to the backend servers lately. */
--- a/src/sharedView/topicReader/index.ts
+++ b/src/sharedView/topicReader/index.ts
@@ -88,7 +88,7 @@
         await this.sleep(Math.min(timeToNextReadMs, MAX_SLEEP_MS));
         continue;
       }
-      const isRead = await this.readOnce();
+      const isRead = await this.readOnce().catch((error: unknown) => this.recordError(error));
       if (!isRead) await this.sleep(this.computeBackoffMs());
     }
   }
@@ -97,6 +97,12 @@
     this.stopping.abort();
   }
 
+  private recordError(error: unknown): false {
+    const { topic } = this.options;
+    diagnostics.recordInternalError(this.context, diagnostics.ErrorOrigin.Task, error, { topic });
+    return false;
+  }
+
   /** Time until the replica's age reaches its limit; not positive if a poll is due. */
   private computeTimeToNextReadMs(): number {
     const { replica, isPreferred } = this.context;
--- a/standins/platform/logStore/index.ts
+++ b/standins/platform/logStore/index.ts
@@ -82,12 +82,14 @@
   }
 
   /** Appends a record as an operator or a server does, and returns its offset; a null value deletes the key. */
-  put(topic: string, key: string, value: unknown): number {
+  put(topic: string, key: string | Buffer, value: unknown): number {
     const valueBytes =
       value === null
         ? Buffer.alloc(0)
-        : Buffer.from(typeof value === "string" ? value : JSON.stringify(value));
-    const keyBytes = Buffer.from(key);
+        : Buffer.isBuffer(value)
+          ? value
+          : Buffer.from(typeof value === "string" ? value : JSON.stringify(value));
+    const keyBytes = typeof key === "string" ? Buffer.from(key) : key;
     return this.append(
       topic,
       Buffer.concat([Buffer.from([keyBytes.length]), keyBytes, valueBytes]),
