Continue unframed streams after their engine has stopped the run

Cause: the last copy of a run's memory stops the run, and the engine closes its stream without the end. Where the answer has neither a length nor chunks, Node reports that close as the end of the message; the run was finished as complete and its continuation never opened. Ruled out: lost or joined events at the handover, as no stream in chunks was out of order. Change: the stream knows that its engine was asked to stop the run, and waits for the engine's answer. The close counts as a break unless the engine says that there is no such run, or that it was busy; what its framing ends is complete as before. The soak's engines transfer memory, every other server writes unframed answers, servers are killed like processes, and the soak prints the counts by framing. Why it works: who stopped the run knows it before the close can be read.

--- a/experiments/soak/faults/index.ts
+++ b/experiments/soak/faults/index.ts
@@ -67,6 +67,13 @@
     await fleet.replaceServer(random);
     await sleepMs(500);
   },
+  "server killed": async (fleet, random) => {
+    const killed = drawOne(fleet.servers, random);
+    fleet.servers.splice(fleet.servers.indexOf(killed), 1);
+    // The system closes the connections of a process that ends in order.
+    killed.crash(true);
+    await fleet.replace(killed);
+  },
   "data centre evacuated": (fleet, random) =>
     fleet.evacuations.hold(random, 5_500 + 3_000 * random.next()),
   "server names a limit": async (fleet, random) => {
--- a/experiments/soak/main.ts
+++ b/experiments/soak/main.ts
@@ -74,6 +74,7 @@
   await pause(SETTLE_MS);
   await fleet.checkConfigurationInForce(seed);
   printReport(seed, checker, injectedFaults, directory);
+  printFramings(fleet);
   return checker.violations.length === 0;
 }
 
@@ -147,6 +148,14 @@
   }
 }
 
+/** Prints what became of the runs that engines have stopped, by the framing of their streams. */
+function printFramings({ streams }: soakFleets.SoakFleet): void {
+  const texts = Object.entries(streams.counts).map(
+    ([framing, { stopped, continued }]) => `${framing} ${continued} of ${stopped}`,
+  );
+  process.stdout.write(`  stopped runs that went on, by framing: ${texts.join(", ")}\n`);
+}
+
 function pause(durationMs: number): Promise<void> {
   return new Promise((resolve) => setTimeout(resolve, durationMs));
 }
--- a/experiments/soak/soakFleet/index.ts
+++ b/experiments/soak/soakFleet/index.ts
@@ -5,6 +5,7 @@
 import * as backendServers from "../../../standins/platform/backendServer/index.js";
 import * as brittleBehaviours from "../../../standins/platform/brittleBehaviour/index.js";
 import * as gatewayFleets from "../../../standins/platform/gatewayFleet/index.js";
+import * as movableStreams from "../../../standins/platform/movableStreams/index.js";
 import * as platformLogStores from "../../../standins/platform/logStore/index.js";
 import * as accountFloods from "../accountFlood/index.js";
 import * as callers from "../callers/index.js";
@@ -15,6 +16,7 @@
 import * as fallCounts from "../countFalls/index.js";
 import * as faults from "../faults/index.js";
 import * as constants from "../constants.js";
+import * as framings from "../createFramedBehaviour/index.js";
 import * as processes from "../processes/index.js";
 
 const { ENGINE_SERVICE, PLAIN_SERVICE } = gatewayFleets;
@@ -31,6 +33,11 @@
   readonly evacuations: soakEvacuations.SoakEvacuations;
   readonly platform = new gatewayFleets.GatewayFleet();
   readonly services = new Map<string, string>();
+  /** The streams of all engines, which go on at others when their engines leave. */
+  readonly streams = new movableStreams.MovableStreams({
+    eventsCount: callers.STREAM_EVENTS_COUNT,
+    gapMs: constants.EVENT_INTERVAL_MS,
+  });
   private serversCount = 0;
   private causesCount = 0;
   private isBrittle = false;
@@ -154,8 +161,13 @@
     this.checker.crashes.recordCause(cause);
     const endsAtMs = Date.now() + durationMs;
     for (let index = 0; Date.now() < endsAtMs; index += 1) {
-      const id = `${cause.name}-call-${index}`;
-      void callers.makeCrashingCall(id, cause, this, random, this.checker);
+      void callers.makeCrashingCall(
+        `${cause.name}-call-${index}`,
+        cause,
+        this,
+        random,
+        this.checker,
+      );
       await timers.setTimeout(constants.CRASHING_CALL_INTERVAL_MS);
     }
   }
@@ -186,7 +198,7 @@
   ): backendServers.Behaviour {
     const normal = this.normalBehaviourOf(server);
     return async (call, response, self) => {
-      await timers.setTimeout(delayMs);
+      await pause(delayMs);
       if (response.destroyed) return;
       this.checker.recordExecution(self, call);
       await normal(call, response, self);
@@ -224,11 +236,9 @@
     await this.platform[Symbol.asyncDispose]();
   }
 
-  private normalBehaviourOf({ id }: backendServers.BackendServer): backendServers.Behaviour {
-    const script = { eventsCount: callers.STREAM_EVENTS_COUNT, gapMs: constants.EVENT_INTERVAL_MS };
-    if (this.services.get(id) === ENGINE_SERVICE) return backendServers.stream(script);
-    return (call, response, self) =>
-      backendServers.answerCompletely(`answer to ${call.id}`)(call, response, self);
+  private normalBehaviourOf(server: backendServers.BackendServer): backendServers.Behaviour {
+    const isEngine = this.services.get(server.id) === ENGINE_SERVICE;
+    return framings.createFramedBehaviour(server, isEngine ? this.streams : null);
   }
 
   private async addServer(service: string): Promise<void> {
@@ -264,9 +274,14 @@
     if (at < 0) return;
     this.servers.splice(at, 1);
     this.checker.crashes.recordCrash(causeName);
-    await timers.setTimeout(constants.SERVER_DOWN_MS);
-    this.store.put("keyed.servers", server.id, null);
-    await this.addServer(this.services.get(server.id) ?? PLAIN_SERVICE);
+    await this.replace(server);
+  }
+
+  /** Adds a server with a new id in the place of one that has ended, a little later. */
+  async replace({ id }: backendServers.BackendServer): Promise<void> {
+    await pause(constants.SERVER_DOWN_MS);
+    this.store.put("keyed.servers", id, null);
+    await this.addServer(this.services.get(id) ?? PLAIN_SERVICE);
   }
 
   /** Wraps a behaviour so that each execution that it starts is reported to the checker. */
--- a/src/relay/_lib/engineStream/index.ts
+++ b/src/relay/_lib/engineStream/index.ts
@@ -164,6 +164,8 @@
   private isClosed = false;
   private hasSequenceFault = false;
   private hasEvents = false;
+  /** Whether the engine may have stopped the run; null if it was not asked to. */
+  private mayBeStopped: Promise<boolean> | null = null;
 
   constructor(
     readonly server: servers.ServerEntry,
@@ -178,6 +180,15 @@
     return this.isClosed;
   }
 
+  /**
+   * Records that the engine was asked to stop the run. It then closes the stream without its end.
+   *
+   * @param mayBeStopped - resolves with whether it may have done so, when it has answered
+   */
+  expectStop(mayBeStopped: Promise<boolean>): void {
+    this.mayBeStopped = mayBeStopped;
+  }
+
   /** Closes the connection, which makes the engine stop the run. */
   close(): void {
     this.isClosed = true;
@@ -240,8 +251,15 @@
     const isComplete = this.message.complete && !(await this.opening.isTruncatedByReset());
     // The end of a connection alone does not show that there were no events to send.
     const hasContent = this.hasEvents || openAttempts.isFramed(this.message);
+    // Without a length or chunks the end of a stopped run looks like that of a complete one.
+    const isFramed = openAttempts.isFramed(this.message);
+    const isStopped = !isFramed && (await this.mayBeStopped) === true;
     const isUndamaged =
-      isComplete && hasContent && !this.splitter.hasIncompleteEvent && !this.hasSequenceFault;
+      isComplete &&
+      hasContent &&
+      !isStopped &&
+      !this.splitter.hasIncompleteEvent &&
+      !this.hasSequenceFault;
     if (isUndamaged && this.hasEvents) {
       this.watched.recordSurvival();
     } else {
--- a/src/relay/_lib/generationRun/index.ts
+++ b/src/relay/_lib/generationRun/index.ts
@@ -237,6 +237,7 @@
       need: this.claims.createContinuationNeed(this.lastEventId),
       noticedAtMs,
       streamEnded: streamEnded.signal,
+      onStopping: (mayBeStopped) => stream.expectStop(mayBeStopped),
     });
     if (target === null) return null;
     // The engine has stopped the run and closes the stream after its last event.
--- a/src/relay/_lib/handover/index.ts
+++ b/src/relay/_lib/handover/index.ts
@@ -43,8 +43,16 @@
   readonly noticedAtMs: number;
   /** Aborted when the run's stream has ended. */
   readonly streamEnded: AbortSignal;
+  /** Called when the engine is asked to stop the run, with a promise of whether it may have. */
+  readonly onStopping: (mayBeStopped: Promise<boolean>) => void;
 }
 
+/** Failures of a last copy after which the run has not been stopped by it. */
+const UNSTOPPED_FAILURES: ReadonlySet<types.MemoryCopyFailure> = new Set([
+  types.MemoryCopyFailure.NoSuchRun,
+  types.MemoryCopyFailure.Busy,
+]);
+
 /** Returns the continuation on a run's backup; null if there is none or its engine is leaving. */
 export function createBackupTarget(
   backup: servers.KnownServer | null,
@@ -209,7 +217,11 @@
     const cause = "the target's data centre was evacuated meanwhile";
     return neverthrow.err({ failure: types.MemoryCopyFailure.NoCapacity, cause });
   }
-  const last = await copyMemory(context, request, target, true);
+  const copying = copyMemory(context, request, target, true);
+  const isUnstopped = (failure: types.MemoryCopyFailure): boolean =>
+    UNSTOPPED_FAILURES.has(failure);
+  request.onStopping(copying.then((copied) => copied.isOk() || !isUnstopped(copied.error)));
+  const last = await copying;
   return last
     .map(({ handle }) => handle)
     .mapErr((failure) => createMigrationError(failure, "last"));
--- a/src/relay/_lib/handover/test.ts
+++ b/src/relay/_lib/handover/test.ts
@@ -102,6 +102,7 @@
       need: NEED,
       noticedAtMs: clock.nowMs(),
       streamEnded: ended.signal,
+      onStopping: () => undefined,
     });
   const ended = new AbortController();
   const claimRun = (requestId: string, serverId = "leaving"): void =>
--- a/standins/platform/backendServer/index.ts
+++ b/standins/platform/backendServer/index.ts
@@ -34,6 +34,8 @@
   maxRejectionsPerSecond: number | null = null;
   /** Number of crashes caused by too many rejections. */
   overloadCrashesCount = 0;
+  /** Handles requests to transfer the memory of a run; by default the server knows no run. */
+  transferMemory: Behaviour = (_call, response) => void response.writeHead(404).end();
   /** Whether each answer states that the server leaves. */
   isLeaving = false;
   private isDisposed = false;
@@ -65,10 +67,12 @@
     this.behaviour = behaviour;
   }
 
-  /** Ends like a process that is killed: resets all connections and refuses new ones. */
-  crash(): void {
+  /** Ends like a process that is killed: resets its connections, or closes them in order, and refuses new ones. */
+  crash(closesInOrder = false): void {
     this.http.close();
-    for (const socket of this.sockets) resetSockets.resetSocket(socket);
+    for (const socket of this.sockets)
+      if (closesInOrder) socket.destroy();
+      else resetSockets.resetSocket(socket);
   }
 
   /** Crashes, and restarts at the same address after a while. */
@@ -114,8 +118,7 @@
       body: Buffer.concat(chunks),
     };
     if (call.target === names.ENGINE_PATHS.move) {
-      // This stand-in supports no memory transfer.
-      response.writeHead(404).end();
+      await this.transferMemory(call, response, this);
       return;
     }
     this.calls.push(call);
