Take an unframed answer for whole only while its server is still up

Cause: the system closes the connections of a process that ends in order. An answer without a length or chunks then looks whole, be it a stream or not, and so does one through the tunnel of a peer that ends. A crash in the middle of such a stream even counted as a survival of its request, which cleared requests that crash engines. Change: after an unframed end the server has to accept another connection, and the peer of a tunnel has to answer. Otherwise the stream has broken off and goes on where it may, and a plain call is of unknown outcome. Answers that state that nothing was run, and those of 204 and 304, need no check. chiveferry_stream_ends_total counts ends by framing. Why it works: a process that has ended refuses connections from the moment at which its connections close.

--- a/src/diagnostics/meters/index.ts
+++ b/src/diagnostics/meters/index.ts
@@ -43,6 +43,11 @@
     "Records of the platform's store that cannot be used.",
     [],
   );
+  readonly streamEnds = this.counter(
+    "stream_ends_total",
+    "Ends of engines' streams, by whether their heads say where they end.",
+    ["framing", "end"],
+  );
   readonly storeCalls = this.counter("store_calls_total", "Calls to the platform's store.", [
     "call",
     "outcome",
--- a/src/gateway/_lib/linkDrill/index.ts
+++ b/src/gateway/_lib/linkDrill/index.ts
@@ -204,7 +204,12 @@
     }
     const { denial } = opened.error;
     const referredVm = denial === TunnelDenial.CutOff ? connector.reachingVm : null;
-    return neverthrow.err({ refusal: REFUSAL_BY_DENIAL[denial], cause: denial, referredVm });
+    return neverthrow.err({
+      refusal: REFUSAL_BY_DENIAL[denial],
+      cause: denial,
+      hasAnswered: true,
+      referredVm,
+    });
   }
 
   private countTunnel(peerName: string, socket: net.Socket): void {
--- a/src/gateway/unframedAnswers/test.ts
+++ b/src/gateway/unframedAnswers/test.ts
@@ -56,3 +56,50 @@
     });
   }
 }
+
+/** Sends the begin of an answer that only its connection ends, and ends the server's process a little later. */
+function answerAndEnd(part: string): backendServers.Behaviour {
+  return async (call, response, server) => {
+    server.runs.push(call.id);
+    response.useChunkedEncodingByDefault = false;
+    response.writeHead(200, { ...server.createAnswerHeaders(call), Connection: "close" });
+    response.write(part);
+    await new Promise((resolve) => setTimeout(resolve, 50));
+    server.crash(true);
+  };
+}
+
+// Guards against answers that look complete because a process that ends closes its connections in order.
+tap.test("a stream whose engine's process ends between two events is broken off", async (t) => {
+  const fleet = await testFleets.startReadyFleet(t);
+  await fleet.addServer("e1", ENGINE_SERVICE, answerAndEnd(WHOLE_STREAM));
+  await testFleets.waitUntilServersKnown(fleet, 1);
+  const answer = await testFleets.requestDraft(fleet, "d1");
+  t.equal(answer.isComplete, false);
+  t.equal(answer.body, WHOLE_STREAM, "its events are passed on all the same");
+});
+
+tap.test("an answer whose server's process ends is of unknown outcome", async (t) => {
+  const fleet = await testFleets.startReadyFleet(t);
+  await fleet.addServer("p1", PLAIN_SERVICE, answerAndEnd("par"));
+  await testFleets.waitUntilServersKnown(fleet, 1);
+  const answer = await fleet.call({ path: "/file/", method: "POST", id: "f1", body: "permit" });
+  t.match(answer, { status: 502, body: "" });
+});
+
+tap.test("a stream that its engine ends is complete while the engine leaves", async (t) => {
+  const fleet = await testFleets.startReadyFleet(t);
+  const engine = await fleet.addServer("e1", ENGINE_SERVICE, async (call, response, server) => {
+    server.runs.push(call.id);
+    response.useChunkedEncodingByDefault = false;
+    response.writeHead(200, { ...server.createAnswerHeaders(call), Connection: "close" });
+    response.write(WHOLE_STREAM);
+    await new Promise((resolve) => setTimeout(resolve, 400));
+    response.end();
+  });
+  await testFleets.waitUntilServersKnown(fleet, 1);
+  const answer = testFleets.requestDraft(fleet, "d1");
+  await testFleets.waitUntil(() => engine.runs.length === 1);
+  fleet.register(engine, ENGINE_SERVICE, "draining");
+  t.match(await answer, { status: 200, body: WHOLE_STREAM, isComplete: true });
+});
--- a/src/relay/_lib/engineStream/index.ts
+++ b/src/relay/_lib/engineStream/index.ts
@@ -180,6 +180,11 @@
     return this.isClosed;
   }
 
+  /** Whether the head of the stream says where it ends. */
+  get isFramed(): boolean {
+    return openAttempts.isFramed(this.message);
+  }
+
   /**
    * Records that the engine was asked to stop the run. It then closes the stream without its end.
    *
@@ -248,18 +253,9 @@
 
   private async resolveEnd(): Promise<StreamEnd> {
     if (this.isClosed) return StreamEnd.Closed;
-    const isComplete = this.message.complete && !(await this.opening.isTruncatedByReset());
-    // The end of a connection alone does not show that there were no events to send.
-    const hasContent = this.hasEvents || openAttempts.isFramed(this.message);
-    // Without a length or chunks the end of a stopped run looks like that of a complete one.
-    const isFramed = openAttempts.isFramed(this.message);
-    const isStopped = !isFramed && (await this.mayBeStopped) === true;
-    const isUndamaged =
-      isComplete &&
-      hasContent &&
-      !isStopped &&
-      !this.splitter.hasIncompleteEvent &&
-      !this.hasSequenceFault;
+    const isSound =
+      this.message.complete && !this.splitter.hasIncompleteEvent && !this.hasSequenceFault;
+    const isUndamaged = isSound && (this.isFramed || (await this.isEndedByEngine()));
     if (isUndamaged && this.hasEvents) {
       this.watched.recordSurvival();
     } else {
@@ -268,6 +264,15 @@
     }
     return isUndamaged ? StreamEnd.Complete : StreamEnd.Truncated;
   }
+
+  /**
+   * Whether an engine has ended a stream that only its connection ends. That end looks alike when the stream is
+   * over, when the engine has stopped the run, and when its process has ended.
+   */
+  private async isEndedByEngine(): Promise<boolean> {
+    if (!this.hasEvents || (await this.mayBeStopped) === true) return false;
+    return !(await this.opening.isCutOff());
+  }
 }
 
 async function readWholeAnswer(
@@ -276,9 +281,9 @@
   opening: openAttempts.AnsweredOpening,
 ): Promise<OpenOutcome> {
   const collected = await collectBodies.collectBody(opening.message, constants.MAX_ANSWER_BYTES);
-  const isTruncated = await opening.isTruncatedByReset();
+  const isWhole = collected.end === collectBodies.BodyEnd.Complete && !(await opening.isCutOff());
   opening.close();
-  if (collected.end === collectBodies.BodyEnd.Complete && !isTruncated) {
+  if (isWhole) {
     return { kind: OpenKind.Answered, serverId, head, body: collected.body };
   }
   return { kind: OpenKind.Unknown, cause: `body of status ${head.status} ${collected.end}` };
--- a/src/relay/_lib/generationRun/index.ts
+++ b/src/relay/_lib/generationRun/index.ts
@@ -117,6 +117,7 @@
       this.timing.restartWindow();
       this.forwarding = stream.forward(this, this.context.clock);
       const end = engineStreams.requireEvents(await this.forwarding, this.lastEventId);
+      this.context.meters.streamEnds.inc({ framing: stream.isFramed ? "framed" : "unframed", end });
       if (end === engineStreams.StreamEnd.Complete) {
         this.finish();
         return;
--- a/src/relay/_lib/openAttempt/index.ts
+++ b/src/relay/_lib/openAttempt/index.ts
@@ -24,8 +24,11 @@
   /** The peer through whose tunnel it came; null if this VM reached the server itself. */
   readonly peer: serverLinks.TunnelPeer | null;
   readonly close: () => void;
-  /** After the message has ended: whether a connection reset was mistaken for the end of its body. */
-  readonly isTruncatedByReset: () => Promise<boolean>;
+  /**
+   * After the message has ended: whether the end of its connection was taken for that of its body, although the
+   * connection was reset, or the process at its other end has ended.
+   */
+  readonly isCutOff: () => Promise<boolean>;
 }
 
 /** The outcome of opening an attempt: everything up to the head of the answer. */
@@ -36,7 +39,7 @@
 
 /** The request of one attempt, and its abort signal. */
 export interface AttemptRequest {
-  readonly connector: Pick<serverLinks.ServerConnector, "connect">;
+  readonly connector: Pick<serverLinks.ServerConnector, "connect" | "isStillUp">;
   readonly server: servers.ServerEntry;
   readonly requestId: string;
   readonly method: string;
@@ -109,6 +112,7 @@
   outgoing: http.ClientRequest,
   resolve: (opening: Opening) => void,
 ): void {
+  const { server } = request;
   const wasReset = watchForReset(socket);
   const close = (): void => void outgoing.destroy();
   request.signal.addEventListener("abort", close, { once: true });
@@ -123,8 +127,11 @@
     recordBytes();
     // The reader of the body detects errors by "close" without "complete".
     message.on("error", () => undefined);
-    const isTruncatedByReset = async (): Promise<boolean> => !isFramed(message) && wasReset();
-    resolve({ kind: OpeningKind.Answered, message, peer, close, isTruncatedByReset });
+    const isCutOff = async (): Promise<boolean> => {
+      if (isFramed(message)) return false;
+      return (await wasReset()) || !(await request.connector.isStillUp(server, peer, request));
+    };
+    resolve({ kind: OpeningKind.Answered, message, peer, close, isCutOff });
   });
   outgoing.on("error", (error) => resolve({ kind: OpeningKind.Lost, cause: error.message }));
   outgoing.once("close", () =>
@@ -159,8 +166,12 @@
   };
 }
 
-/** Returns whether a message's headers define the end of its body. */
-export function isFramed(message: http.IncomingMessage): boolean {
-  const { headers } = message;
-  return headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
+/** Statuses of answers that have no body, whatever their headers say. */
+const BODILESS_STATUSES: ReadonlySet<number> = new Set([204, 304]);
+
+/** Returns whether a message's head defines the end of its body. */
+export function isFramed({ headers, statusCode = 0 }: http.IncomingMessage): boolean {
+  const hasBounds =
+    headers["content-length"] !== undefined || headers["transfer-encoding"] !== undefined;
+  return hasBounds || BODILESS_STATUSES.has(statusCode);
 }
--- a/src/relay/_lib/sendBuffered/index.ts
+++ b/src/relay/_lib/sendBuffered/index.ts
@@ -117,7 +117,9 @@
   const head = codec.decodeAnswer(opening.message);
   onAnswerHead(options.server, head, opening.peer);
   const collected = await collectBodies.collectBody(opening.message, constants.MAX_ANSWER_BYTES);
-  const isTruncated = await opening.isTruncatedByReset();
+  const isWhole = collected.end === collectBodies.BodyEnd.Complete;
+  // What was not run needs no body.
+  const isTruncated = isWhole && !head.isNotRun && (await opening.isCutOff());
   opening.close();
   return classifyAnswer(
     call,
--- a/src/serverLinks/_lib/openTunnel/index.ts
+++ b/src/serverLinks/_lib/openTunnel/index.ts
@@ -59,6 +59,7 @@
         fail({
           refusal: tunnelDenials.refusalOfStatus(statusCode),
           cause: `status ${statusCode}`,
+          hasAnswered: true,
           referredVm: tunnelRequests.decodeReferral(answer),
         });
         return;
@@ -72,5 +73,6 @@
 }
 
 function describeUnavailable(cause: string): types.TunnelFailure {
-  return { refusal: TunnelRefusal.PeerUnavailable, cause, referredVm: null };
+  const { PeerUnavailable } = TunnelRefusal;
+  return { refusal: PeerUnavailable, cause, hasAnswered: false, referredVm: null };
 }
--- a/src/serverLinks/constants.ts
+++ b/src/serverLinks/constants.ts
@@ -1,6 +1,9 @@
 /** Timeout for connecting to a server. The platform's data centres are at most 2 ms apart. */
 export const CONNECT_TIMEOUT_MS = 150;
 
+/** Connections that are tried before a server that answers none of them counts as ended. */
+export const MAX_UP_PROBES_COUNT = 3;
+
 /** Timeout for opening a tunnel, including the peer's connection to the server. */
 export const TUNNEL_TIMEOUT_MS = 250;
 
--- a/src/serverLinks/serverConnector/index.ts
+++ b/src/serverLinks/serverConnector/index.ts
@@ -156,6 +156,31 @@
     return opened.isOk();
   }
 
+  /**
+   * Returns whether a server that has answered is still up, and so is the peer through whose tunnel it has. A
+   * process that ends closes its connections in order, so that the end of one does not show that of an answer.
+   *
+   * @param peer - null if the answer came over this VM's own links
+   */
+  async isStillUp(
+    server: servers.ServerEntry,
+    peer: types.TunnelPeer | null,
+    options: ConnectOptions,
+  ): Promise<boolean> {
+    if (peer !== null) {
+      const tunnel = await this.context.requestTunnel(peer, { server, ...options }, options.signal);
+      if (tunnel.isOk()) tunnel.value.destroy();
+      if (tunnel.isOk() || !tunnel.error.hasAnswered) return tunnel.isOk();
+    }
+    for (let count = 0; count < constants.MAX_UP_PROBES_COUNT; count += 1) {
+      const opened = await this.connect(server, options);
+      if (opened.isOk()) opened.value.socket.destroy();
+      const isKnown = opened.isOk() || opened.error.includes(REFUSED_CODE);
+      if (isKnown || options.signal.aborted) return opened.isOk();
+    }
+    return false;
+  }
+
   /** Returns whether peers reach a server that this VM does not reach. */
   probeByPeers(server: servers.ServerEntry): Promise<tunnelFinders.PeerVerdict> {
     return this.finder.probe(server);
--- a/src/serverLinks/tunnelFinder/test.ts
+++ b/src/serverLinks/tunnelFinder/test.ts
@@ -61,7 +61,12 @@
       })),
     requestTunnel: async ({ vmName }, _request, signal) => {
       asked.push(vmName);
-      const failed = { cause: "refused", refusal: TunnelRefusal.PeerUnavailable, referredVm: null };
+      const failed = {
+        cause: "refused",
+        refusal: TunnelRefusal.PeerUnavailable,
+        hasAnswered: true,
+        referredVm: null,
+      };
       const { afterMs, refusal, referredVm = null } = answers.get(vmName)!;
       const isAborted = await clock.sleep(afterMs, signal).then(
         () => false,
--- a/src/serverLinks/types.ts
+++ b/src/serverLinks/types.ts
@@ -53,6 +53,8 @@
 export interface TunnelFailure {
   readonly refusal: TunnelRefusal;
   readonly cause: string;
+  /** Whether the peer has answered, so that its process was up. */
+  readonly hasAnswered: boolean;
   /** A VM through which the peer itself reaches servers; null if it named none. */
   readonly referredVm: string | null;
 }
