--- a/src/gateway/_lib/linkDrill/index.ts
+++ b/src/gateway/_lib/linkDrill/index.ts
@@ -162,6 +162,7 @@
       requestTunnel: (peer, request, signal) => this.requestTunnel(name, peer, request, signal),
     });
     const tunnelServer = new serverLinks.TunnelServer({
+      meters: new diagnostics.Meters(),
       log,
       listPeers,
       findReachingVm: () => connector.reachingVm,
--- a/src/serverLinks/tunnelServer/index.ts
+++ b/src/serverLinks/tunnelServer/index.ts
@@ -31,6 +31,7 @@
 /** Dependencies of the tunnel server. */
 export interface TunnelServerContext {
   readonly log: diagnostics.DecisionLog;
+  readonly meters: Pick<diagnostics.Meters, "internalErrors">;
   readonly listPeers: () => readonly types.TunnelPeer[];
   /** Name of a peer that reaches servers, if this VM does not itself; null if none is known. */
   readonly findReachingVm: () => string | null;
@@ -64,7 +65,10 @@
     server.on("connect", (message, socket: net.Socket, head: Buffer) => {
       // A caller that leaves before its tunnel is open needs no answer.
       socket.on("error", () => undefined);
-      void this.serve(message, socket, head);
+      this.serve(message, socket, head).catch((error: unknown) => {
+        diagnostics.recordInternalError(this.context, diagnostics.ErrorOrigin.Tunnel, error);
+        socket.destroy();
+      });
     });
   }
 
--- a/src/serverLinks/tunnelServer/test.ts
+++ b/src/serverLinks/tunnelServer/test.ts
@@ -32,6 +32,7 @@
   };
   const tunnels = new tunnelServers.TunnelServer({
     log: diagnostics.NOOP_DECISION_LOG,
+    meters: new diagnostics.Meters(),
     listPeers: () => [peer],
     findReachingVm: () => null,
     findDenial: () => denial ?? null,
