Resolve the end of a stream once, and pass its errors on

Cause: an engine's stream reports its end and the close of its connection, and both resolved the end; since an unframed end is checked by a connection, that made two. A rejection there went to nobody, so that the stream would have hung. Change: the first of both counts; an error ends the run, and an unexpected error of a last copy counts as a run that may be stopped.

--- a/src/relay/_lib/engineStream/index.ts
+++ b/src/relay/_lib/engineStream/index.ts
@@ -203,11 +203,14 @@
 
   /** Forwards all events to a consumer, in order, until the stream ends. */
   forward(consumer: EventConsumer, clock: clocks.Clock): Promise<StreamEnd> {
-    return new Promise((resolve) => {
+    return new Promise((resolve, reject) => {
       let silence = this.watchSilence(consumer, clock);
+      let hasEnded = false;
       const finish = (): void => {
+        if (hasEnded) return;
+        hasEnded = true;
         silence[Symbol.dispose]();
-        void this.resolveEnd().then(resolve);
+        this.resolveEnd().then(resolve, reject);
       };
       this.message.on("data", (chunk: Buffer) => {
         if (this.isClosed || this.hasSequenceFault) return;
--- a/src/relay/_lib/generationRun/index.ts
+++ b/src/relay/_lib/generationRun/index.ts
@@ -230,7 +230,8 @@
     noticedAtMs: number,
   ): Promise<engineStreams.EngineStream | null> {
     const streamEnded = new AbortController();
-    void this.forwarding?.then(() => streamEnded.abort());
+    const onEnded = (): void => streamEnded.abort();
+    this.forwarding?.then(onEnded, onEnded);
     const target = await handovers.migrateMemory(this.context, {
       requestId: this.requestId,
       serviceName: this.call.serviceName,
--- a/src/relay/_lib/handover/index.ts
+++ b/src/relay/_lib/handover/index.ts
@@ -220,7 +220,11 @@
   const copying = copyMemory(context, request, target, true);
   const isUnstopped = (failure: types.MemoryCopyFailure): boolean =>
     UNSTOPPED_FAILURES.has(failure);
-  request.onStopping(copying.then((copied) => copied.isOk() || !isUnstopped(copied.error)));
+  const mayBeStopped = copying.then(
+    (copied) => copied.isOk() || !isUnstopped(copied.error),
+    () => true,
+  );
+  request.onStopping(mayBeStopped);
   const last = await copying;
   return last
     .map(({ handle }) => handle)
--- a/src/relay/_lib/openAttempt/index.ts
+++ b/src/relay/_lib/openAttempt/index.ts
@@ -98,6 +98,7 @@
     path: request.target,
     setHost: false,
   });
+  // If the request cannot be written, nobody else listens to the error of its closed connection.
   outgoing.on("error", () => undefined);
   const headers = request.headers();
   for (let index = 0; index < headers.length; index += 2) {
