--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -1,3 +1,5 @@
+import * as events from "node:events";
+
 import * as disposableStore from "../../_lib/disposableStore/index.js";
 import * as crashes from "../../crashes/index.js";
 import * as repeats from "../../_lib/repeat/index.js";
@@ -62,6 +64,8 @@
     private readonly ports: types.GatewayPorts,
   ) {
     const { clock, random } = ports;
+    // Each call in progress listens to it.
+    events.EventEmitter.setMaxListeners(Infinity, this.closing.signal);
     this.directory = new servers.ServerDirectory(clock);
     this.coldLimits = createColdLimits.createColdLimits(settings, ports, {
       directory: this.directory,
