Reword comments of the review's fixes for readers new to the project

Cause: several comments could be understood only with the commit beside them ("what an unexpected error has ended", "each call listens to it"). Change: comments and doc lines only; the purpose, units and end of what is returned are stated where they were missing.

--- a/src/diagnostics/recordInternalError/index.ts
+++ b/src/diagnostics/recordInternalError/index.ts
@@ -1,10 +1,10 @@
 import type * as meters from "../meters/index.js";
 import * as types from "../types.js";
 
-/** Longest stack that a log line holds. */
+/** Maximum length of the stack trace in a log line; a longer one is cut. */
 const MAX_STACK_LENGTH = 2_000;
 
-/** What an unexpected error has ended. */
+/** The work that an unexpected error ended; everything else in the process goes on. */
 export enum ErrorOrigin {
   /** One request of a caller. */
   Request = "request",
@@ -16,7 +16,7 @@
   Tunnel = "tunnel",
   /** A round of a task that is repeated. */
   Task = "task",
-  /** Nothing that is known: no code has handled the error. */
+  /** Unknown: the error was not handled anywhere. */
   Unhandled = "unhandled",
 }
 
--- a/src/diagnostics/reportUncaughtErrors/index.ts
+++ b/src/diagnostics/reportUncaughtErrors/index.ts
@@ -1,18 +1,19 @@
 import * as internalErrors from "../recordInternalError/index.js";
 
-/** Events by which Node reports errors that no code has handled, and after which it ends the process. */
+/** Events that Node emits for unhandled errors; without a listener it terminates the process. */
 const UNCAUGHT_EVENTS = ["uncaughtException", "unhandledRejection"] as const;
 
-/** What of a process the reports need. */
+/** The part of Node's `process` object that is used here. */
 export interface ErrorEmitter {
   on(event: string, listener: (error: unknown) => void): unknown;
   off(event: string, listener: (error: unknown) => void): unknown;
 }
 
 /**
- * Reports errors of a process that no code has handled, and lets the process run on: its other requests
- * are sound, and its callers would lose their answers. Each report is a defect of the code that let the
- * error pass.
+ * Logs and counts unhandled errors instead of letting them terminate the process, which would cut off all
+ * other requests. Each report shows a defect: the error should have been handled where it occurred.
+ *
+ * @returns stops the reporting when it is disposed of
  */
 export function reportUncaughtErrors(
   process: ErrorEmitter,
--- a/src/diagnostics/types.ts
+++ b/src/diagnostics/types.ts
@@ -70,7 +70,7 @@
   RequestServed = "request-served",
   RequestFailed = "request-failed",
   MalformedInput = "malformed-input",
-  /** An error that no code expected; the work during which it occurred has ended, and nothing else. */
+  /** An unexpected error, which is a defect of the gateway; it ended only the work during which it occurred. */
   InternalError = "internal-error",
 }
 
--- a/src/gateway/_lib/answerErrors/index.ts
+++ b/src/gateway/_lib/answerErrors/index.ts
@@ -11,7 +11,10 @@
   ERR_HTTP_REQUEST_TIMEOUT: "408 Request Timeout",
 };
 
-/** Answers a request during which an unexpected error occurred; it may have been executed. */
+/**
+ * Answers 502 to a request whose handling failed with an unexpected error, as a server may have executed the
+ * request; closes the connection if an answer has begun.
+ */
 export function answerInternalError(
   { codec, log, meters }: Pick<types.GatewayPorts, "codec" | "log" | "meters">,
   error: unknown,
--- a/src/gateway/currentView/index.ts
+++ b/src/gateway/currentView/index.ts
@@ -15,10 +15,10 @@
   [servers.EntryEffect.Returned]: LogEvent.ServerReturned,
 };
 
-/** Unreadable records of which it is known that they were logged. */
+/** Maximum number of unreadable records that are remembered, so that each is logged only once. */
 const MAX_UNREADABLE_RECORDS_COUNT = 1_000;
 
-/** Longest key and longest cause in a log line. */
+/** Maximum lengths of a record's key and of the cause in a log line; longer texts are cut. */
 const MAX_LOGGED_KEY_LENGTH = 80;
 const MAX_LOGGED_CAUSE_LENGTH = 500;
 
--- a/src/gateway/gateway/index.ts
+++ b/src/gateway/gateway/index.ts
@@ -64,7 +64,7 @@
     private readonly ports: types.GatewayPorts,
   ) {
     const { clock, random } = ports;
-    // Each call in progress listens to it.
+    // Every call in progress adds a listener; Node otherwise warns of a leak from the eleventh on.
     events.EventEmitter.setMaxListeners(Infinity, this.closing.signal);
     this.directory = new servers.ServerDirectory(clock);
     this.coldLimits = createColdLimits.createColdLimits(settings, ports, {
--- a/src/gateway/oddEntries/test.ts
+++ b/src/gateway/oddEntries/test.ts
@@ -6,7 +6,7 @@
 
 const { ENGINE_SERVICE, PLAIN_SERVICE } = gatewayFleets;
 
-/** Depth of nesting that still fits a record of the store. */
+/** Nested JSON arrays; their text is close to the maximum size of a record, 256 KiB. */
 const NESTING_DEPTH = 100_000;
 
 const NESTED = `${"[".repeat(NESTING_DEPTH)}${"]".repeat(NESTING_DEPTH)}`;
@@ -91,7 +91,7 @@
     fleet.store.put("keyed.servers", `p${index}`, null);
   }
 
-  // All odd entries have to be in the store at a time for a VM that starts there.
+  // Under keys of their own, so that the VM that starts next reads all odd entries in one listing.
   for (const [index, [, { key, value }]] of odd.entries())
     fleet.store.put("keyed.servers", key === "odd" ? `odd-${index}` : key, value);
   await fleet.addGateway();
--- a/src/gateway/shutdown/test.ts
+++ b/src/gateway/shutdown/test.ts
@@ -6,7 +6,7 @@
 
 const { ENGINE_SERVICE, PLAIN_SERVICE } = gatewayFleets;
 
-/** Sends a draft that occupies the only place of an engine for longer than a VM takes to stop. */
+/** Adds an engine with a single slot, and occupies it with a stream that outlasts the grace period. */
 async function occupyEngine(
   t: Test,
   fleet: gatewayFleets.GatewayFleet,
@@ -38,7 +38,7 @@
   await fleet.gateways[0]?.[Symbol.asyncDispose]();
 });
 
-// Guards against connections that are closed without a word at the end of the grace period.
+// Guards against connections that are closed without an answer at the end of the grace period.
 tap.test(
   "a call that a server still runs when its VM closes gets an answer of the VM",
   async (t) => {
--- a/src/gateway/spoiledHeads/test.ts
+++ b/src/gateway/spoiledHeads/test.ts
@@ -75,7 +75,7 @@
   });
 }
 
-// Guards against answers that look complete although the head of the server's answer was not.
+// Guards against forwarding an answer as complete although the connection closed within its head.
 tap.test("an answer that ends inside its head is a failure, wherever it ends", async (t) => {
   let cutAt = 0;
   let headBytes = Infinity;
--- a/src/relay/_lib/decideWait/index.ts
+++ b/src/relay/_lib/decideWait/index.ts
@@ -11,7 +11,7 @@
   readonly releaseTokensPerMs: number;
   /** Whether all servers of the service are in evacuated data centres. */
   readonly isEvacuated: boolean;
-  /** When this VM closes its callers' connections, on its monotonic clock; Infinity if it is not stopping. */
+  /** End of the shutdown, at which callers' connections are closed; monotonic clock, Infinity if not stopping. */
   readonly closesAtMs: number;
 }
 
--- a/src/relay/engineDispatcher/index.ts
+++ b/src/relay/engineDispatcher/index.ts
@@ -23,7 +23,7 @@
   private readonly waiting = new Set<localWaitings.LocalWaitingGeneration>();
   private readonly sharesByService = new Map<string, dispatch.AccountShares | null>();
   private scanTimer: Disposable | null = null;
-  /** When this VM closes its callers' connections; Infinity if it is not stopping. */
+  /** End of the shutdown, at which callers' connections are closed; Infinity if not stopping. */
   private closesAtMs = Infinity;
 
   constructor(private readonly context: types.DispatcherContext) {
@@ -71,8 +71,9 @@
   }
 
   /**
-   * Refuses generations whose runs cannot end by a time on the monotonic clock, at which this VM closes its
-   * callers' connections: those that wait, and those that come.
+   * Starts the shutdown: refuses waiting and new generations that are not expected to end in time.
+   *
+   * @param closesAtMs - when callers' connections are closed, on this VM's monotonic clock
    */
   finishBy(closesAtMs: number): void {
     this.closesAtMs = closesAtMs;
--- a/src/relay/types.ts
+++ b/src/relay/types.ts
@@ -177,7 +177,7 @@
   TimedOutNotRun = "timed-out-not-run",
   TimedOut = "timed-out",
   OutcomeUnknown = "outcome-unknown",
-  /** An error that no code expected; the call may have been executed. */
+  /** An unexpected error, which is a defect of the gateway; the call may have been executed. */
   InternalError = "internal-error",
 }
 
--- a/src/serverLinks/serverConnector/test.ts
+++ b/src/serverLinks/serverConnector/test.ts
@@ -65,7 +65,7 @@
   return { entry, end: () => listener.close() };
 }
 
-// Guards against the end of a process that is taken for the end of an answer.
+// Guards against mistaking the termination of a server process for the regular end of its answer.
 tap.test("a server is still up until it refuses connections", async (t) => {
   const connector = createConnector("refuses");
   const { entry, end } = await listen(t);
--- a/standins/platform/movableStreams/index.ts
+++ b/standins/platform/movableStreams/index.ts
@@ -21,7 +21,7 @@
   isStopped: boolean;
 }
 
-/** What became of the runs whose streams have one framing. */
+/** Counts of stopped and continued runs, for one framing of their streams. */
 export interface FramingCounts {
   /** Runs that were stopped by the last copy of their memory. */
   stopped: number;
