Show that requests run whose key was taken away, while a machine catches up after a cut

Cause: an answer of the store that holds only a part of the missing records counts as proof that the view is fresh, as the end offset in it is not read.

--- a/review/lib-2/store.mjs
+++ b/review/lib-2/store.mjs
@@ -2,12 +2,17 @@
 // a log with keyed topics, read by offset, by the newest record of each key, or with a wait.
 import * as http from "node:http";
 
+/** How long an answer takes at least, how fast records are read, and how many of them one answer holds (`max_kb`). */
+const ANSWER_MS = 4;
+const READ_BYTES_PER_MS = 80_000;
+const DEFAULT_MAX_KB = 1_024;
+
 /** The store, on a loopback address. */
 export class Store {
   topics = new Map();
   era = 0;
-  /** Set by cases: returns true if it has dealt with a call itself. */
-  intercept = () => false;
+  /** Whether machines get no answers, also to calls that they have sent before; engines and the operator do. */
+  isSilent = false;
 
   constructor(record) {
     this.record = record;
@@ -57,13 +62,13 @@
     const chunks = [];
     for await (const chunk of request) chunks.push(chunk);
     const url = new URL(request.url, "http://store");
-    if (this.intercept(url, request, response)) return;
+    if (this.isSilent) return;
     response.setHeader("Store-Era", String(this.era));
     const { searchParams: query } = url;
     const topic = this.topic(query.get("topic") ?? "");
     const handlers = {
       "/log-append": () => this.answerAppend(query, Buffer.concat(chunks), response),
-      "/log-read": () => answerRead(topic, query, response),
+      "/log-read": () => this.answerRead(topic, query, response),
       "/log-newest": () => answerNewest(topic, response),
     };
     const handler = handlers[url.pathname];
@@ -80,35 +85,43 @@
     }
     sendJson(response, { offset: offsets[0], end_offset: this.topic(query.get("topic")).end });
   }
-}
 
-function answerRead(topic, query, response) {
-  const from = Number(query.get("from"));
-  if (from < topic.first || from > topic.end) {
-    response.writeHead(410, { "Content-Type": "application/json" });
-    response.end(JSON.stringify({ first_offset: topic.first }));
-    return;
-  }
-  const send = () => {
-    topic.waiters.delete(send);
-    clearTimeout(timer);
-    const head = Buffer.alloc(16);
-    head.writeBigUInt64BE(BigInt(topic.end), 0);
-    head.writeBigUInt64BE(BigInt(topic.first), 8);
-    const parts = [head];
-    for (const { offset, content } of topic.records) {
-      if (offset < from) continue;
-      const length = Buffer.alloc(4);
-      length.writeUInt32BE(content.length);
-      parts.push(length, content);
+  answerRead(topic, query, response) {
+    const from = Number(query.get("from"));
+    if (from < topic.first || from > topic.end) {
+      response.writeHead(410, { "Content-Type": "application/json" });
+      response.end(JSON.stringify({ first_offset: topic.first }));
+      return;
     }
-    response.writeHead(200, { "Content-Type": "application/octet-stream" });
-    response.end(Buffer.concat(parts));
-  };
-  const waitMs = Number(query.get("wait_ms") ?? 0);
-  const timer = setTimeout(send, waitMs);
-  if (from < topic.end) send();
-  else topic.waiters.add(send);
+    const send = () => {
+      topic.waiters.delete(send);
+      clearTimeout(timer);
+      const head = Buffer.alloc(16);
+      head.writeBigUInt64BE(BigInt(topic.end), 0);
+      head.writeBigUInt64BE(BigInt(topic.first), 8);
+      const parts = [head];
+      const maxBytes = 1_024 * Number(query.get("max_kb") ?? DEFAULT_MAX_KB);
+      let sizeBytes = 0;
+      for (const { offset, content } of topic.records) {
+        if (offset < from) continue;
+        if (sizeBytes > 0 && sizeBytes + content.length > maxBytes) break;
+        sizeBytes += content.length;
+        const length = Buffer.alloc(4);
+        length.writeUInt32BE(content.length);
+        parts.push(length, content);
+      }
+      const answer = () => {
+        if (this.isSilent) return;
+        response.writeHead(200, { "Content-Type": "application/octet-stream" });
+        response.end(Buffer.concat(parts));
+      };
+      setTimeout(answer, ANSWER_MS + sizeBytes / READ_BYTES_PER_MS);
+    };
+    const waitMs = Number(query.get("wait_ms") ?? 0);
+    const timer = setTimeout(send, waitMs);
+    if (from < topic.end) send();
+    else topic.waiters.add(send);
+  }
 }
 
 function answerNewest(topic, response) {
