Cut two machines off in the case of a key that was taken away

Cause: with one machine alone, nobody could say whether others would have told it. Change: two machines, both cut off from the store.

--- a/review/7/case.mjs
+++ b/review/7/case.mjs
@@ -1,4 +1,4 @@
-// CONFIG: after a cut from the store, a machine takes an old desired state for the newest, and runs requests whose key
+// CONFIG: after a cut from the store, machines take an old desired state for the newest, and run requests whose key
 // was taken away longer than revoke_ms ago.
 import { configurationOf, hasTrouble, runCase } from "../lib-2/case.mjs";
 import { send } from "../lib-2/client.mjs";
@@ -43,13 +43,13 @@
   for (let index = 1; index <= 3; index += 1)
     engines.push(await addEngine({ id: `i-${index}`, service: "ledger", slots: 6, behaviour }));
   configure(stateOf(1, [GONE_KEY, KEPT_KEY]));
-  const gateway = addGateway({ name: "edge-1", host: host(1) });
-  await gateway.whenReady();
+  const gateways = [1, 2].map((index) => addGateway({ name: `edge-${index}`, host: host(index) }));
+  for (const gateway of gateways) await gateway.whenReady();
   await sleep(1_000);
 
   if (hasTrouble) {
     store.isSilent = true;
-    record("network", "the machine is partitioned from the store", {});
+    record("network", "both machines are partitioned from the store", {});
   }
   const cutAt = Date.now();
   await sleep(STORM.gapMs);
@@ -69,7 +69,7 @@
   const pending = [];
   const sendWith = (key) => {
     const sentAt = Date.now();
-    const answer = send(record, gateway, {
+    const answer = send(record, gateways[pending.length % 2], {
       path: "/file/2f",
       body: "f",
       headers: { "X-Key": key },
@@ -84,7 +84,7 @@
     }
     if (Date.now() > confirmedAt + REVOKE_MS) {
       sendWith(GONE_KEY);
-      if (pending.length % 10 === 0) sendWith(KEPT_KEY);
+      if (pending.length % 11 === 0) sendWith(KEPT_KEY);
     }
     await sleep(20);
   }
