Confirm a view only with all records that the store has

Right before that read the VM had answered 503, as it should.

Change: a read returns where the topic ended (ReadBatch, a matter of types), and that position alone confirms. A VM of any rank reads on at once while there is more; an answer without any of the records confirms nothing and is repeated after a pause. Both stand-ins of the store answer in parts now.

--- a/src/diagnostics/types.ts
+++ b/src/diagnostics/types.ts
@@ -30,6 +30,9 @@
   StoreLost = "store-lost",
   StoreRegained = "store-regained",
   StoreRestored = "store-restored",
+  /** The store returned only some of the records that follow the view, which so is not confirmed. */
+  ViewBehind = "view-behind",
+  ViewCaughtUp = "view-caught-up",
   StoreRecordUnreadable = "store-record-unreadable",
   PeerUp = "peer-up",
   PeerDown = "peer-down",
--- a/src/gateway/_lib/virtualStore/index.ts
+++ b/src/gateway/_lib/virtualStore/index.ts
@@ -14,6 +14,9 @@
 /** Interval at which a waiting read checks for a record. */
 const WAIT_CHECK_INTERVAL_MS = 10;
 
+/** Most records of one answer to a read. */
+const MAX_READ_RECORDS_COUNT = 40;
+
 type TopicLog = readonly sharedView.ViewRecord[];
 
 /** Contents of the store at one moment. */
@@ -81,15 +84,17 @@
     topic: sharedView.Topic,
     offset: number,
     waitMs: number,
-  ): Promise<neverthrow.Result<sharedView.RecordBatch, sharedView.StoreFailure>> {
+  ): Promise<neverthrow.Result<sharedView.ReadBatch, sharedView.StoreFailure>> {
     const endsAtMs = this.clock.nowMs() + waitMs;
     for (;;) {
       const log = this.logOf(topic);
       if (offset > log.length) return neverthrow.err(StoreFailure.Trimmed);
       const isDone = offset < log.length || this.clock.nowMs() >= endsAtMs;
       if (isDone) {
-        const records = log.slice(offset);
-        return neverthrow.ok({ epoch: this.epoch, endOffset: log.length, records });
+        const records = log.slice(offset, offset + MAX_READ_RECORDS_COUNT);
+        const endOffset = offset + records.length;
+        const topicEndOffset = log.length;
+        return neverthrow.ok({ epoch: this.epoch, endOffset, topicEndOffset, records });
       }
       await this.clock.sleep(WAIT_CHECK_INTERVAL_MS);
     }
--- a/src/sharedView/topicReader/index.ts
+++ b/src/sharedView/topicReader/index.ts
@@ -68,6 +68,8 @@
   private lastEpoch: number | null = null;
   /** Whether the last records read do not continue the replica, so that the topic has to be listed. */
   private isListingDue = false;
+  /** Whether the store has further records than it last returned. */
+  private hasMoreRecords = false;
   /** Rank at the last read; null before the first one. */
   private lastReadRank: number | null = null;
 
@@ -107,7 +109,7 @@
   /** Time until the replica's age reaches its limit; not positive if a poll is due. */
   private computeTimeToNextReadMs(): number {
     const { replica, isPreferred } = this.context;
-    if (!replica.isKnown || this.isListingDue) return 0;
+    if (!replica.isKnown || this.isListingDue || this.hasMoreRecords) return 0;
     // Only a successful call ends the belief that the store is unreachable.
     if (!this.reachesStore && isPreferred()) return 0;
     return this.options.pollAgeMs + this.computeRankDelayMs() - replica.ageMs;
@@ -155,6 +157,7 @@
     this.recordSuccess();
     const source = topicReplicas.ViewSource.Store;
     this.recordEpoch(result.value);
+    this.hasMoreRecords = false;
     const isApplied = this.context.replica.applyListing(result.value, sentAt, source);
     this.isListingDue = false;
     if (!isApplied) this.recordIgnoredListing(result.value);
@@ -163,7 +166,7 @@
   }
 
   private applyRecordsResult(
-    result: neverthrow.Result<types.RecordBatch, types.StoreFailure>,
+    result: neverthrow.Result<types.ReadBatch, types.StoreFailure>,
     sentAt: clockReadings.ClockReading,
     fromOffset: number,
   ): boolean {
@@ -177,7 +180,25 @@
     const isApplied = this.context.replica.applyRecords(fromOffset, batch, confirmedAt, source);
     this.isListingDue = !isApplied;
     if (isApplied) this.context.onRead(fromOffset, batch);
-    return true;
+    const isPartial = batch.endOffset < batch.topicEndOffset;
+    this.recordPartialRead(batch, isPartial);
+    return !isPartial || batch.endOffset > fromOffset;
+  }
+
+  /** Logs when the store begins to return only some of the records, and when the view has caught up with it. */
+  private recordPartialRead(batch: types.ReadBatch, isPartial: boolean): void {
+    if (this.hasMoreRecords === isPartial) return;
+    this.hasMoreRecords = isPartial;
+    this.context.log.record(
+      Importance.StateChange,
+      isPartial ? LogEvent.ViewBehind : LogEvent.ViewCaughtUp,
+      {
+        topic: this.options.topic,
+        endOffset: batch.endOffset,
+        topicEndOffset: batch.topicEndOffset,
+        viewAgeMs: Math.round(Math.min(1e9, this.context.replica.ageMs)),
+      },
+    );
   }
 
   /**
@@ -243,6 +264,8 @@
 
   private recordFailure(failure: types.StoreFailure): false {
     this.context.meters.storeCalls.inc({ call: this.options.topic, outcome: failure });
+    // Without the store, a VM catches up with its peers at the pace of its rank.
+    this.hasMoreRecords = false;
     this.failuresCount += 1;
     if (this.failuresCount === 1) {
       this.context.log.record(Importance.StateChange, LogEvent.StoreLost, {
--- a/src/sharedView/topicReader/test.ts
+++ b/src/sharedView/topicReader/test.ts
@@ -14,7 +14,7 @@
   listingsCount = 0;
   failure: sharedView.StoreFailure | null = null;
 
-  constructor(private readonly clock: virtualClocks.VirtualClock) {}
+  constructor(protected readonly clock: virtualClocks.VirtualClock) {}
 
   readNewest(): ReturnType<sharedView.ViewStore["readNewest"]> {
     this.listingsCount += 1;
@@ -32,22 +32,48 @@
     this.reads.push({ offset, atMs: this.clock.nowMs() });
     if (this.failure !== null) return neverthrow.err(this.failure);
     await this.clock.sleep(waitMs);
-    return neverthrow.ok({ records: [], endOffset: offset, epoch: 0 });
+    return neverthrow.ok({ records: [], endOffset: offset, topicEndOffset: offset, epoch: 0 });
   }
 }
 
-function setUp(
+/** A store that returns a few records at a time of those that were written since the listing. */
+class PagedStore extends QuietStore {
+  topicEndOffset = 4;
+  recordsPerRead = 2;
+
+  override async readFrom(
+    topic: sharedView.Topic,
+    offset: number,
+    waitMs: number,
+  ): ReturnType<sharedView.ViewStore["readFrom"]> {
+    if (offset >= this.topicEndOffset || this.failure !== null)
+      return super.readFrom(topic, offset, waitMs);
+    this.reads.push({ offset, atMs: this.clock.nowMs() });
+    await this.clock.sleep(ANSWER_MS);
+    const endOffset = Math.min(this.topicEndOffset, offset + this.recordsPerRead);
+    const records = Array.from({ length: endOffset - offset }, (_, index) => {
+      return { key: "config", offset: offset + index, value: Buffer.from("x") };
+    });
+    return neverthrow.ok({ records, endOffset, topicEndOffset: this.topicEndOffset, epoch: 0 });
+  }
+}
+
+/** Time from a read of available records to its answer. */
+const ANSWER_MS = 5;
+
+function setUp<Store extends QuietStore = QuietStore>(
   rankOrRanks: number | { current: number },
   isPreferred = false,
+  createStore = (ofClock: virtualClocks.VirtualClock): Store => new QuietStore(ofClock) as Store,
 ): {
   readonly clock: virtualClocks.VirtualClock;
-  readonly store: QuietStore;
+  readonly store: Store;
   readonly replica: sharedView.TopicReplica;
   readonly reader: sharedView.TopicReader;
   readonly events: string[];
 } {
   const clock = new virtualClocks.VirtualClock();
-  const store = new QuietStore(clock);
+  const store = createStore(clock);
   const events: string[] = [];
   const listener = { onRecords: () => undefined, onListing: () => undefined };
   const replica = new sharedView.TopicReplica(clock, listener);
@@ -134,3 +160,62 @@
   await clock.runForMs(3_000);
   t.ok(reader.reachesStore);
 });
+
+// Guards against requests with a key that was taken away, which ran at a VM that had read only the first of the
+// records that it missed, and took its view for current.
+tap.test("a view is not confirmed before all records that the store has were read", async (t) => {
+  const { clock, store, replica, events } = setUp(0, false, (ofClock) => new PagedStore(ofClock));
+  await clock.runForMs(1_000);
+  store.failure = StoreFailure.NoAnswer;
+  await clock.runForMs(6_000);
+  t.ok(replica.ageMs > 5_000);
+  store.failure = null;
+  store.topicEndOffset = 24;
+  const agesWhileBehindMs: number[] = [];
+  while (replica.endOffset < store.topicEndOffset && clock.nowMs() < 12_000) {
+    await clock.runForMs(ANSWER_MS);
+    if (replica.endOffset < store.topicEndOffset) agesWhileBehindMs.push(replica.ageMs);
+  }
+  t.ok(agesWhileBehindMs.length >= 9, `read in ${agesWhileBehindMs.length} answers`);
+  t.ok(Math.min(...agesWhileBehindMs) > 5_000, "a part of the records confirms nothing");
+  t.equal(replica.endOffset, 24);
+  t.ok(replica.ageMs < 1_000, "the last of them confirm the view");
+  const { ViewBehind, ViewCaughtUp } = diagnostics.LogEvent;
+  const reported = new Set<string>([ViewBehind, ViewCaughtUp]);
+  t.same(
+    events.filter((event) => reported.has(event)),
+    [ViewBehind, ViewCaughtUp],
+  );
+});
+
+tap.test("a VM of any rank reads on at once while the store has more records", async (t) => {
+  const { clock, store, replica } = setUp(3, false, (ofClock) => new PagedStore(ofClock));
+  await clock.runForMs(200);
+  store.topicEndOffset = 24;
+  const untilRead = async (): Promise<number> => {
+    while (store.reads.length === 0) await clock.runForMs(ANSWER_MS);
+    return clock.nowMs();
+  };
+  const startedAtMs = await untilRead();
+  while (replica.endOffset < 24) await clock.runForMs(ANSWER_MS);
+  t.ok(clock.nowMs() - startedAtMs < 200, `${clock.nowMs() - startedAtMs} ms`);
+});
+
+tap.test(
+  "a store that returns none of the records that it has is not asked without a pause",
+  async (t) => {
+    const { clock, store, replica } = setUp(0, false, (ofClock) => new PagedStore(ofClock));
+    await clock.runForMs(100);
+    store.topicEndOffset = 24;
+    store.recordsPerRead = 0;
+    await clock.runForMs(1_000);
+    const countBefore = store.reads.length;
+    const ageBeforeMs = replica.ageMs;
+    await clock.runForMs(1_000);
+    t.ok(
+      store.reads.length - countBefore <= 20,
+      `${store.reads.length - countBefore} reads in 1 s`,
+    );
+    t.equal(Math.round(replica.ageMs - ageBeforeMs), 1_000, "such an answer confirms nothing");
+  },
+);
--- a/src/sharedView/topicReplica/index.ts
+++ b/src/sharedView/topicReplica/index.ts
@@ -118,13 +118,14 @@
 
   /**
    * Applies the records from an offset on, except those of further keys that are too large to be kept with the others.
+   * They confirm the replica only if the topic ended with them.
    *
    * @returns false if records before that offset are missing here or belong to another epoch, in
    *   which case nothing changes
    */
   applyRecords(
     fromOffset: number,
-    batch: types.RecordBatch,
+    batch: types.RecordBatch & Partial<Pick<types.ReadBatch, "topicEndOffset">>,
     confirmedAt: clockReadings.ClockReading,
     source: ViewSource,
   ): boolean {
@@ -135,7 +136,7 @@
     const room = this.createRoom();
     const fresh = following.filter((record) => this.keep(record, room));
     this.position = { epoch, endOffset: Math.max(endOffset, batch.endOffset) };
-    this.confirm(batch, confirmedAt);
+    this.confirm({ epoch, endOffset: batch.topicEndOffset ?? batch.endOffset }, confirmedAt);
     if (fresh.length > 0) this.listener.onRecords(fresh, origin);
     this.reportLeftOut([room.leftOut]);
     return true;
--- a/src/sharedView/types.ts
+++ b/src/sharedView/types.ts
@@ -41,6 +41,12 @@
   readonly leftOut?: LeftOutRecords | null;
 }
 
+/** Records that the store returned for a read; it may have more than one answer holds. */
+export interface ReadBatch extends RecordBatch {
+  /** The offset at which the topic ended when the store answered; not before the batch's end. */
+  readonly topicEndOffset: number;
+}
+
 /** How far a replica has got, as VMs tell each other. */
 export interface ReplicaState extends LogPosition {
   /** Revision of the replica's retained record; 0 if there is none. */
@@ -75,7 +81,7 @@
     createRoom?: () => recordRooms.RecordRoom,
   ): Promise<neverthrow.Result<RecordBatch, StoreFailure>>;
   /**
-   * Reads the records from an offset on.
+   * Reads the records from an offset on, as many as fit one answer.
    *
    * @param waitMs - longest time for which the store waits for a first record
    */
@@ -83,7 +89,7 @@
     topic: Topic,
     offset: number,
     waitMs: number,
-  ): Promise<neverthrow.Result<RecordBatch, StoreFailure>>;
+  ): Promise<neverthrow.Result<ReadBatch, StoreFailure>>;
 }
 
 /** The name and network address of a VM. */
--- a/standins/platform/logStore/index.ts
+++ b/standins/platform/logStore/index.ts
@@ -2,6 +2,7 @@
 import type * as net from "node:net";
 
 import * as names from "../../../platform/names/index.js";
+import * as readAnswers from "../encodeReadAnswer/index.js";
 import * as recordSplitters from "../../_lib/splitRecords/index.js";
 
 /** How the store answers requests. */
@@ -283,15 +284,8 @@
 }
 
 function sendRecords(response: http.ServerResponse, topic: TopicLog, from: number): void {
-  const head = Buffer.alloc(16);
-  head.writeBigUInt64BE(BigInt(topic.end), 0);
-  head.writeBigUInt64BE(BigInt(firstOffsetOf(topic)), 8);
-  const parts: Uint8Array[] = [head];
-  for (const { offset, content } of topic.records) {
-    if (offset < from) continue;
-    const length = Buffer.alloc(4);
-    length.writeUInt32BE(content.length);
-    parts.push(length, content);
-  }
-  response.writeHead(OK).end(Buffer.concat(parts));
+  const range = { endOffset: topic.end, firstOffset: firstOffsetOf(topic) };
+  const following = topic.records.filter(({ offset }) => offset >= from);
+  const contents = following.map(({ content }) => content);
+  response.writeHead(OK).end(readAnswers.encodeReadAnswer(range, contents));
 }
