Send listings to the peers as listings

Callers would have seen: calls to servers that have left, for as long as the process runs, at VMs that hear of the store through their peers.

Cause: a reader sent a listing to its peers as the records from offset 0 on. A listing has no deletions, so that a peer kept the servers and evacuations that it lacks, took the end of the listing for its own, and so never fetched the topic. It happens when the store has deleted its history before anyone read it.

Change: after a listing the reader's heartbeats go out at once, and peers that are behind fetch the topic. The special case for the first batch of an epoch is no longer needed. The store on the virtual clock can delete its history.

--- a/src/gateway/_lib/createReaders/index.ts
+++ b/src/gateway/_lib/createReaders/index.ts
@@ -34,6 +34,7 @@
       rank: () => mesh.readerRank,
       isPreferred: () => mesh.isPreferredReader,
       onRead: (from, batch) => mesh.broadcastRecords(options.topic, from, batch),
+      onListed: () => mesh.announceState(),
       onStoreRegained: () => directory.recordStoreRecovery(),
     };
     return new sharedView.TopicReader(context, options);
--- a/src/gateway/_lib/virtualFleet/index.ts
+++ b/src/gateway/_lib/virtualFleet/index.ts
@@ -182,6 +182,7 @@
         rank: () => this.mesh.readerRank,
         isPreferred: () => this.mesh.isPreferredReader,
         onRead: (from, batch) => this.mesh.broadcastRecords(options.topic, from, batch),
+        onListed: () => this.mesh.announceState(),
         onStoreRegained: () => this.directory.recordStoreRecovery(),
       },
       options,
--- a/src/gateway/_lib/virtualStore/index.ts
+++ b/src/gateway/_lib/virtualStore/index.ts
@@ -25,6 +25,8 @@
 /** A model of the platform's store on the virtual clock, which can be restored from a copy. */
 export class VirtualStore {
   private topics = new Map<sharedView.Topic, TopicLog>();
+  /** Lowest retained offsets; 0 where nothing was deleted. */
+  private readonly firstOffsets = new Map<sharedView.Topic, number>();
   private epoch = 0;
   /** Whether calls are answered; calls made meanwhile time out. */
   isUp = true;
@@ -42,6 +44,11 @@
     this.topics.set(topic, [...log, record]);
   }
 
+  /** Deletes all records of a topic; the newest one of each key is still listed. */
+  trim(topic: sharedView.Topic): void {
+    this.firstOffsets.set(topic, this.logOf(topic).length);
+  }
+
   /** Copies the contents. */
   copy(): StoreCopy {
     return new Map(this.topics);
@@ -50,6 +57,7 @@
   /** Replaces the contents by a copy and starts the next epoch. */
   restore(copy: StoreCopy): void {
     this.topics = new Map(copy);
+    this.firstOffsets.clear();
     this.epoch += 1;
   }
 
@@ -88,7 +96,8 @@
     const endsAtMs = this.clock.nowMs() + waitMs;
     for (;;) {
       const log = this.logOf(topic);
-      if (offset > log.length) return neverthrow.err(StoreFailure.Trimmed);
+      const firstOffset = this.firstOffsets.get(topic) ?? 0;
+      if (offset < firstOffset || offset > log.length) return neverthrow.err(StoreFailure.Trimmed);
       const isDone = offset < log.length || this.clock.nowMs() >= endsAtMs;
       if (isDone) {
         const records = log.slice(offset, offset + MAX_READ_RECORDS_COUNT);
--- a/src/sharedView/peerMesh/index.ts
+++ b/src/sharedView/peerMesh/index.ts
@@ -35,8 +35,6 @@
   private readonly subscription: Disposable;
   private timer: Disposable;
   private heartbeatRoundsCount = 0;
-  /** Epoch of the last batch sent to the peers, for each topic. */
-  private readonly sentEpochs = new Map<types.Topic, number>();
   /** Whether this VM is a hub, as of its last heartbeat round. */
   private isHub = false;
 
@@ -97,23 +95,24 @@
 
   /**
    * Sends the live peers records that this VM has read from the store. If a record does not fit a
-   * datagram or continues what the peers hold, as after a restore of the store, heartbeats report
-   * the new state instead, and the peers fetch the topic.
+   * datagram, heartbeats report the new state instead, and the peers fetch the topic.
    */
   broadcastRecords(topic: types.Topic, fromOffset: number, batch: types.RecordBatch): void {
-    const isSameEpoch = (this.sentEpochs.get(topic) ?? batch.epoch) === batch.epoch;
-    this.sentEpochs.set(topic, batch.epoch);
-    if (!isSameEpoch) {
-      this.table.listAddresses().forEach(this.sendHeartbeat);
-      return;
-    }
     if (batch.records.length === 0) return;
     const { vmName } = this.context.self;
     const messages = encodeRecordParts.encodeRecordParts(vmName, topic, fromOffset, batch);
-    if (messages === null) this.table.listAddresses().forEach(this.sendHeartbeat);
+    if (messages === null) this.announceState();
     else for (const message of messages) this.broadcast(message);
   }
 
+  /**
+   * Reports the state of this VM's replicas at once, so that peers which are behind fetch the topic. A listing is never
+   * sent as records: it lacks the records by which keys were deleted.
+   */
+  announceState(): void {
+    this.table.listAddresses().forEach(this.sendHeartbeat);
+  }
+
   /** Sends all live peers a message that this VM leaves the fleet. */
   sendLeave(): void {
     const message = { kind: DatagramKind.Leave, vmName: this.context.self.vmName } as const;
--- a/src/sharedView/topicReader/index.ts
+++ b/src/sharedView/topicReader/index.ts
@@ -44,8 +44,10 @@
   readonly rank: () => number;
   /** Returns whether this VM is one of the preferred readers, whichever VMs reach the store now. */
   readonly isPreferred: () => boolean;
-  /** Called with each batch read from the store, so that it can be sent to the peers. */
+  /** Called with records read from the store, so that they can be sent to the peers. */
   readonly onRead: (fromOffset: number, batch: types.RecordBatch) => void;
+  /** Called when a listing of the store was applied. */
+  readonly onListed: () => void;
   /** Called on the first answer of the store after one or more failures. */
   readonly onStoreRegained: () => void;
 }
@@ -160,8 +162,8 @@
     this.hasMoreRecords = false;
     const isApplied = this.context.replica.applyListing(result.value, sentAt, source);
     this.isListingDue = false;
-    if (!isApplied) this.recordIgnoredListing(result.value);
-    this.context.onRead(0, result.value);
+    if (isApplied) this.context.onListed();
+    else this.recordIgnoredListing(result.value);
     return isApplied;
   }
 
--- a/src/sharedView/topicReader/test.ts
+++ b/src/sharedView/topicReader/test.ts
@@ -87,6 +87,7 @@
       rank: () => (typeof rankOrRanks === "number" ? rankOrRanks : rankOrRanks.current),
       isPreferred: () => isPreferred,
       onRead: () => undefined,
+      onListed: () => undefined,
       onStoreRegained: () => events.push("regained"),
     },
     sharedView.CONFIGURATION_READER,
