Do not take a restored store's copy for the newest state

Callers would have seen: requests with a key that was taken away, as a store that was just restored from an older copy passed for confirming the configuration before.

Cause: the listing of a later epoch renewed the age of the replica, though what the store has lost is written again only a little later.

Change: for 2 s after a replica has met a later epoch, the store's answers do not renew its age; ages of peers count, as they are made by the same rule. The histories and the fleet drills check the age that each VM believes against the versions that it lacks (viewAgeWatch).

Weighed: trusting the store again at the operator's first write. The first of several would pass for all.

--- a/src/gateway/_lib/fleetDrill/index.ts
+++ b/src/gateway/_lib/fleetDrill/index.ts
@@ -3,6 +3,7 @@
 import * as sharedView from "../../../sharedView/index.js";
 import * as evacuationWatches from "../evacuationWatch/index.js";
 import * as virtualFleets from "../virtualFleet/index.js";
+import * as viewAgeWatches from "../viewAgeWatch/index.js";
 import * as virtualStores from "../virtualStore/index.js";
 
 const { Topic } = sharedView;
@@ -49,7 +50,8 @@
 /**
  * A large fleet on the virtual clock that a test disturbs. After each interval it checks, for each VM
  * that was not itself disturbed, that confirmed changes are in force in time and that servers that
- * said they leave stay unavailable; `findings` lists what was violated.
+ * said they leave stay unavailable, and for all VMs that none takes a view for younger than it is;
+ * `findings` lists what was violated.
  */
 export class FleetDrill {
   readonly findings: string[] = [];
@@ -64,6 +66,7 @@
   /** Servers that have told each process in an answer that they leave. */
   private readonly statedIds = new Map<virtualFleets.VirtualVm, Set<string>>();
   private readonly evacuations = new evacuationWatches.EvacuationWatch();
+  private readonly viewAges = new viewAgeWatches.ViewAgeWatch();
   private readonly calmSinceMs = new Map<string, number>();
   private storeCalmSinceMs = 0;
   private version = 1;
@@ -108,6 +111,7 @@
     this.version += 3;
     this.fleet.publish(this.version, CONFIGURATION_BYTES);
     this.confirmedAtMs = this.clock.nowMs();
+    this.viewAges.publish(this.version, this.confirmedAtMs);
   }
 
   /** Orders that a data centre is evacuated, or takes it back, unless the store is down. */
@@ -243,6 +247,7 @@
     const calmSinceMs = Math.max(this.storeCalmSinceMs, this.calmSinceMs.get(vm.name) ?? 0);
     const isInTouch = nowMs > calmSinceMs + STABILITY_MS && this.store.isUp;
     this.findings.push(...this.evacuations.check(vm, nowMs, isInTouch));
+    this.findings.push(...this.viewAges.check(vm, nowMs));
     const isBound = isInTouch && nowMs > this.confirmedAtMs + APPLY_MS;
     if (isBound && vm.version < this.version)
       this.findings.push(`${vm.name} has ${vm.version} of ${this.version} at ${nowMs} ms`);
--- a/src/gateway/configurationHistories/test.ts
+++ b/src/gateway/configurationHistories/test.ts
@@ -4,6 +4,7 @@
 import * as virtualClocks from "../../_lib/virtualClock/index.js";
 import * as sharedView from "../../sharedView/index.js";
 import * as virtualFleets from "../_lib/virtualFleet/index.js";
+import * as viewAgeWatches from "../_lib/viewAgeWatch/index.js";
 import * as virtualStores from "../_lib/virtualStore/index.js";
 
 const VM_NAMES = ["vm-1", "vm-2", "vm-3", "vm-4"] as const;
@@ -61,6 +62,7 @@
   private readonly fleet = new virtualFleets.VirtualFleet(this.clock, this.store);
   private readonly copies: { atMs: number; copy: virtualStores.StoreCopy }[] = [];
   private readonly highestVersions = new Map<virtualFleets.VirtualVm, number>();
+  private readonly viewAges = new viewAgeWatches.ViewAgeWatch();
   private readonly registeredIds = new Set<string>();
   /** Last sequence of each server; a server that registers again continues it. */
   private readonly serverSequences = new Map<string, number>();
@@ -117,6 +119,7 @@
     this.version += 3;
     this.fleet.publish(this.version);
     this.confirmedAtMs = this.clock.nowMs();
+    this.viewAges.publish(this.version, this.confirmedAtMs);
   }
 
   private writeServer(id: string): void {
@@ -160,6 +163,7 @@
     const isBound =
       nowMs > Math.max(this.confirmedAtMs, this.calmSinceMs + STABILITY_MS) + APPLY_MS;
     for (const vm of this.fleet.vms.values()) {
+      this.findings.push(...this.viewAges.check(vm, nowMs));
       const highest = this.highestVersions.get(vm) ?? 0;
       if (vm.version < highest) this.findings.push(`${vm.name} went back from ${highest}`);
       this.highestVersions.set(vm, Math.max(highest, vm.version));
@@ -187,7 +191,7 @@
 }
 
 tap.test(
-  "in random histories with restores of the store, configurations apply in time and never revert",
+  "in random histories with restores of the store, configurations apply in time, never revert and look no younger than they are",
   async () => {
     await fastCheck.assert(
       fastCheck.asyncProperty(fastCheck.array(step, { maxLength: 12 }), async (steps) => {
--- a/src/gateway/constants.ts
+++ b/src/gateway/constants.ts
@@ -51,6 +51,12 @@
  */
 export const STALE_VIEW_AGE_MS = 2_500;
 
+/**
+ * Time after a restore of the store within which operators write again the configurations that it has lost; as long as
+ * the platform states for the entries that lapsed during an outage.
+ */
+export const REWRITE_MS = 2_000;
+
 /** Interval at which a stopping process checks whether all its calls are answered. */
 export const DRAIN_CHECK_INTERVAL_MS = 50;
 
--- a/src/gateway/currentView/index.ts
+++ b/src/gateway/currentView/index.ts
@@ -53,20 +53,25 @@
     this.replicas = new Map([
       [
         sharedView.Topic.Configuration,
-        new sharedView.TopicReplica(clock, {
-          onRecords: (records, { source }) => {
-            this.applyEach(records, (record) => this.applyEvacuation(record));
-            this.applyConfigurations(records, source);
-          },
-          onListing: (records, { source, isRestored }) => {
-            this.applyEvacuationListing(records, isRestored);
-            this.applyConfigurations(records, source);
+        new sharedView.TopicReplica(
+          clock,
+          {
+            onRecords: (records, { source }) => {
+              this.applyEach(records, (record) => this.applyEvacuation(record));
+              this.applyConfigurations(records, source);
+            },
+            onListing: (records, { source, isRestored }) => {
+              this.applyEvacuationListing(records, isRestored);
+              this.applyConfigurations(records, source);
+            },
+            onTurnedAway: (leftOut) =>
+              this.recordTurnedAway(sharedView.Topic.Configuration, leftOut),
+            isEssential: (record) =>
+              ports.decoder.decodeConfiguration(record) !== null ||
+              ports.decoder.decodeEvacuation(record)?.isOk() === true,
           },
-          onTurnedAway: (leftOut) => this.recordTurnedAway(sharedView.Topic.Configuration, leftOut),
-          isEssential: (record) =>
-            ports.decoder.decodeConfiguration(record) !== null ||
-            ports.decoder.decodeEvacuation(record)?.isOk() === true,
-        }),
+          constants.REWRITE_MS,
+        ),
       ],
       [
         sharedView.Topic.Servers,
--- a/src/sharedView/topicReplica/index.ts
+++ b/src/sharedView/topicReplica/index.ts
@@ -50,10 +50,17 @@
   private retained: RetainedRecord | null = null;
   private keptBytes = 0;
   private confirmedAt = clockReadings.DISTANT_PAST;
+  /** Since when the store's answers are complete again after a restore, on the monotonic clock. */
+  private completeSinceMs = -Infinity;
 
+  /**
+   * @param rewriteMs - time after a restore of the store within which its writers write again what it has lost;
+   *   until then its answers do not renew the replica's age
+   */
   constructor(
     private readonly clock: clocks.Clock,
     private readonly listener: ReplicaListener,
+    private readonly rewriteMs = 0,
   ) {}
 
   /** The offset after the last known record; -1 before anything is known. */
@@ -99,6 +106,9 @@
   ): boolean {
     if (comparePositions.comparePositions(batch, this.position) < 0) return false;
     const isRestored = this.isKnown && batch.epoch > this.position.epoch;
+    // Before the first listing the epoch is 0: a VM that starts cannot tell how long ago a restore was.
+    if (batch.epoch > this.position.epoch)
+      this.completeSinceMs = this.clock.nowMs() + this.rewriteMs;
     const origin = { source, viewAgeMs: this.ageMs, isRestored };
     const known = isRestored ? new Map<string, types.ViewRecord>() : this.records;
     const room = this.createRoom(known);
@@ -110,7 +120,7 @@
     this.keptBytes = recordRooms.measureRecords([...merged.values()]);
     this.records = merged;
     this.position = { epoch: batch.epoch, endOffset: batch.endOffset };
-    this.confirm(batch, confirmedAt);
+    this.confirmFrom(source, batch, confirmedAt);
     this.listener.onListing([...merged.values()], origin);
     this.reportLeftOut([batch.leftOut, room.leftOut]);
     return true;
@@ -136,7 +146,8 @@
     const room = this.createRoom();
     const fresh = following.filter((record) => this.keep(record, room));
     this.position = { epoch, endOffset: Math.max(endOffset, batch.endOffset) };
-    this.confirm({ epoch, endOffset: batch.topicEndOffset ?? batch.endOffset }, confirmedAt);
+    const topicEnd = { epoch, endOffset: batch.topicEndOffset ?? batch.endOffset };
+    this.confirmFrom(source, topicEnd, confirmedAt);
     if (fresh.length > 0) this.listener.onRecords(fresh, origin);
     this.reportLeftOut([room.leftOut]);
     return true;
@@ -160,7 +171,7 @@
 
   /**
    * Renews the replica's age: the topic ended at a position when the given clocks were read, as
-   * reported by the store or a peer. Ignored if the position is of another epoch or beyond the
+   * reported by a peer, whose age counts from an answer that was complete. Ignored if the position is of another epoch or beyond the
    * known records, or if a later confirmation is known.
    */
   confirm(position: types.LogPosition, confirmedAt: clockReadings.ClockReading): void {
@@ -169,6 +180,15 @@
     if (confirmedAt.steadyMs > this.confirmedAt.steadyMs) this.confirmedAt = confirmedAt;
   }
 
+  private confirmFrom(
+    source: ViewSource,
+    position: types.LogPosition,
+    confirmedAt: clockReadings.ClockReading,
+  ): void {
+    const isComplete = source === ViewSource.Peer || confirmedAt.steadyMs >= this.completeSinceMs;
+    if (isComplete) this.confirm(position, confirmedAt);
+  }
+
   /**
    * Decides which further records may be kept. A known key is always updated, so that entries of others keep no
    * configuration from being followed.
