Do not count a read that returned nothing as having caught up

Callers would have seen: in chiveferryd, once-only calls and leases decided from a state that is older than the log. The order of the log decides again, so that nothing ran twice by this alone.

Cause: the loops of StateLoader.catchUpToEnd and LeaseLog.catchUp end when a read brings nothing new, and reported success also where the log states that it has more.

Change: that is an error, like a failed read. Lease records that the log no longer retains are skipped.

--- a/src/fleet/_lib/leaseLog/index.ts
+++ b/src/fleet/_lib/leaseLog/index.ts
@@ -4,6 +4,7 @@
 import type * as stepError from "../../../_lib/stepError/index.js";
 import type * as telemetry from "../../../telemetry/types.js";
 import * as appendBudget from "../../../controlPlane/appendBudget/index.js";
+import * as partialReads from "../../../controlPlane/createPartialReadError/index.js";
 import * as platform from "../../../controlPlane/types.js";
 import * as leaseRecords from "../leaseRecords/index.js";
 import * as leaseTable from "../leaseTable/index.js";
@@ -30,9 +31,12 @@
       const fromOffset = this.nextOffset;
       const batch = await this.log.read(platform.LogStream.Leases, fromOffset);
       if (batch.isErr()) return neverthrow.err(batch.error);
+      // Leases whose records are no longer retained have expired.
+      this.nextOffset = Math.max(this.nextOffset, batch.value.firstOffset);
       for (const record of batch.value.records) this.apply(record);
-      const isAtEnd = this.nextOffset >= batch.value.endOffset;
-      if (isAtEnd || this.nextOffset === fromOffset) return neverthrow.ok();
+      if (this.nextOffset >= batch.value.endOffset) return neverthrow.ok();
+      if (this.nextOffset === fromOffset)
+        return neverthrow.err(partialReads.createPartialReadError(fromOffset, batch.value));
     }
   }
 
--- a/src/replication/_lib/stateLoader/index.ts
+++ b/src/replication/_lib/stateLoader/index.ts
@@ -1,6 +1,7 @@
 import * as neverthrow from "neverthrow";
 
 import type * as stepError from "../../../_lib/stepError/index.js";
+import * as partialReads from "../../../controlPlane/createPartialReadError/index.js";
 import type * as platform from "../../../controlPlane/types.js";
 import * as constants from "../../constants.js";
 import type * as types from "../../types.js";
@@ -58,7 +59,11 @@
     return caughtUp.isOk() ? caughtUp.value - 1 : null;
   }
 
-  /** Reads the log up to its current end; returns its end offset, or the error of a failed read. */
+  /**
+   * Reads the log up to its current end.
+   *
+   * @returns its end offset, or an error if a read fails or returns none of the records before the end
+   */
   async catchUpToEnd(): Promise<neverthrow.Result<number, stepError.StepError>> {
     const { applied, log } = this.parts;
     for (;;) {
@@ -69,8 +74,10 @@
       this.applyLogBatch(read.value);
       applied.correctKnownOffset(knownBeforeReadOffset, read.value.endOffset - 1);
       const { endOffset } = read.value;
+      if (applied.appliedOffset + 1 >= endOffset) return neverthrow.ok(endOffset);
       const hasAdvanced = applied.appliedOffset >= fromOffset;
-      if (applied.appliedOffset + 1 >= endOffset || !hasAdvanced) return neverthrow.ok(endOffset);
+      if (!hasAdvanced)
+        return neverthrow.err(partialReads.createPartialReadError(fromOffset, read.value));
     }
   }
 
--- a/src/replication/streamFollower/index.ts
+++ b/src/replication/streamFollower/index.ts
@@ -139,7 +139,7 @@
     return this.exchange.requestStatus(vmName);
   }
 
-  /** Reads the log up to its current end; returns its end offset, or the error of a failed read. */
+  /** Reads the log up to its current end; returns its end offset, or an error if it could not be read so far. */
   catchUpToEnd(): Promise<neverthrow.Result<number, stepError.StepError>> {
     return this.catchUp.run();
   }
--- a/src/replication/streamFollower/test.ts
+++ b/src/replication/streamFollower/test.ts
@@ -235,3 +235,21 @@
     await fleet[Symbol.asyncDispose]();
   },
 );
+
+// Guards against a stale state that passes for the newest, as a read that returned nothing counted as having caught up.
+tap.test("a follower that gets none of the log's records has not caught up", async (t) => {
+  const fleet = new followers.FollowerFleet();
+  const vm = fleet.start("vm-0");
+  await fleet.clock.runForMs(1_000);
+  vm.log.withholdsRecords = true;
+  await fleet.append(3);
+  const caughtUp = vm.follower.catchUpToEnd();
+  await fleet.clock.runForMs(100);
+  t.match((await caughtUp)._unsafeUnwrapErr().message, "but the log ends at 3");
+  vm.log.withholdsRecords = false;
+  const repeated = vm.follower.catchUpToEnd();
+  await fleet.clock.runForMs(100);
+  t.equal((await repeated)._unsafeUnwrap(), 3);
+  t.equal(vm.follower.appliedOffset, 2);
+  await fleet[Symbol.asyncDispose]();
+});
--- a/standins/log/link/index.ts
+++ b/standins/log/link/index.ts
@@ -10,6 +10,8 @@
 export class LogLink implements platform.LogService {
   /** While set, this VM cannot reach the log. */
   isPartitioned = false;
+  /** While set, reads state where the log ends, but return no records. */
+  withholdsRecords = false;
   /** If positive, an append fails with a lost answer and takes effect only after this time in milliseconds. */
   appendDelayMs = 0;
   /** Number of reads, including failed ones. */
@@ -47,7 +49,8 @@
     if (this.isPartitioned) return this.downLog.read(stream, fromOffset);
     const result = await this.log.read(stream, fromOffset, options);
     await this.vmGate.waitUntilResumed();
-    return this.isDown() ? this.downLog.read(stream, fromOffset) : result;
+    if (this.isDown()) return this.downLog.read(stream, fromOffset);
+    return this.withholdsRecords ? result.map((batch) => ({ ...batch, records: [] })) : result;
   }
 
   /** Whether the VM is partitioned from the log; reads the flag again, since it can change during a wait. */
