Do not use a replica whose age cannot be read

Callers would have seen: requests with a key that was taken away, at a VM that took a peer's view of unknown age for confirmed now.

Cause: the header with the age was read with Number, which makes 0 of an empty text.

Change: the age is a whole number of decimal digits; without one the replica is not used.

--- a/src/sharedView/replicaClient/index.ts
+++ b/src/sharedView/replicaClient/index.ts
@@ -147,7 +147,7 @@
     const payload = await Wreck.read(answer, options);
     if (answer.statusCode !== OK_STATUS)
       return neverthrow.err(`status ${String(answer.statusCode)}`);
-    return parseReplica(payload, Number(answer.headers[replicaServer.REPLICA_AGE_HEADER]));
+    return parseReplica(payload, parseAge(answer.headers[replicaServer.REPLICA_AGE_HEADER]));
   } catch (error) {
     // Wreck goes on reading an answer whose time is over, and throws when that becomes too large.
     answer?.destroy();
@@ -155,6 +155,11 @@
   }
 }
 
+/** Parses a whole number of milliseconds; NaN for anything else, also for an empty text, which is no age of 0. */
+function parseAge(text: string | string[] | undefined): number {
+  return typeof text === "string" && /^\d+$/.test(text) ? Number(text) : NaN;
+}
+
 function parseReplica(payload: Buffer, ageMs: number): neverthrow.Result<FetchedReplica, string> {
   const unpacked = zlib.gunzipSync(payload, { maxOutputLength: constants.MAX_REPLICA_BYTES });
   if (countItems.countItems(unpacked, constants.MAX_REPLICA_ITEMS_COUNT) === null)
--- a/src/sharedView/replicaClient/test.ts
+++ b/src/sharedView/replicaClient/test.ts
@@ -205,3 +205,18 @@
   await new Promise((resolve) => setTimeout(resolve, 1_000));
   t.equal(openCount, 0, "the connection is closed");
 });
+
+// Guards against a view of any age that passes for one confirmed now.
+tap.test("a replica without a readable age is not used", async (t) => {
+  const value = Buffer.from("x");
+  const { server, address } = await serve(value, 1_200);
+  for (const age of ["", " ", "1e3", "0x10", "-5", "1,200"]) {
+    server.ext("onPreResponse", ({ response }, toolkit) => {
+      if (!("isBoom" in response)) response.header(replicaServers.REPLICA_AGE_HEADER, age);
+      return toolkit.continue;
+    });
+    const fetched = await replicaClients.fetchReplica(Topic.Configuration, address);
+    t.ok(fetched.isErr(), JSON.stringify(age));
+  }
+  await server.stop();
+});
