Check the status of every answer from outside at one border

Callers saw, at chiveferryd: for a once-only call whose service answered with the status 000 or 099 a bare 500, with 600 or 999 that status as the answer, and then 504 outcome-unknown for its key again and again (measured by the users' lead).

Cause: the gateway looks at the status of an answer in relay/_lib/findHeadFault; src/_lib/httpConnector, which the daemon uses, looked at none. An order of an engine that was answered with 000 even counted as not run, and a stream as refused.

The connector also turns away bodies with a content encoding, as the gateway does. What is no answer leaves open whether the work has run.

--- a/src/_lib/httpConnector/index.ts
+++ b/src/_lib/httpConnector/index.ts
@@ -4,6 +4,7 @@
 import Wreck from "@hapi/wreck";
 import * as neverthrow from "neverthrow";
 
+import * as answerFaults from "../findAnswerFault/index.js";
 import * as stepError from "../stepError/index.js";
 import * as transmissions from "./transmission.js";
 
@@ -13,6 +14,9 @@
 /** Maximum size of the body of an answer that is read completely: 16 MiB. */
 const DEFAULT_MAX_ANSWER_BYTES = 16_777_216;
 
+/** Name of the encoding that changes nothing. */
+const IDENTITY = "identity";
+
 /** One HTTP request. */
 export interface HttpRequest {
   readonly method: string;
@@ -117,7 +121,8 @@
     this.pools.clear();
   }
 
-  private send(
+  /** Sends a request; rejects if it fails, or if what arrives cannot be an answer. */
+  private async send(
     request: HttpRequest,
     transmission: transmissions.Transmission,
   ): Promise<http.IncomingMessage> {
@@ -129,7 +134,11 @@
     });
     const { connectTimeoutMs = DEFAULT_CONNECT_TIMEOUT_MS } = this.options;
     transmission.watch(sending.req, connectTimeoutMs);
-    return sending;
+    const response = await sending;
+    const fault = findFault(response);
+    if (fault === null) return response;
+    response.destroy();
+    throw new Error(`no answer, but a head with a ${fault}`);
   }
 
   private createError(
@@ -168,3 +177,9 @@
     return pool;
   }
 }
+
+/** Returns why a head cannot be that of an answer; bodies are requested without an encoding. */
+function findFault(response: http.IncomingMessage): string | null {
+  const isEncoded = (response.headers["content-encoding"] ?? IDENTITY) !== IDENTITY;
+  return answerFaults.findMessageFault(response) ?? (isEncoded ? "content encoding" : null);
+}
