--- a/src/_lib/httpConnector/index.ts
+++ b/src/_lib/httpConnector/index.ts
@@ -138,7 +138,7 @@
     const fault = findFault(response);
     if (fault === null) return response;
     response.destroy();
-    throw new Error(`no answer, but a head with a ${fault}`);
+    throw new Error(`what arrived is no answer: ${fault}`);
   }
 
   private createError(
--- a/standins/_lib/httpStandIn/index.ts
+++ b/standins/_lib/httpStandIn/index.ts
@@ -22,13 +22,16 @@
 
 const LOOPBACK = "127.0.0.1";
 
+const SPOILED_ANSWER = "HTTP/1.1 000 Odd\r\nContent-Length: 2\r\n\r\n{}";
+
 /** Base class of the stand-ins' HTTP servers, with the faults that all of them support. */
 export abstract class HttpStandIn implements faults.Faultable, AsyncDisposable {
   readonly name: string;
   protected readonly server: hapi.Server;
   private readonly listener: listeners.Listener;
   private extraLatencyMs = 0;
-  private answersToDropCount = 0;
+  /** Answers that are still to be lost or spoiled, to requests other than GET. */
+  private readonly answersToHarm = new Map<faults.FaultKind, number>();
   private activeStall: { promise: Promise<void>; release: () => void } | null = null;
 
   protected readonly faultHandlers: Partial<Record<faults.FaultKind, FaultHandler>> = {
@@ -39,9 +42,8 @@
     [faults.FaultKind.Slow]: (fault) => {
       this.extraLatencyMs = fault.durationMs ?? 0;
     },
-    [faults.FaultKind.LoseAnswer]: (fault) => {
-      this.answersToDropCount = fault.count ?? Number.POSITIVE_INFINITY;
-    },
+    [faults.FaultKind.LoseAnswer]: (fault) => this.harmAnswers(fault),
+    [faults.FaultKind.SpoilStatus]: (fault) => this.harmAnswers(fault),
   };
 
   protected readonly healHandlers: Partial<Record<faults.FaultKind, HealHandler>> = {
@@ -52,7 +54,10 @@
       this.extraLatencyMs = 0;
     },
     [faults.FaultKind.LoseAnswer]: () => {
-      this.answersToDropCount = 0;
+      this.answersToHarm.delete(faults.FaultKind.LoseAnswer);
+    },
+    [faults.FaultKind.SpoilStatus]: () => {
+      this.answersToHarm.delete(faults.FaultKind.SpoilStatus);
     },
   };
 
@@ -71,7 +76,10 @@
     });
     this.server.ext("onPreResponse", async (request, h) => {
       await this.applyDelayFaults(request.raw.req.socket);
-      if (this.consumeAnswerDrop(request.method)) request.raw.req.socket.destroy();
+      const { method, raw } = request;
+      if (this.consumeHarm(faults.FaultKind.LoseAnswer, method)) raw.req.socket.destroy();
+      if (this.consumeHarm(faults.FaultKind.SpoilStatus, method))
+        raw.req.socket.end(SPOILED_ANSWER);
       return h.continue;
     });
   }
@@ -128,10 +136,15 @@
     if (this.extraLatencyMs > 0) await this.clock.sleep(this.extraLatencyMs);
   }
 
-  /** Returns whether to drop this answer, and counts the drop; answers to GET are never dropped. */
-  private consumeAnswerDrop(method: string): boolean {
-    if (method === "get" || this.answersToDropCount === 0) return false;
-    this.answersToDropCount -= 1;
+  private harmAnswers({ fault, count = Number.POSITIVE_INFINITY }: faults.Fault): void {
+    this.answersToHarm.set(fault, count);
+  }
+
+  /** Returns whether to harm this answer, and counts it; answers to GET are never harmed. */
+  private consumeHarm(fault: faults.FaultKind, method: string): boolean {
+    const count = this.answersToHarm.get(fault) ?? 0;
+    if (method === "get" || count === 0) return false;
+    this.answersToHarm.set(fault, count - 1);
     return true;
   }
 }
--- a/standins/faults/index.ts
+++ b/standins/faults/index.ts
@@ -14,6 +14,8 @@
   Slow = "slow",
   /** Requests other than GET are executed, but the connection is closed instead of an answer. */
   LoseAnswer = "lose-answer",
+  /** Requests other than GET are executed and answered with the status 000. */
+  SpoilStatus = "spoil-status",
   /** Readers receive an outdated state. */
   Lag = "lag",
 }
@@ -23,7 +25,7 @@
   readonly fault: FaultKind;
   /** The delay (slow), the age of the state (lag), or the time until death (reclaim). */
   readonly durationMs?: number;
-  /** Number of answers to lose; if omitted, all are lost until the fault is healed. */
+  /** Number of answers to lose or spoil; if omitted, all are until the fault is healed. */
   readonly count?: number;
 }
 
