Free the key of a once-only call that ends by an error

Callers saw: 504 outcome-unknown for a key again and again, after a full deadline each, though the service was sound and had run the call.

Cause: an attempt's end is recorded on each path but that of a thrown error. The key then belongs to an attempt that nobody ends, at a VM that lives, so that its status is never looked up.

Change: such an attempt is recorded as unknown if it may have been sent, and released if not; its caller gets outcome-unknown, or internal with "not run". The conversions and the refusals of keys moved to files of their own, unchanged.

--- a/src/calls/_lib/onceOnlyCaller/index.ts
+++ b/src/calls/_lib/onceOnlyCaller/index.ts
@@ -1,4 +1,5 @@
 import type * as clocks from "../../../_lib/clock/index.js";
+import type * as loggers from "../../../_lib/logger/index.js";
 import type * as random from "../../../_lib/random/index.js";
 import * as stepError from "../../../_lib/stepError/index.js";
 import type * as backends from "../../../backends/types.js";
@@ -12,12 +13,15 @@
 import * as dispatchOnce from "../dispatchOnce/index.js";
 import * as keyIdentity from "../keyIdentity/index.js";
 import * as keyLedger from "../keyLedger/index.js";
+import * as keyRefusals from "../keyRefusals/index.js";
 import type * as serverPool from "../serverPool/index.js";
 import * as statusLookup from "../statusLookup/index.js";
+import * as storedAnswers from "../storedAnswer/index.js";
 
 /** Dependencies of `OnceOnlyCaller`. */
 export interface OnceOnlyDependencies {
   readonly clock: clocks.Clock;
+  readonly logger: loggers.Logger;
   readonly random: random.RandomSource;
   readonly metrics: telemetry.Metrics;
   readonly tracer: telemetry.Tracer;
@@ -46,9 +50,9 @@
   private readonly actions: Readonly<Record<decideOnKey.KeyDecision, Action>> = {
     [decideOnKey.KeyDecision.Claim]: (call) => this.claimAndDispatch(call),
     [decideOnKey.KeyDecision.Replay]: (call, key) => Promise.resolve(this.replay(call, key)),
-    [decideOnKey.KeyDecision.RefuseOtherBody]: () => Promise.resolve(refuseOtherBody()),
-    [decideOnKey.KeyDecision.RefuseSpent]: () => Promise.resolve(refuseSpent()),
-    [decideOnKey.KeyDecision.RefuseTooOld]: () => Promise.resolve(refuseTooOld()),
+    [decideOnKey.KeyDecision.RefuseOtherBody]: () => Promise.resolve(keyRefusals.refuseOtherBody()),
+    [decideOnKey.KeyDecision.RefuseSpent]: () => Promise.resolve(keyRefusals.refuseSpent()),
+    [decideOnKey.KeyDecision.RefuseTooOld]: () => Promise.resolve(keyRefusals.refuseTooOld()),
     [decideOnKey.KeyDecision.Wait]: (call, key) => this.waitForHolder(call, key),
   };
 
@@ -101,7 +105,7 @@
    */
   private async waitUntilDecidable(call: KeyedCall): Promise<callErrors.CallResult | null> {
     const canWaitForLog = call.request.entry.logOutage === catalogue.LogOutagePolicy.Wait;
-    if (!canWaitForLog || this.computeRemainingMs(call) <= 0) return refuseLogDown();
+    if (!canWaitForLog || this.computeRemainingMs(call) <= 0) return keyRefusals.refuseLogDown();
     const pauseMs = Math.min(this.computeRemainingMs(call), constants.MAX_LOG_RETRY_MS);
     await this.dependencies.ledger.changeNotifier.waitForChange(call.keyId, pauseMs);
     return null;
@@ -121,11 +125,37 @@
       retentionMs: call.request.entry.keyRetentionMs,
     };
     const canWaitForLog = call.request.entry.logOutage === catalogue.LogOutagePolicy.Wait;
-    const claimResult = await ledger.claim(intent, { deadlineAtMs, canWaitForLog });
-    this.dependencies.metrics.increment("calls.claims", 1, { verdict: claimResult });
-    this.trace(call, `call.claim_${claimResult}`, `attempt ${intent.attempt}`);
-    if (claimResult === keyLedger.ClaimResult.Live) return this.dispatch(call, intent);
-    return claimResult === keyLedger.ClaimResult.Lost ? null : refuseLogDown();
+    let mayBeSent = false;
+    try {
+      const claimResult = await ledger.claim(intent, { deadlineAtMs, canWaitForLog });
+      this.dependencies.metrics.increment("calls.claims", 1, { verdict: claimResult });
+      this.trace(call, `call.claim_${claimResult}`, `attempt ${intent.attempt}`);
+      if (claimResult === keyLedger.ClaimResult.Live) {
+        mayBeSent = true;
+        return await this.dispatch(call, intent);
+      }
+      return claimResult === keyLedger.ClaimResult.Lost ? null : keyRefusals.refuseLogDown();
+    } catch (error) {
+      return this.endByException(intent, mayBeSent, error);
+    }
+  }
+
+  /** Ends an attempt that threw an error, so that its key is not held by it for ever. */
+  private endByException(
+    intent: types.IntentRecord,
+    mayBeSent: boolean,
+    error: unknown,
+  ): callErrors.CallResult {
+    const { ledger, logger, metrics } = this.dependencies;
+    // First of all, so that nothing that fails as well leaves the key held.
+    if (mayBeSent) ledger.recordUnknown(intent);
+    else ledger.release(intent);
+    metrics.increment("calls.ended_by_exception");
+    const { keyId, attempt } = intent;
+    logger.error({ keyId, attempt, mayBeSent, err: error }, "a once-only call threw an error");
+    return mayBeSent
+      ? callErrors.failWithUnknownOutcome("call.dispatch", "the call ended by an error", error)
+      : callErrors.refuse(stepError.ErrorCode.Internal, "call.claim", "the call ended by an error");
   }
 
   /**
@@ -156,14 +186,21 @@
       ledger.recordUnknown(intent);
       return dispatched.result;
     }
-    ledger.recordOutcome({ type: "outcome", keyId, attempt, answer: toStoredAnswer(answer) });
+    ledger.recordOutcome({
+      type: "outcome",
+      keyId,
+      attempt,
+      answer: storedAnswers.toStoredAnswer(answer),
+    });
     return callErrors.succeed(answer);
   }
 
   private replay(call: KeyedCall, key: types.KeyState): callErrors.CallResult {
     this.dependencies.metrics.increment("calls.replayed");
     this.trace(call, "call.replayed", `answer of attempt ${key.attempt}`);
-    return key.answer === null ? refuseSpent() : callErrors.succeed(toServiceAnswer(key.answer));
+    return key.answer === null
+      ? keyRefusals.refuseSpent()
+      : callErrors.succeed(storedAnswers.toServiceAnswer(key.answer));
   }
 
   /**
@@ -175,7 +212,7 @@
     key: types.KeyState,
   ): Promise<callErrors.CallResult | null> {
     const remainingMs = this.computeRemainingMs(call);
-    if (remainingMs <= 0) return failWithUnresolvedKey(key);
+    if (remainingMs <= 0) return keyRefusals.failWithUnresolvedKey(key);
     const { ledger } = this.dependencies;
     if (!this.isLookupDue(call, key)) {
       await ledger.changeNotifier.waitForChange(
@@ -207,7 +244,7 @@
       type: "outcome",
       keyId,
       attempt: key.attempt,
-      answer: toStoredAnswer(answer),
+      answer: storedAnswers.toStoredAnswer(answer),
     });
     return callErrors.succeed(answer);
   }
@@ -255,45 +292,3 @@
     this.dependencies.tracer.record(call.request.requestId, { step, reason });
   }
 }
-
-function toStoredAnswer(answer: backends.ServiceAnswer): types.StoredAnswer | null {
-  if (answer.body.length > constants.MAX_STORED_ANSWER_BYTES) return null;
-  const { statusCode, contentType } = answer;
-  return { statusCode, contentType, body: Buffer.from(answer.body).toString("base64") };
-}
-
-function toServiceAnswer(answer: types.StoredAnswer): backends.ServiceAnswer {
-  const { statusCode, contentType } = answer;
-  return { statusCode, contentType, body: new Uint8Array(Buffer.from(answer.body, "base64")) };
-}
-
-function refuseOtherBody(): callErrors.CallResult {
-  const message = "the idempotency key was used with another body";
-  return callErrors.refuse(stepError.ErrorCode.Conflict, "call.key", message);
-}
-
-function refuseTooOld(): callErrors.CallResult {
-  const message = `the idempotency key is older than ${constants.MAX_TIMED_KEY_AGE_MS} ms`;
-  return callErrors.refuse(stepError.ErrorCode.Conflict, "call.key", message);
-}
-
-function refuseSpent(): callErrors.CallResult {
-  return callErrors.fail({
-    code: stepError.ErrorCode.Conflict,
-    step: "call.key",
-    message: "the call with this key was run, and its answer is not stored",
-    execution: stepError.ExecutionState.Ran,
-  });
-}
-
-function failWithUnresolvedKey(key: types.KeyState): callErrors.CallResult {
-  const message = `an earlier call with this key at ${key.vm} is ${key.phase}`;
-  return callErrors.failWithUnknownOutcome("call.key", message);
-}
-
-function refuseLogDown(): callErrors.CallResult {
-  const message = "the log that keeps once-only calls cannot be reached";
-  const retryAfterMs = constants.LOG_OUTAGE_RETRY_AFTER_MS;
-  const code = stepError.ErrorCode.PlatformUnavailable;
-  return callErrors.refuse(code, "call.claim", message, { peer: "log", retryAfterMs });
-}
--- a/standins/service/clients/index.ts
+++ b/standins/service/clients/index.ts
@@ -14,6 +14,8 @@
   LostAnswer = "lost-answer",
   /** The call is executed and never answered. */
   Silent = "silent",
+  /** The call is executed, and the client throws an error. */
+  Throws = "throws",
   /** The call is answered with 503 and not executed. */
   Overloaded = "overloaded",
 }
@@ -27,6 +29,8 @@
 export class ServiceClientsModel implements backends.ServiceClients {
   latencyMs = 5;
   fault = ServiceFault.None;
+  /** Replaces parts of the answers. */
+  answerWith: Partial<backends.ServiceAnswer> = {};
   /** Faults of single servers; they take precedence over `fault`. */
   readonly faultByServer = new Map<string, ServiceFault>();
   /** Latencies of single servers in milliseconds; they take precedence over `latencyMs`. */
@@ -66,6 +70,7 @@
     const answer = this.execute(request);
     if (fault === ServiceFault.LostAnswer)
       return neverthrow.err(createCallError(name, stepError.ExecutionState.Unknown));
+    if (fault === ServiceFault.Throws) throw new Error("an injected error");
     if (fault === ServiceFault.Silent) return new Promise(() => undefined);
     return neverthrow.ok(answer);
   }
@@ -74,7 +79,8 @@
     const key = request.headers[KEY_HEADER] ?? "";
     this.executionsCount += 1;
     this.executionsByKey.set(key, (this.executionsByKey.get(key) ?? 0) + 1);
-    return createAnswer(201, `execution ${key === "" ? this.executionsCount : key}`);
+    const answer = createAnswer(201, `execution ${key === "" ? this.executionsCount : key}`);
+    return { ...answer, ...this.answerWith };
   }
 
   private async lookUp(path: string): Promise<CallResult> {
--- a/standins/telemetry/counters/index.ts
+++ b/standins/telemetry/counters/index.ts
@@ -4,6 +4,8 @@
 export class CounterModel implements telemetry.Metrics, telemetry.Tracer {
   /** Counter values and latest gauges by name, and latest measures by `<measure>/<entry>`. */
   readonly counts = new Map<string, number>();
+  /** Name of a counter or of a traced step at which an error is thrown; null for none. */
+  throwsAt: string | null = null;
   private readonly traces = new Map<string, telemetry.TraceEvent[]>();
 
   /** Returns the value of a counter over all its tags, or 0. */
@@ -12,6 +14,7 @@
   }
 
   increment(name: string, count = 1): void {
+    this.throwIfDue(name);
     this.counts.set(name, this.countOf(name) + count);
   }
 
@@ -28,6 +31,7 @@
   }
 
   record(requestId: string, event: Omit<telemetry.TraceEvent, "atWallMs" | "vm">): void {
+    this.throwIfDue(event.step);
     const events = this.traces.get(requestId) ?? [];
     events.push({ ...event, atWallMs: 0, vm: "" });
     this.traces.set(requestId, events);
@@ -37,4 +41,8 @@
   trace(requestId: string): readonly telemetry.TraceEvent[] {
     return this.traces.get(requestId) ?? [];
   }
+
+  private throwIfDue(name: string): void {
+    if (name === this.throwsAt) throw new Error(`an injected error at ${name}`);
+  }
 }
