Keep appending records after an append has thrown an error

Callers would have seen: no once-only call of a VM is answered any more once an append of its records has thrown an error, until the process restarts. Found by throwing an error at each step of a call.

Cause: the error ended the task that drains the queue, which was never started again; the calls of the group waited for ever.

Change: it is the error of that append, with an unknown outcome, which the claim resolves by reading the log; it is logged.

Measured: the new step calls.appends of calls/callExceptions fails before (an unhandled rejection, and no answer within 120 s of virtual time) and holds now.

--- a/src/calls/_lib/groupAppender/index.ts
+++ b/src/calls/_lib/groupAppender/index.ts
@@ -1,6 +1,7 @@
 import * as neverthrow from "neverthrow";
 
 import type * as clocks from "../../../_lib/clock/index.js";
+import type * as loggers from "../../../_lib/logger/index.js";
 import * as stepError from "../../../_lib/stepError/index.js";
 import * as appendBudgets from "../../../controlPlane/appendBudget/index.js";
 import type * as platform from "../../../controlPlane/types.js";
@@ -12,6 +13,7 @@
 /** Dependencies of `GroupAppender`. */
 export interface AppenderDependencies {
   readonly clock: clocks.Clock;
+  readonly logger: loggers.Logger;
   readonly metrics: telemetry.Metrics;
   readonly logService: platform.LogService;
   readonly appendBudget: appendBudgets.AppendBudget;
@@ -76,7 +78,9 @@
         break;
       }
       const group = this.queue.splice(0, constants.MAX_RECORDS_PER_APPEND);
-      const appended = await this.appendGroup(group.map((queued) => queued.record));
+      const appended = await this.appendGroup(group.map((queued) => queued.record)).catch(
+        (error: unknown) => this.recordError(error),
+      );
       for (const [index, queued] of group.entries()) {
         queued.resolve(appended.map((firstOffset) => firstOffset + index));
       }
@@ -103,6 +107,12 @@
     return appended;
   }
 
+  /** An error that is thrown must not end the task that drains the queue: no later record would be appended. */
+  private recordError(error: unknown): AppendResult {
+    this.dependencies.logger.error({ stream: this.stream, err: error }, "an append threw an error");
+    return neverthrow.err(createFailure(error));
+  }
+
   private refuseAll(): void {
     for (const queued of this.queue)
       queued.resolve(
@@ -112,6 +122,16 @@
   }
 }
 
+function createFailure(cause: unknown): stepError.StepError {
+  return new stepError.StepError("the append ended by an error", {
+    code: stepError.ErrorCode.Internal,
+    step: "log.append",
+    peer: "log",
+    execution: stepError.ExecutionState.Unknown,
+    cause,
+  });
+}
+
 function createRefusal(message: string): stepError.StepError {
   return new stepError.StepError(message, {
     code: stepError.ErrorCode.PlatformUnavailable,
--- a/src/calls/callExceptions/test.ts
+++ b/src/calls/callExceptions/test.ts
@@ -18,7 +18,13 @@
 }
 
 /** Counters and traced steps at which an error is thrown: before, in and after the dispatch. */
-const STEPS = ["calls.claims", "call.claim_live", "call.dispatch_answered", "calls.finished"];
+const STEPS = [
+  "calls.appends",
+  "calls.claims",
+  "call.claim_live",
+  "call.dispatch_answered",
+  "calls.finished",
+];
 
 // Guards against a key that stays held for ever, so that callers are told "outcome unknown" though the service has run
 // the call and is sound.
