--- a/src/calls/callExceptions/test.ts
+++ b/src/calls/callExceptions/test.ts
@@ -58,3 +58,21 @@
   t.equal(fleet.service.maxExecutions, 1);
   await fleet[Symbol.asyncDispose]();
 });
+
+// The log's readers drop a record that they cannot parse.
+for (const [name, odd] of [
+  ["a status of no answer", { statusCode: 600 }],
+  ["a content type too long for the log", { contentType: `text/${"x".repeat(300)}` }],
+] as const) {
+  tap.test(`the key of a call that was answered with ${name} is not held`, async (t) => {
+    const fleet = await startFleet();
+    fleet.service.answerWith = odd;
+    const [first, second] = fleet.vms as [callsFleet.CallsVm, callsFleet.CallsVm];
+    await fleet.settle(first.calls.call(fleet.request("key-1")));
+    const repeated = second.calls.call(fleet.request("key-1"));
+    const answer = await fleet.settle(repeated, USABLE_MS);
+    t.equal(callsFleet.getOutcome(answer), "ran", "it has run, and its answer is not stored");
+    t.equal(fleet.service.executionsByKey.get("key-1"), 1);
+    await fleet[Symbol.asyncDispose]();
+  });
+}
