Do not refuse a stream as not run after it has run

Cause: startRun kept only the outcome of the last send. A request that is withheld from the next engine sends nothing, and that outcome took the place of the failure before. By reading: a call whose time ends while it waits for its second engine was answered 503 as well.

Change: relay/_lib/sendRecord keeps what all sends have come to, and is the only source of refusals in startRun; it gives 502 or 504 where a server may have run the call.

--- a/src/relay/_lib/startRun/index.ts
+++ b/src/relay/_lib/startRun/index.ts
@@ -12,6 +12,7 @@
 import * as engineStreams from "../engineStream/index.js";
 import * as refusals from "../createRefusal/index.js";
 import * as placeRuns from "../placeRun/index.js";
+import * as sendRecords from "../sendRecord/index.js";
 
 const { Importance, LogEvent } = diagnostics;
 
@@ -23,6 +24,14 @@
   readonly head: types.AnswerHead;
 }
 
+/** What the ending of a call without a stream needs. */
+interface Ending {
+  readonly context: relayContext.RelayContext;
+  readonly call: types.Call;
+  readonly sink: callSink.CallSink;
+  readonly sends: sendRecords.SendRecord;
+}
+
 /** What the start of a generation needs besides the call. */
 interface StartOptions {
   readonly start: placeRuns.RunStart;
@@ -43,9 +52,11 @@
   { start, ranIds }: StartOptions,
 ): Promise<StartedRun | null> {
   const { scope, claims } = start;
+  const sends = new sendRecords.SendRecord(ranIds);
+  const ending = { context, call, sink, sends };
   const blame = context.crashMonitor.findBlame(call);
   if (blame !== null) {
-    withhold(context, call, sink, blame);
+    withhold(ending, blame);
     return null;
   }
   const terms: placeRuns.PlacementTerms = {
@@ -55,33 +66,35 @@
     deadlineAtMs: call.deadlineAtMs,
   };
   const avoidedIds = new Set<string>();
-  let lastFailure: engineStreams.OpenOutcome | null = null;
+  let withheld: crashes.Blame | null = null;
   for (let sendsCount = 0; sendsCount < constants.MAX_SENDS_COUNT;) {
     const placed = await placeRuns.placeRun(context, call, start, terms, avoidedIds);
     if (placed.isErr()) {
-      if (lastFailure !== null && !scope.signal.aborted) break;
-      refusePlacement(context, call, sink, { scope, refusal: placed.error });
+      if (sends.lastFailure !== null && !scope.signal.aborted) break;
+      refusePlacement(ending, { scope, refusal: placed.error });
       return null;
     }
     const serverId = placed.value.server.entry.id;
     const outcome = await placeRuns.openPlacedRun(context, call, start, placed.value);
-    if (engineStreams.hasMaybeRun(outcome)) ranIds.add(serverId);
+    sends.record(serverId, outcome);
     if (outcome.kind === engineStreams.OpenKind.Open) return outcome;
     if (scope.signal.aborted) {
-      answerTimeout(context, call, sink, scope, outcome);
+      answerTimeout(ending, scope);
       return null;
     }
-    if (outcome.kind !== engineStreams.OpenKind.NotRun) {
-      lastFailure = outcome;
-      if (!canRunAgain(call, outcome, ranIds)) break;
+    if (outcome.kind === engineStreams.OpenKind.Withheld) {
+      withheld = outcome.blame;
+      break;
     }
+    if (outcome.kind !== engineStreams.OpenKind.NotRun && !canRunAgain(call, outcome, ranIds))
+      break;
     avoidedIds.add(serverId);
     claims.releaseAll();
     if (outcome.kind === engineStreams.OpenKind.NotRun && !outcome.wasSent) continue;
     sendsCount += 1;
     if (!consumeRetries.consumeRetry(context, call)) break;
   }
-  answerFailure(context, call, sink, lastFailure);
+  answerFailure(ending, withheld);
   return null;
 }
 
@@ -97,23 +110,18 @@
   return outcome.kind === Answered && outcome.head.status >= SERVER_ERROR_STATUS;
 }
 
-/** Answers a caller whose generation no engine has begun: with the last engine's failure, if there is one. */
-function answerFailure(
-  context: relayContext.RelayContext,
-  call: types.Call,
-  sink: callSink.CallSink,
-  failure: engineStreams.OpenOutcome | null,
-): void {
+/** Answers a caller whose generation has no stream: with the last engine's failure, if there is one. */
+function answerFailure(ending: Ending, withheld: crashes.Blame | null): void {
+  const { context, call, sink, sends } = ending;
+  const failure = sends.lastFailure;
   if (failure?.kind === engineStreams.OpenKind.Answered && !failure.body.wasEvicted) {
     sink.answer(failure.head.status, failure.head.forwardedHeaders, failure.body);
     logFailure(context, call, failure.serverId, failure.head.status);
-  } else if (failure?.kind === engineStreams.OpenKind.Withheld) {
-    withhold(context, call, sink, failure.blame);
-  } else if (failure === null) {
-    const reason = types.RefusalReason.ServersRefused;
-    refuse(context, call, sink, refusals.createRefusal(reason, constants.DEFAULT_RETRY_AFTER_MS));
+  } else if (withheld !== null) {
+    withhold(ending, withheld);
   } else {
-    refuse(context, call, sink, refusals.createRefusal(types.RefusalReason.OutcomeUnknown));
+    const reason = types.RefusalReason.ServersRefused;
+    refuse(ending, sends.createRefusal(reason, constants.DEFAULT_RETRY_AFTER_MS));
   }
 }
 
@@ -150,9 +158,7 @@
 } as const;
 
 function refusePlacement(
-  context: relayContext.RelayContext,
-  call: types.Call,
-  sink: callSink.CallSink,
+  ending: Ending,
   {
     scope,
     refusal,
@@ -161,6 +167,7 @@
     readonly refusal: engineDispatcher.PlacementRefusal;
   },
 ): void {
+  const { context, call, sends } = ending;
   const placementReason = REASON_BY_PLACEMENT_KIND[refusal.kind];
   const reason = scope.isTimedOut ? types.RefusalReason.TimedOutNotRun : placementReason;
   if (reason === null) {
@@ -169,7 +176,7 @@
   }
   const retryAfterMs = dispatch.computeRetryAfterMs(refusal.expectedWaitMs, context.random);
   const { expectedWaitMs, queuedCount, share } = refusal;
-  refuse(context, call, sink, refusals.createRefusal(reason, retryAfterMs), {
+  refuse(ending, sends.createRefusal(reason, retryAfterMs), {
     expectedWaitMs: Math.round(Math.min(constants.MAX_LOGGED_WAIT_MS, expectedWaitMs)),
     queuedCount,
     ...(share === undefined ? {} : describeShare(call, share)),
@@ -185,39 +192,20 @@
   };
 }
 
-function answerTimeout(
-  context: relayContext.RelayContext,
-  call: types.Call,
-  sink: callSink.CallSink,
-  scope: attemptScopes.AttemptScope,
-  outcome: engineStreams.OpenOutcome,
-): void {
-  if (!scope.isTimedOut) {
-    logCallerDisconnected(context, call);
-    return;
-  }
-  const { kind } = outcome;
-  const wasSent =
-    kind !== engineStreams.OpenKind.NotRun && kind !== engineStreams.OpenKind.Withheld;
-  const reason = wasSent ? types.RefusalReason.TimedOut : types.RefusalReason.TimedOutNotRun;
-  refuse(context, call, sink, refusals.createRefusal(reason));
+function answerTimeout(ending: Ending, scope: attemptScopes.AttemptScope): void {
+  const { context, call, sends } = ending;
+  if (scope.isTimedOut) refuse(ending, sends.createRefusal(types.RefusalReason.TimedOutNotRun));
+  else logCallerDisconnected(context, call);
 }
 
 /** Refuses a call under whose like servers have ended. */
-function withhold(
-  context: relayContext.RelayContext,
-  call: types.Call,
-  sink: callSink.CallSink,
-  blame: crashes.Blame,
-): void {
-  const refusal = refusals.createBlameRefusal(blame);
-  answerRefusals.answerRefusal(context, call, sink, refusal, refusals.describeBlame(blame));
+function withhold(ending: Ending, blame: crashes.Blame): void {
+  const { reason, retryAfterMs } = refusals.createBlameRefusal(blame);
+  refuse(ending, ending.sends.createRefusal(reason, retryAfterMs), refusals.describeBlame(blame));
 }
 
 function refuse(
-  context: relayContext.RelayContext,
-  call: types.Call,
-  sink: callSink.CallSink,
+  { context, call, sink }: Ending,
   refusal: types.Refusal,
   details: diagnostics.LogFields = {},
 ): void {
