Let entries of no known service change nothing

Cause: an entry with the address of a server and a later start marks that server as replaced, before anything looks at the service. By reading: one under the server's own id made its own later entries count as older.

Change: the directory is told which services the configuration names. An entry of another is neither compared nor known; it is kept, and counts once its service is named. It is counted and logged like one that cannot be read.

Measured: the new tests of oddEntries and serverDirectory fail before and hold now.

--- a/src/gateway/_lib/virtualFleet/index.ts
+++ b/src/gateway/_lib/virtualFleet/index.ts
@@ -42,7 +42,7 @@
 
 const EMPTY_CONFIGURATION: Omit<routing.Configuration, "version"> = {
   routes: [],
-  services: [],
+  services: [{ name: "s", engine: null, coldStart: null }],
   accounts: null,
   limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
 };
--- a/src/gateway/currentView/index.ts
+++ b/src/gateway/currentView/index.ts
@@ -49,6 +49,8 @@
     private readonly listener: ViewListener,
   ) {
     const { clock } = ports;
+    // Entries count once a configuration names their service.
+    directory.nameServices([]);
     directory.evacuations.onChange((change) => this.recordEvacuation(change));
     this.replicas = new Map([
       [
@@ -135,6 +137,8 @@
       return;
     }
     this.table = routing.createRoutingTable(configuration);
+    const named = this.directory.nameServices(routing.listServiceNames(configuration));
+    for (const { entry, effect } of named) this.recordEffect(entry, effect, null);
     this.replicaOf(sharedView.Topic.Configuration).retain(record, configuration.version);
     this.ports.log.record(Importance.StateChange, LogEvent.ConfigurationTaken, {
       version: configuration.version,
@@ -208,7 +212,18 @@
   private applyServer(record: sharedView.ViewRecord): void {
     const entry = this.decodeServer(record);
     if (entry === null) return;
-    const event = EVENT_BY_EFFECT[this.directory.apply(entry)];
+    const effect = this.directory.apply(entry);
+    if (effect === servers.EntryEffect.UnknownService && this.table !== null)
+      this.recordUnreadable(record, `service ${entry.serviceName} is not configured`);
+    this.recordEffect(entry, effect, record.offset);
+  }
+
+  private recordEffect(
+    entry: servers.ServerEntry,
+    effect: servers.EntryEffect,
+    offset: number | null,
+  ): void {
+    const event = EVENT_BY_EFFECT[effect];
     if (event === undefined) return;
     this.ports.log.record(Importance.StateChange, event, {
       serverId: entry.id,
@@ -216,7 +231,7 @@
       dataCentre: entry.dataCentre,
       state: entry.state,
       sequence: entry.sequence,
-      offset: record.offset,
+      offset,
     });
   }
 
--- a/src/gateway/currentView/test.ts
+++ b/src/gateway/currentView/test.ts
@@ -14,7 +14,7 @@
 const CONFIGURATION: routing.Configuration = {
   version: 1,
   routes: [],
-  services: [],
+  services: [{ name: "s", engine: null, coldStart: null }],
   accounts: null,
   limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
 };
@@ -72,6 +72,13 @@
   return { key, offset, value: text === null ? null : Buffer.from(text) };
 }
 
+/** Applies a configuration, which names the service of the servers. */
+function configure(view: currentViews.CurrentView, clock: virtualClocks.VirtualClock): void {
+  const listing = { records: [record("config", 0, "1")], endOffset: 1, epoch: 0 };
+  const replica = view.replicaOf(Topic.Configuration);
+  replica.applyListing(listing, readClocks(clock), ViewSource.Store);
+}
+
 tap.test("a configuration is never replaced by an older version", async (t) => {
   const { clock, view } = setUp();
   const replica = view.replicaOf(Topic.Configuration);
@@ -88,6 +95,7 @@
   "entries that lapsed during an outage of the store are kept for a grace time",
   async (t) => {
     const { clock, directory, view } = setUp();
+    configure(view, clock);
     const replica = view.replicaOf(Topic.Servers);
     const listing = { records: [record("e1", 0, "x")], endOffset: 1, epoch: 0 };
     replica.applyListing(listing, readClocks(clock), ViewSource.Store);
@@ -103,6 +111,7 @@
 
 tap.test("an entry removed while the view is current is dropped at once", async (t) => {
   const { clock, directory, view } = setUp();
+  configure(view, clock);
   const replica = view.replicaOf(Topic.Servers);
   const listing = { records: [record("e1", 0, "x")], endOffset: 1, epoch: 0 };
   replica.applyListing(listing, readClocks(clock), ViewSource.Store);
@@ -116,6 +125,7 @@
 
 tap.test("entries that a restore of the store has lost are kept for a grace time", async (t) => {
   const { clock, directory, view } = setUp();
+  configure(view, clock);
   const replica = view.replicaOf(Topic.Servers);
   const listing = { records: [record("e1", 3, "x")], endOffset: 4, epoch: 0 };
   replica.applyListing(listing, readClocks(clock), ViewSource.Store);
--- a/src/gateway/oddEntries/test.ts
+++ b/src/gateway/oddEntries/test.ts
@@ -47,3 +47,23 @@
   }
   t.equal(other.calls.length, 0, "nothing was sent to an address that an odd entry names");
 });
+
+// Guards against sound servers that count as replaced, as another writer names their address with a later start.
+tap.test("entries of no known service put no server aside that has their address", async (t) => {
+  const fleet = await testFleets.startReadyFleet(t);
+  await testFleets.addReadyGateways(fleet, 1);
+  const server = await fleet.addServer("p0", PLAIN_SERVICE, backendServers.answerCompletely("p0"));
+  await testFleets.waitUntil(() => testFleets.isLookupServed(fleet));
+  const { value } = oddEntries.listOddEntries(server.port)["a long key"] as { value: object };
+  const odd = { ...value, service: "elsewhere", born: Date.now() + 60_000 };
+  fleet.store.put("keyed.servers", "odd", odd);
+  await fleet.addServer("p1", PLAIN_SERVICE, backendServers.answerCompletely("p1"));
+  await testFleets.waitUntilServersKnown(fleet, 2);
+  fleet.store.put("keyed.servers", "p1", null);
+  for (const index of [0, 1]) {
+    if (index === 1) await fleet.addGateway();
+    await testFleets.waitUntil(() => fleet.isReady(index));
+    const answer = await fleet.call({ path: "/file/", method: "POST", body: "x" }, index);
+    t.match(answer, { status: 200 }, `gateway ${index}`);
+  }
+});
--- a/src/servers/serverDirectory/index.ts
+++ b/src/servers/serverDirectory/index.ts
@@ -17,12 +17,30 @@
   /** End of the grace period of each server whose entry was removed after a store outage. */
   private readonly lapsedUntilMs = new Map<string, number>();
   private readonly leavingListeners = new Set<LeavingListener>();
+  /** Names that services have had so far; null if entries of all services count. */
+  private serviceNames: Set<string> | null = null;
+  /** Entries of other services, which may be those of another writer. */
+  private readonly unnamedEntries = new Map<string, types.ServerEntry>();
   private storeRecoveredAtMs = -Infinity;
 
   constructor(private readonly clock: clocks.Clock) {
     this.evacuations = new evacuationViews.Evacuations(clock);
   }
 
+  /**
+   * Names services of the configuration. From the first call on, entries of others change nothing; entries that came
+   * before their service are applied now.
+   *
+   * @returns what these entries changed
+   */
+  nameServices(
+    names: Iterable<string>,
+  ): readonly { readonly entry: types.ServerEntry; readonly effect: types.EntryEffect }[] {
+    this.serviceNames = new Set([...(this.serviceNames ?? []), ...names]);
+    const named = [...this.unnamedEntries.values()].filter((entry) => this.isNamed(entry));
+    return named.map((entry) => ({ entry, effect: this.apply(entry) }));
+  }
+
   /**
    * Applies an entry; ignores older messages and older starts of the same server. An entry that was
    * removed can come back as it was, when the store is restored from a copy.
@@ -30,6 +48,11 @@
    * @returns what the entry changed
    */
   apply(entry: types.ServerEntry): types.EntryEffect {
+    if (!this.isNamed(entry)) {
+      this.unnamedEntries.set(entry.id, entry);
+      return types.EntryEffect.UnknownService;
+    }
+    this.unnamedEntries.delete(entry.id);
     const known = this.servers.get(entry.id);
     if (known !== undefined && isOlder(entry, known.entry)) return types.EntryEffect.Ignored;
     this.lapsedUntilMs.delete(entry.id);
@@ -58,6 +81,7 @@
    * Applies the removal of a server's entry, after a grace period if a store outage has just ended.
    */
   remove(serverId: string): void {
+    this.unnamedEntries.delete(serverId);
     if (!this.servers.has(serverId)) return;
     const graceEndsAtMs = this.storeRecoveredAtMs + constants.LAPSED_ENTRY_GRACE_MS;
     if (this.clock.nowMs() < graceEndsAtMs) {
@@ -69,7 +93,7 @@
 
   /** Applies a complete listing of the store: entries that it does not contain count as removed. */
   retainListed(listedIds: ReadonlySet<string>): void {
-    for (const serverId of this.servers.keys()) {
+    for (const serverId of [...this.servers.keys(), ...this.unnamedEntries.keys()]) {
       if (!listedIds.has(serverId)) this.remove(serverId);
     }
   }
@@ -155,6 +179,10 @@
     return { [Symbol.dispose]: () => void this.leavingListeners.delete(listener) };
   }
 
+  private isNamed({ serviceName }: types.ServerEntry): boolean {
+    return this.serviceNames === null || this.serviceNames.has(serviceName);
+  }
+
   private listPresent(serviceName: string): readonly types.KnownServer[] {
     return [...this.servers.values()].filter(
       ({ entry, leaving }) => leaving === null && entry.serviceName === serviceName,
--- a/src/servers/serverDirectory/test.ts
+++ b/src/servers/serverDirectory/test.ts
@@ -6,7 +6,7 @@
 import * as fixtures from "../_lib/fixtures/index.js";
 import * as servers from "../index.js";
 
-const { LeavingReason, ServerState } = servers;
+const { EntryEffect, LeavingReason, ServerState } = servers;
 
 function setUp(): {
   readonly clock: virtualClocks.VirtualClock;
@@ -201,3 +201,34 @@
     t.notOk(directory.isServiceEvacuated("s"));
   },
 );
+
+// Guards against sound servers that are put aside, as another writer left an entry with their address or under their id.
+tap.test("an entry of no known service changes nothing about other servers", async (t) => {
+  const { directory, availableIds } = setUp();
+  directory.nameServices(["s"]);
+  directory.apply(fixtures.entry());
+  const odd = fixtures.entry({ id: "odd", serviceName: "elsewhere", bornAtWallMs: 1e12 });
+  t.equal(directory.apply(odd), EntryEffect.UnknownService);
+  t.equal(directory.apply({ ...odd, id: "e1" }), EntryEffect.UnknownService);
+  t.same(availableIds(), ["e1"]);
+  t.equal(directory.apply(fixtures.entry({ sequence: 2 })), EntryEffect.Updated);
+  t.equal(directory.find("e1")?.entry.serviceName, "s");
+});
+
+tap.test("an entry that came before its service counts once the service is named", async (t) => {
+  const { directory, availableIds } = setUp();
+  directory.nameServices([]);
+  directory.apply(fixtures.entry());
+  directory.apply(fixtures.entry({ id: "gone", port: 9_001 }));
+  directory.remove("gone");
+  t.same(availableIds(), []);
+  const named = directory.nameServices(["s"]);
+  t.same(
+    named.map(({ entry, effect }) => [entry.id, effect]),
+    [["e1", EntryEffect.NewStart]],
+  );
+  t.same(availableIds(), ["e1"]);
+  directory.nameServices([]);
+  directory.apply(fixtures.entry({ state: ServerState.Draining, sequence: 2 }));
+  t.same(availableIds(), [], "a service that was named once stays known");
+});
--- a/src/servers/types.ts
+++ b/src/servers/types.ts
@@ -48,6 +48,8 @@
 export enum EntryEffect {
   /** The entry is older than the known one. */
   Ignored = "ignored",
+  /** The entry belongs to no service of the configuration, and changes nothing until one has its name. */
+  UnknownService = "unknown-service",
   /** The entry updates a server process that is known. */
   Updated = "updated",
   /** The entry is the first of a server process. */
