Wait in a test until the readers have read what was written

The product was right.

Change: the test waits until each reader has the whole version or its connection is closed; the count of three is unchanged, and a reader that gets neither fails the test by its time limit.

--- a/src/sharedView/replicaServer/test.ts
+++ b/src/sharedView/replicaServer/test.ts
@@ -77,6 +77,10 @@
   for (const { socket } of readers) socket.resume();
   const isDone = (): boolean => bytes.heldFor(Peers) === 0;
   while (!isDone()) await new Promise((resolve) => setTimeout(resolve, 5));
+  // What the server has written may still be on its way to a reader.
+  const isSettled = ({ socket, isClosed }: SlowReader): boolean =>
+    isClosed || socket.bytesRead >= VALUE_BYTES;
+  while (!readers.every(isSettled)) await new Promise((resolve) => setTimeout(resolve, 5));
   const closedCount = readers.filter(({ socket }) => socket.bytesRead < VALUE_BYTES).length;
   t.equal(closedCount, 3, "the others get theirs whole");
 });
