--- a/src/_lib/findAnswerFault/index.ts
+++ b/src/_lib/findAnswerFault/index.ts
@@ -6,7 +6,7 @@
 /** Names and values of headers that can be written. */
 const HEADER_NAME = /^[\w!#$%&'*+.^`|~-]+$/;
 const HEADER_VALUE = /^[\t\x20-\x7e\x80-\xff]*$/;
-/** What is looked at in the head of every answer from outside, whoever sent it. */
+/** The parts of a received head that are checked, whichever peer has sent it. */
 export interface OutsideHead {
   readonly status: number;
   /** Whether its headers can be written again. */
--- a/src/calls/_lib/onceOnlyCaller/index.ts
+++ b/src/calls/_lib/onceOnlyCaller/index.ts
@@ -140,14 +140,14 @@
     }
   }
 
-  /** Ends an attempt that threw an error, so that its key is not held by it for ever. */
+  /** Ends an attempt that threw an error, so that its key does not stay held. */
   private endByException(
     intent: types.IntentRecord,
     mayBeSent: boolean,
     error: unknown,
   ): callErrors.CallResult {
     const { ledger, logger, metrics } = this.dependencies;
-    // First of all, so that nothing that fails as well leaves the key held.
+    // Recorded first: an error in what follows must not leave the key held.
     if (mayBeSent) ledger.recordUnknown(intent);
     else ledger.release(intent);
     metrics.increment("calls.ended_by_exception");
--- a/src/diagnostics/types.ts
+++ b/src/diagnostics/types.ts
@@ -30,7 +30,7 @@
   StoreLost = "store-lost",
   StoreRegained = "store-regained",
   StoreRestored = "store-restored",
-  /** The store returned only some of the records that follow the view, which so is not confirmed. */
+  /** The store returned only some of the records that follow the view; they do not confirm it. */
   ViewBehind = "view-behind",
   ViewCaughtUp = "view-caught-up",
   StoreRecordUnreadable = "store-record-unreadable",
--- a/src/gateway/_lib/fleetDrill/index.ts
+++ b/src/gateway/_lib/fleetDrill/index.ts
@@ -50,7 +50,7 @@
 /**
  * A large fleet on the virtual clock that a test disturbs. After each interval it checks, for each VM
  * that was not itself disturbed, that confirmed changes are in force in time and that servers that
- * said they leave stay unavailable, and for all VMs that none takes a view for younger than it is;
+ * said they leave stay unavailable, and that no VM at all underestimates the age of its view;
  * `findings` lists what was violated.
  */
 export class FleetDrill {
--- a/src/gateway/_lib/viewAgeWatch/index.ts
+++ b/src/gateway/_lib/viewAgeWatch/index.ts
@@ -3,7 +3,7 @@
   readonly confirmedAtMs: number;
 }
 
-/** What the watch looks at in a VM. */
+/** The parts of a VM that the watch reads. */
 export interface WatchedVm {
   readonly name: string;
   /** Version in force. */
@@ -11,7 +11,10 @@
   readonly view: { readonly configurationAgeMs: number };
 }
 
-/** Checks that no VM takes its view for confirmed after a version that the view lacks was confirmed. */
+/**
+ * Checks that VMs do not underestimate the ages of their views: a view that lacks a version was last confirmed before
+ * that version was.
+ */
 export class ViewAgeWatch {
   private readonly published: PublishedVersion[] = [];
 
@@ -20,7 +23,7 @@
     this.published.push({ version, confirmedAtMs });
   }
 
-  /** Returns what the VM wrongly believes, if anything. */
+  /** Returns a finding if the age of the VM's view is underestimated. */
   check(vm: WatchedVm, nowMs: number): readonly string[] {
     const missing = this.published.find(({ version }) => version > vm.version);
     if (missing === undefined) return [];
--- a/src/servers/serverDirectory/index.ts
+++ b/src/servers/serverDirectory/index.ts
@@ -19,7 +19,7 @@
   private readonly leavingListeners = new Set<LeavingListener>();
   /** Names that services have had so far; null if entries of all services count. */
   private serviceNames: Set<string> | null = null;
-  /** Entries of other services, which may be those of another writer. */
+  /** Entries of services that are not named, by id: of services still to come, or left by another writer. */
   private readonly unnamedEntries = new Map<string, types.ServerEntry>();
   private storeRecoveredAtMs = -Infinity;
 
--- a/src/sharedView/topicReplica/index.ts
+++ b/src/sharedView/topicReplica/index.ts
@@ -50,7 +50,7 @@
   private retained: RetainedRecord | null = null;
   private keptBytes = 0;
   private confirmedAt = clockReadings.DISTANT_PAST;
-  /** Since when the store's answers are complete again after a restore, on the monotonic clock. */
+  /** Time on the monotonic clock from which the store's answers are complete again after a restore. */
   private completeSinceMs = -Infinity;
 
   /**
