--- a/src/_lib/findAnswerFault/index.ts
+++ b/src/_lib/findAnswerFault/index.ts
@@ -13,14 +13,14 @@
   readonly isWritable: boolean;
 }
 
-/** Returns why a head cannot be the head of a final answer; null if it can. */
+/** Returns why a response head is invalid as a final HTTP response; null if it is valid. */
 export function findAnswerFault({ status, isWritable }: OutsideHead): string | null {
   if (status < FINAL_STATUSES.min || status > FINAL_STATUSES.max)
     return `status ${status} of no final answer`;
   return isWritable ? null : "header that cannot be written";
 }
 
-/** Returns why a received message cannot be a final answer; null if it can. */
+/** Returns why a received message is invalid as a final HTTP response; null if it is valid. */
 export function findMessageFault(message: http.IncomingMessage): string | null {
   const isWritable = areHeadersWritable(message.rawHeaders);
   return findAnswerFault({ status: message.statusCode ?? 0, isWritable });
--- a/src/calls/_lib/keyRefusals/index.ts
+++ b/src/calls/_lib/keyRefusals/index.ts
@@ -15,7 +15,7 @@
   return callErrors.refuse(stepError.ErrorCode.Conflict, "call.key", message);
 }
 
-/** Fails a call whose key was used, and whose answer is no longer known. */
+/** Fails a call whose idempotency key was used by a call that ran, but whose answer is not stored. */
 export function refuseSpent(): callErrors.CallResult {
   return callErrors.fail({
     code: stepError.ErrorCode.Conflict,
--- a/src/gateway/refusedAfterRun/test.ts
+++ b/src/gateway/refusedAfterRun/test.ts
@@ -17,8 +17,7 @@
 /** More than all retries of the test. */
 const RETRY_SLACK_COUNT = 1_000;
 
-// Guards against a caller that is told "not run" of a stream that has crashed an engine: the request is withheld from
-// the next engine, and that outcome took the place of the one before.
+// Guards against a 503, which promises that a request was not executed, for a stream that has crashed an engine.
 tap.test("a resumable stream that may have run is not refused as not run", async (t) => {
   const fleet = await testFleets.startFleet(t);
   fleet.retrySlackCount = RETRY_SLACK_COUNT;
--- a/src/relay/_lib/sendRecord/index.ts
+++ b/src/relay/_lib/sendRecord/index.ts
@@ -2,7 +2,7 @@
 import * as refusals from "../createRefusal/index.js";
 import * as engineStreams from "../engineStream/index.js";
 
-/** An outcome after which a generation may have run. */
+/** A failed attempt in which the server may have executed the generation. */
 export type RunFailure = Extract<
   engineStreams.OpenOutcome,
   { readonly kind: engineStreams.OpenKind.Answered | engineStreams.OpenKind.Unknown }
--- a/src/sharedView/restoredStore/test.ts
+++ b/src/sharedView/restoredStore/test.ts
@@ -17,7 +17,7 @@
   return { key, offset, value: Buffer.from(String(offset)) };
 }
 
-// Guards against requests with a key that was taken away by a version which the restored store lacks for a while.
+// Guards against accepting a revoked API key: a store restored from an older copy lacks the version that revoked it.
 tap.test(
   "after a restore, the store confirms nothing before its writers have written again",
   async (t) => {
--- a/src/sharedView/topicReader/index.ts
+++ b/src/sharedView/topicReader/index.ts
@@ -46,7 +46,7 @@
   readonly isPreferred: () => boolean;
   /** Called with records read from the store, so that they can be sent to the peers. */
   readonly onRead: (fromOffset: number, batch: types.RecordBatch) => void;
-  /** Called when a listing of the store was applied. */
+  /** Called after the replica was replaced by a complete listing from the store. */
   readonly onListed: () => void;
   /** Called on the first answer of the store after one or more failures. */
   readonly onStoreRegained: () => void;
--- a/src/sharedView/topicReader/test.ts
+++ b/src/sharedView/topicReader/test.ts
@@ -58,7 +58,7 @@
   }
 }
 
-/** Time from a read of available records to its answer. */
+/** Time that the store takes to answer a read for which it has records. */
 const ANSWER_MS = 5;
 
 function setUp<Store extends QuietStore = QuietStore>(
