--- a/review/standins-3/callers.mjs
+++ b/review/standins-3/callers.mjs
@@ -13,20 +13,21 @@
   "X-Prefix-Hash": "5c1e07a2:800,91bd3f06:410,e4402b7d:250",
 };
 
-/** Sends one attempt; resolves with status, body and whether the answer was complete in the protocol. */
-export function call(gateway, { method = "POST", path, timeLeftMs, headers = {}, body = "x" }) {
+/** Sends one attempt, on a new channel unless an agent keeps some; resolves with status, body and whether the answer was complete in the protocol. */
+export function call(gateway, { method = "POST", path, timeLeftMs, agent = false, ...rest }) {
+  const { headers = {}, body = "x" } = rest;
   const id = `${process.pid.toString(16)}${(attemptsCount += 1).toString(16).padStart(8, "0")}`;
   const sentAtMs = Date.now();
   return new Promise((resolve) => {
     const seen = { id, sentAtMs, status: 0, body: "", isComplete: false, retryAfter: null };
     const finish = (error) => {
       clearTimeout(timer);
-      request.destroy();
+      if (error) request.destroy();
       resolve({ ...seen, elapsedMs: Date.now() - sentAtMs, ...(error ? { error } : {}) });
     };
     const timer = setTimeout(() => finish("time limit"), timeLeftMs);
     const request = http.request({
-      ...{ host: gateway.ip, port: gateway.callersPort, method, path, agent: false },
+      ...{ host: gateway.ip, port: gateway.callersPort, method, path, agent },
       headers: {
         ...{ Host: HOST, "X-Attempt-Id": id, "X-Deadline-Ms": String(timeLeftMs) },
         ...{ "X-Key": API_KEY, ...headers },
