Show that runs that the gateway has stopped itself are lost at a planned stop (case 15)

Cause: once the last copy of a run's memory finds no room, the run is given up, though its engine has kept the memory. Change: a case that fails; the stand-in engines may be full at a last copy. The program is unchanged.

--- a/review/standins-3/model.mjs
+++ b/review/standins-3/model.mjs
@@ -26,7 +26,10 @@
   #handlesCount = 0;
   #http = http.createServer((request, response) => void this.#handle(request, response));
 
-  /** @param options - number of events of a stream, their interval, and whether a closed channel ends a run */
+  /**
+   * @param options - number of events of a stream, their interval, whether a closed channel ends a run, and whether there
+   *   is no room for the part of a run's memory that is new since its first copy
+   */
   constructor(pool, id, options) {
     Object.assign(this, { pool, id, options });
   }
@@ -111,8 +114,14 @@
     if (last) run.isStopped = true;
     await pause(COPY_INTERVAL_MS);
     const handle = `h${(this.#handlesCount += 1)}`;
-    other.keepMoved(`${this.address}/${handle}`, run.eventsCount);
     const body = JSON.stringify({ kv_handle: handle, created: run.eventsCount });
+    if (last && other.options.isFull === true) {
+      // The run is stopped, and its memory is kept here.
+      this.#copies.set(`${this.address}/${handle}`, run.eventsCount);
+      response.writeHead(503, { "Content-Type": "application/json" }).end(body);
+      return;
+    }
+    other.keepMoved(`${this.address}/${handle}`, run.eventsCount);
     response.writeHead(200, { "Content-Type": "application/json" }).end(body);
   }
 }
--- a/review/standins-3/platform.mjs
+++ b/review/standins-3/platform.mjs
@@ -36,9 +36,13 @@
   ...{ timeout_ms: 1000, target_latency_ms: 121, service: "wuno96b", max_attempts: 1 },
 };
 
-export function createConfiguration(version, routes = [STREAM_ROUTE, ONCE_ROUTE]) {
+export function createConfiguration(
+  version,
+  routes = [STREAM_ROUTE, ONCE_ROUTE],
+  services = [MODEL_SERVICE, PLAIN_SERVICE],
+) {
   return {
-    ...{ version, routes, services: [MODEL_SERVICE, PLAIN_SERVICE], limits: LIMITS },
+    ...{ version, routes, services, limits: LIMITS },
     tenants: [{ name: "huka270", api_keys: [callers.API_KEY], priority: 1 }],
   };
 }
