Count lost channels by machine in case 14

Cause: the rule allows three for each machine; the case counted all machines together. Change: 24 clients instead of 12, counted by gateway.

--- a/review/14/main.mjs
+++ b/review/14/main.mjs
@@ -10,7 +10,7 @@
 
 const ENGINE_PROGRAM = path.resolve(import.meta.dirname, "../standins-3/engine.mjs");
 const ENGINES_COUNT = 6;
-const CLIENTS_COUNT = 12;
+const CLIENTS_COUNT = 24;
 const EVENTS_COUNT = 3;
 const GAP_MS = 20;
 /** Time to the first event, within the objective of 1,500 ms. */
@@ -49,7 +49,7 @@
   for (let index = 0; Date.now() < endAtMs; index += 1) {
     const headers = callers.GENERATION_HEADERS;
     const options = { path: `/lohu930/${index}`, timeLeftMs: 6000, headers, agent };
-    answers.push(await callers.call(gateway, options));
+    answers.push({ machine: gateway.name, ...(await callers.call(gateway, options)) });
   }
   agent.destroy();
 }
@@ -78,12 +78,16 @@
     record("the engines go on");
   }
   await Promise.all(calls);
-  for (const { id, status, isComplete, elapsedMs, error = "none" } of answers)
-    record(`${id}: status ${status}, complete ${isComplete}, ${elapsedMs} ms, error ${error}`);
+  for (const { id, machine, status, isComplete, elapsedMs, error = "none" } of answers)
+    record(`${id} ${machine}: ${status}, complete ${isComplete}, ${elapsedMs} ms, error ${error}`);
   const lost = answers.filter(({ status, error }) => status === 0 && error !== "time limit");
   const served = answers.filter(({ status, isComplete }) => status === 200 && isComplete);
   trials.require(served.length > 0, "no stream was served");
-  if (lost.length <= MOST_LOST) return [];
-  const ids = lost.map(({ id }) => id).join(", ");
-  return [`LOST: ${lost.length} channels were closed without an answer: ${ids}`];
+  const counts = fleet.map(({ name }) => ({
+    name,
+    count: lost.filter(({ machine }) => machine === name).length,
+  }));
+  return counts
+    .filter(({ count }) => count > MOST_LOST)
+    .map(({ name, count }) => `LOST: ${name} closed ${count} channels without an answer`);
 });
