--- a/review/standins-3/gateway.mjs
+++ b/review/standins-3/gateway.mjs
@@ -20,11 +20,11 @@
   ...{ iteration_ms: 120, retry_after_s: 4.3 },
 };
 
-const LIMITS = { cpu_share: 0.675, cores: 1, memory_mb: 200, max_fds: 4100, link_mbps: 1000 };
+const LIMITS = { cpu_share: 0.675, cores: 1, max_fds: 4100, link_mbps: 1000 };
 
 export class Gateway {
-  constructor(index, network, { store, folder, zone = "tln-a" }) {
-    Object.assign(this, { store, folder, zone });
+  constructor(index, network, { store, folder, zone = "tln-a", memoryMb = 200 }) {
+    Object.assign(this, { store, folder, zone, memoryMb });
     this.ip = `${network}.${index + 1}`;
     this.name = `edge-${zone}-${index + 1}`;
   }
@@ -85,7 +85,12 @@
       zones: { "tln-a": "ee-north", "tln-b": "ee-north", "mrd-c": "ee-north" },
       listen: { frontend: `${this.ip}:${callers}`, ready: `${this.ip}:${ready}` },
       ...{ internal_ports: [internal, internal], seeds: [], heartbeat_ms: 1200 },
-      ...{ discovery: "platform", entry: "anycast", contracts: ["base"], limits: LIMITS },
+      ...{
+        discovery: "platform",
+        entry: "anycast",
+        contracts: ["base"],
+        limits: { ...LIMITS, memory_mb: this.memoryMb },
+      },
       fault_tolerance: { machines: 2, zones: 1, regions: 0 },
       bounds: BOUNDS,
       platform: { address: `${this.store.host}:${this.store.port}`, form: "log", keep_s: 300 },
--- a/review/standins-3/plain.mjs
+++ b/review/standins-3/plain.mjs
@@ -9,8 +9,8 @@
   #http = http.createServer((request, response) => void this.#handle(request, response));
 
   /** @param answer - writes the answer to a request that has run; by default a success */
-  constructor(id, answer = succeed) {
-    Object.assign(this, { id, answer });
+  constructor(id, answer = succeed, workMs = WORK_MS) {
+    Object.assign(this, { id, answer, workMs });
   }
 
   async start(host) {
@@ -35,7 +35,7 @@
       response.writeHead(421, { "X-Instance-Id": this.id, "X-Not-Executed": "1" }).end();
     } else {
       this.runs.push(attemptId);
-      await new Promise((resolve) => setTimeout(resolve, WORK_MS));
+      await new Promise((resolve) => setTimeout(resolve, this.workMs));
       if (!response.destroyed) this.answer({ id: attemptId, headers, url }, response, this);
     }
   }
--- a/review/standins-3/platform.mjs
+++ b/review/standins-3/platform.mjs
@@ -48,7 +48,7 @@
 }
 
 /** Starts a store with a first desired state, and gateways in the three zones. */
-export async function startDeployment({ folder, onEnd }, gatewaysCount) {
+export async function startDeployment({ folder, onEnd }, gatewaysCount, options = {}) {
   const store = await new stores.Store().start();
   onEnd(() => store.stop());
   store.put("keyed.op", "config", createConfiguration(1));
@@ -56,7 +56,7 @@
   const zones = ["tln-a", "tln-b", "mrd-c"];
   const fleet = Array.from({ length: gatewaysCount }, (_, index) => {
     const zone = zones[index % zones.length];
-    return new gateways.Gateway(index, network, { store, folder, zone });
+    return new gateways.Gateway(index, network, { store, folder, zone, ...options });
   });
   for (const gateway of fleet) onEnd(() => gateway.kill());
   await Promise.all(fleet.map((gateway) => gateway.start()));
