--- a/review/13/main.mjs
+++ b/review/13/main.mjs
@@ -6,7 +6,7 @@
 import * as trials from "../standins-3/trial.mjs";
 
 const ENGINES_COUNT = 8;
-const STREAMS_COUNT = 16;
+const STREAMS_COUNT = 24;
 const EVENTS_COUNT = 150;
 const GAP_MS = 60;
 /** Time for which a request may still be worked on at the engine before. */
