Answer callers whose streams end before their first event

Cause: a head that was prepared counted as sent. The sink wrote the head of a stream when the engine's head had come, and Node sends it with the first event. At the route's time-out, and when the engine broke, both endings of a run closed the caller's connection, though nothing was sent and 504 or 502 was possible. Change: the sink holds the head until the first bytes; nothing outside it can close a caller's connection, but failWith, which takes a refusal and closes only after bytes were sent. The refusal comes from the generation's SendRecord, which the continuation owns for the whole call. A changed test: unframedAnswers asked for an incomplete answer to a stream without any event, which was this fault. It asks for a complete 502 without a signature now.

--- a/src/gateway/unframedAnswers/test.ts
+++ b/src/gateway/unframedAnswers/test.ts
@@ -13,7 +13,6 @@
 const BROKEN_STREAMS = {
   "inside an event": `${WHOLE_STREAM}id: 3\nda`,
   "after the id of an event": `${WHOLE_STREAM}id: 3\n`,
-  "before its first event": "",
 } as const;
 
 /** Serves one draft with the given body, and returns the caller's answer. */
@@ -55,6 +54,12 @@
       t.ok(WHOLE_STREAM.startsWith(answer?.body ?? ""), "only whole events are forwarded");
     });
   }
+
+  tap.test(`a stream with framing ${framing} that ends before its first event fails`, async (t) => {
+    const answer = await requestStream(t, "", framing);
+    t.match(answer, { status: 502, body: "", isComplete: true });
+    t.notMatch(answer.headers, { "x-engine-signature": /./ });
+  });
 }
 
 /** Sends the begin of an answer that only its connection ends, and ends the server's process a little later. */
--- a/src/relay/_lib/callEnding/index.ts
+++ b/src/relay/_lib/callEnding/index.ts
@@ -95,8 +95,7 @@
     const requestId = call.head.id;
     diagnostics.recordInternalError(context, diagnostics.ErrorOrigin.Request, error, { requestId });
     if (this.isFinished) return;
-    if (sink.hasStarted) sink.abort();
-    else this.refuse(refusals.createRefusal(types.RefusalReason.InternalError));
+    sink.failWith(() => this.refuse(refusals.createRefusal(types.RefusalReason.InternalError)));
     this.finish();
   }
 
--- a/src/relay/_lib/callSink/index.ts
+++ b/src/relay/_lib/callSink/index.ts
@@ -15,6 +15,8 @@
   private isSendingBody = false;
   private sentFirstByteAtMs: number | null = null;
   private unread: unreadAnswers.UnreadAnswer | null = null;
+  /** Head of a stream of which nothing was sent yet; null otherwise. */
+  private streamHeaders: readonly string[] | null = null;
 
   constructor(
     private readonly response: http.ServerResponse,
@@ -25,7 +27,7 @@
     private readonly context: unreadAnswers.UnreadContext,
   ) {}
 
-  /** Whether the head of an answer was sent. */
+  /** Whether bytes of an answer were sent; until then, another answer is possible. */
   get hasStarted(): boolean {
     return this.response.headersSent;
   }
@@ -79,13 +81,14 @@
     void received.then(() => this.response.end());
   }
 
-  /** Sends the head of a stream. */
+  /** Prepares a stream. Its head is sent with its first bytes, so that the call can be refused until then. */
   startStream(headers: readonly string[]): void {
-    if (!this.hasStarted) this.writeHead(STREAM_STATUS, headers, null);
+    if (!this.hasStarted) this.streamHeaders = headers;
   }
 
   /** Sends bytes of a stream; returns false if `waitForDrain` must be awaited before the next write. */
   write(bytes: Buffer): boolean {
+    this.sendStreamHead();
     const isDrained = this.response.write(bytes);
     if (!isDrained) this.countUnread();
     return isDrained;
@@ -111,12 +114,17 @@
 
   /** Ends a complete stream. */
   end(): void {
+    this.sendStreamHead();
     this.response.end();
   }
 
-  /** Closes the connection, so that the caller detects an incomplete answer. */
-  abort(): void {
-    this.response.destroy();
+  /**
+   * Ends a call that is not served. Closes the connection if a part of an answer was sent, so that the caller
+   * detects that it is incomplete; otherwise the call is refused.
+   */
+  failWith(refuse: () => void): void {
+    if (this.hasStarted) this.response.destroy();
+    else refuse();
   }
 
   /** Sends a large body chunk by chunk as the caller reads, so that what it has read is held no longer. */
@@ -141,6 +149,13 @@
     this.unread.resize(unreadBytes);
   }
 
+  private sendStreamHead(): void {
+    const { streamHeaders } = this;
+    this.streamHeaders = null;
+    if (streamHeaders !== null && !this.hasStarted)
+      this.writeHead(STREAM_STATUS, streamHeaders, null);
+  }
+
   private writeHead(status: number, headers: readonly string[], sizeBytes: number | null): void {
     this.sentFirstByteAtMs = this.nowMs();
     const allHeaders = [...headers];
--- a/src/relay/_lib/generationRun/index.ts
+++ b/src/relay/_lib/generationRun/index.ts
@@ -8,6 +8,7 @@
 import * as eventSequences from "../eventSequence/index.js";
 import type * as eventSplitter from "../eventSplitter/index.js";
 import * as beginHandovers from "../beginHandover/index.js";
+import * as failRuns from "../failRun/index.js";
 import * as handoverChecks from "../handoverCheck/index.js";
 import * as handovers from "../handover/index.js";
 import * as resumeRuns from "../resumeRun/index.js";
@@ -104,7 +105,7 @@
   private async serve(scope: attemptScopes.AttemptScope): Promise<void> {
     const started = await startRuns.startRun(this.context, this.call, this.sink, {
       start: this.continuation.createStart(scope),
-      ranIds: this.continuation.ranIds,
+      sends: this.continuation.sends,
     });
     if (started === null) return;
     this.scope = scope;
@@ -281,12 +282,18 @@
 
   private abandon(scope: attemptScopes.AttemptScope): void {
     this.runLog.recordAbandoned(this.position, scope.isTimedOut);
-    this.sink.abort();
+    this.failWith(types.RefusalReason.TimedOut);
   }
 
   private abortStream(end: engineStreams.StreamEnd): void {
     this.runLog.recordBroken(this.position, end, this.claims.backup !== null);
-    this.sink.abort();
+    this.failWith(types.RefusalReason.OutcomeUnknown);
+  }
+
+  private failWith(reason: types.RefusalReason): void {
+    const { call, context, position, sink } = this;
+    const { sends } = this.continuation;
+    failRuns.failRun(context, call, sink, { sends, reason, position });
   }
 
   private get position(): runLogs.RunPosition {
--- a/src/relay/_lib/runContinuation/index.ts
+++ b/src/relay/_lib/runContinuation/index.ts
@@ -9,6 +9,7 @@
 import * as resumeRuns from "../resumeRun/index.js";
 import type * as runClaims from "../runClaims/index.js";
 import type * as runLogs from "../runLog/index.js";
+import * as sendRecords from "../sendRecord/index.js";
 import type * as streamTimings from "../streamTiming/index.js";
 
 /** What a generation has of its own that is needed to continue it. */
@@ -22,8 +23,8 @@
 
 /** Opens the streams by which a generation goes on at another engine: from its memory, or by a new run. */
 export class RunContinuation {
-  /** Engines that have run the generation from its prompt. */
-  readonly ranIds = new Set<string>();
+  /** What the sends of the generation have come to. */
+  readonly sends = new sendRecords.SendRecord(new Set());
   /** Null until the first stream is open. */
   scope: attemptScopes.AttemptScope | null = null;
 
@@ -42,7 +43,7 @@
 
   /** Whether a new run may go on after the last event. */
   get canResume(): boolean {
-    return resumeRuns.canResume(this.call, this.ranIds);
+    return resumeRuns.canResume(this.call, this.sends.ranIds);
   }
 
   /** Describes a new run that goes on after the last event. */
@@ -114,7 +115,8 @@
     from: servers.ServerEntry,
     cause: resumeRuns.ResumeCause,
   ): Promise<engineStreams.EngineStream | null> {
-    const { call, context, ranIds, scope } = this;
+    const { call, context, scope } = this;
+    const { ranIds } = this.sends;
     const { sequence, timing } = this.parts;
     if (scope === null || !this.canResume) return null;
     const next = await resumeRuns.resumeRun(context, call, {
--- a/src/relay/_lib/startRun/index.ts
+++ b/src/relay/_lib/startRun/index.ts
@@ -35,8 +35,8 @@
 /** What the start of a generation needs besides the call. */
 interface StartOptions {
   readonly start: placeRuns.RunStart;
-  /** Engines that may have run the generation; those that are tried are added. */
-  readonly ranIds: Set<string>;
+  /** Record to which the generation's sends are added. */
+  readonly sends: sendRecords.SendRecord;
 }
 
 /**
@@ -49,10 +49,9 @@
   context: relayContext.RelayContext,
   call: types.Call,
   sink: callSink.CallSink,
-  { start, ranIds }: StartOptions,
+  { start, sends }: StartOptions,
 ): Promise<StartedRun | null> {
   const { scope, claims } = start;
-  const sends = new sendRecords.SendRecord(ranIds);
   const ending = { context, call, sink, sends };
   const blame = context.crashMonitor.findBlame(call);
   if (blame !== null) {
@@ -86,7 +85,7 @@
       withheld = outcome.blame;
       break;
     }
-    if (outcome.kind !== engineStreams.OpenKind.NotRun && !canRunAgain(call, outcome, ranIds))
+    if (outcome.kind !== engineStreams.OpenKind.NotRun && !canRunAgain(call, outcome, sends.ranIds))
       break;
     avoidedIds.add(serverId);
     claims.releaseAll();
