Pass on a server's 408, 421, 429 or 503 only with its statement

Cause: the status was taken for the statement "not run". Both endings of a call passed a server's complete answer on, whatever its status, although it had no X-Not-Executed and may have come from a run. A 421 was taken for the statement even with a receipt, so that the call was sent to a second server, too. Change: ForwardableAnswer, which only its own check creates, is all that the sink takes as a server's answer; for work that may run only once it holds no unstated promise, and the caller gets 502. createRefusal requires what is known of the call's execution, and no longer promises more than that. Such statuses count as failures of the server. Changed tests: those that call CallSink.answer, and the sink of the replays, by the new signature.

--- a/src/gateway/_lib/admitCall/index.ts
+++ b/src/gateway/_lib/admitCall/index.ts
@@ -44,7 +44,8 @@
 /** Creates the refusal of a call, with the age of the view of the store where that decided. */
 export function createDenial(reason: relay.RefusalReason, viewAgeMs: number | null = null): Denial {
   const detail = viewAgeMs === null ? "" : `view ${Math.round(Math.min(1e9, viewAgeMs))} ms old`;
-  return { refusal: relay.createRefusal(reason, RETRY_AFTER_MS[reason] ?? null), detail };
+  const retryAfterMs = RETRY_AFTER_MS[reason] ?? null;
+  return { refusal: relay.createRefusal(reason, relay.Execution.NotRun, retryAfterMs), detail };
 }
 
 /**
--- a/src/gateway/_lib/answerErrors/index.ts
+++ b/src/gateway/_lib/answerErrors/index.ts
@@ -28,7 +28,10 @@
     response.destroy();
     return;
   }
-  const { reason, status } = relay.createRefusal(relay.RefusalReason.InternalError);
+  const { reason, status } = relay.createRefusal(
+    relay.RefusalReason.InternalError,
+    relay.Execution.MayHaveRun,
+  );
   meters.refusals.inc({ reason });
   response.writeHead(status, { "Content-Length": 0, Connection: "close" }).end();
 }
--- a/src/gateway/callerServer/index.ts
+++ b/src/gateway/callerServer/index.ts
@@ -143,7 +143,8 @@
       this.context.ports,
     );
     if (decoded.isErr()) {
-      this.refuse(sink, "", relay.createRefusal(RefusalReason.Malformed), decoded.error);
+      const { refusal } = admissions.createDenial(RefusalReason.Malformed);
+      this.refuse(sink, "", refusal, decoded.error);
       return;
     }
     await this.serve(request, response, sink, { head: decoded.value, arrivedAtMs });
--- a/src/relay/_lib/callEnding/index.ts
+++ b/src/relay/_lib/callEnding/index.ts
@@ -2,6 +2,7 @@
 import * as answerRefusals from "../answerRefusal/index.js";
 import type * as attemptScopes from "../attemptScope/index.js";
 import type * as callSink from "../callSink/index.js";
+import * as forwardableAnswers from "../forwardableAnswer/index.js";
 import * as refusals from "../createRefusal/index.js";
 import * as plainAttempts from "../recordPlainAttempt/index.js";
 import type * as sends from "../sendBuffered/index.js";
@@ -41,6 +42,12 @@
     return this.isFinished || this.scope.signal.aborted;
   }
 
+  /** Whether a server may have run the call, or may be running it. */
+  private get execution(): types.Execution {
+    const mayHaveRun = this.mayHaveRun || this.progress.pendingCount > 0;
+    return mayHaveRun ? types.Execution.MayHaveRun : types.Execution.NotRun;
+  }
+
   /** Records that a server has run the call, or may have. */
   recordRun(answer: sends.BufferedAnswer | null): void {
     this.mayHaveRun = true;
@@ -52,13 +59,13 @@
   /** Gives the caller the answer of a server. */
   forwardAnswer(answer: sends.BufferedAnswer): void {
     if (this.isFinished) return;
-    const { head, body } = answer;
-    if (body.wasEvicted) {
-      // It was given up while the call was tried again.
-      this.finishWithoutAnswer(types.RefusalReason.OutcomeUnknown);
+    const forwardable = forwardableAnswers.ForwardableAnswer.from(this.call, answer);
+    if (forwardable === null) {
+      const details = { serverId: answer.serverId, serverStatus: answer.head.status };
+      this.refuse(types.RefusalReason.OutcomeUnknown, null, details);
       return;
     }
-    this.sink.answer(head.status, head.forwardedHeaders, body);
+    this.sink.answer(forwardable);
     const { sendsCount } = this.progress;
     plainAttempts.recordForwardedAnswer(this.context, this.call, answer, sendsCount);
     this.finish();
@@ -69,7 +76,7 @@
    * whether it did. If a server may have run it, another answer in time is the best that its caller can get.
    */
   refuseIfTooLate(): boolean {
-    if (this.mayHaveRun || this.progress.pendingCount > 0) return false;
+    if (this.execution === types.Execution.MayHaveRun) return false;
     if (this.call.canEndInTime?.() !== false) return false;
     this.finishUnsent(types.RefusalReason.Stopping, constants.STOPPING_RETRY_AFTER_MS);
     return true;
@@ -78,15 +85,14 @@
   /** Ends a call that cannot be sent again: with the last answer, if there is one. */
   finishUnsent(reason: types.RefusalReason, retryAfterMs = constants.DEFAULT_RETRY_AFTER_MS): void {
     if (this.lastAnswer !== null) this.forwardAnswer(this.lastAnswer);
-    else this.finishWithoutAnswer(reason, retryAfterMs);
+    else this.refuse(reason, retryAfterMs);
   }
 
   /** Ends a call that is withheld from servers, as some have ended under such work. */
   finishWithheld({ blame }: sends.Withheld): void {
-    const refusal = refusals.createBlameRefusal(blame);
+    const { EndsServers } = types.RefusalReason;
     if (this.lastAnswer !== null) this.forwardAnswer(this.lastAnswer);
-    else if (this.mayHaveRun) this.finishWithoutAnswer(refusal.reason);
-    else if (!this.isFinished) this.refuse(refusal, refusals.describeBlame(blame));
+    else this.refuse(EndsServers, blame.retryAfterMs, refusals.describeBlame(blame));
   }
 
   /** Ends a call at an unexpected error: it may have been executed, and what servers answered may be the cause. */
@@ -95,20 +101,10 @@
     const requestId = call.head.id;
     diagnostics.recordInternalError(context, diagnostics.ErrorOrigin.Request, error, { requestId });
     if (this.isFinished) return;
-    sink.failWith(() => this.refuse(refusals.createRefusal(types.RefusalReason.InternalError)));
+    sink.failWith(() => this.refuse(types.RefusalReason.InternalError));
     this.finish();
   }
 
-  private finishWithoutAnswer(
-    reason: types.RefusalReason,
-    retryAfterMs = constants.DEFAULT_RETRY_AFTER_MS,
-  ): void {
-    if (this.isFinished) return;
-    const reportedReason = this.mayHaveRun ? types.RefusalReason.OutcomeUnknown : reason;
-    const hasRetryAfter = refusals.createRefusal(reportedReason).status === 503;
-    this.refuse(refusals.createRefusal(reportedReason, hasRetryAfter ? retryAfterMs : null));
-  }
-
   private onAborted(): void {
     if (this.isFinished) return;
     if (!this.scope.isTimedOut) {
@@ -124,13 +120,17 @@
       this.forwardAnswer(this.lastAnswer);
       return;
     }
-    const wasSent = this.mayHaveRun || this.progress.pendingCount > 0;
-    const reason = wasSent ? types.RefusalReason.TimedOut : types.RefusalReason.TimedOutNotRun;
-    this.refuse(refusals.createRefusal(reason));
+    this.refuse(types.RefusalReason.TimedOutNotRun);
   }
 
-  private refuse(refusal: types.Refusal, details: diagnostics.LogFields = {}): void {
+  private refuse(
+    reason: types.RefusalReason,
+    retryAfterMs: number | null = null,
+    details: diagnostics.LogFields = {},
+  ): void {
+    if (this.isFinished) return;
     const { context, call, sink } = this;
+    const refusal = refusals.createRefusal(reason, this.execution, retryAfterMs);
     const { sendsCount } = this.progress;
     answerRefusals.answerRefusal(context, call, sink, refusal, { sendsCount, ...details });
     this.finish();
--- a/src/relay/_lib/callSink/index.ts
+++ b/src/relay/_lib/callSink/index.ts
@@ -1,6 +1,6 @@
 import type * as http from "node:http";
 
-import type * as heldBodies from "../heldBody/index.js";
+import type * as forwardableAnswers from "../forwardableAnswer/index.js";
 import * as unreadAnswers from "../unreadAnswer/index.js";
 import * as refusals from "../createRefusal/index.js";
 import * as types from "../../types.js";
@@ -48,8 +48,12 @@
   }
 
   /** Sends a server's complete answer, or a refusal if its body was given up meanwhile. */
-  answer(status: number, headers: readonly string[], body: heldBodies.HeldBody): void {
-    if (body.wasEvicted) this.refuse(refusals.createRefusal(types.RefusalReason.OutcomeUnknown));
+  answer({ status, headers, body }: forwardableAnswers.ForwardableAnswer): void {
+    if (body.wasEvicted) {
+      const { Execution, RefusalReason } = types;
+      const { OutcomeUnknown } = RefusalReason;
+      this.refuse(refusals.createRefusal(OutcomeUnknown, Execution.MayHaveRun));
+    }
     if (this.hasStarted) return;
     const { chunks, sizeBytes } = body;
     this.writeHead(status, headers, sizeBytes);
--- a/src/relay/_lib/callSink/test.ts
+++ b/src/relay/_lib/callSink/test.ts
@@ -6,8 +6,10 @@
 import * as byteBudgets from "../../../_lib/byteBudget/index.js";
 import * as virtualClocks from "../../../_lib/virtualClock/index.js";
 import * as diagnostics from "../../../diagnostics/index.js";
+import * as routing from "../../../routing/index.js";
 import type * as types from "../../types.js";
 import * as collectBodies from "../collectBody/index.js";
+import * as forwardableAnswers from "../forwardableAnswer/index.js";
 import * as heldBodies from "../heldBody/index.js";
 import * as callSinks from "./index.js";
 
@@ -15,6 +17,8 @@
   encodeRefusal: () => ["X-Refused", "1"],
 } as unknown as types.WireCodec;
 
+const CALL = { route: { kind: routing.RouteKind.OnceOnly } } as types.Call;
+
 const CONTEXT = {
   bytes: new byteBudgets.ByteBudget(1_000),
   clock: new virtualClocks.VirtualClock(),
@@ -37,8 +41,13 @@
       [Buffer.from("failure")],
       null,
     );
+    const head = {
+      status: 500,
+      forwardedHeaders: ["X-Engine", "e1"],
+    } as unknown as types.AnswerHead;
+    const answer = forwardableAnswers.ForwardableAnswer.from(CALL, { head, body });
     body.evict();
-    sink.answer(500, ["X-Engine", "e1"], body);
+    if (answer !== null) sink.answer(answer);
   });
   await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
   t.teardown(() => server.close());
--- a/src/relay/_lib/createRefusal/index.ts
+++ b/src/relay/_lib/createRefusal/index.ts
@@ -1,3 +1,4 @@
+import * as notRunPromises from "../../../_lib/promisesNotRun/index.js";
 import type * as crashes from "../../../crashes/index.js";
 import type * as diagnostics from "../../../diagnostics/index.js";
 import * as types from "../../types.js";
@@ -27,17 +28,27 @@
   [types.RefusalReason.InternalError]: 502,
 };
 
-/** Creates the refusal for a reason, with the status that belongs to it. */
+/** The reason given for a call that may have run; `OutcomeUnknown` where there is none here. */
+const REASON_AFTER_RUN: Readonly<Partial<Record<types.RefusalReason, types.RefusalReason>>> = {
+  [types.RefusalReason.TimedOutNotRun]: types.RefusalReason.TimedOut,
+};
+
+/**
+ * Creates the refusal for a reason, with the status that belongs to it. A reason whose status promises that the call
+ * has not run is replaced if it may have run.
+ *
+ * @param execution - what is known of the call, from where its sends are recorded
+ */
 export function createRefusal(
   reason: types.RefusalReason,
+  execution: types.Execution,
   retryAfterMs: number | null = null,
 ): types.Refusal {
-  return { reason, status: STATUS_BY_REASON[reason], retryAfterMs };
-}
-
-/** Creates the refusal of work under which servers have ended. */
-export function createBlameRefusal(blame: crashes.Blame): types.Refusal {
-  return createRefusal(types.RefusalReason.EndsServers, blame.retryAfterMs);
+  const status = STATUS_BY_REASON[reason];
+  if (!notRunPromises.promisesNotRun(status)) return { reason, status, retryAfterMs: null };
+  if (execution === types.Execution.NotRun) return { reason, status, retryAfterMs };
+  const reasonAfterRun = REASON_AFTER_RUN[reason] ?? types.RefusalReason.OutcomeUnknown;
+  return { reason: reasonAfterRun, status: STATUS_BY_REASON[reasonAfterRun], retryAfterMs: null };
 }
 
 /** Describes in log fields what the work has in common with others under which servers ended. */
--- a/src/relay/_lib/generationRun/index.ts
+++ b/src/relay/_lib/generationRun/index.ts
@@ -65,8 +65,8 @@
 
   /** Serves the generation and answers its caller. */
   async run(): Promise<void> {
-    const { clock } = this.context;
-    using scope = new attemptScopes.AttemptScope(clock, this.call.deadlineAtMs, this.call);
+    const { call, context } = this;
+    using scope = new attemptScopes.AttemptScope(context.clock, call.deadlineAtMs, call);
     try {
       await this.serve(scope);
     } finally {
@@ -194,10 +194,9 @@
     const hasBackup = this.continuation.backupTarget !== null;
     const { canResume } = this.continuation;
     if (this.scope === null || (!hasBackup && !canResume)) return null;
-    const { signal } = this.scope;
-    const { requestId } = this;
-    const { connector } = this.context;
-    const isReachable = await connector.isReachable(stream.server, { requestId, signal });
+    const { requestId, scope } = this;
+    const target = { requestId, signal: scope.signal };
+    const isReachable = await this.context.connector.isReachable(stream.server, target);
     if (isReachable) return null;
     const method = hasBackup ? "backup" : "resume";
     this.runLog.recordHandover(this.position, handovers.HandoverCause.Silent, method, 0);
@@ -291,9 +290,8 @@
   }
 
   private failWith(reason: types.RefusalReason): void {
-    const { call, context, position, sink } = this;
-    const { sends } = this.continuation;
-    failRuns.failRun(context, call, sink, { sends, reason, position });
+    const failure = { sends: this.continuation.sends, reason, position: this.position };
+    failRuns.failRun(this.context, this.call, this.sink, failure);
   }
 
   private get position(): runLogs.RunPosition {
--- a/src/relay/_lib/plainReplay/index.ts
+++ b/src/relay/_lib/plainReplay/index.ts
@@ -15,6 +15,7 @@
 import type * as callSink from "../callSink/index.js";
 import * as collectBodies from "../collectBody/index.js";
 import * as fixtures from "../fixtures/index.js";
+import type * as forwardableAnswers from "../forwardableAnswer/index.js";
 import * as heldBodies from "../heldBody/index.js";
 import * as plainCalls from "../plainCall/index.js";
 import * as replayServers from "../replayServer/index.js";
@@ -98,7 +99,7 @@
       canEndInTime: () => clock.nowMs() < (options.sendsUntilMs ?? Infinity),
     } as unknown as types.Call;
     const sink = {
-      answer: (status: number) => {
+      answer: ({ status }: forwardableAnswers.ForwardableAnswer) => {
         this.statuses.push(status);
         this.answerTimesMs.push(clock.nowMs() - arrivedAtMs);
       },
--- a/src/relay/_lib/sendBuffered/index.ts
+++ b/src/relay/_lib/sendBuffered/index.ts
@@ -1,3 +1,4 @@
+import * as notRunPromises from "../../../_lib/promisesNotRun/index.js";
 import type * as crashes from "../../../crashes/index.js";
 import * as routing from "../../../routing/index.js";
 import type * as serverLinks from "../../../serverLinks/index.js";
@@ -161,7 +162,8 @@
     const wasReached = outcome.wasSent || outcome.wasConnected === true;
     return wasReached ? servers.AttemptVerdict.Refused : servers.AttemptVerdict.Unreachable;
   }
-  const isFailure = outcome.head.status >= SERVER_ERROR_STATUS;
+  const { status } = outcome.head;
+  const isFailure = status >= SERVER_ERROR_STATUS || notRunPromises.promisesNotRun(status);
   return isFailure ? servers.AttemptVerdict.Failed : servers.AttemptVerdict.Served;
 }
 
--- a/src/relay/_lib/sendRecord/index.ts
+++ b/src/relay/_lib/sendRecord/index.ts
@@ -8,14 +8,6 @@
   { readonly kind: engineStreams.OpenKind.Answered | engineStreams.OpenKind.Unknown }
 >;
 
-/** The status that promises that a call has not run and never will. */
-const NOT_RUN_STATUS = 503;
-
-/** What a call is told that may have run, instead of a refusal that promises that it has not. */
-const REASON_AFTER_RUN: Readonly<Partial<Record<types.RefusalReason, types.RefusalReason>>> = {
-  [types.RefusalReason.TimedOutNotRun]: types.RefusalReason.TimedOut,
-};
-
 /**
  * What the sends of one generation have come to. Each ending of the call takes its refusal from here, so that none
  * says "not run" of a call that may have run at any of the servers that it was sent to.
@@ -32,8 +24,8 @@
   }
 
   /** Whether a server may have run the generation. */
-  get mayHaveRun(): boolean {
-    return this.ranIds.size > 0;
+  get execution(): types.Execution {
+    return this.ranIds.size > 0 ? types.Execution.MayHaveRun : types.Execution.NotRun;
   }
 
   /** Records the outcome of a send. */
@@ -45,8 +37,6 @@
 
   /** Creates the refusal for a reason, or for what is true of the call instead if it may have run. */
   createRefusal(reason: types.RefusalReason, retryAfterMs: number | null = null): types.Refusal {
-    const refusal = refusals.createRefusal(reason, retryAfterMs);
-    if (!this.mayHaveRun || refusal.status !== NOT_RUN_STATUS) return refusal;
-    return refusals.createRefusal(REASON_AFTER_RUN[reason] ?? types.RefusalReason.OutcomeUnknown);
+    return refusals.createRefusal(reason, this.execution, retryAfterMs);
   }
 }
--- a/src/relay/_lib/startRun/index.ts
+++ b/src/relay/_lib/startRun/index.ts
@@ -1,3 +1,4 @@
+import * as notRunPromises from "../../../_lib/promisesNotRun/index.js";
 import type * as crashes from "../../../crashes/index.js";
 import * as diagnostics from "../../../diagnostics/index.js";
 import * as dispatch from "../../../dispatch/index.js";
@@ -10,6 +11,7 @@
 import type * as callSink from "../callSink/index.js";
 import * as consumeRetries from "../consumeRetry/index.js";
 import * as engineStreams from "../engineStream/index.js";
+import * as forwardableAnswers from "../forwardableAnswer/index.js";
 import * as refusals from "../createRefusal/index.js";
 import * as placeRuns from "../placeRun/index.js";
 import * as sendRecords from "../sendRecord/index.js";
@@ -106,24 +108,37 @@
   if (!route.isResumable || ranIds.size >= route.maxServersCount) return false;
   if (outcome.kind === engineStreams.OpenKind.Unknown) return true;
   const { Answered } = engineStreams.OpenKind;
-  return outcome.kind === Answered && outcome.head.status >= SERVER_ERROR_STATUS;
+  if (outcome.kind !== Answered) return false;
+  const { status } = outcome.head;
+  return status >= SERVER_ERROR_STATUS || notRunPromises.promisesNotRun(status);
 }
 
 /** Answers a caller whose generation has no stream: with the last engine's failure, if there is one. */
 function answerFailure(ending: Ending, withheld: crashes.Blame | null): void {
   const { context, call, sink, sends } = ending;
   const failure = sends.lastFailure;
-  if (failure?.kind === engineStreams.OpenKind.Answered && !failure.body.wasEvicted) {
-    sink.answer(failure.head.status, failure.head.forwardedHeaders, failure.body);
-    logFailure(context, call, failure.serverId, failure.head.status);
+  const isAnswered = failure?.kind === engineStreams.OpenKind.Answered;
+  const answer = isAnswered ? forwardableAnswers.ForwardableAnswer.from(call, failure) : null;
+  if (isAnswered && answer !== null) {
+    sink.answer(answer);
+    logFailure(context, call, failure.serverId, answer.status);
   } else if (withheld !== null) {
     withhold(ending, withheld);
   } else {
     const reason = types.RefusalReason.ServersRefused;
-    refuse(ending, sends.createRefusal(reason, constants.DEFAULT_RETRY_AFTER_MS));
+    const refusal = sends.createRefusal(reason, constants.DEFAULT_RETRY_AFTER_MS);
+    refuse(ending, refusal, isAnswered ? describeAnswer(failure) : {});
   }
 }
 
+/** Describes in log fields an answer that is not forwarded. */
+function describeAnswer(answer: {
+  readonly serverId: string;
+  readonly head: types.AnswerHead;
+}): diagnostics.LogFields {
+  return { serverId: answer.serverId, serverStatus: answer.head.status };
+}
+
 function logCallerDisconnected(context: relayContext.RelayContext, call: types.Call): void {
   context.log.record(Importance.Notable, LogEvent.CallerGone, {
     requestId: call.head.id,
@@ -199,8 +214,8 @@
 
 /** Refuses a call under whose like servers have ended. */
 function withhold(ending: Ending, blame: crashes.Blame): void {
-  const { reason, retryAfterMs } = refusals.createBlameRefusal(blame);
-  refuse(ending, ending.sends.createRefusal(reason, retryAfterMs), refusals.describeBlame(blame));
+  const refusal = ending.sends.createRefusal(types.RefusalReason.EndsServers, blame.retryAfterMs);
+  refuse(ending, refusal, refusals.describeBlame(blame));
 }
 
 function refuse(
--- a/src/relay/plainRelay/index.ts
+++ b/src/relay/plainRelay/index.ts
@@ -47,7 +47,7 @@
     refusal: callGates.CallGateRefusal,
   ): void {
     const reason = types.RefusalReason.BeyondShare;
-    const answer = refusals.createRefusal(reason, refusal.retryAfterMs);
+    const answer = refusals.createRefusal(reason, types.Execution.NotRun, refusal.retryAfterMs);
     answerRefusals.answerRefusal(this.context, call, sink, answer, {
       account: call.account?.name,
       sharePerSecond: roundRate(refusal.sharePerSecond),
--- a/src/relay/types.ts
+++ b/src/relay/types.ts
@@ -187,6 +187,13 @@
   InternalError = "internal-error",
 }
 
+/** What is known of whether a call has run. */
+export enum Execution {
+  /** It was sent to no server, or each server that it was sent to has stated that it did not run it. */
+  NotRun = "not-run",
+  MayHaveRun = "may-have-run",
+}
+
 /** An answer that this VM gives instead of a server's. */
 export interface Refusal {
   readonly reason: RefusalReason;
