Promise nothing for a service's 408, 421, 429 or 503 in chiveferryd

A caller without a key that obeys a 503 runs the call twice. Change: such an answer becomes the error backend-failed (502) with the execution unknown, in the one place that all results of once-only calls pass, replayed ones too. The outcome of the key is kept as before, so that nothing runs again.

--- a/src/calls/calls/index.ts
+++ b/src/calls/calls/index.ts
@@ -23,6 +23,7 @@
 import * as onceOnlyCaller from "../_lib/onceOnlyCaller/index.js";
 import * as serverPool from "../_lib/serverPool/index.js";
 import * as snapshotParts from "../_lib/snapshotParts/index.js";
+import * as withholdPromises from "../_lib/withholdPromise/index.js";
 import * as applyCallRecord from "../applyCallRecord/index.js";
 import * as constants from "../constants.js";
 import * as createCallsState from "../createCallsState/index.js";
@@ -129,11 +130,21 @@
     await this.store[Symbol.asyncDispose]();
   }
 
-  private route(request: types.CallRequest, deadlineAtMs: number): Promise<callErrors.CallResult> {
-    const { entry, idempotencyKey } = request;
-    if (entry.semantics === catalogue.CallSemantics.Idempotent) {
+  private async route(
+    request: types.CallRequest,
+    deadlineAtMs: number,
+  ): Promise<callErrors.CallResult> {
+    if (request.entry.semantics === catalogue.CallSemantics.Idempotent)
       return this.idempotent.call(request, deadlineAtMs);
-    }
+    const result = await this.callOnce(request, deadlineAtMs);
+    return result.andThen(withholdPromises.withholdPromise);
+  }
+
+  private callOnce(
+    request: types.CallRequest,
+    deadlineAtMs: number,
+  ): Promise<callErrors.CallResult> {
+    const { entry, idempotencyKey } = request;
     if (idempotencyKey === null) {
       if (entry.keyRequired)
         return Promise.resolve(refuseKey(`entry ${entry.name} requires an idempotency key`));
--- a/src/calls/calls/test.ts
+++ b/src/calls/calls/test.ts
@@ -3,6 +3,7 @@
 import * as callsFleet from "../../../standins/calls/index.js";
 import * as logModel from "../../../standins/log/model/index.js";
 import * as serviceClients from "../../../standins/service/clients/index.js";
+import * as stepError from "../../_lib/stepError/index.js";
 import * as catalogue from "../../catalogue/index.js";
 import * as platform from "../../controlPlane/types.js";
 
@@ -255,3 +256,24 @@
     await fleet[Symbol.asyncDispose]();
   },
 );
+
+// Guards against a status that tells the caller to send a call again, although the service has run it.
+for (const statusCode of [408, 421, 429, 503]) {
+  tap.test(`a ${statusCode} of a service that has run a call promises nothing`, async (t) => {
+    const fleet = await startFleet("dc-a", "dc-b");
+    fleet.service.answerWith = { statusCode };
+    const [left, right] = fleet.vms;
+    for (const [vm, key] of [
+      [left!, "key-1"],
+      [right!, "key-1"],
+      [left!, null],
+    ] as const) {
+      const request = fleet.request(key, "body", { keyRequired: key !== null });
+      const result = await fleet.settle(vm.calls.call(request));
+      t.equal(getOutcome(result), "unknown");
+      t.equal(result.isErr() && result.error.code, stepError.ErrorCode.BackendFailed);
+    }
+    t.equal(fleet.service.executionsByKey.get("key-1"), 1);
+    await fleet[Symbol.asyncDispose]();
+  });
+}
