Stop a run by an order when it goes on at another engine

Cause: a closed connection was taken for a stopped run. Engines need not drop a run then. Continuations after broken or silent streams and second attempts of resumable requests rested on the same guess. Change: RunContinuation.endAt is the one place that ends a run at the engine before. endRun closes nothing by itself: it orders the engine to stop the run (the last copy of its memory), 40 ms after the close, and repeats the order for 2 s until the engine says that it has no such run or has stopped it. Orders have connections of their own; run-stopped lines. The switch to a backup and the continuation after a break moved to RunContinuation unchanged. The stand-in movableStreams keeps runs by engine and request, as both engines may have the same one, and can keep backups and closed runs.

--- a/src/diagnostics/types.ts
+++ b/src/diagnostics/types.ts
@@ -81,6 +81,8 @@
   /** A new run goes on at another engine after the last event that the caller has. */
   StreamResumed = "stream-resumed",
   MemoryCopied = "memory-copied",
+  /** An engine at which a run does not go on was told to stop it. */
+  RunStopped = "run-stopped",
   CarriedOn = "carried-on",
   StreamBroken = "stream-broken",
   /** A stopping VM could not finish a call that it had taken. */
--- a/src/relay/_lib/generationRun/index.ts
+++ b/src/relay/_lib/generationRun/index.ts
@@ -175,7 +175,7 @@
       return null;
     }
     if (hasBackup) {
-      const next = await this.switchToBackup(stream);
+      const next = await this.continuation.switchToBackup(stream, () => this.isFinished);
       if (next !== null || stream.isClosedLocally || this.isFinished) return next;
       // Runs of other VMs wait for this one only when they know that it has no backup.
       this.claims.releaseBackup();
@@ -200,30 +200,14 @@
     if (isReachable) return null;
     const method = hasBackup ? "backup" : "resume";
     this.runLog.recordHandover(this.position, handovers.HandoverCause.Silent, method, 0);
-    const next = hasBackup ? await this.switchToBackup(stream) : null;
+    const isFinished = (): boolean => this.isFinished;
+    const next = hasBackup ? await this.continuation.switchToBackup(stream, isFinished) : null;
     if (next !== null || stream.isClosedLocally || this.isFinished || !canResume) return next;
     // Closed first, so that the generation does not run on two engines at a time.
     stream.close();
-    return this.continuation.resume(stream.server, resumeRuns.ResumeCause.Silent);
-  }
-
-  /**
-   * Continues from the backup while the old stream is still open, and closes the old stream once the
-   * new one is open, so that the run is not lost if the backup does not exist. The run executes
-   * on both engines for at most `MAX_OVERLAP_MS`; duplicate events are dropped by their ids.
-   */
-  private async switchToBackup(
-    stream: engineStreams.EngineStream,
-  ): Promise<engineStreams.EngineStream | null> {
-    const target = this.continuation.backupTarget;
-    if (target === null || !(await this.continuation.awaitTurn(target))) return null;
-    const { clock } = this.context;
-    const closeTimer = clock.schedule(constants.MAX_OVERLAP_MS, () => stream.close());
-    const next = await this.continuation.open(target, () => !this.isFinished);
-    closeTimer[Symbol.dispose]();
-    if (next !== null && this.isFinished) next.close();
-    else if (next !== null) stream.close();
-    return next;
+    const resumed = await this.continuation.resume(stream.server, resumeRuns.ResumeCause.Silent);
+    if (resumed !== null) this.continuation.endAt(stream, resumed.server);
+    return resumed;
   }
 
   private async migrate(
@@ -265,11 +249,7 @@
     }
     const next = handover === null ? null : await handover;
     this.handover = null;
-    if (next !== null) return next;
-    // A stream that this VM has closed was handed over in vain; the backup is not tried again.
-    const target = previous.isClosedLocally ? null : this.continuation.backupTarget;
-    const continued = target === null ? null : await this.continuation.openInTurn(target);
-    return continued ?? this.continuation.resume(previous.server, resumeRuns.ResumeCause.Broken);
+    return next ?? this.continuation.continueAfter(previous);
   }
 
   private finish(): void {
--- a/src/relay/_lib/handoverFixture/index.ts
+++ b/src/relay/_lib/handoverFixture/index.ts
@@ -79,6 +79,7 @@
     }),
   });
   const control: types.EngineControl = {
+    stopRun: () => Promise.resolve(types.StopOutcome.NoSuchRun),
     copyRunMemory: (_from, to, _id, { stopsRun }) => {
       transfers.push({ to: to.id, stopsRun, atMs: clock.nowMs() });
       const failure = outcomeOf(to.id, stopsRun);
--- a/src/relay/_lib/runContinuation/index.ts
+++ b/src/relay/_lib/runContinuation/index.ts
@@ -1,7 +1,9 @@
 import * as servers from "../../../servers/index.js";
+import * as constants from "../../constants.js";
 import type * as relayContext from "../../relayContext.js";
 import type * as types from "../../types.js";
 import type * as attemptScopes from "../attemptScope/index.js";
+import * as endRuns from "../endRun/index.js";
 import * as engineStreams from "../engineStream/index.js";
 import type * as eventSequences from "../eventSequence/index.js";
 import * as handovers from "../handover/index.js";
@@ -25,6 +27,10 @@
 export class RunContinuation {
   /** What the sends of the generation have come to. */
   readonly sends = new sendRecords.SendRecord(new Set());
+  /** Streams at whose engines the run was ended. */
+  private readonly endedStreams = new WeakSet<engineStreams.EngineStream>();
+  /** What ends the run at engines, by their ids; aborted where it goes on again. */
+  private readonly endings = new Map<string, AbortController>();
   /** Null until the first stream is open. */
   scope: attemptScopes.AttemptScope | null = null;
 
@@ -88,6 +94,7 @@
     const { claims, runLog, sequence, timing } = this.parts;
     if (scope === null) return null;
     const server = context.directory.find(target.server.id)?.entry ?? target.server;
+    this.endings.get(server.id)?.abort();
     const backup = claims.selectBackup(server.id, sequence.lastEventId);
     const outcome = await engineStreams.openStream(context, call, {
       server,
@@ -110,6 +117,53 @@
     return outcome.stream;
   }
 
+  /**
+   * Continues from the backup while the old stream is still open, and ends the run at its engine once the new one
+   * is open, so that the run is not lost if the backup does not exist. The run executes on both engines for little
+   * more than `MAX_OVERLAP_MS` at most; duplicate events are dropped by their ids.
+   *
+   * @param isFinished - whether the old stream has ended with its last event meanwhile
+   */
+  async switchToBackup(
+    stream: engineStreams.EngineStream,
+    isFinished: () => boolean,
+  ): Promise<engineStreams.EngineStream | null> {
+    const target = this.backupTarget;
+    if (target === null || !(await this.awaitTurn(target))) return null;
+    const end = (): void => this.endAt(stream, target.server);
+    const closeTimer = this.context.clock.schedule(constants.MAX_OVERLAP_MS, end);
+    const next = await this.open(target, () => !isFinished());
+    closeTimer[Symbol.dispose]();
+    if (next !== null && isFinished()) next.close();
+    else if (next !== null) end();
+    return next;
+  }
+
+  /** Goes on at another engine after a stream has ended before the run: from the backup, or by a new run. */
+  async continueAfter(
+    previous: engineStreams.EngineStream,
+  ): Promise<engineStreams.EngineStream | null> {
+    // A stream that this VM has closed was handed over in vain; the backup is not tried again.
+    const target = previous.isClosedLocally ? null : this.backupTarget;
+    const continued = target === null ? null : await this.openInTurn(target);
+    const next = continued ?? (await this.resume(previous.server, resumeRuns.ResumeCause.Broken));
+    if (next !== null) this.endAt(previous, next.server);
+    return next;
+  }
+
+  /** Closes a stream, and makes sure that the run ends at its engine, as it goes on at another. */
+  endAt(stream: engineStreams.EngineStream, nextServer: servers.ServerEntry): void {
+    if (this.endedStreams.has(stream)) return;
+    this.endedStreams.add(stream);
+    const { server } = stream;
+    if (!stream.isClosedLocally) stream.close();
+    const ending = new AbortController();
+    this.endings.set(server.id, ending);
+    const { signal } = ending;
+    const { id: requestId } = this.call.head;
+    void endRuns.endRun(this.context, { requestId, server, nextServer, signal });
+  }
+
   /** Resumes the stream by a new run on another engine, if the route allows it. */
   async resume(
     from: servers.ServerEntry,
--- a/src/relay/_lib/startRun/index.ts
+++ b/src/relay/_lib/startRun/index.ts
@@ -1,6 +1,7 @@
 import * as notRunPromises from "../../../_lib/promisesNotRun/index.js";
 import type * as crashes from "../../../crashes/index.js";
 import * as diagnostics from "../../../diagnostics/index.js";
+import type * as servers from "../../../servers/index.js";
 import * as dispatch from "../../../dispatch/index.js";
 import * as constants from "../../constants.js";
 import type * as engineDispatcher from "../../engineDispatcher/index.js";
@@ -10,6 +11,7 @@
 import type * as attemptScopes from "../attemptScope/index.js";
 import type * as callSink from "../callSink/index.js";
 import * as consumeRetries from "../consumeRetry/index.js";
+import * as endRuns from "../endRun/index.js";
 import * as engineStreams from "../engineStream/index.js";
 import * as forwardableAnswers from "../forwardableAnswer/index.js";
 import * as refusals from "../createRefusal/index.js";
@@ -78,7 +80,10 @@
     const serverId = placed.value.server.entry.id;
     const outcome = await placeRuns.openPlacedRun(context, call, start, placed.value);
     sends.record(serverId, outcome);
-    if (outcome.kind === engineStreams.OpenKind.Open) return outcome;
+    if (outcome.kind === engineStreams.OpenKind.Open) {
+      endEarlierRuns(context, call, outcome.stream.server, sends);
+      return outcome;
+    }
     if (scope.signal.aborted) {
       answerTimeout(ending, scope);
       return null;
@@ -99,6 +104,20 @@
   return null;
 }
 
+/** Ends the runs at engines that may have begun the generation before the one that streams it. */
+function endEarlierRuns(
+  context: relayContext.RelayContext,
+  { head }: types.Call,
+  nextServer: servers.ServerEntry,
+  { ranIds }: sendRecords.SendRecord,
+): void {
+  for (const serverId of ranIds) {
+    const server = context.directory.find(serverId)?.entry;
+    if (server === undefined || serverId === nextServer.id) continue;
+    void endRuns.endRun(context, { requestId: head.id, server, nextServer });
+  }
+}
+
 /** Whether a generation that may have run, and has failed, may run on another engine. */
 function canRunAgain(
   { route }: types.Call,
--- a/src/relay/constants.ts
+++ b/src/relay/constants.ts
@@ -117,6 +117,18 @@
 /** Longest time for which a run may execute on two engines; the platform's limit is 400 ms. */
 export const MAX_OVERLAP_MS = 250;
 
+/** Time in which an engine that drops runs whose connection is closed has done so. */
+export const RUN_DROP_DELAY_MS = 40;
+
+/** Timeout of an order to stop a run, whose answer may come only after a copy of the run's memory. */
+export const STOP_TIMEOUT_MS = 1_000;
+
+/** First delay after which an order to stop a run is repeated that an engine has not answered; it doubles. */
+export const STOP_RETRY_DELAY_MS = 50;
+
+/** Time for which such orders are repeated; a run at an engine that cannot be reached may go on for longer. */
+export const STOP_LIMIT_MS = 2_000;
+
 /** Timeout for an engine to close the stream of a run that it has stopped. */
 export const STOPPED_STREAM_CLOSE_TIMEOUT_MS = 120;
 
--- a/src/relay/types.ts
+++ b/src/relay/types.ts
@@ -141,8 +141,29 @@
   Unreachable = "unreachable",
 }
 
+/** What is known of a run at an engine that was told to stop it. */
+export enum StopOutcome {
+  Stopped = "stopped",
+  /** The engine does not execute the run. */
+  NoSuchRun = "no-such-run",
+  /** The engine has not answered, or cannot say now. */
+  Unknown = "unknown",
+}
+
 /** Operations on engines other than executing calls. */
 export interface EngineControl {
+  /**
+   * Stops a run, also at an engine that does not drop runs whose connection is closed. Resolves when the engine
+   * has answered, or at the timeout.
+   *
+   * @param options.copyTo - another engine; orders that stop a run also copy its memory
+   */
+  stopRun(
+    server: servers.ServerEntry,
+    requestId: string,
+    options: { readonly copyTo: servers.ServerEntry; readonly timeoutMs: number },
+  ): Promise<StopOutcome>;
+
   /**
    * Copies the memory of a run to another engine. Resolves when the copy is complete or failed.
    *
--- a/standins/platform/movableStreams/index.ts
+++ b/standins/platform/movableStreams/index.ts
@@ -29,8 +29,22 @@
   continued: number;
 }
 
-/** Length and timing of the streams. */
-export type MovableScript = Pick<backendServers.StreamScript, "eventsCount" | "gapMs">;
+/** Length and timing of the streams, and how engines treat their runs. */
+export interface MovableScript extends Pick<backendServers.StreamScript, "eventsCount" | "gapMs"> {
+  /** Whether engines work on runs whose connection is closed; by default they drop them. */
+  readonly keepsClosedRuns?: boolean;
+  /** Whether engines keep the backups that runs ask for; by default they keep none. */
+  readonly keepsBackups?: boolean;
+}
+
+/** A time in which an engine worked on a run. */
+export interface WorkSpan {
+  readonly requestId: string;
+  readonly serverId: string;
+  readonly firstEventId: number;
+  readonly fromMs: number;
+  toMs: number | null;
+}
 
 /**
  * The streams of engines that transfer the memory of their runs to each other. The last copy stops a run, and its
@@ -42,6 +56,8 @@
     [Framing.Chunked]: { stopped: 0, continued: 0 },
     [Framing.None]: { stopped: 0, continued: 0 },
   };
+  /** What engines have worked on, in order of its begin; its times are of `performance.now()`. */
+  readonly spans: WorkSpan[] = [];
   private readonly runs = new Map<string, Run>();
   private readonly copies = new Map<string, Run>();
 
@@ -52,7 +68,7 @@
     server: backendServers.BackendServer,
     framing: backendServers.Framing,
   ): backendServers.Behaviour {
-    server.transferMemory = (call, response) => this.transfer(call, response);
+    server.transferMemory = (call, response) => this.transfer(call, response, server);
     return (call, response, self) => this.stream(call, response, self, framing);
   }
 
@@ -71,42 +87,61 @@
     const { socket } = response;
     const lastEventId = Number(call.headers[HEADERS.lastEventId.toLowerCase()] ?? 0);
     const run = { server, socket, framing, producedCount: lastEventId, isStopped: false };
-    this.runs.set(call.id, run);
+    const runKey = runKeyOf(server, call.id);
+    this.runs.set(runKey, run);
     response.useChunkedEncodingByDefault = framing === Framing.Chunked;
     const connection = framing === Framing.None ? { Connection: "close" } : {};
     const headers = { ...server.createAnswerHeaders(call), ...EVENT_STREAM, ...connection };
     response.writeHead(200, headers);
-    while (run.producedCount < this.script.eventsCount) {
-      if (response.destroyed || run.isStopped) return;
+    const hasBackup = call.headers[HEADERS.backupAddress.toLowerCase()] !== undefined;
+    if (hasBackup && this.script.keepsBackups === true) this.copies.set(call.id, run);
+    const span: WorkSpan = {
+      ...{ requestId: call.id, serverId: server.id, firstEventId: lastEventId + 1 },
+      ...{ fromMs: performance.now(), toMs: null },
+    };
+    this.spans.push(span);
+    const hasDropped = await this.work(call.id, run, response);
+    span.toMs = performance.now();
+    if (this.runs.get(runKey) === run) this.runs.delete(runKey);
+    if (!hasDropped && !run.isStopped) response.end();
+  }
+
+  /** Produces the events of a run; returns whether the run was dropped as its connection was closed. */
+  private async work(requestId: string, run: Run, response: http.ServerResponse): Promise<boolean> {
+    const { eventsCount, gapMs, keepsClosedRuns = false } = this.script;
+    while (run.producedCount < eventsCount && !run.isStopped) {
+      if (response.destroyed && !keepsClosedRuns) return true;
       run.producedCount += 1;
-      response.write(`id: ${run.producedCount}\ndata: ${call.id}-${run.producedCount}\n\n`);
-      await new Promise((resolve) => setTimeout(resolve, this.script.gapMs));
+      const event = `id: ${run.producedCount}\ndata: ${requestId}-${run.producedCount}\n\n`;
+      if (!response.destroyed) response.write(event);
+      await new Promise((resolve) => setTimeout(resolve, gapMs));
     }
-    if (run.isStopped) return;
-    if (this.runs.get(call.id) === run) this.runs.delete(call.id);
-    response.end();
+    return false;
   }
 
   private async transfer(
     call: backendServers.ReceivedCall,
     response: http.ServerResponse,
+    server: backendServers.BackendServer,
   ): Promise<void> {
     const { id, last } = JSON.parse(call.body.toString()) as { id: string; last: boolean };
-    const run = this.runs.get(id);
+    const runKey = runKeyOf(server, id);
+    const run = this.runs.get(runKey);
     if (run === undefined) {
       response.writeHead(404).end();
       return;
     }
-    if (last) this.stop(id, run);
+    if (last) this.stop(runKey, run);
     await new Promise((resolve) => setTimeout(resolve, COPY_MS));
-    this.copies.set(id, run);
-    const answer = { kv_handle: id, created: run.producedCount };
+    const handle = `copy-${id}`;
+    this.copies.set(handle, run);
+    const answer = { kv_handle: handle, created: run.producedCount };
     response.writeHead(200, { "Content-Type": "application/json" }).end(JSON.stringify(answer));
   }
 
-  private stop(id: string, run: Run): void {
+  private stop(runKey: string, run: Run): void {
     run.isStopped = true;
-    this.runs.delete(id);
+    this.runs.delete(runKey);
     this.counts[run.framing].stopped += 1;
     run.socket?.end();
   }
@@ -121,3 +156,8 @@
     return true;
   }
 }
+
+/** Identifies a run at one engine; the same request may also run at another. */
+function runKeyOf({ id }: backendServers.BackendServer, requestId: string): string {
+  return `${id} ${requestId}`;
+}
