Answer bytes that are no request after the request in progress

Cause: a parser's error was answered at once, whether or not an answer was on its way. Change: PendingAnswers knows which requests of a connection wait for their answers. The 400 comes when all complete ones are answered; a request whose own body cannot be parsed is answered at once, and closed without a 400 if its answer has begun. Result: gateway/malformedBehindRequest: two of its first three tests failed before; all four pass.

--- a/src/gateway/_lib/answerErrors/index.ts
+++ b/src/gateway/_lib/answerErrors/index.ts
@@ -4,6 +4,7 @@
 import * as diagnostics from "../../../diagnostics/index.js";
 import * as relay from "../../../relay/index.js";
 import type * as types from "../../types.js";
+import type * as pendingAnswers from "../pendingAnswers/index.js";
 
 /** HTTP status lines for input that cannot be parsed, by the parser's error code. */
 const MALFORMED_STATUS: Readonly<Partial<Record<string, string>>> = {
@@ -36,17 +37,32 @@
   response.writeHead(status, { "Content-Length": 0, Connection: "close" }).end();
 }
 
-/** Answers input that cannot be parsed, as far as the connection allows, and closes the connection. */
+/**
+ * Answers input that cannot be parsed, as far as the connection allows, and closes the connection. The answer comes
+ * after those to the complete requests before it, as their callers would take it for one of those.
+ */
 export function answerMalformed(
+  ports: Pick<types.GatewayPorts, "log">,
+  error: NodeJS.ErrnoException,
+  socket: net.Socket,
+  pending: pendingAnswers.PendingAnswers,
+): void {
+  pending.endAfterComplete(socket, () => {
+    closeMalformed(ports, error, socket, !pending.hasBegunAnswer(socket));
+  });
+}
+
+function closeMalformed(
   { log }: Pick<types.GatewayPorts, "log">,
   error: NodeJS.ErrnoException,
   socket: net.Socket,
+  canAnswer: boolean,
 ): void {
   const status = MALFORMED_STATUS[error.code ?? ""] ?? "400 Bad Request";
   log.record(diagnostics.Importance.Notable, diagnostics.LogEvent.MalformedInput, {
     code: error.code ?? error.message,
   });
-  const isAnswerable = socket.writable && error.code !== "ECONNRESET";
+  const isAnswerable = canAnswer && socket.writable && error.code !== "ECONNRESET";
   if (isAnswerable) {
     socket.end(`HTTP/1.1 ${status}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`);
   } else {
--- a/src/gateway/callerServer/index.ts
+++ b/src/gateway/callerServer/index.ts
@@ -15,6 +15,7 @@
 import * as discardedBodies from "../_lib/discardBody/index.js";
 import * as headLimits from "../_lib/headLimits/index.js";
 import * as listening from "../../processes/listenWhenFree/index.js";
+import * as pendingAnswers from "../_lib/pendingAnswers/index.js";
 import * as shutdownAdmissions from "../_lib/shutdownAdmission/index.js";
 import * as constants from "../constants.js";
 import type * as currentView from "../currentView/index.js";
@@ -45,6 +46,7 @@
   private readonly shutdown: shutdownAdmissions.ShutdownAdmission;
   private readonly order = new connectionOrders.ConnectionOrder();
   private readonly headLimits: headLimits.HeadLimits;
+  private readonly pendingAnswers = new pendingAnswers.PendingAnswers();
   private activeCount = 0;
 
   constructor(private readonly context: CallerServerContext) {
@@ -59,7 +61,7 @@
     this.server.requestTimeout = 0;
     this.server.keepAliveTimeout = constants.DEFAULT_IDLE_TIMEOUT_MS + constants.IDLE_MARGIN_MS;
     this.server.on("clientError", (error: NodeJS.ErrnoException, socket: net.Socket) =>
-      answerErrors.answerMalformed(context.ports, error, socket),
+      answerErrors.answerMalformed(context.ports, error, socket, this.pendingAnswers),
     );
   }
 
@@ -128,6 +130,7 @@
     const arrivedAtMs = clock.nowMs();
     if (this.headLimits.wasRaisedFor(socket)) response.shouldKeepAlive = false;
     this.activeCount += 1;
+    this.pendingAnswers.add(request, response);
     closeQueuedAnswers.closeQueuedAnswer(socket, response);
     response.once("close", () => {
       this.activeCount -= 1;
