Keep the time limit of a tunnel's opening when garbage is collected

Cause: the limit was AbortSignal.timeout, to which only AbortSignal.any referred. Change: limitSignal, whose timer the clock holds; the limit is disposed of when the tunnel is open or refused. The other uses of AbortSignal.any join signals of controllers that are held elsewhere, and were read.

--- a/src/serverLinks/_lib/openTunnel/index.ts
+++ b/src/serverLinks/_lib/openTunnel/index.ts
@@ -4,6 +4,7 @@
 import * as neverthrow from "neverthrow";
 
 import type * as clocks from "../../../_lib/clock/index.js";
+import * as limitSignals from "../../../_lib/limitSignal/index.js";
 import * as constants from "../../constants.js";
 import * as types from "../../types.js";
 import * as connections from "../openConnection/index.js";
@@ -34,26 +35,35 @@
   request: types.TunnelRequest,
   { clock, dial, signal }: TunnelOptions,
 ): Promise<neverthrow.Result<net.Socket, types.TunnelFailure>> {
-  const timeout = AbortSignal.timeout(constants.TUNNEL_TIMEOUT_MS);
-  const bounded = AbortSignal.any([signal, timeout]);
-  const options = { clock, timeoutMs: constants.CONNECT_TIMEOUT_MS, signal: bounded };
+  using limited = limitSignals.limitSignal(clock, signal, constants.TUNNEL_TIMEOUT_MS);
+  const options = { clock, timeoutMs: constants.CONNECT_TIMEOUT_MS, signal: limited.signal };
   const opened = await connections.openConnection(dial, peer, options);
   if (opened.isErr()) return neverthrow.err(describeUnavailable(opened.error));
+  return await requestTunnel(vmName, request, opened.value, limited.signal);
+}
+
+/** Asks for a tunnel on a connection to a peer. */
+function requestTunnel(
+  vmName: string,
+  request: types.TunnelRequest,
+  connection: net.Socket,
+  signal: AbortSignal,
+): Promise<neverthrow.Result<net.Socket, types.TunnelFailure>> {
   return new Promise((resolve) => {
     const fail = (failure: types.TunnelFailure): void => {
-      opened.value.destroy();
+      connection.destroy();
       resolve(neverthrow.err(failure));
     };
     const onAbort = (): void => fail(describeUnavailable("aborted while the tunnel was opened"));
     const outgoing = http.request({
-      createConnection: () => opened.value,
+      createConnection: () => connection,
       method: "CONNECT",
       path: tunnelRequests.encodeTarget(request.server),
       headers: tunnelRequests.encodeHeaders(vmName, request),
     });
-    bounded.addEventListener("abort", onAbort, { once: true });
+    signal.addEventListener("abort", onAbort, { once: true });
     outgoing.once("connect", (answer, socket: net.Socket, head) => {
-      bounded.removeEventListener("abort", onAbort);
+      signal.removeEventListener("abort", onAbort);
       if (answer.statusCode !== OK_STATUS) {
         const { statusCode = 0 } = answer;
         fail({
