Keep engines that turn requests for other weights away

Cause: a 421 was taken for the statement that another server has the address. Change: a server counts as replaced if the 421 names another server, or names none and the request expects no version. A changed test: wireCodec's, by the new name of the field (isMisdirected), with the same values. Result: gateway/otherWeights failed with the former rule put back (a draft was not served, an engine was noted as leaving) and passes.

--- a/src/gateway/_lib/observeAnswerHeads/index.ts
+++ b/src/gateway/_lib/observeAnswerHeads/index.ts
@@ -24,7 +24,7 @@
   return (server, head, peer) => {
     const { isLeaving, retryAfterMs, ratePerSecond, maxRejectionsPerSecond } = head;
     // Whichever server answered, it speaks for itself.
-    if (head.isOtherServer) return;
+    if (head.isMisdirected) return;
     const isRejection = head.isNotRun && head.status === UNAVAILABLE_STATUS;
     overloadGuard.recordAnswer(server, { maxRejectionsPerSecond, isRejection });
     const { id: serverId, bornAtWallMs } = server;
--- a/src/relay/_lib/engineStream/index.ts
+++ b/src/relay/_lib/engineStream/index.ts
@@ -6,6 +6,7 @@
 import * as collectBodies from "../collectBody/index.js";
 import type * as heldBodies from "../heldBody/index.js";
 import * as eventStreams from "../eventStream/index.js";
+import * as serverReplacements from "../isServerReplaced/index.js";
 import * as openAttempts from "../openAttempt/index.js";
 import * as sendGates from "../sendGate/index.js";
 
@@ -129,7 +130,8 @@
     watched[Symbol.dispose]();
     opening.close();
     const cause = `status ${head.status}`;
-    return { kind: OpenKind.NotRun, cause, wasSent: true, isOtherServer: head.isOtherServer };
+    const isOtherServer = serverReplacements.isServerReplaced(call, server, head);
+    return { kind: OpenKind.NotRun, cause, wasSent: true, isOtherServer };
   }
   if (head.status === OK_STATUS) {
     watched.recordBegin();
--- a/src/relay/_lib/sendBuffered/index.ts
+++ b/src/relay/_lib/sendBuffered/index.ts
@@ -8,6 +8,7 @@
 import * as headFaults from "../findHeadFault/index.js";
 import * as collectBodies from "../collectBody/index.js";
 import type * as heldBodies from "../heldBody/index.js";
+import * as serverReplacements from "../isServerReplaced/index.js";
 import * as openAttempts from "../openAttempt/index.js";
 import * as sendGates from "../sendGate/index.js";
 
@@ -130,7 +131,7 @@
   }
   const head = codec.decodeAnswer(opening.message);
   onAnswerHead(options.server, head, opening.peer);
-  const outcome = classifyHead(call, head);
+  const outcome = classifyHead(call, options.server, head);
   if (outcome !== null) {
     // Its body is of no use.
     opening.close();
@@ -168,11 +169,15 @@
 }
 
 /** Returns the outcome of an answer whose head alone decides; null if its body is needed. */
-function classifyHead(call: types.Call, head: types.AnswerHead): SendOutcome | null {
+function classifyHead(
+  call: types.Call,
+  server: servers.ServerEntry,
+  head: types.AnswerHead,
+): SendOutcome | null {
   const fault = headFaults.findHeadFault(call, head);
   if (fault !== null) return createUnknown(fault);
   if (!head.isNotRun) return null;
-  const { isOtherServer } = head;
+  const isOtherServer = serverReplacements.isServerReplaced(call, server, head);
   return { kind: SendKind.NotRun, cause: `status ${head.status}`, wasSent: true, isOtherServer };
 }
 
--- a/src/relay/types.ts
+++ b/src/relay/types.ts
@@ -30,6 +30,8 @@
   readonly timeLeftMs: number | null;
   /** Id of the last event that the caller has of the stream; 0 if it has none. */
   readonly lastEventId: number;
+  /** Whether only engines with a certain version of the model's weights may run it. */
+  readonly expectsVersion: boolean;
   /** Headers to forward, as alternating names and values. */
   readonly forwardedHeaders: readonly string[];
   readonly generation: GenerationRequest | null;
@@ -94,8 +96,10 @@
   readonly isSigned: boolean;
   /** Whether the server states that it did not execute the call. */
   readonly isNotRun: boolean;
-  /** Whether a server other than the expected one now has the address. */
-  readonly isOtherServer: boolean;
+  /** Whether the server states that the call is not for it: it is another one, or has other weights. */
+  readonly isMisdirected: boolean;
+  /** Id of the server as it names itself; null if it does not. */
+  readonly serverId: string | null;
   /** Whether the body has a content encoding, which no server uses. */
   readonly isEncoded: boolean;
   /** Whether all headers to forward can be written; the parser lets names through that are none. */
