Follow the new name of a field in the property of answers' heads

Cause: the property that draws heads still drew the field by its former name (isOtherServer). Change: it draws isMisdirected; what is checked is unchanged.

--- a/src/relay/spoiledInput/test.ts
+++ b/src/relay/spoiledInput/test.ts
@@ -57,7 +57,7 @@
   const flags = {
     isSigned: fc.boolean(),
     isNotRun: fc.boolean(),
-    isOtherServer: fc.boolean(),
+    isMisdirected: fc.boolean(),
     isEncoded: fc.boolean(),
     isWritable: fc.boolean(),
     isLeaving: fc.boolean(),
