--- a/src/relay/_lib/endRun/index.ts
+++ b/src/relay/_lib/endRun/index.ts
@@ -24,8 +24,8 @@
 }
 
 /**
- * Makes sure that a run ends at an engine whose connection is closed. Most engines drop a run then, but not all, so
- * that the engine is told to stop it until it says that it does not execute it.
+ * Makes sure that a run ends at an engine whose connection is closed. Most engines drop the run then, but not all:
+ * the order to stop it is repeated until the engine says that the run is stopped or unknown there.
  */
 export async function endRun(context: EndContext, run: EndedRun): Promise<void> {
   try {
--- a/src/relay/constants.ts
+++ b/src/relay/constants.ts
@@ -123,7 +123,7 @@
 /** Timeout of an order to stop a run, whose answer may come only after a copy of the run's memory. */
 export const STOP_TIMEOUT_MS = 1_000;
 
-/** First delay after which an order to stop a run is repeated that an engine has not answered; it doubles. */
+/** Delay before an order to stop a run is repeated that the engine has not answered; doubles each time. */
 export const STOP_RETRY_DELAY_MS = 50;
 
 /** Time for which such orders are repeated; a run at an engine that cannot be reached may go on for longer. */
--- a/standins/platform/movableStreams/index.ts
+++ b/standins/platform/movableStreams/index.ts
@@ -56,7 +56,7 @@
     [Framing.Chunked]: { stopped: 0, continued: 0 },
     [Framing.None]: { stopped: 0, continued: 0 },
   };
-  /** What engines have worked on, in order of its begin; its times are of `performance.now()`. */
+  /** Times in which engines worked on runs, ordered by start, on the clock of `performance.now()`. */
   readonly spans: WorkSpan[] = [];
   private readonly runs = new Map<string, Run>();
   private readonly copies = new Map<string, Run>();
