--- a/src/gateway/_lib/answerErrors/index.ts
+++ b/src/gateway/_lib/answerErrors/index.ts
@@ -38,8 +38,8 @@
 }
 
 /**
- * Answers input that cannot be parsed, as far as the connection allows, and closes the connection. The answer comes
- * after those to the complete requests before it, as their callers would take it for one of those.
+ * Answers input that cannot be parsed, as far as the connection allows, and closes the connection. The answer is
+ * sent after the answers to the complete requests before it, as the caller would otherwise take it for one of them.
  */
 export function answerMalformed(
   ports: Pick<types.GatewayPorts, "log">,
--- a/src/gateway/idleConnections/test.ts
+++ b/src/gateway/idleConnections/test.ts
@@ -22,7 +22,7 @@
 v8.setFlagsFromString("--expose-gc");
 const collectGarbage = vm.runInNewContext("gc") as () => void;
 
-/** Returns the head of a request of about `HEAD_BYTES` in a number of lines. */
+/** Returns a request head of about `HEAD_BYTES`, split into the given number of header lines. */
 function createHead(path: string, id: string, linesCount: number): string {
   const valueLength = Math.max(1, Math.floor(HEAD_BYTES / linesCount) - 9);
   const lines = Array.from({ length: linesCount }, (_, line) => {
--- a/src/gateway/promisedStatuses/test.ts
+++ b/src/gateway/promisedStatuses/test.ts
@@ -14,7 +14,7 @@
 /** Routes whose requests may run only once; the streams of the last may be resumed elsewhere. */
 const ONCE_ONLY_ROUTES = { file: PLAIN_SERVICE, draft: ENGINE_SERVICE, answer: ENGINE_SERVICE };
 
-/** How a server's answer says whether it has run the request, and whether it has. */
+/** Headers of a server's answer that tell whether it ran the request, and whether it really did. */
 const ANSWERS = {
   "with a receipt": { isSigned: true, isStated: false, hasRun: true },
   "without a receipt": { isSigned: false, isStated: false, hasRun: true },
--- a/src/gateway/unbegunStreams/test.ts
+++ b/src/gateway/unbegunStreams/test.ts
@@ -35,8 +35,8 @@
 
 /** What an engine does after the head of a stream, and the status of the caller's answer. */
 const BEHAVIOURS = {
-  "sends nothing until the time limit": [beginStream("", staySilent), 504],
-  "sends half an event until the time limit": [beginStream(HALF_AN_EVENT, staySilent), 504],
+  "sends nothing until the deadline": [beginStream("", staySilent), 504],
+  "sends half an event until the deadline": [beginStream(HALF_AN_EVENT, staySilent), 504],
   "resets its connection": [beginStream("", reset), 502],
   "resets its connection inside the first event": [beginStream(HALF_AN_EVENT, reset), 502],
   "closes its connection": [beginStream("", closeInOrder), 502],
--- a/src/relay/_lib/createRefusal/index.ts
+++ b/src/relay/_lib/createRefusal/index.ts
@@ -28,7 +28,7 @@
   [types.RefusalReason.InternalError]: 502,
 };
 
-/** The reason given for a call that may have run; `OutcomeUnknown` where there is none here. */
+/** Replaces reasons that promise "not run" if the call may have run; all others become `OutcomeUnknown`. */
 const REASON_AFTER_RUN: Readonly<Partial<Record<types.RefusalReason, types.RefusalReason>>> = {
   [types.RefusalReason.TimedOutNotRun]: types.RefusalReason.TimedOut,
 };
--- a/src/relay/_lib/isServerReplaced/index.ts
+++ b/src/relay/_lib/isServerReplaced/index.ts
@@ -2,8 +2,8 @@
 import type * as types from "../../types.js";
 
 /**
- * Whether another server now has the address of the one that a call was sent to, by the answer. A server also turns
- * calls away as misdirected whose version of weights it does not have.
+ * Whether the answer shows that another server now has the address of the one that a call was sent to. A server
+ * also rejects a call as misdirected if the call expects a version of the model's weights that it does not have.
  */
 export function isServerReplaced(
   { head: { expectsVersion } }: types.Call,
--- a/src/relay/_lib/runContinuation/index.ts
+++ b/src/relay/_lib/runContinuation/index.ts
@@ -27,7 +27,7 @@
 export class RunContinuation {
   /** What the sends of the generation have come to. */
   readonly sends = new sendRecords.SendRecord(new Set());
-  /** Streams at whose engines the run was ended. */
+  /** Streams that were closed because the run goes on at another engine. */
   private readonly endedStreams = new WeakSet<engineStreams.EngineStream>();
   /** What ends the run at engines, by their ids; aborted where it goes on again. */
   private readonly endings = new Map<string, AbortController>();
--- a/src/relay/constants.ts
+++ b/src/relay/constants.ts
@@ -123,7 +123,7 @@
 /** Timeout of an order to stop a run, whose answer may come only after a copy of the run's memory. */
 export const STOP_TIMEOUT_MS = 1_000;
 
-/** Delay before an order to stop a run is repeated that the engine has not answered; doubles each time. */
+/** Delay before an unanswered order to stop a run is sent again; doubles with each repetition. */
 export const STOP_RETRY_DELAY_MS = 50;
 
 /** Time for which such orders are repeated; a run at an engine that cannot be reached may go on for longer. */
--- a/src/relay/types.ts
+++ b/src/relay/types.ts
@@ -157,7 +157,7 @@
 /** Operations on engines other than executing calls. */
 export interface EngineControl {
   /**
-   * Stops a run, also at an engine that does not drop runs whose connection is closed. Resolves when the engine
+   * Stops a run, even at an engine that keeps running after its connection is closed. Resolves when the engine
    * has answered, or at the timeout.
    *
    * @param options.copyTo - another engine; orders that stop a run also copy its memory
